Lay the workspace: packages, values, build, checks

Cause: the project starts empty. Nine packages with downward dependencies, the shared value types, and scripts that install, build, check and test.

--- /dev/null
+++ b/packages/values/include/burdock/values/manualruntime.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <burdock/values/runtime.h>
+
+#include <map>
+
+namespace Burdock
+{
+
+/// A runtime whose time moves only when a test says so.
+class ManualRuntime final : public Runtime
+{
+public:
+    TimePoint now() const override;
+    WallTime wallNow() const override;
+    TimerId schedule(Duration delay, std::function<void()> callback) override;
+    void cancel(TimerId timer) override;
+
+    /// Moves time forward, firing due timers in order at their own moments.
+    void advance(Duration span);
+
+    /// Moves time forward without firing anything, as a frozen process sees it; due timers fire at the next advance.
+    void freezeFor(Duration span);
+
+    /// How many timers wait.
+    std::size_t pending() const;
+
+private:
+    struct Entry
+    {
+        TimerId id;
+        std::function<void()> callback;
+    };
+
+    TimePoint now_{std::chrono::hours(1)};
+    TimerId last_ = 0;
+    std::multimap<TimePoint, Entry> entries_;
+};
+
+} // namespace Burdock
