Read flags and environment variables through one table

Cause: three programs need checked settings with a variable for every flag. Ruled out: one reader in each program, the same code three times.

--- /dev/null
+++ b/packages/values/include/burdock/values/optiontable.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <burdock/values/failure.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Burdock
+{
+
+/// One setting of a program: a flag of the command line and the environment variable of the same name.
+struct Option
+{
+    /// The long flag without dashes, such as `store-address`.
+    std::string flag;
+    /// What stands for the value in the help; empty for a switch.
+    std::string valueName;
+    /// The value where neither flag nor variable gives one.
+    std::string fallback;
+    /// One sentence for the help.
+    std::string help;
+};
+
+/// What the command line and the environment gave together; flags go before variables.
+struct OptionValues
+{
+    std::map<std::string, std::string> values;
+    std::vector<std::string> arguments;
+
+    /// The value of a flag, or its fallback.
+    const std::string &text(const std::string &flag) const;
+    /// True for a switch that is on.
+    bool on(const std::string &flag) const;
+};
+
+/// The settings of one program, read with getopt_long.
+class OptionTable
+{
+public:
+    /// `prefix` begins every environment variable, such as `BURDOCKD_`.
+    OptionTable(std::string program, std::string prefix, std::string summary, std::vector<Option> options);
+
+    /// Reads the flags from argv[first] on, up to the first non-option where `stopAtArgument` holds.
+    /// Reports every unknown flag and every flag without its value at once.
+    Result<OptionValues> read(int argc, char *const argv[], bool stopAtArgument = false) const;
+
+    /// The text of `--help`.
+    std::string help() const;
+
+    /// The environment variable of a flag, such as `BURDOCKD_STORE_ADDRESS`.
+    std::string variable(const std::string &flag) const;
+
+private:
+    std::string program_;
+    std::string prefix_;
+    std::string summary_;
+    std::vector<Option> options_;
+};
+
+} // namespace Burdock
