Hold servers by rank queue and slot limit; find the top k in two rounds

Holder keeps one rank queue and one slot limit per server, refuses at once what cannot meet its budget, expires what waits, and tells of queue delays and leaving servers. TopKPlan asks each shard for a first share and then only those that could still enter. Ruled out: floors counted in dispatches (a rank with long service times would get more slot time than its floor); a timer per sub-request (one ordered set with one timer costs less to cancel). Measured: nothing yet.

--- /dev/null
+++ b/packages/policy/src/holderserver.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <burdock/policy/backendport.h>
+#include <burdock/policy/rankqueue.h>
+#include <burdock/policy/slotlimit.h>
+#include <burdock/values/configuration.h>
+
+#include <map>
+
+namespace Burdock
+{
+
+/// What a holder keeps for one backend server.
+class HolderServer
+{
+public:
+    HolderServer(ServerId id, const FleetDeclaration &fleet);
+
+    /// Takes over changed slots, connections and floors.
+    void configure(const FleetDeclaration &fleet);
+
+    RankQueue &queue();
+    const RankQueue &queue() const;
+    std::uint32_t slots() const;
+    const FleetName &fleet() const;
+
+    /// Whether the instance list or a peer says that the server is leaving.
+    void setListedDraining(bool draining);
+    bool draining(TimePoint now) const;
+
+    /// Whether a sub-request with so much time could be answered in time, if it had to wait.
+    bool canMeet(const QueuedRequest &request) const;
+
+    /// Learns from a reply to a request of this rank begun at `started`.
+    void learn(const BackendReply &reply, Rank rank, TimePoint started, TimePoint now);
+
+    /// Learns that a running request was given up at its deadline.
+    void learnOverrun(Rank rank, Duration took);
+
+    ServerReport report(TimePoint now) const;
+
+private:
+    ServerId id_;
+    FleetName fleet_;
+    RankQueue queue_;
+    SlotLimit limit_;
+    bool listedDraining_ = false;
+    TimePoint toldDrainingUntil_{};
+    std::map<IndexName, VersionWindow> versions_;
+};
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/policy/src/topkplan.cpp
@@ -0,0 +1,153 @@
+#include <burdock/policy/topkplan.h>
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <string_view>
+#include <unordered_set>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// How many standard deviations above an even share the first request asks for.
+constexpr double FirstShareMargin = 3;
+/// The round after which duplicates must be the cause, and asks grow.
+constexpr std::uint32_t ExactRounds = 2;
+
+std::uint32_t firstShare(std::uint32_t k, std::size_t shardCount)
+{
+    const double even = static_cast<double>(k) / static_cast<double>(std::max<std::size_t>(shardCount, 1));
+    const double share = std::ceil(even + FirstShareMargin * std::sqrt(even));
+    return std::clamp<std::uint32_t>(static_cast<std::uint32_t>(share), std::min(k, 1U), k);
+}
+
+} // namespace
+
+TopKPlan::TopKPlan(std::uint32_t k, std::size_t shardCount)
+    : k_(k)
+    , firstLimit_(firstShare(k, shardCount))
+    , shards_(shardCount)
+{
+    for (ShardState &state : shards_) {
+        state.asked = firstLimit_;
+    }
+}
+
+std::uint32_t TopKPlan::firstLimit() const
+{
+    return firstLimit_;
+}
+
+bool TopKPlan::fits(const ShardState &state, std::uint32_t offset, const std::vector<Hit> &hits, std::uint64_t total) const
+{
+    if ((state.asked == 0 && k_ > 0) || offset != state.hits.size() || (state.answered && total != state.total) || total < offset) {
+        return false;
+    }
+    if (hits.size() != std::min<std::uint64_t>(state.asked, total - offset)) {
+        return false;
+    }
+    const Hit *previous = state.hits.empty() ? nullptr : &state.hits.back();
+    for (const Hit &hit : hits) {
+        if (std::isnan(hit.score) || (previous != nullptr && !ranksBefore(*previous, hit))) {
+            return false;
+        }
+        previous = &hit;
+    }
+    return true;
+}
+
+bool TopKPlan::add(std::size_t shard, std::uint32_t offset, std::vector<Hit> hits, std::uint64_t total)
+{
+    if (shard >= shards_.size() || !fits(shards_[shard], offset, hits, total)) {
+        return false;
+    }
+    ShardState &state = shards_[shard];
+    std::move(hits.begin(), hits.end(), std::back_inserter(state.hits));
+    state.total = total;
+    state.asked = 0;
+    state.answered = true;
+    return true;
+}
+
+/// The best k hits, each id once.
+std::vector<const Hit *> TopKPlan::best() const
+{
+    std::vector<const Hit *> all;
+    for (const ShardState &state : shards_) {
+        std::transform(state.hits.begin(), state.hits.end(), std::back_inserter(all), [](const Hit &hit) { return &hit; });
+    }
+    std::sort(all.begin(), all.end(), [](const Hit *a, const Hit *b) { return ranksBefore(*a, *b); });
+    std::unordered_set<std::string_view> seen;
+    std::vector<const Hit *> result;
+    for (const Hit *hit : all) {
+        if (result.size() < k_ && seen.insert(hit->id).second) {
+            result.push_back(hit);
+        }
+    }
+    return result;
+}
+
+/// How many further documents of the shard could be among the best k.
+std::uint32_t TopKPlan::stillPossible(const ShardState &state, const std::vector<const Hit *> &best) const
+{
+    const std::uint64_t left = state.total - state.hits.size();
+    if (left == 0 || k_ == 0) {
+        return 0;
+    }
+    const Hit &last = state.hits.back();
+    const auto behind = std::find_if(best.begin(), best.end(), [&last](const Hit *hit) { return ranksBefore(last, *hit); });
+    const auto places = k_ - static_cast<std::uint32_t>(behind - best.begin());
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(places, left));
+}
+
+std::vector<TopKAsk> TopKPlan::nextAsks()
+{
+    const std::vector<const Hit *> ranking = best();
+    const std::uint32_t growth = rounds_ >= ExactRounds ? 2 : 1;
+    std::vector<TopKAsk> asks;
+    for (std::size_t shard = 0; shard < shards_.size(); ++shard) {
+        ShardState &state = shards_[shard];
+        const std::uint32_t possible = state.answered && state.asked == 0 ? stillPossible(state, ranking) : 0;
+        if (possible > 0) {
+            const std::uint64_t limit = std::min<std::uint64_t>(std::uint64_t{possible} * growth, state.total - state.hits.size());
+            state.asked = static_cast<std::uint32_t>(limit);
+            asks.push_back({shard, static_cast<std::uint32_t>(state.hits.size()), state.asked});
+        }
+    }
+    rounds_ += asks.empty() ? 0 : 1;
+    return asks;
+}
+
+bool TopKPlan::settled(std::size_t shard) const
+{
+    const ShardState &state = shards_.at(shard);
+    return state.answered && stillPossible(state, best()) == 0;
+}
+
+std::vector<Hit> TopKPlan::merged() const
+{
+    const std::vector<const Hit *> ranking = best();
+    std::vector<Hit> result;
+    result.reserve(ranking.size());
+    std::transform(ranking.begin(), ranking.end(), std::back_inserter(result), [](const Hit *hit) { return *hit; });
+    return result;
+}
+
+std::uint64_t TopKPlan::hitsCarried() const
+{
+    std::uint64_t sum = 0;
+    for (const ShardState &state : shards_) {
+        sum += state.hits.size();
+    }
+    return sum;
+}
+
+std::uint32_t TopKPlan::rounds() const
+{
+    return rounds_;
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/policy/tests/topkplantest.cpp
@@ -0,0 +1,159 @@
+#include <burdock/policy/topkplan.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+#include <set>
+
+using namespace Burdock;
+
+namespace
+{
+
+using ShardHits = std::vector<std::vector<Hit>>;
+
+void sortHits(std::vector<Hit> &hits)
+{
+    std::sort(hits.begin(), hits.end(), ranksBefore);
+}
+
+/// Documents over shards; `skew` 0 spreads them evenly, 1 puts the best into the first shards.
+ShardHits drawShards(std::mt19937 &random, std::size_t shards, std::size_t documents, double skew)
+{
+    ShardHits all(shards);
+    std::uniform_int_distribution<std::size_t> anyShard(0, shards - 1);
+    std::uniform_int_distribution<int> score(0, 500);
+    for (std::size_t i = 0; i < documents; ++i) {
+        const std::size_t shard = anyShard(random);
+        const double raised = skew > 0 && shard < 3 ? skew * 1000 : 0;
+        all[shard].push_back(Hit{"doc-" + std::to_string(i), score(random) + raised, ""});
+    }
+    std::for_each(all.begin(), all.end(), sortHits);
+    return all;
+}
+
+std::vector<Hit> expectedBest(const ShardHits &shards, std::uint32_t k)
+{
+    std::vector<Hit> all;
+    for (const auto &hits : shards) {
+        all.insert(all.end(), hits.begin(), hits.end());
+    }
+    sortHits(all);
+    std::set<std::string> seen;
+    std::vector<Hit> best;
+    for (const Hit &hit : all) {
+        if (best.size() < k && seen.insert(hit.id).second) {
+            best.push_back(hit);
+        }
+    }
+    return best;
+}
+
+bool answer(TopKPlan &plan, const ShardHits &shards, const TopKAsk &ask)
+{
+    const auto &hits = shards[ask.shard];
+    const auto begin = std::min<std::size_t>(ask.offset, hits.size());
+    const auto end = std::min<std::size_t>(begin + ask.limit, hits.size());
+    return plan.add(ask.shard, ask.offset, {hits.begin() + static_cast<std::ptrdiff_t>(begin), hits.begin() + static_cast<std::ptrdiff_t>(end)}, hits.size());
+}
+
+void answerFirstRound(TopKPlan &plan, const ShardHits &shards)
+{
+    for (std::size_t shard = 0; shard < shards.size(); ++shard) {
+        REQUIRE(answer(plan, shards, {shard, 0, plan.firstLimit()}));
+    }
+}
+
+void finish(TopKPlan &plan, const ShardHits &shards)
+{
+    for (auto asks = plan.nextAsks(); !asks.empty(); asks = plan.nextAsks()) {
+        REQUIRE(plan.rounds() < 20);
+        for (const TopKAsk &ask : asks) {
+            REQUIRE(answer(plan, shards, ask));
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("The best k are exact in two rounds", "[topk]")
+{
+    const auto seed = GENERATE(range(1U, 13U));
+    const double skew = GENERATE(0.0, 0.1, 1.0);
+    INFO("seed " << seed << " skew " << skew);
+    std::mt19937 random(seed);
+    const std::uint32_t k = std::uniform_int_distribution<std::uint32_t>(0, 200)(random);
+    const ShardHits shards = drawShards(random, 1 + seed * 4, seed * 200, skew);
+    TopKPlan plan(k, shards.size());
+    answerFirstRound(plan, shards);
+    finish(plan, shards);
+    CHECK(plan.merged() == expectedBest(shards, k));
+    CHECK(plan.rounds() <= 2);
+}
+
+TEST_CASE("A document that two shards hold is given once, at its best score", "[topk]")
+{
+    const auto seed = GENERATE(range(1U, 9U));
+    INFO("seed " << seed);
+    std::mt19937 random(seed);
+    ShardHits shards = drawShards(random, 8, 400, 0.1);
+    for (std::size_t shard = 1; shard < 4; ++shard) {
+        shards[shard].insert(shards[shard].end(), shards[0].begin(), shards[0].end());
+        sortHits(shards[shard]);
+    }
+    shards[5].push_back(Hit{shards[0].front().id, -1, ""});
+    TopKPlan plan(60, shards.size());
+    answerFirstRound(plan, shards);
+    finish(plan, shards);
+    CHECK(plan.merged() == expectedBest(shards, 60));
+}
+
+TEST_CASE("A shard that did not answer takes nothing from the others", "[topk]")
+{
+    std::mt19937 random(7);
+    ShardHits shards = drawShards(random, 10, 500, 0);
+    TopKPlan plan(100, shards.size());
+    for (std::size_t shard = 1; shard < shards.size(); ++shard) {
+        REQUIRE(answer(plan, shards, {shard, 0, plan.firstLimit()}));
+    }
+    finish(plan, shards);
+    CHECK_FALSE(plan.settled(0));
+    CHECK(plan.settled(1));
+    shards[0].clear();
+    CHECK(plan.merged() == expectedBest(shards, 100));
+}
+
+TEST_CASE("A reply that is not what was asked is not merged", "[topk]")
+{
+    TopKPlan plan(4, 1);
+    const Hit a{"a", 9, ""};
+    const Hit b{"b", 8, ""};
+    const Hit c{"c", 7, ""};
+    const Hit d{"d", 6, ""};
+    REQUIRE(plan.firstLimit() == 4);
+    struct Case
+    {
+        const char *what;
+        std::size_t shard;
+        std::uint32_t offset;
+        std::vector<Hit> hits;
+        std::uint64_t total;
+    };
+    const std::vector<Case> cases{
+        {"an unknown shard", 1, 0, {a, b, c, d}, 9},
+        {"another offset", 0, 1, {a, b, c, d}, 9},
+        {"fewer than asked for", 0, 0, {a, b, c}, 9},
+        {"more than the total", 0, 0, {a, b, c, d}, 3},
+        {"out of order", 0, 0, {b, a, c, d}, 9},
+        {"a document twice", 0, 0, {a, a, c, d}, 9},
+        {"a score that is no number", 0, 0, {a, b, c, {"d", std::nan(""), ""}}, 9},
+    };
+    for (const Case &fault : cases) {
+        INFO(fault.what);
+        CHECK_FALSE(plan.add(fault.shard, fault.offset, fault.hits, fault.total));
+        CHECK(plan.merged().empty());
+    }
+    CHECK(plan.add(0, 0, {a, b, c, d}, 9));
+    CHECK_FALSE(plan.add(0, 0, {a, b, c, d}, 9));
+    CHECK(plan.nextAsks().empty());
+}
