Parse, check and collect declarations

Cause: operators and teams drive the system only through files, and nothing read them. Ruled out: numbers without units (a bare 80 reads as seconds to one and milliseconds to the next); stopping at the first fault; one large file for all teams. Before: no format. Time of a check: not measured.

--- /dev/null
+++ b/packages/declarations/include/burdock/declarations/collector.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <burdock/declarations/declarationset.h>
+#include <burdock/declarations/fault.h>
+#include <burdock/values/failure.h>
+
+#include <cstddef>
+#include <string>
+
+namespace Burdock
+{
+
+/// The largest declaration file, in bytes. The store's values end at 1 MB; what is larger is split by its owners.
+constexpr std::size_t MaxDeclarationFileBytes = 512 * 1024;
+
+/// The longest file name, in bytes.
+constexpr std::size_t MaxDeclarationNameBytes = 200;
+
+/// Why a file of this name and size cannot be published; empty where it can.
+std::string declarationFileFault(const std::string &name, std::size_t bytes);
+
+/// Reads all `*.toml` files below a folder. Hidden files and folders are left out.
+Result<DeclarationSet> collectDeclarations(const std::string &folder);
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/declarations/src/checkdeclarations.cpp
@@ -0,0 +1,164 @@
+#include <burdock/declarations/checkdeclarations.h>
+
+#include <burdock/declarations/collector.h>
+#include <burdock/declarations/nearestname.h>
+
+#include "parsedfile.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+template<class Key, class Value>
+std::vector<std::string> namesOf(const std::map<Key, Value> &declared)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, value] : declared) {
+        names.push_back(name.text());
+    }
+    return names;
+}
+
+/// Joins the files into one configuration and checks them against each other.
+class Assembler
+{
+public:
+    Assembler(Configuration &configuration, DeclarationFaults &faults)
+        : configuration_(configuration)
+        , faults_(faults)
+    {
+    }
+
+    void assemble(const std::vector<ParsedFile> &files)
+    {
+        for (const ParsedFile &file : files) {
+            add("fleet", file.fleets, configuration_.fleets);
+            add("index", file.indexes, configuration_.indexes);
+            add("command", file.commands, configuration_.commands);
+        }
+        for (const ParsedFile &file : files) {
+            checkFleets(file);
+            for (const ParsedRule &rule : file.rules) {
+                addRule(rule);
+            }
+        }
+    }
+
+private:
+    template<class Key, class Value>
+    void add(const std::string &kind, const std::vector<Parsed<Value>> &parsed, std::map<Key, Value> &declared)
+    {
+        for (const Parsed<Value> &next : parsed) {
+            const std::string &name = next.declaration.name.text();
+            const auto [place, isNew] = places_.emplace(kind + " " + name, next.place);
+            if (isNew) {
+                declared.emplace(next.declaration.name, next.declaration);
+            } else {
+                faults_.push_back({next.place, "the " + kind + " '" + name + "' is declared twice", place->second});
+            }
+        }
+    }
+
+    void checkFleets(const ParsedFile &file)
+    {
+        for (const auto &index : file.indexes) {
+            checkFleet(index.declaration.fleet, index.fleetPlace);
+            for (const Shard &shard : index.declaration.map.shards) {
+                checkServers(shard.replicas, index.declaration.fleet, index.serversPlace);
+            }
+        }
+        for (const auto &command : file.commands) {
+            checkFleet(command.declaration.fleet, command.fleetPlace);
+            checkServers(command.declaration.servers, command.declaration.fleet, command.serversPlace);
+        }
+    }
+
+    void checkFleet(const FleetName &fleet, const SourcePlace &place)
+    {
+        if (!fleet.empty() && configuration_.fleets.count(fleet) == 0) {
+            const std::string hint = nearestNameHint(fleet.text(), namesOf(configuration_.fleets));
+            faults_.push_back({place, "there is no fleet '" + fleet.text() + "'" + hint, std::nullopt});
+        }
+    }
+
+    void checkServers(const std::vector<ServerId> &servers, const FleetName &fleet, const SourcePlace &place)
+    {
+        for (const ServerId &server : servers) {
+            const auto [known, isNew] = fleetOfServer_.emplace(server, std::pair(fleet, place));
+            if (!isNew && known->second.first != fleet) {
+                faults_.push_back(
+                    {place,
+                     "the server '" + server.text() + "' is in the fleet '" + fleet.text() + "' here and in '" + known->second.first.text() + "' elsewhere",
+                     known->second.second});
+            }
+        }
+    }
+
+    void addRule(const ParsedRule &parsed)
+    {
+        if (parsed.target.empty()) {
+            return;
+        }
+        if (parsed.isCommand) {
+            addRule(parsed, "command", CommandName(parsed.target), configuration_.commands);
+        } else {
+            addRule(parsed, "index", IndexName(parsed.target), configuration_.indexes);
+        }
+    }
+
+    template<class Key, class Value>
+    void addRule(const ParsedRule &parsed, const std::string &kind, const Key &target, std::map<Key, Value> &declared)
+    {
+        const auto found = declared.find(target);
+        if (found == declared.end()) {
+            const std::string hint = nearestNameHint(target.text(), namesOf(declared));
+            faults_.push_back({parsed.targetPlace, "there is no " + kind + " '" + target.text() + "'" + hint, std::nullopt});
+            return;
+        }
+        const CallerId &caller = parsed.rule.caller;
+        const auto [place, isNew] = places_.emplace("rule " + kind + " " + target.text() + " " + caller.text(), parsed.place);
+        if (isNew) {
+            found->second.callers.emplace(caller, parsed.rule);
+        } else {
+            faults_.push_back({parsed.place, "the caller '" + caller.text() + "' has two rules for the " + kind + " '" + target.text() + "'", place->second});
+        }
+    }
+
+    Configuration &configuration_;
+    DeclarationFaults &faults_;
+    std::unordered_map<std::string, SourcePlace> places_;
+    std::unordered_map<ServerId, std::pair<FleetName, SourcePlace>> fleetOfServer_;
+};
+
+} // namespace
+
+tl::expected<Configuration, DeclarationFaults> checkDeclarations(const DeclarationSet &set, std::uint64_t version)
+{
+    Configuration configuration;
+    configuration.version = version;
+    configuration.hash = set.hash();
+    DeclarationFaults faults;
+    std::vector<ParsedFile> files;
+    for (const auto &[name, file] : set.files()) {
+        const std::string fault = declarationFileFault(name, file.text().size());
+        if (!fault.empty()) {
+            faults.push_back({{name, 1, 1}, "this file " + fault, std::nullopt});
+        }
+        files.push_back(parseDeclarationFile(name, file.text(), faults));
+    }
+    Assembler(configuration, faults).assemble(files);
+    if (!faults.empty()) {
+        std::sort(faults.begin(), faults.end());
+        faults.erase(std::unique(faults.begin(), faults.end()), faults.end());
+        return tl::make_unexpected(std::move(faults));
+    }
+    return configuration;
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/declarations/src/shardpattern.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <burdock/values/shardmap.h>
+
+#include <cstdint>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace Burdock
+{
+
+/// The short form of a shard map: equal shards, and the name of each replica's server as a pattern.
+///
+/// `{shard}` and `{replica}` stand for numbers from 0; `{shard+replica}` is their sum and starts again
+/// at 0 after the last shard, so that each server holds several shards.
+struct ShardPattern
+{
+    std::uint32_t shards = 0;
+    std::uint32_t replicas = 0;
+    std::string servers;
+
+    auto fields() const
+    {
+        return std::tie(shards, replicas, servers);
+    }
+
+    /// The shards, or what is wrong with the pattern.
+    tl::expected<std::vector<Shard>, std::string> expand() const;
+};
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/declarations/src/tablereader.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <burdock/declarations/fault.h>
+#include <burdock/values/rank.h>
+#include <burdock/values/runtime.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <toml++/toml.h>
+#include <vector>
+
+namespace Burdock
+{
+
+/// Whether a key may be left out.
+enum class Need {
+    Optional,
+    Required,
+};
+
+/// Where a node stands.
+SourcePlace placeOf(const std::string &file, const toml::node &node);
+
+/// Whether a text can name a caller, an index, a server and the like.
+bool isDeclarationName(const std::string &text);
+
+/// Reads the keys of one TOML table, with a fault for each that is missing, of another kind or unknown.
+class TableReader
+{
+public:
+    /// `what` names the table in messages, such as "the fleet 'parts-desk'".
+    TableReader(const toml::table &table, std::string file, std::string what, DeclarationFaults &faults);
+
+    /// The place of the table, or of one of its keys where it is there.
+    SourcePlace place() const;
+    SourcePlace place(std::string_view key) const;
+
+    bool has(std::string_view key) const;
+
+    std::optional<std::string> text(std::string_view key, Need need);
+    std::optional<std::string> name(std::string_view key, Need need);
+    std::optional<std::vector<std::string>> names(std::string_view key, Need need);
+    std::optional<bool> flag(std::string_view key, Need need);
+    std::optional<std::int64_t> integer(std::string_view key, Need need);
+    std::optional<Duration> duration(std::string_view key, Need need);
+    std::optional<std::uint32_t> count(std::string_view key, std::string_view unit, Need need);
+    std::optional<double> percentage(std::string_view key, Need need);
+    std::optional<Rank> rank(std::string_view key, Need need);
+    const toml::table *table(std::string_view key, Need need);
+
+    /// Reads each table of an array of tables.
+    void eachTable(std::string_view key, const std::function<void(const toml::table &)> &read);
+
+    /// Reads each table of a table of tables, such as `[fleet.parts-desk]`, with its name.
+    void eachNamedTable(std::string_view key, const std::function<void(const std::string &, const toml::table &)> &read);
+
+    /// A fault for every key that was not asked for.
+    void refuseUnknownKeys();
+
+    /// A fault at a key, or at the table where the key is missing.
+    void fault(std::string_view key, std::string message);
+
+private:
+    const toml::node *find(std::string_view key, Need need);
+    void wrongKind(std::string_view key, const std::string &expected);
+
+    const toml::table &table_;
+    std::string file_;
+    std::string what_;
+    DeclarationFaults &faults_;
+    std::vector<std::string> known_;
+};
+
+} // namespace Burdock
