--- /dev/null
+++ b/packages/daemon/include/burdock/daemon/backendadapter.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <burdock/policy/backendport.h>
+#include <burdock/values/place.h>
+#include <burdock/wire/httpclient.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace Burdock
+{
+
+/// What the adapter has counted since the start.
+struct BackendCounters
+{
+    std::uint64_t requests = 0;
+    std::uint64_t malformed = 0;
+    std::uint64_t lost = 0;
+    std::uint64_t cancels = 0;
+    std::uint64_t lateReplies = 0;
+};
+
+/// The holder's way to backend servers over HTTP.
+///
+/// A cancelled request keeps its connection: the server is told by `POST /cancel` and its late reply is dropped.
+class BackendAdapter final : public BackendPort
+{
+public:
+    /// Gives the address of a server, nothing where it is not listed.
+    using FindServer = std::function<std::optional<Address>(const ServerId &server)>;
+
+    BackendAdapter(Runtime &runtime, HttpClient &client, FindServer find);
+
+    void dispatch(const SubRequest &request, Duration budget, Callback done) override;
+    void cancel(const SubRequestId &id) override;
+
+    const BackendCounters &counters() const;
+
+private:
+    struct Call
+    {
+        Callback done;
+        Address server;
+        bool cancelled = false;
+    };
+
+    void refuseUnlisted(const SubRequest &request, Callback done);
+    void finished(const SubRequest &request, const Result<HttpResponse> &response);
+
+    Runtime &runtime_;
+    HttpClient &client_;
+    FindServer find_;
+    std::map<SubRequestId, Call> calls_;
+    BackendCounters counters_;
+};
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/daemon/include/burdock/daemon/holderservice.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <burdock/policy/holder.h>
+#include <burdock/wire/peerlinks.h>
+
+#include <map>
+#include <set>
+
+namespace Burdock
+{
+
+/// Serves peers' sub-requests from this instance's holder and keeps them informed of its servers.
+class HolderService
+{
+public:
+    HolderService(PeerLinks &links, Holder &holder);
+
+    /// A peer asks for one of our servers. While refusing, it gets NotRun at once.
+    void submit(const InstanceId &from, const SubRequest &request);
+
+    /// A peer gives up a sub-request.
+    void cancel(const InstanceId &from, const SubRequestId &id);
+
+    /// A peer wants all reports, now and as they change.
+    void subscribe(const InstanceId &peer);
+
+    /// A report of one of our servers changed.
+    void publish(const ServerReport &report);
+
+    /// The link to a peer is lost: nobody waits for its sub-requests any more.
+    void peerLost(const InstanceId &peer);
+
+    /// How many sub-requests of peers wait or run.
+    std::size_t inFlight() const;
+
+private:
+    PeerLinks &links_;
+    Holder &holder_;
+    std::set<InstanceId> subscribers_;
+    std::map<InstanceId, std::set<SubRequestId>> work_;
+};
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/daemon/src/backendadapter.cpp
@@ -0,0 +1,77 @@
+#include <burdock/daemon/backendadapter.h>
+
+#include <burdock/daemon/backendcodec.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+constexpr Duration CancelTimeout = std::chrono::milliseconds(500);
+}
+
+BackendAdapter::BackendAdapter(Runtime &runtime, HttpClient &client, FindServer find)
+    : runtime_(runtime)
+    , client_(client)
+    , find_(std::move(find))
+{
+}
+
+void BackendAdapter::dispatch(const SubRequest &request, Duration budget, Callback done)
+{
+    const std::optional<Address> server = find_(request.server);
+    if (!server) {
+        refuseUnlisted(request, std::move(done));
+        return;
+    }
+    ++counters_.requests;
+    calls_[request.id] = Call{std::move(done), *server, false};
+    client_.send(encodeBackendRequest(request, *server, budget), [this, request](const Result<HttpResponse> &response) { finished(request, response); });
+}
+
+void BackendAdapter::refuseUnlisted(const SubRequest &request, Callback done)
+{
+    runtime_.schedule(Duration{0}, [request, done = std::move(done)] {
+        done(backendFailure(request, Failure{Errc::Unavailable, Verdict::NotRun, "server '" + request.server.text() + "' is not in the instance list"}));
+    });
+}
+
+void BackendAdapter::finished(const SubRequest &request, const Result<HttpResponse> &response)
+{
+    const auto node = calls_.extract(request.id);
+    if (node.empty() || node.mapped().cancelled) {
+        ++counters_.lateReplies;
+        return;
+    }
+    counters_.lost += response ? 0 : 1;
+    const BackendReply reply = response ? decodeBackendResponse(request, *response) : backendFailure(request, response.error());
+    counters_.malformed += response && reply.reply.code == Errc::ConnectionLost ? 1 : 0;
+    node.mapped().done(reply);
+}
+
+void BackendAdapter::cancel(const SubRequestId &id)
+{
+    const auto found = calls_.find(id);
+    if (found == calls_.end() || found->second.cancelled) {
+        return;
+    }
+    ++counters_.cancels;
+    found->second.cancelled = true;
+    HttpRequest request;
+    request.address = found->second.server;
+    request.method = "POST";
+    request.path = "/cancel";
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = nlohmann::json{{"requestId", requestIdText(id)}}.dump();
+    request.timeout = CancelTimeout;
+    client_.send(std::move(request), [](const Result<HttpResponse> &) {});
+}
+
+const BackendCounters &BackendAdapter::counters() const
+{
+    return counters_;
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/daemon/src/holderservice.cpp
@@ -0,0 +1,67 @@
+#include <burdock/daemon/holderservice.h>
+
+namespace Burdock
+{
+
+HolderService::HolderService(PeerLinks &links, Holder &holder)
+    : links_(links)
+    , holder_(holder)
+{
+}
+
+void HolderService::submit(const InstanceId &from, const SubRequest &request)
+{
+    if (!work_[from].insert(request.id).second) {
+        return;
+    }
+    holder_.submit(request, [this, from](const SubReply &reply) {
+        work_[from].erase(reply.id);
+        links_.send(from, reply);
+    });
+}
+
+void HolderService::cancel(const InstanceId &from, const SubRequestId &id)
+{
+    const auto found = work_.find(from);
+    if (found != work_.end() && found->second.erase(id) > 0) {
+        holder_.cancel(id);
+    }
+}
+
+void HolderService::subscribe(const InstanceId &peer)
+{
+    subscribers_.insert(peer);
+    for (const ServerReport &report : holder_.reports()) {
+        links_.send(peer, report);
+    }
+}
+
+void HolderService::publish(const ServerReport &report)
+{
+    for (const InstanceId &peer : subscribers_) {
+        links_.send(peer, report);
+    }
+}
+
+void HolderService::peerLost(const InstanceId &peer)
+{
+    subscribers_.erase(peer);
+    const auto node = work_.extract(peer);
+    if (node.empty()) {
+        return;
+    }
+    for (const SubRequestId &id : node.mapped()) {
+        holder_.cancel(id);
+    }
+}
+
+std::size_t HolderService::inFlight() const
+{
+    std::size_t sum = 0;
+    for (const auto &[peer, ids] : work_) {
+        sum += ids.size();
+    }
+    return sum;
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/daemon/src/metrics.cpp
@@ -0,0 +1,92 @@
+#include <burdock/daemon/metrics.h>
+
+#include <sstream>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// Upper bounds of the latency buckets, in seconds.
+const std::vector<double> LatencyBounds{0, 0.001, 0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 5, 10, 30};
+/// Upper bounds of the coverage buckets, as parts of the key space; a coverage of 1 lies in the last.
+const std::vector<double> CoverageBounds{0, 0.5, 0.8, 0.9, 0.95, 0.99, 0.999, 1.0};
+
+/// Writes a histogram the Prometheus way: cumulative buckets by upper bound, sum and count.
+template<class Histogram>
+void writeHistogram(std::ostream &out, const std::string &name, Rank rank, const Histogram &histogram, double sum)
+{
+    const std::string label = "rank=\"" + std::string(rankName(rank)) + "\"";
+    const auto &axis = histogram.axis();
+    double count = 0;
+    for (int place = 0; place < axis.size(); ++place) {
+        count += histogram.at(place);
+        out << name << "_bucket{" << label << ",le=\"" << axis.value(place + 1) << "\"} " << count << '\n';
+    }
+    count += histogram.at(axis.size());
+    out << name << "_bucket{" << label << ",le=\"+Inf\"} " << count << '\n';
+    out << name << "_sum{" << label << "} " << sum << '\n';
+    out << name << "_count{" << label << "} " << count << '\n';
+}
+
+void writeHead(std::ostream &out, const std::string &name, const std::string &kind, const std::string &help)
+{
+    out << "# HELP " << name << ' ' << help << "\n# TYPE " << name << ' ' << kind << '\n';
+}
+
+} // namespace
+
+Metrics::Metrics()
+{
+    for (std::size_t place = 0; place < RankCount; ++place) {
+        ranks_.push_back(RankRecord{boost::histogram::make_histogram(Axis(LatencyBounds)), 0, boost::histogram::make_histogram(Axis(CoverageBounds)), 0});
+    }
+}
+
+void Metrics::answered(Rank rank, Duration took, double coverage)
+{
+    RankRecord &record = ranks_[rankIndex(rank)];
+    const double seconds = std::chrono::duration<double>(took).count();
+    record.latency(seconds);
+    record.latencySum += seconds;
+    record.coverage(coverage);
+    record.coverageSum += coverage;
+}
+
+void Metrics::refused(const std::string &code, const std::string &verdict)
+{
+    ++refusals_[{code, verdict}];
+}
+
+void Metrics::watch(std::string name, std::string kind, std::string help, std::function<double()> read)
+{
+    watched_.push_back(Watched{std::move(name), std::move(kind), std::move(help), std::move(read)});
+}
+
+std::string Metrics::text() const
+{
+    std::ostringstream out;
+    out.precision(15);
+    writeHead(out, "burdock_answer_seconds", "histogram", "Time from a request's arrival to its answer.");
+    for (const Rank rank : AllRanks) {
+        const RankRecord &record = ranks_[rankIndex(rank)];
+        writeHistogram(out, "burdock_answer_seconds", rank, record.latency, record.latencySum);
+    }
+    writeHead(out, "burdock_answer_coverage", "histogram", "Part of the key space that an answer speaks for.");
+    for (const Rank rank : AllRanks) {
+        const RankRecord &record = ranks_[rankIndex(rank)];
+        writeHistogram(out, "burdock_answer_coverage", rank, record.coverage, record.coverageSum);
+    }
+    writeHead(out, "burdock_refusals_total", "counter", "Refused requests by code and verdict.");
+    for (const auto &[key, count] : refusals_) {
+        out << "burdock_refusals_total{code=\"" << key.first << "\",verdict=\"" << key.second << "\"} " << count << '\n';
+    }
+    for (const Watched &watched : watched_) {
+        writeHead(out, watched.name, watched.kind, watched.help);
+        out << watched.name << ' ' << watched.read() << '\n';
+    }
+    return out.str();
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/daemon/src/settings.cpp
@@ -0,0 +1,127 @@
+#include <burdock/daemon/settings.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// Collects the faults of all settings before anything is refused.
+class SettingsReader
+{
+public:
+    explicit SettingsReader(const OptionValues &values)
+        : values_(values)
+    {
+    }
+
+    std::string word(const std::string &flag)
+    {
+        const std::string &text = values_.text(flag);
+        if (text.empty()) {
+            fault(flag, "a name that is not empty");
+        }
+        return text;
+    }
+
+    Address address(const std::string &flag)
+    {
+        const Result<Address> parsed = Address::parse(values_.text(flag));
+        if (!parsed) {
+            fault(flag, "an IP number and a port, such as 127.0.0.1:8080");
+            return {};
+        }
+        return *parsed;
+    }
+
+    Duration milliseconds(const std::string &flag, std::int64_t least, std::int64_t most)
+    {
+        const std::string &text = values_.text(flag);
+        std::int64_t value = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (error != std::errc() || end != text.data() + text.size() || value < least || value > most) {
+            fault(flag, "a whole number of milliseconds from " + std::to_string(least) + " to " + std::to_string(most));
+        }
+        return std::chrono::milliseconds(value);
+    }
+
+    std::string oneOf(const std::string &flag, const std::vector<std::string> &allowed)
+    {
+        const std::string &text = values_.text(flag);
+        if (std::find(allowed.begin(), allowed.end(), text) == allowed.end()) {
+            std::string list;
+            for (const std::string &word : allowed) {
+                list += (list.empty() ? "" : ", ") + word;
+            }
+            fault(flag, "one of " + list);
+        }
+        return text;
+    }
+
+    const std::string &faults() const
+    {
+        return faults_;
+    }
+
+private:
+    void fault(const std::string &flag, const std::string &allowed)
+    {
+        faults_ += (faults_.empty() ? "" : "\n") + std::string("--") + flag + " (" + settingsTable().variable(flag) + ") is '" + values_.text(flag)
+            + "'; allowed is " + allowed;
+    }
+
+    const OptionValues &values_;
+    std::string faults_;
+};
+
+} // namespace
+
+const OptionTable &settingsTable()
+{
+    static const OptionTable table("burdockd",
+                                   "BURDOCKD_",
+                                   "burdockd: one instance of the query tier.",
+                                   {
+                                       {"instance-id", "NAME", "", "The name of this instance; the same after a restart."},
+                                       {"region", "NAME", "", "The region that the instance stands in."},
+                                       {"data-centre", "NAME", "", "The data centre that the instance stands in."},
+                                       {"callers-address", "IP:PORT", "127.0.0.1:8080", "Where callers connect."},
+                                       {"peers-address", "IP:PORT", "127.0.0.1:8081", "Where other instances connect (TCP) and probe (UDP)."},
+                                       {"store-address", "IP:PORT", "127.0.0.1:2379", "The platform's configuration store."},
+                                       {"instance-list-address", "IP:PORT", "127.0.0.1:2380", "The platform's instance list."},
+                                       {"entries-max-age-ms", "N", "5000", "How long callers may keep the list of entries; a shutdown waits this long."},
+                                       {"store-timeout-ms", "N", "2000", "How long one call to the store may take."},
+                                       {"log-format", "FORMAT", "text", "text or json."},
+                                       {"log-level", "LEVEL", "info", "debug, info, warn or error."},
+                                       {"check-settings", "", "", "Checks the settings, prints them and exits."},
+                                       {"help", "", "", "Prints this text."},
+                                       {"version", "", "", "Prints the version."},
+                                   });
+    return table;
+}
+
+Result<Settings> checkSettings(const OptionValues &values)
+{
+    SettingsReader reader(values);
+    Settings settings;
+    settings.id = InstanceId(reader.word("instance-id"));
+    settings.place = Place{Region(reader.word("region")), DataCentre(reader.word("data-centre"))};
+    settings.callers = reader.address("callers-address");
+    settings.peers = reader.address("peers-address");
+    settings.store = reader.address("store-address");
+    settings.instanceList = reader.address("instance-list-address");
+    settings.entriesMaxAge = reader.milliseconds("entries-max-age-ms", 100, 600000);
+    settings.storeTimeout = reader.milliseconds("store-timeout-ms", 10, 60000);
+    settings.logFormat = reader.oneOf("log-format", {"text", "json"});
+    settings.logLevel = reader.oneOf("log-level", {"debug", "info", "warn", "error"});
+    if (!reader.faults().empty()) {
+        return notRun(Errc::BadRequest, reader.faults());
+    }
+    return settings;
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/policy/include/burdock/policy/shardask.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <burdock/policy/query.h>
+#include <burdock/policy/querytactics.h>
+#include <burdock/policy/snapshottracker.h>
+#include <burdock/policy/subrequestport.h>
+#include <burdock/values/runtime.h>
+
+#include <functional>
+#include <vector>
+
+namespace Burdock
+{
+
+/// Hands out the ids of sub-requests of one incarnation of one instance.
+class SubRequestIds
+{
+public:
+    SubRequestIds(InstanceId self, std::uint64_t incarnation);
+
+    /// An id that was never given before.
+    SubRequestId next();
+
+private:
+    InstanceId self_;
+    std::uint64_t incarnation_;
+    std::uint64_t last_ = 0;
+};
+
+/// What all parts of the entry's query work share.
+struct QueryContext
+{
+    Runtime &runtime;
+    SubRequestPort &port;
+    QueryTactics &tactics;
+    SnapshotTracker &tracker;
+    SubRequestIds &ids;
+    QueryCounters &counters;
+    QueryLimits limits;
+};
+
+/// What one query asks of every shard.
+struct ShardQuestion
+{
+    CallerId caller;
+    Rank rank = Rank::Batch;
+    FleetName fleet;
+    SnapshotId snapshot;
+    std::string text;
+    TimePoint deadline;
+};
+
+/// Why a shard has not answered.
+enum class ShardTrouble {
+    /// Each replica was tried and failed; the ask goes on after a pause.
+    Exhausted,
+    /// No replica holds the snapshot any more; the ask has ended.
+    SnapshotGone,
+};
+
+/// Gets one stretch of hits from one shard: chooses replicas, hedges, retries, and checks the reply.
+class ShardAsk
+{
+public:
+    using AnswerHandler = std::function<void(const SubReply &)>;
+    using TroubleHandler = std::function<void(ShardTrouble)>;
+
+    ShardAsk(QueryContext &context, const ShardQuestion &question, const Shard &shard, std::uint32_t offset, std::uint32_t limit);
+    ~ShardAsk();
+    ShardAsk(const ShardAsk &) = delete;
+    ShardAsk &operator=(const ShardAsk &) = delete;
+
+    /// Sends the first attempt. `onAnswer` is called at most once.
+    void start(AnswerHandler onAnswer, TroubleHandler onTrouble);
+
+    /// True while every attempt so far is known not to have run.
+    bool nothingRan() const;
+
+private:
+    struct Attempt
+    {
+        SubRequestId id;
+        ServerId server;
+        TimePoint sentAt;
+    };
+
+    bool launch();
+    void send(const ServerId &server);
+    void armHedge(const ServerId &server);
+    void hedge();
+    void replied(const SubRequestId &id, const SubReply &reply);
+    void accept(const SubReply &reply);
+    void attemptFailed(const SubReply &reply);
+    void retry();
+    void pauseThenRetry();
+    void cancelAttempts();
+    bool matches(const SubReply &reply) const;
+    bool wellFormed(const SubReply &reply) const;
+    std::vector<ServerId> replicasWithSnapshot() const;
+
+    QueryContext &context_;
+    const ShardQuestion &question_;
+    Shard shard_;
+    std::uint32_t offset_;
+    std::uint32_t limit_;
+    AnswerHandler onAnswer_;
+    TroubleHandler onTrouble_;
+    std::vector<Attempt> attempts_;
+    std::vector<ServerId> tried_;
+    std::vector<ServerId> moved_;
+    TimerId hedgeTimer_ = 0;
+    TimerId pauseTimer_ = 0;
+    Duration pause_;
+    Duration retryAfter_{0};
+    bool nothingRan_ = true;
+    bool ended_ = false;
+};
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/policy/src/querydesk.cpp
@@ -0,0 +1,75 @@
+#include <burdock/policy/querydesk.h>
+
+#include <utility>
+
+namespace Burdock
+{
+
+QueryDesk::QueryDesk(QueryContext context, QueryRun::CurrentConfiguration current, Admission admission)
+    : context_(context)
+    , current_(std::move(current))
+    , admission_(std::move(admission))
+{
+}
+
+std::uint64_t QueryDesk::submit(const Query &query, Done done)
+{
+    const std::uint64_t number = ++last_;
+    Result<CallerRule> rule = check(query);
+    if (!rule) {
+        ++context_.counters.refused;
+        done(tl::make_unexpected(rule.error()));
+        return number;
+    }
+    auto run = std::make_unique<QueryRun>(context_, current_, *rule, query);
+    QueryRun &started = *run;
+    runs_.emplace(number, std::move(run));
+    started.start([this, number, finished = std::move(done)](Result<QueryAnswer> result) {
+        const auto node = runs_.extract(number);
+        finished(std::move(result));
+    });
+    return number;
+}
+
+void QueryDesk::abandon(std::uint64_t number)
+{
+    context_.counters.cancelled += runs_.erase(number);
+}
+
+std::size_t QueryDesk::running() const
+{
+    return runs_.size();
+}
+
+Result<CallerRule> QueryDesk::check(const Query &query) const
+{
+    const ConfigurationPtr configuration = current_();
+    if (!configuration) {
+        return notRun(Errc::NotReady, "this instance has no configuration yet; ask another one", std::chrono::seconds(1));
+    }
+    const auto index = configuration->indexes.find(query.index);
+    if (index == configuration->indexes.end()) {
+        return notRun(Errc::NotFound, "index '" + query.index.text() + "' is not declared");
+    }
+    const auto rule = index->second.callers.find(query.caller);
+    if (rule == index->second.callers.end()) {
+        return notRun(Errc::NotAllowed, "caller '" + query.caller.text() + "' is not declared for index '" + query.index.text() + "'");
+    }
+    if (query.limit == 0 || query.limit > context_.limits.hits) {
+        return notRun(Errc::BadRequest, "limit must lie between 1 and " + std::to_string(context_.limits.hits));
+    }
+    if (query.text.size() > context_.limits.textBytes) {
+        return notRun(Errc::TooLarge, "the query's text is longer than " + std::to_string(context_.limits.textBytes) + " bytes");
+    }
+    if (query.deadline && *query.deadline <= Duration{0}) {
+        return notRun(Errc::DeadlineExceeded, "the deadline is past");
+    }
+    if (admission_) {
+        if (auto refusal = admission_(rule->second, index->second)) {
+            return tl::make_unexpected(*refusal);
+        }
+    }
+    return rule->second;
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/policy/tests/queryfixture.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "fakeshards.h"
+
+#include <burdock/policy/querydesk.h>
+
+#include <catch2/catch.hpp>
+
+namespace Burdock
+{
+
+constexpr std::size_t FixtureDocuments = 400;
+
+/// A query desk over fake shards: one index, one caller.
+class QueryFixture
+{
+public:
+    explicit QueryFixture(std::size_t shardCount = 4, std::size_t replicaCount = 2)
+        : shards(runtime, FixtureDocuments)
+        , desk(
+              QueryContext{runtime, shards, tactics, tracker, ids, counters, QueryLimits{}}, [this] { return configuration; }, nullptr)
+    {
+        rule.caller = CallerId("technician");
+        rule.rank = Rank::Urgent;
+        rule.longestWait = std::chrono::milliseconds(200);
+        repartition(1, shardCount, replicaCount);
+    }
+
+    /// Installs another shard map; the servers follow when their mapGeneration is set.
+    void repartition(std::uint64_t generation, std::size_t shardCount, std::size_t replicaCount)
+    {
+        ShardMap map{generation, {}};
+        for (std::size_t place = 0; place < shardCount; ++place) {
+            const KeyRange range{KeySpace * place / shardCount, KeySpace * (place + 1) / shardCount};
+            Shard shard{ShardId("g" + std::to_string(generation) + "s" + std::to_string(place)), range, {}};
+            for (std::size_t copy = 0; copy < replicaCount; ++copy) {
+                const std::string name = "s" + std::to_string(place) + "r" + std::to_string(copy);
+                shard.replicas.emplace_back(name);
+                shards.server(name);
+            }
+            map.shards.push_back(shard);
+        }
+        maps[generation] = map;
+        auto next = std::make_shared<Configuration>();
+        next->version = generation;
+        next->indexes[IndexName("parts")] = IndexDeclaration{IndexName("parts"), FleetName("desk"), map, {{rule.caller, rule}}};
+        configuration = next;
+    }
+
+    /// Declares the rule again.
+    void declare()
+    {
+        auto next = std::make_shared<Configuration>(*configuration);
+        next->indexes[IndexName("parts")].callers[rule.caller] = rule;
+        configuration = next;
+    }
+
+    /// Starts a query; its result lands in `result`.
+    std::uint64_t start(std::uint32_t limit = 20)
+    {
+        result.reset();
+        return desk.submit(Query{rule.caller, IndexName("parts"), "belt", limit, std::nullopt}, [this](Result<QueryAnswer> got) { result = std::move(got); });
+    }
+
+    /// Runs a query to its end.
+    const Result<QueryAnswer> &ask(std::uint32_t limit = 20)
+    {
+        start(limit);
+        runtime.advance(std::chrono::seconds(5));
+        REQUIRE(result);
+        return *result;
+    }
+
+    /// Compares an answer with what the shards hold; an empty text means that it is truthful.
+    std::string lieIn(const QueryAnswer &answer, std::uint32_t limit) const
+    {
+        const std::set<ShardId> missing(answer.coverage.missing.begin(), answer.coverage.missing.end());
+        std::vector<KeyRange> covered;
+        std::uint64_t keys = 0;
+        for (const Shard &shard : maps.at(answer.snapshot.mapGeneration).shards) {
+            if (missing.count(shard.id) == 0) {
+                covered.push_back(shard.range);
+                keys += shard.range.width();
+            }
+        }
+        if (keys != answer.coverage.answeredKeys) {
+            return "the answered keys do not fit the missing shards";
+        }
+        const std::vector<Hit> all = shards.documentsIn({{0, KeySpace}}, answer.snapshot.version);
+        for (const Hit &hit : answer.hits) {
+            if (std::count(answer.hits.begin(), answer.hits.end(), hit) != 1 || std::find(all.begin(), all.end(), hit) == all.end()) {
+                return "hit " + hit.id + " is doubled or not of the snapshot";
+            }
+        }
+        if (answer.hits.size() > limit || !std::is_sorted(answer.hits.begin(), answer.hits.end(), ranksBefore)) {
+            return "the hits are too many or out of order";
+        }
+        for (const Hit &owed : shards.documentsIn(covered, answer.snapshot.version)) {
+            const bool enters = answer.hits.size() < limit || ranksBefore(owed, answer.hits.back());
+            if (enters && std::find(answer.hits.begin(), answer.hits.end(), owed) == answer.hits.end()) {
+                return "hit " + owed.id + " of a covered shard is left out";
+            }
+        }
+        return {};
+    }
+
+    ManualRuntime runtime;
+    FakeShards shards;
+    PlainTactics tactics;
+    SnapshotTracker tracker;
+    SubRequestIds ids{InstanceId("a"), 1};
+    QueryCounters counters;
+    ConfigurationPtr configuration;
+    CallerRule rule;
+    std::map<std::uint64_t, ShardMap> maps;
+    QueryDesk desk;
+    std::optional<Result<QueryAnswer>> result;
+};
+
+} // namespace Burdock
