Serve callers' HTTP interface and find servers' holders

Cause: the entry needs its routes, and sub-requests need addresses and holders. Ruled out: asking the rendezvous order on every sub-request; it is kept until list or members change.

--- /dev/null
+++ b/packages/daemon/include/burdock/daemon/directory.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <burdock/values/place.h>
+
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace Burdock
+{
+
+/// What this instance knows of servers and instances: the platform's list together with the live peers.
+class Directory
+{
+public:
+    /// Gives the holders of a server among live instances, preferred first.
+    using ChooseHolders = std::function<std::vector<InstanceId>(const ListedServer &server, const std::vector<ListedInstance> &live)>;
+
+    explicit Directory(ChooseHolders choose);
+
+    /// Takes over a list; an older one is ignored and gives false.
+    bool updateList(const InstanceList &list);
+
+    /// Takes over the instances that are live and not leaving, this one included.
+    void updateLive(std::vector<ListedInstance> live);
+
+    /// The address of a server; nothing where it is not listed.
+    std::optional<Address> serverAddress(const ServerId &server) const;
+
+    /// The listed server of that name, or null.
+    const ListedServer *server(const ServerId &server) const;
+
+    /// The holders of a server, preferred first.
+    const std::vector<InstanceId> &holders(const ServerId &server) const;
+
+    const InstanceList &list() const;
+    const std::vector<ListedInstance> &live() const;
+
+private:
+    ChooseHolders choose_;
+    InstanceList list_;
+    std::unordered_map<ServerId, ListedServer> servers_;
+    std::vector<ListedInstance> live_;
+    mutable std::unordered_map<ServerId, std::vector<InstanceId>> holders_;
+};
+
+}
--- /dev/null
+++ b/packages/daemon/include/burdock/daemon/entryservice.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <burdock/daemon/callerjson.h>
+#include <burdock/daemon/metrics.h>
+#include <burdock/policy/querydesk.h>
+#include <burdock/wire/httpserver.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Burdock
+{
+
+/// How a command ended well.
+struct CommandOutcome {
+    std::string outcome;
+    /// True where the outcome is that of an earlier request with the same key.
+    bool replayed = false;
+
+    auto fields() const
+    {
+        return std::tie(outcome, replayed);
+    }
+};
+
+/// What the callers' interface needs from the rest of the instance.
+struct EntryPorts {
+    /// Why no work is admitted now; nothing where it is.
+    std::function<std::optional<Failure>()> notAdmitting;
+    /// The addresses that a caller should use, best first.
+    std::function<std::vector<ListedInstance>()> entries;
+    Duration entriesMaxAge{0};
+    /// Runs a command.
+    std::function<void(const CommandAsk &ask, std::function<void(Result<CommandOutcome>)> done)> command;
+    /// The rank that the declarations give the caller of a query or command; for metrics only.
+    std::function<Rank(const CallerId &caller, const IndexName &index, const CommandName &command)> rankOf;
+    /// The JSON text of `GET /v1/status`.
+    std::function<std::string()> status;
+};
+
+/// The callers' and operators' HTTP interface of one instance.
+class EntryService
+{
+public:
+    EntryService(Runtime &runtime, HttpServer &server, QueryDesk &queries, Metrics &metrics, EntryPorts ports);
+
+    /// How many queries and commands are not yet answered.
+    std::size_t inFlight() const;
+
+private:
+    using Responder = std::shared_ptr<HttpResponder>;
+    using Handler = void (EntryService::*)(const HttpIncoming &, const Responder &);
+
+    struct Route {
+        const char *method;
+        const char *path;
+        Handler handler;
+    };
+
+    static const std::vector<Route> &routes();
+
+    void handle(const HttpIncoming &request, const Responder &responder);
+    void entries(const HttpIncoming &request, const Responder &responder);
+    void query(const HttpIncoming &request, const Responder &responder);
+    void command(const HttpIncoming &request, const Responder &responder);
+    void health(const HttpIncoming &request, const Responder &responder);
+    void ready(const HttpIncoming &request, const Responder &responder);
+    void metricsText(const HttpIncoming &request, const Responder &responder);
+    void status(const HttpIncoming &request, const Responder &responder);
+    void refuse(const Failure &failure, const std::string &requestId, const Responder &responder);
+    std::string requestId(const HttpIncoming &request);
+
+    Runtime &runtime_;
+    QueryDesk &queries_;
+    Metrics &metrics_;
+    EntryPorts ports_;
+    std::uint64_t lastRequest_ = 0;
+    std::size_t inFlight_ = 0;
+};
+
+}
