Make stand-in fleets from declarations

Cause: the demo and the process tests need servers that fit the declared shard maps. Ruled out: a fleet file beside every example, a second truth that would drift.

--- a/packages/daemon/include/burdock/daemon/directory.h
+++ b/packages/daemon/include/burdock/daemon/directory.h
@@ -45,4 +45,4 @@
     mutable std::unordered_map<ServerId, std::vector<InstanceId>> holders_;
 };
 
-}
+} // namespace Burdock
--- a/packages/daemon/include/burdock/daemon/entryservice.h
+++ b/packages/daemon/include/burdock/daemon/entryservice.h
@@ -15,7 +15,8 @@
 {
 
 /// How a command ended well.
-struct CommandOutcome {
+struct CommandOutcome
+{
     std::string outcome;
     /// True where the outcome is that of an earlier request with the same key.
     bool replayed = false;
@@ -27,7 +28,8 @@
 };
 
 /// What the callers' interface needs from the rest of the instance.
-struct EntryPorts {
+struct EntryPorts
+{
     /// Why no work is admitted now; nothing where it is.
     std::function<std::optional<Failure>()> notAdmitting;
     /// The addresses that a caller should use, best first.
@@ -54,7 +56,8 @@
     using Responder = std::shared_ptr<HttpResponder>;
     using Handler = void (EntryService::*)(const HttpIncoming &, const Responder &);
 
-    struct Route {
+    struct Route
+    {
         const char *method;
         const char *path;
         Handler handler;
@@ -81,4 +84,4 @@
     std::size_t inFlight_ = 0;
 };
 
-}
+} // namespace Burdock
--- a/packages/daemon/src/directory.cpp
+++ b/packages/daemon/src/directory.cpp
@@ -62,4 +62,4 @@
     return live_;
 }
 
-}
+} // namespace Burdock
--- a/packages/daemon/src/entryservice.cpp
+++ b/packages/daemon/src/entryservice.cpp
@@ -17,7 +17,7 @@
     return answer;
 }
 
-}
+} // namespace
 
 EntryService::EntryService(Runtime &runtime, HttpServer &server, QueryDesk &queries, Metrics &metrics, EntryPorts ports)
     : runtime_(runtime)
@@ -159,4 +159,4 @@
     responder->respond(HttpOutgoing{200, {{"Content-Type", "application/json"}}, ports_.status()});
 }
 
-}
+} // namespace Burdock
--- a/packages/fakes/src/main.cpp
+++ b/packages/fakes/src/main.cpp
@@ -1,5 +1,8 @@
 /// burdock-fakes: stand-ins for the platform and for backend servers, in one process on loopback. For tests only.
 
+#include <burdock/declarations/checkdeclarations.h>
+#include <burdock/declarations/collector.h>
+#include <burdock/fakes/declaredfleet.h>
 #include <burdock/fakes/fakefleet.h>
 #include <burdock/wire/eventloop.h>
 
@@ -15,15 +18,44 @@
 namespace
 {
 
-constexpr const char *Usage = "Usage: burdock-fakes [--store ADDRESS] [--instance-list ADDRESS] [--control ADDRESS] [--fleet-file FILE]\n"
+constexpr const char *Usage = "Usage: burdock-fakes [--store ADDRESS] [--instance-list ADDRESS] [--control ADDRESS]\n"
+                              "                     [--fleet-file FILE | --declarations FOLDER --regions NAME,NAME]\n"
                               "Addresses are IP:PORT; port 0, the default, takes a free one. Prints `ready` and the addresses as JSON.\n";
 
 struct Options
 {
     FakeAddresses addresses{Address{"127.0.0.1", 0}, Address{"127.0.0.1", 0}, Address{"127.0.0.1", 0}};
     FleetFile fleet;
+    std::string declarations;
+    std::string regions = "local";
 };
 
+std::vector<Region> splitRegions(const std::string &text)
+{
+    std::vector<Region> regions;
+    std::istringstream words(text);
+    for (std::string word; std::getline(words, word, ',');) {
+        regions.emplace_back(word);
+    }
+    return regions;
+}
+
+Result<FleetFile> fleetOfDeclarations(const Options &options)
+{
+    const auto set = collectDeclarations(options.declarations);
+    if (!set) {
+        return tl::make_unexpected(set.error());
+    }
+    const auto configuration = checkDeclarations(*set, 1);
+    const auto regions = splitRegions(options.regions);
+    if (!configuration || regions.empty()) {
+        return notRun(Errc::BadRequest, "the declarations have faults, see burdockctl check, or --regions is empty");
+    }
+    DeclaredFleetOptions declared;
+    declared.regions = regions;
+    return fleetOf(*configuration, declared);
+}
+
 Result<FleetFile> readFleet(const std::string &path)
 {
     std::ifstream file(path);
@@ -42,6 +74,8 @@
         {"instance-list", required_argument, nullptr, 'i'},
         {"control", required_argument, nullptr, 'c'},
         {"fleet-file", required_argument, nullptr, 'f'},
+        {"declarations", required_argument, nullptr, 'd'},
+        {"regions", required_argument, nullptr, 'r'},
         {nullptr, 0, nullptr, 0},
     };
     Options options;
@@ -55,6 +89,10 @@
             options.fleet = *fleet;
             continue;
         }
+        if (chosen == 'd' || chosen == 'r') {
+            (chosen == 'd' ? options.declarations : options.regions) = optarg;
+            continue;
+        }
         if (chosen == '?') {
             return notRun(Errc::BadRequest, Usage);
         }
@@ -64,6 +102,13 @@
         }
         (chosen == 's' ? options.addresses.store : chosen == 'i' ? options.addresses.instanceList : options.addresses.control) = *address;
     }
+    if (!options.declarations.empty()) {
+        const auto fleet = fleetOfDeclarations(options);
+        if (!fleet) {
+            return tl::make_unexpected(fleet.error());
+        }
+        options.fleet = *fleet;
+    }
     return options;
 }
 
