Choose holders, entries and live backend servers

Weighed for a server's return: believing the list's or a reply's "fine" at once (a lagging list or a crossed reply then undoes a true signal) against a hold time and one trial request; taken is the latter. Ruled out: counting the health endpoint as a signal, since it can lie; it leads to a trial, whose reply decides. Cost and evenness not measured. Conclusion: each trusted signal alone stops new work, and none takes back what another said.

--- /dev/null
+++ b/packages/policy/src/backendlifetable.cpp
@@ -0,0 +1,118 @@
+#include <burdock/policy/backendlifetable.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// How long a server that left the list is remembered, with the signals about it.
+constexpr Duration RememberGone = std::chrono::minutes(10);
+
+} // namespace
+
+BackendLifeTable::BackendLifeTable(Runtime &runtime, const BackendLifeSettings &settings, ChangeHandler changed)
+    : runtime_(runtime)
+    , settings_(settings)
+    , changed_(std::move(changed))
+{
+}
+
+void BackendLifeTable::onInstanceList(const InstanceList &list)
+{
+    if (list.version <= version_) {
+        return;
+    }
+    version_ = list.version;
+    for (const ListedServer &server : list.servers) {
+        take(server);
+    }
+    for (auto entry = servers_.begin(); entry != servers_.end();) {
+        if (entry->second.listedAt != version_) {
+            entry->second.life->unlisted();
+        }
+        const bool forget = runtime_.now() - entry->second.lastListed > RememberGone;
+        entry = forget ? servers_.erase(entry) : std::next(entry);
+    }
+}
+
+void BackendLifeTable::take(const ListedServer &server)
+{
+    Entry &entry = servers_[server.id];
+    entry.listedAt = version_;
+    entry.lastListed = runtime_.now();
+    if (entry.life) {
+        entry.life->listed(server);
+        return;
+    }
+    entry.life = std::make_unique<BackendLife>(runtime_, settings_, server, [this, id = server.id](BackendState state) { changed_(id, state); });
+}
+
+void BackendLifeTable::dispatched(const ServerId &server)
+{
+    if (BackendLife *life = find(server)) {
+        life->dispatched();
+    }
+}
+
+void BackendLifeTable::replied(const ServerId &server, bool draining, TimePoint dispatched)
+{
+    if (BackendLife *life = find(server)) {
+        life->replied(draining, dispatched);
+    }
+}
+
+void BackendLifeTable::reported(const InstanceId &peer, const ServerReport &report)
+{
+    if (BackendLife *life = find(report.server)) {
+        life->reported(peer, report.draining);
+    }
+}
+
+void BackendLifeTable::healthHint(const ServerId &server, bool draining)
+{
+    if (BackendLife *life = find(server)) {
+        life->healthHint(draining);
+    }
+}
+
+bool BackendLifeTable::mayGetWork(const ServerId &server) const
+{
+    const BackendLife *life = find(server);
+    return life != nullptr && life->mayGetWork();
+}
+
+BackendState BackendLifeTable::state(const ServerId &server) const
+{
+    const BackendLife *life = find(server);
+    return life == nullptr ? BackendState::Gone : life->state();
+}
+
+std::size_t BackendLifeTable::count(BackendState state) const
+{
+    const auto matches = [state](const auto &entry) { return entry.second.life->state() == state; };
+    return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), matches));
+}
+
+std::uint64_t BackendLifeTable::unknownSignals() const
+{
+    return unknown_;
+}
+
+BackendLife *BackendLifeTable::find(const ServerId &server)
+{
+    const auto found = servers_.find(server);
+    unknown_ += found == servers_.end() ? 1 : 0;
+    return found == servers_.end() ? nullptr : found->second.life.get();
+}
+
+const BackendLife *BackendLifeTable::find(const ServerId &server) const
+{
+    const auto found = servers_.find(server);
+    return found == servers_.end() ? nullptr : found->second.life.get();
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/policy/tests/holderchoicetest.cpp
@@ -0,0 +1,112 @@
+#include <burdock/policy/holderchoice.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace Burdock;
+
+namespace
+{
+
+Place placeOf(const std::string &region, const std::string &dataCentre)
+{
+    return {Region(region), DataCentre(dataCentre)};
+}
+
+std::vector<ListedInstance> instances(const Place &place, int count)
+{
+    std::vector<ListedInstance> all;
+    for (int index = 0; index < count; ++index) {
+        const std::string name = place.region.text() + "-" + place.dataCentre.text() + "-" + std::to_string(index);
+        all.push_back({InstanceId(name), place, {"127.0.0.1", 1}, {"127.0.0.1", 2}, false});
+    }
+    return all;
+}
+
+void append(std::vector<ListedInstance> &to, const std::vector<ListedInstance> &more)
+{
+    to.insert(to.end(), more.begin(), more.end());
+}
+
+ListedServer serverAt(const Place &place, int number = 1)
+{
+    return {ServerId("server-" + std::to_string(number)), FleetName("parts"), place, {"127.0.0.1", 3}, false};
+}
+
+/// How many holders stand at each distance from the server.
+std::vector<int> distances(const ListedServer &server, const std::vector<ListedInstance> &live)
+{
+    std::vector<int> counts(3);
+    for (const InstanceId &holder : holdersOf(server, live)) {
+        const auto found = std::find_if(live.begin(), live.end(), [&](const auto &each) { return each.id == holder; });
+        ++counts[static_cast<std::size_t>(distanceBetween(server.place, found->place))];
+    }
+    return counts;
+}
+
+} // namespace
+
+TEST_CASE("Two instances hold a server, the nearest ones that live", "[holders]")
+{
+    const Place home = placeOf("litoral", "l1");
+    const Place neighbour = placeOf("litoral", "l2");
+    const Place away = placeOf("norte", "l1");
+    struct Case
+    {
+        int here;
+        int near;
+        int far;
+        std::vector<int> expected;
+    };
+    const std::vector<Case> cases{
+        {3, 3, 3, {2, 0, 0}},
+        {2, 3, 3, {2, 0, 0}},
+        {1, 3, 3, {1, 1, 0}},
+        {0, 3, 3, {0, 2, 0}},
+        {0, 1, 3, {0, 1, 1}},
+        {1, 0, 3, {1, 0, 1}},
+        {0, 0, 3, {0, 0, 2}},
+        {1, 0, 0, {1, 0, 0}},
+        {0, 0, 0, {0, 0, 0}},
+    };
+    for (const Case &each : cases) {
+        std::vector<ListedInstance> live = instances(home, each.here);
+        append(live, instances(neighbour, each.near));
+        append(live, instances(away, each.far));
+        INFO(each.here << " here, " << each.near << " near, " << each.far << " far");
+        CHECK(distances(serverAt(home), live) == each.expected);
+    }
+}
+
+TEST_CASE("The nearest holder comes first", "[holders]")
+{
+    const Place home = placeOf("litoral", "l1");
+    std::vector<ListedInstance> live = instances(placeOf("litoral", "l2"), 5);
+    append(live, instances(home, 1));
+    for (int number = 0; number < 20; ++number) {
+        CHECK(holdersOf(serverAt(home, number), live).front() == live.back().id);
+    }
+}
+
+TEST_CASE("The loss of an instance moves only the servers that it held", "[holders]")
+{
+    const Place home = placeOf("litoral", "l1");
+    const std::vector<ListedInstance> all = instances(home, 7);
+    std::vector<ListedInstance> rest = all;
+    const InstanceId lost = rest.back().id;
+    rest.pop_back();
+    const HolderChoice before(all);
+    const HolderChoice after(rest);
+    for (int number = 0; number < 300; ++number) {
+        const ListedServer server = serverAt(home, number);
+        const auto old = before.holdersOf(server);
+        const auto now = after.holdersOf(server);
+        if (!before.holds(lost, server)) {
+            CHECK(now == old);
+        } else {
+            const InstanceId &kept = old[0] == lost ? old[1] : old[0];
+            CHECK(now.front() == kept);
+        }
+    }
+}
