--- a/packages/daemon/include/burdock/daemon/backendadapter.h
+++ b/packages/daemon/include/burdock/daemon/backendadapter.h
@@ -30,8 +30,14 @@
     /// Gives the address of a server, nothing where it is not listed.
     using FindServer = std::function<std::optional<Address>(const ServerId &server)>;
 
+    /// Told of every response: from which server, whether it says that it is leaving, and when it was asked.
+    using ReplyHandler = std::function<void(const ServerId &server, bool draining, TimePoint dispatched)>;
+
     BackendAdapter(Runtime &runtime, HttpClient &client, FindServer find);
 
+    /// Sets who is told of responses.
+    void onReply(ReplyHandler handler);
+
     void dispatch(const SubRequest &request, Duration budget, Callback done) override;
     void cancel(const SubRequestId &id) override;
 
@@ -42,6 +48,7 @@
     {
         Callback done;
         Address server;
+        TimePoint dispatched;
         bool cancelled = false;
     };
 
@@ -51,6 +58,7 @@
     Runtime &runtime_;
     HttpClient &client_;
     FindServer find_;
+    ReplyHandler onReply_;
     std::map<SubRequestId, Call> calls_;
     BackendCounters counters_;
 };
--- a/packages/daemon/include/burdock/daemon/directory.h
+++ b/packages/daemon/include/burdock/daemon/directory.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <burdock/policy/holderchoice.h>
 #include <burdock/values/place.h>
 
-#include <functional>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -14,11 +14,6 @@
 class Directory
 {
 public:
-    /// Gives the holders of a server among live instances, preferred first.
-    using ChooseHolders = std::function<std::vector<InstanceId>(const ListedServer &server, const std::vector<ListedInstance> &live)>;
-
-    explicit Directory(ChooseHolders choose);
-
     /// Takes over a list; an older one is ignored and gives false.
     bool updateList(const InstanceList &list);
 
@@ -38,7 +33,7 @@
     const std::vector<ListedInstance> &live() const;
 
 private:
-    ChooseHolders choose_;
+    HolderChoice choice_{{}};
     InstanceList list_;
     std::unordered_map<ServerId, ListedServer> servers_;
     std::vector<ListedInstance> live_;
--- a/packages/daemon/include/burdock/daemon/entryservice.h
+++ b/packages/daemon/include/burdock/daemon/entryservice.h
@@ -32,8 +32,8 @@
 {
     /// Why no work is admitted now; nothing where it is.
     std::function<std::optional<Failure>()> notAdmitting;
-    /// The addresses that a caller should use, best first.
-    std::function<std::vector<ListedInstance>()> entries;
+    /// The addresses that a caller at a place should use, best first; empty names mean that it did not say.
+    std::function<std::vector<ListedInstance>(const Place &caller)> entries;
     Duration entriesMaxAge{0};
     /// Runs a command.
     std::function<void(const CommandAsk &ask, std::function<void(Result<CommandOutcome>)> done)> command;
--- /dev/null
+++ b/packages/daemon/include/burdock/daemon/instance.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <burdock/daemon/backendadapter.h>
+#include <burdock/daemon/backendlives.h>
+#include <burdock/daemon/directory.h>
+#include <burdock/daemon/entryservice.h>
+#include <burdock/daemon/holderrouter.h>
+#include <burdock/daemon/holderservice.h>
+#include <burdock/daemon/metrics.h>
+#include <burdock/daemon/settings.h>
+#include <burdock/platform/factories.h>
+#include <burdock/policy/budgetedtactics.h>
+#include <burdock/policy/entrylist.h>
+#include <burdock/policy/querydesk.h>
+#include <burdock/wire/factories.h>
+
+#include <memory>
+
+namespace Burdock
+{
+
+/// One instance of the query tier: makes all parts and connects them; decides nothing itself.
+class Instance
+{
+public:
+    Instance(EventLoop &loop, Settings settings, std::uint64_t incarnation);
+    ~Instance();
+    Instance(const Instance &) = delete;
+    Instance &operator=(const Instance &) = delete;
+
+    /// Listens and starts to follow the platform. The failure names the address that could not be had.
+    Result<void> start();
+
+    /// Begins the graceful shutdown; `gone` is called when nothing is in flight any more.
+    void shutDown(std::function<void()> gone);
+
+    /// Where callers and peers connect, once started.
+    const ListedInstance &self() const;
+
+private:
+    void connectPeers();
+    void handleMessage(const InstanceId &from, PeerMessage message);
+    void updateList(const InstanceList &list);
+    void updateLive(std::vector<ListedInstance> live);
+    void install(ConfigurationPtr configuration);
+    void limitConnections();
+    void backendChanged(const ServerId &server, BackendState state);
+    EntryPorts entryPorts();
+    std::optional<Failure> notAdmitting() const;
+    Rank rankOf(const CallerId &caller, const IndexName &index, const CommandName &command) const;
+
+    EventLoop &loop_;
+    Settings settings_;
+    std::uint64_t incarnation_;
+    ListedInstance self_;
+    ConfigurationPtr configuration_;
+
+    std::unique_ptr<HttpClient> client_;
+    std::unique_ptr<HttpServer> server_;
+    std::unique_ptr<PeerLinks> links_;
+    std::unique_ptr<Store> store_;
+    std::unique_ptr<InstanceListSource> listSource_;
+
+    Directory directory_;
+    BackendLives lives_;
+    BackendAdapter backends_;
+    Holder holder_;
+    HolderService holderService_;
+    HolderRouter router_;
+    SnapshotTracker tracker_;
+    BudgetedTactics tactics_;
+    SubRequestIds ids_;
+    QueryCounters queryCounters_;
+    QueryDesk queries_;
+    Metrics metrics_;
+    EntryList entryList_;
+    EntryService entry_;
+    bool leaving_ = false;
+};
+
+} // namespace Burdock
--- a/packages/daemon/src/backendadapter.cpp
+++ b/packages/daemon/src/backendadapter.cpp
@@ -27,10 +27,15 @@
         return;
     }
     ++counters_.requests;
-    calls_[request.id] = Call{std::move(done), *server, false};
+    calls_[request.id] = Call{std::move(done), *server, runtime_.now(), false};
     client_.send(encodeBackendRequest(request, *server, budget), [this, request](const Result<HttpResponse> &response) { finished(request, response); });
 }
 
+void BackendAdapter::onReply(ReplyHandler handler)
+{
+    onReply_ = std::move(handler);
+}
+
 void BackendAdapter::refuseUnlisted(const SubRequest &request, Callback done)
 {
     runtime_.schedule(Duration{0}, [request, done = std::move(done)] {
@@ -41,6 +46,10 @@
 void BackendAdapter::finished(const SubRequest &request, const Result<HttpResponse> &response)
 {
     const auto node = calls_.extract(request.id);
+    if (!node.empty() && response && onReply_) {
+        const auto draining = response->headers.find("x-draining");
+        onReply_(request.server, draining != response->headers.end() && draining->second == "1", node.mapped().dispatched);
+    }
     if (node.empty() || node.mapped().cancelled) {
         ++counters_.lateReplies;
         return;
--- a/packages/daemon/src/directory.cpp
+++ b/packages/daemon/src/directory.cpp
@@ -5,11 +5,6 @@
 namespace Burdock
 {
 
-Directory::Directory(ChooseHolders choose)
-    : choose_(std::move(choose))
-{
-}
-
 bool Directory::updateList(const InstanceList &list)
 {
     if (list.version < list_.version) {
@@ -27,6 +22,7 @@
 void Directory::updateLive(std::vector<ListedInstance> live)
 {
     live_ = std::move(live);
+    choice_ = HolderChoice(live_);
     holders_.clear();
 }
 
@@ -49,7 +45,7 @@
         return known->second;
     }
     const ListedServer *listed = this->server(server);
-    return holders_.emplace(server, listed != nullptr ? choose_(*listed, live_) : std::vector<InstanceId>{}).first->second;
+    return holders_.emplace(server, listed != nullptr ? choice_.holdersOf(*listed) : std::vector<InstanceId>{}).first->second;
 }
 
 const InstanceList &Directory::list() const
--- a/packages/daemon/src/entryservice.cpp
+++ b/packages/daemon/src/entryservice.cpp
@@ -80,9 +80,14 @@
     responder->respond(withRequestId(writeFailure(failure), requestId));
 }
 
-void EntryService::entries(const HttpIncoming &, const Responder &responder)
+void EntryService::entries(const HttpIncoming &request, const Responder &responder)
 {
-    responder->respond(writeEntries(ports_.entries(), ports_.entriesMaxAge));
+    const auto parameter = [&request](const std::string &name) {
+        const auto found = request.query.find(name);
+        return found == request.query.end() ? std::string() : found->second;
+    };
+    const Place caller{Region(parameter("region")), DataCentre(parameter("dataCentre"))};
+    responder->respond(writeEntries(ports_.entries(caller), ports_.entriesMaxAge));
 }
 
 void EntryService::query(const HttpIncoming &request, const Responder &responder)
--- /dev/null
+++ b/packages/daemon/src/instance.cpp
@@ -0,0 +1,207 @@
+#include <burdock/daemon/instance.h>
+
+#include <burdock/daemon/log.h>
+#include <random>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// Limits for addresses without a declared fleet: the platform.
+const ConnectionLimits PlatformLimits{8, 2, std::size_t{4} * 1024 * 1024};
+constexpr std::size_t BackendResponseBytes = std::size_t{2} * 1024 * 1024;
+
+} // namespace
+
+Instance::Instance(EventLoop &loop, Settings settings, std::uint64_t incarnation)
+    : loop_(loop)
+    , settings_(std::move(settings))
+    , incarnation_(incarnation)
+    , self_{settings_.id, settings_.place, settings_.callers, settings_.peers, false}
+    , client_(makeHttpClient(loop, PlatformLimits))
+    , server_(makeHttpServer(loop, HttpServerLimits{}))
+    , links_(makePeerLinks(loop, settings_.id, incarnation))
+    , store_(makeEtcdStore(loop, *client_, settings_.store, settings_.storeTimeout))
+    , listSource_(makeHttpInstanceList(loop, *client_, settings_.instanceList))
+    , lives_(loop, [this](const ServerId &server, BackendState state) { backendChanged(server, state); })
+    , backends_(loop, *client_, [this](const ServerId &server) { return directory_.serverAddress(server); })
+    , holder_(loop, backends_)
+    , holderService_(*links_, holder_)
+    , router_(loop, *links_, holder_, settings_.id, incarnation, [this](const ServerId &server) { return directory_.holders(server); })
+    , tactics_(loop, std::random_device{}())
+    , ids_(settings_.id, incarnation)
+    , queries_(
+          QueryContext{loop, router_, tactics_, tracker_, ids_, queryCounters_, QueryLimits{}}, [this] { return configuration_; }, nullptr)
+    , entryList_(EntryListSettings{}, std::random_device{}())
+    , entry_(loop, *server_, queries_, metrics_, entryPorts())
+{
+    connectPeers();
+}
+
+Instance::~Instance() = default;
+
+Result<void> Instance::start()
+{
+    const Result<Address> callers = server_->listen(settings_.callers);
+    if (!callers) {
+        return tl::make_unexpected(callers.error());
+    }
+    const Result<Address> peers = links_->listen(settings_.peers);
+    if (!peers) {
+        return tl::make_unexpected(peers.error());
+    }
+    self_.callers = *callers;
+    self_.peers = *peers;
+    updateLive({self_});
+    listSource_->follow([this](const InstanceList &list) { updateList(list); });
+    return {};
+}
+
+const ListedInstance &Instance::self() const
+{
+    return self_;
+}
+
+void Instance::shutDown(std::function<void()> gone)
+{
+    leaving_ = true;
+    server_->closeConnectionsAfterAnswers();
+    loop_.schedule(std::chrono::milliseconds(20), [this, gone = std::move(gone)]() mutable {
+        if (entry_.inFlight() == 0 && holderService_.inFlight() == 0) {
+            gone();
+        } else {
+            shutDown(std::move(gone));
+        }
+    });
+}
+
+void Instance::connectPeers()
+{
+    links_->setHandlers([this](const InstanceId &from, PeerMessage message) { handleMessage(from, std::move(message)); },
+                        [this](const InstanceId &peer) {
+                            router_.peerLost(peer);
+                            holderService_.peerLost(peer);
+                        });
+    const auto learn = [this](const ServerReport &report) {
+        tracker_.update(report);
+        tactics_.serverReported(report);
+    };
+    holder_.onReport([this, learn](const ServerReport &report) {
+        learn(report);
+        holderService_.publish(report);
+    });
+    router_.onReport(learn);
+    backends_.onReply([this](const ServerId &server, bool draining, TimePoint dispatched) { lives_.replied(server, draining, dispatched); });
+}
+
+void Instance::handleMessage(const InstanceId &from, PeerMessage message)
+{
+    if (const auto *request = std::get_if<SubRequest>(&message)) {
+        holderService_.submit(from, *request);
+    } else if (const auto *reply = std::get_if<SubReply>(&message)) {
+        router_.replyArrived(*reply);
+    } else if (const auto *cancelled = std::get_if<CancelSubRequest>(&message)) {
+        holderService_.cancel(from, cancelled->id);
+    } else if (std::holds_alternative<SubscribeReports>(message)) {
+        holderService_.subscribe(from);
+    } else if (const auto *report = std::get_if<ServerReport>(&message)) {
+        router_.reportArrived(*report);
+        lives_.reported(from, *report);
+    }
+}
+
+void Instance::updateList(const InstanceList &list)
+{
+    if (!directory_.updateList(list)) {
+        return;
+    }
+    lives_.updateList(list);
+    limitConnections();
+    std::vector<ListedInstance> live{self_};
+    for (const ListedInstance &instance : list.instances) {
+        if (instance.id != self_.id) {
+            links_->setPeer(instance.id, instance.peers);
+            live.push_back(instance);
+        }
+    }
+    updateLive(std::move(live));
+}
+
+void Instance::updateLive(std::vector<ListedInstance> live)
+{
+    std::vector<EntryCandidate> candidates;
+    for (const ListedInstance &instance : live) {
+        candidates.push_back(EntryCandidate{instance, !instance.leaving, 1.0});
+    }
+    entryList_.setCandidates(std::move(candidates));
+    directory_.updateLive(std::move(live));
+}
+
+void Instance::install(ConfigurationPtr configuration)
+{
+    configuration_ = std::move(configuration);
+    holder_.configure(configuration_);
+    limitConnections();
+    logChange("configuration", "in force", {{"version", std::to_string(configuration_->version)}, {"hash", configuration_->hash}});
+}
+
+void Instance::limitConnections()
+{
+    if (!configuration_) {
+        return;
+    }
+    for (const ListedServer &server : directory_.list().servers) {
+        const auto fleet = configuration_->fleets.find(server.fleet);
+        if (fleet != configuration_->fleets.end()) {
+            const std::uint32_t share = std::max<std::uint32_t>(1, fleet->second.connections / HoldersPerServer);
+            client_->setLimits(server.address, ConnectionLimits{share, std::min(share, fleet->second.slots), BackendResponseBytes});
+        }
+    }
+}
+
+void Instance::backendChanged(const ServerId &server, BackendState state)
+{
+    holder_.setDraining(server, state == BackendState::Draining || state == BackendState::Gone);
+}
+
+EntryPorts Instance::entryPorts()
+{
+    EntryPorts ports;
+    ports.notAdmitting = [this] { return notAdmitting(); };
+    ports.entries = [this](const Place &caller) { return entryList_.answerFor(caller.region.empty() ? self_.place : caller).entries; };
+    ports.entriesMaxAge = settings_.entriesMaxAge;
+    ports.command = [](const CommandAsk &, const std::function<void(Result<CommandOutcome>)> &done) {
+        done(notRun(Errc::NotReady, "commands are not served yet"));
+    };
+    ports.rankOf = [this](const CallerId &caller, const IndexName &index, const CommandName &command) { return rankOf(caller, index, command); };
+    ports.status = [] { return std::string("{}"); };
+    return ports;
+}
+
+std::optional<Failure> Instance::notAdmitting() const
+{
+    if (leaving_) {
+        return Failure{Errc::Draining, Verdict::NotRun, "this instance is leaving; ask /v1/entries of another one", Duration{0}};
+    }
+    if (!configuration_) {
+        return Failure{Errc::NotReady, Verdict::NotRun, "this instance has no configuration yet; ask another one", std::chrono::seconds(1)};
+    }
+    return std::nullopt;
+}
+
+Rank Instance::rankOf(const CallerId &caller, const IndexName &index, const CommandName &command) const
+{
+    const auto rankIn = [&caller](const auto &declarations, const auto &name) {
+        const auto found = declarations.find(name);
+        if (found == declarations.end() || found->second.callers.count(caller) == 0) {
+            return Rank::Batch;
+        }
+        return found->second.callers.at(caller).rank;
+    };
+    return command.empty() ? rankIn(configuration_->indexes, index) : rankIn(configuration_->commands, command);
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/daemon/src/main.cpp
@@ -0,0 +1,79 @@
+/// burdockd: one instance of the query tier.
+
+#include <burdock/daemon/instance.h>
+#include <burdock/daemon/log.h>
+#include <burdock/daemon/settings.h>
+
+#include <csignal>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+using namespace Burdock;
+
+namespace
+{
+
+constexpr const char *Version = "burdockd 0.1.0";
+constexpr int ExitUsage = 2;
+constexpr int ExitNoAddress = 1;
+
+void printSettings(const OptionValues &values)
+{
+    for (const auto &[flag, value] : values.values) {
+        if (!value.empty()) {
+            std::cout << flag << " = " << value << '\n';
+        }
+    }
+}
+
+/// Tells the addresses that were taken, for scripts that gave port 0.
+void printReady(const ListedInstance &self)
+{
+    const nlohmann::json line{{"instance", self.id.text()}, {"callers", self.callers.toString()}, {"peers", self.peers.toString()}};
+    std::cout << "listening " << line.dump() << std::endl;
+}
+
+int serve(const Settings &settings)
+{
+    startLog(settings.logFormat, settings.logLevel);
+    EventLoop loop;
+    const auto incarnation = static_cast<std::uint64_t>(loop.wallNow().time_since_epoch().count());
+    Instance instance(loop, settings, incarnation);
+    const Result<void> started = instance.start();
+    if (!started) {
+        std::cerr << started.error().message << '\n';
+        return ExitNoAddress;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    for (const int signal : {SIGINT, SIGTERM}) {
+        loop.onSignal(signal, [&] { instance.shutDown([&loop] { loop.stop(); }); });
+    }
+    printReady(instance.self());
+    loop.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char *argv[])
+{
+    const Result<OptionValues> values = settingsTable().read(argc, argv);
+    if (!values) {
+        std::cerr << values.error().message << '\n';
+        return ExitUsage;
+    }
+    if (values->on("help") || values->on("version")) {
+        std::cout << (values->on("help") ? settingsTable().help() : std::string(Version) + "\n");
+        return 0;
+    }
+    const Result<Settings> settings = checkSettings(*values);
+    if (!settings) {
+        std::cerr << settings.error().message << '\n';
+        return ExitUsage;
+    }
+    if (values->on("check-settings")) {
+        printSettings(*values);
+        return 0;
+    }
+    return serve(*settings);
+}
