--- a/packages/daemon/include/burdock/daemon/backendlives.h
+++ b/packages/daemon/include/burdock/daemon/backendlives.h
@@ -2,6 +2,7 @@
 
 #include <burdock/policy/backendlife.h>
 #include <burdock/values/place.h>
+#include <burdock/values/subrequest.h>
 
 #include <functional>
 #include <map>
