Publish configurations by one conditional transaction

Cause: operators race, and the store's replies can be lost after a write took effect. Ruled out: a lock by lease (lapses while its holder is paused); a retry without a publish id (cannot tell its own change from another's); a separate write of the audit record (one can exist without the other). A lost reply is settled by the audit record of base + 1, also where another publish came after. The messages that carry a configuration between instances move from wire/peermessage.h to values/configmessages.h, unchanged.

--- a/packages/declarations/include/burdock/declarations/collector.h
+++ b/packages/declarations/include/burdock/declarations/collector.h
@@ -11,7 +11,7 @@
 {
 
 /// The largest declaration file, in bytes. The store's values end at 1 MB; what is larger is split by its owners.
-constexpr std::size_t MaxDeclarationFileBytes = 512 * 1024;
+constexpr std::size_t MaxDeclarationFileBytes = std::size_t{512} * 1024;
 
 /// The longest file name, in bytes.
 constexpr std::size_t MaxDeclarationNameBytes = 200;
--- a/packages/declarations/src/checkdeclarations.cpp
+++ b/packages/declarations/src/checkdeclarations.cpp
@@ -19,12 +19,22 @@
 std::vector<std::string> namesOf(const std::map<Key, Value> &declared)
 {
     std::vector<std::string> names;
+    names.reserve(declared.size());
     for (const auto &[name, value] : declared) {
         names.push_back(name.text());
     }
     return names;
 }
 
+std::string placeKey(const std::vector<std::string> &words)
+{
+    std::string key;
+    for (const std::string &word : words) {
+        key.append(word).append(1, ' ');
+    }
+    return key;
+}
+
 /// Joins the files into one configuration and checks them against each other.
 class Assembler
 {
@@ -56,11 +66,13 @@
     {
         for (const Parsed<Value> &next : parsed) {
             const std::string &name = next.declaration.name.text();
-            const auto [place, isNew] = places_.emplace(kind + " " + name, next.place);
+            const auto [place, isNew] = places_.emplace(placeKey({kind, name}), next.place);
             if (isNew) {
                 declared.emplace(next.declaration.name, next.declaration);
             } else {
-                faults_.push_back({next.place, "the " + kind + " '" + name + "' is declared twice", place->second});
+                std::string message = "the " + kind;
+                message.append(" '").append(name).append("' is declared twice");
+                faults_.push_back({next.place, std::move(message), place->second});
             }
         }
     }
@@ -122,7 +134,7 @@
             return;
         }
         const CallerId &caller = parsed.rule.caller;
-        const auto [place, isNew] = places_.emplace("rule " + kind + " " + target.text() + " " + caller.text(), parsed.place);
+        const auto [place, isNew] = places_.emplace(placeKey({"rule", kind, target.text(), caller.text()}), parsed.place);
         if (isNew) {
             found->second.callers.emplace(caller, parsed.rule);
         } else {
--- /dev/null
+++ b/packages/declarations/src/publishplan.cpp
@@ -0,0 +1,101 @@
+#include "publishplan.h"
+
+#include <burdock/declarations/setdiff.h>
+
+#include <ctime>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// The largest value, in bytes, that is written to the store.
+constexpr std::size_t MaxValueBytes = std::size_t{900} * 1024;
+/// The most bytes of one transaction.
+constexpr std::size_t MaxTransactionBytes = std::size_t{900} * 1024;
+/// The most writes of one transaction; the store's usual limit is 128.
+constexpr std::size_t MaxTransactionWrites = 100;
+
+/// Shares writes out over transactions that keep the limits; the last one is left open.
+class TransactionFiller
+{
+public:
+    explicit TransactionFiller(std::size_t reservedBytes)
+        : bytes_(reservedBytes)
+        , reservedBytes_(reservedBytes)
+    {
+    }
+
+    void add(StoreWrite write)
+    {
+        const std::size_t bytes = write.key.size() + write.value->size();
+        if (bytes_ + bytes > MaxTransactionBytes || open_.size() + ReservedWrites >= MaxTransactionWrites) {
+            full_.push_back({{}, std::move(open_), {}});
+            open_.clear();
+            bytes_ = reservedBytes_;
+        }
+        bytes_ += bytes;
+        open_.push_back(std::move(write));
+    }
+
+    std::vector<StoreTransaction> takeFull()
+    {
+        return std::move(full_);
+    }
+
+    std::vector<StoreWrite> takeOpen()
+    {
+        return std::move(open_);
+    }
+
+private:
+    /// Head and audit record.
+    static constexpr std::size_t ReservedWrites = 2;
+
+    std::size_t bytes_;
+    std::size_t reservedBytes_;
+    std::vector<StoreTransaction> full_;
+    std::vector<StoreWrite> open_;
+};
+
+} // namespace
+
+std::string timestampText(WallTime time)
+{
+    const std::time_t seconds = std::chrono::duration_cast<std::chrono::seconds>(time.time_since_epoch()).count();
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    char text[32];
+    std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return text;
+}
+
+Result<PublishPlan> planPublish(const PublishRequest &request, const StoredHead &current, const DeclarationSet &from, const std::string &when)
+{
+    const std::uint64_t version = current.head.version + 1;
+    const std::string head = ConfigHead{version, request.publishId, request.set.hash(), request.set.hashes()}.toJson();
+    const std::string audit =
+        AuditRecord{version, current.head.version, request.publishId, request.who, when, request.why, diffText(from, request.set)}.toJson();
+    if (head.size() + audit.size() > MaxValueBytes) {
+        return notRun(Errc::TooLarge,
+                      "the head and audit records would have " + std::to_string(head.size() + audit.size()) + " bytes, at most " + std::to_string(MaxValueBytes)
+                          + " fit; publish fewer files or a shorter reason");
+    }
+    TransactionFiller filler(head.size() + audit.size());
+    for (const auto &[name, file] : request.set.files()) {
+        const auto known = current.head.files.find(name);
+        if (known == current.head.files.end() || known->second != file.hash()) {
+            filler.add({configFileKey(name, file.hash()), file.text(), 0});
+        }
+    }
+    PublishPlan plan;
+    plan.ahead = filler.takeFull();
+    plan.change.conditions = {{ConfigHeadKey, current.modRevision}, {configAuditKey(version), 0}};
+    plan.change.writes = filler.takeOpen();
+    plan.change.writes.push_back({ConfigHeadKey, head, 0});
+    plan.change.writes.push_back({configAuditKey(version), audit, 0});
+    return plan;
+}
+
+} // namespace Burdock
--- a/packages/declarations/src/tablereader.cpp
+++ b/packages/declarations/src/tablereader.cpp
@@ -206,6 +206,7 @@
     const auto rank = rankFromName(*text);
     if (!rank) {
         std::vector<std::string> names;
+        names.reserve(AllRanks.size());
         for (const Rank known : AllRanks) {
             names.emplace_back(rankName(known));
         }
--- a/packages/wire/include/burdock/wire/peermessage.h
+++ b/packages/wire/include/burdock/wire/peermessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/values/configmessages.h>
 #include <burdock/values/subrequest.h>
 
 #include <cstdint>
@@ -49,46 +50,6 @@
     }
 };
 
-/// Asks a peer for a configuration newer than `haveVersion`, naming the file hashes already held.
-struct ConfigFetch
-{
-    std::uint64_t number = 0;
-    std::uint64_t haveVersion = 0;
-    std::vector<std::string> haveHashes;
-
-    auto fields() const
-    {
-        return std::tie(number, haveVersion, haveHashes);
-    }
-};
-
-/// One declaration file on its way to a peer.
-struct ConfigFile
-{
-    std::string name;
-    std::string hash;
-    std::string text;
-
-    auto fields() const
-    {
-        return std::tie(name, hash, text);
-    }
-};
-
-/// The peer's version: the head record as stored, and the files that the asker lacks.
-struct ConfigOffer
-{
-    std::uint64_t number = 0;
-    std::uint64_t version = 0;
-    std::string head;
-    std::vector<ConfigFile> files;
-
-    auto fields() const
-    {
-        return std::tie(number, version, head, files);
-    }
-};
-
 /// Asks the owner of a claim partition to claim a key before a command is dispatched.
 struct ClaimAsk
 {
