Add the links between instances

Cause: instances exchange sub-requests, replies and configuration. Ruled out: asio (a second loop); a link for each direction (twice the memory). Before/after: not measured yet.

--- a/packages/wire/src/internal/sockets.h
+++ b/packages/wire/src/internal/sockets.h
@@ -20,4 +20,8 @@
 /// Sends small segments at once instead of waiting for acknowledgements.
 void disableNagle(evutil_socket_t socket);
 
+/// Sets up the socket of a long-lived link: small segments go at once, and the kernel breaks the connection when the
+/// peer's machine no longer answers, whether bytes wait for it or not.
+void prepareLinkSocket(evutil_socket_t socket);
+
 } // namespace Burdock
--- /dev/null
+++ b/packages/wire/src/link.cpp
@@ -0,0 +1,235 @@
+#include "internal/link.h"
+
+#include "internal/sockets.h"
+#include "internal/websocket.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+constexpr const char *LinkPath = "/link";
+constexpr std::size_t LowBacklogBytes = 65536;
+
+} // namespace
+
+class Link::Private
+{
+public:
+    Private(WebSocketEndpoints &endpoints, bufferevent *stream, Address address)
+        : endpoints_(endpoints)
+        , stream_(stream)
+        , address_(std::move(address))
+    {
+    }
+
+    WebSocketEndpoints &endpoints_;
+    bufferevent *stream_;
+    /// Where to dial; port 0 on an accepted link.
+    Address address_;
+    WebSocketConnection::ptr connection_;
+    bool closing_ = false;
+    bool ended_ = false;
+
+    bool dials() const
+    {
+        return address_.port != 0;
+    }
+
+    evbuffer *output() const
+    {
+        return bufferevent_get_output(stream_);
+    }
+
+    websocketpp::lib::error_code write(const std::vector<websocketpp::transport::buffer> &buffers) const
+    {
+        for (const auto &buffer : buffers) {
+            evbuffer_add(output(), buffer.buf, buffer.len);
+        }
+        return {};
+    }
+
+    /// Why websocketpp gave the connection up.
+    LinkEnd reason() const
+    {
+        const auto error = connection_->get_ec();
+        if (error == websocketpp::processor::error::make_error_code(websocketpp::processor::error::message_too_big)) {
+            return LinkEnd::Oversize;
+        }
+        if (error.category() == websocketpp::processor::error::get_processor_category()) {
+            return LinkEnd::Malformed;
+        }
+        return connection_->get_remote_close_code() == websocketpp::close::status::normal ? LinkEnd::Spare : LinkEnd::Lost;
+    }
+};
+
+Link::Link(EventLoop &loop, WebSocketEndpoints &endpoints, LinkOwner &owner, const Address &address)
+    : loop_(loop)
+    , owner_(owner)
+    , d_(std::make_unique<Private>(endpoints, bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE), address))
+    , lastActivity_(loop.now())
+{
+}
+
+Link::Link(EventLoop &loop, WebSocketEndpoints &endpoints, LinkOwner &owner, int socket)
+    : loop_(loop)
+    , owner_(owner)
+    , d_(std::make_unique<Private>(endpoints, bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE), Address{}))
+    , lastActivity_(loop.now())
+{
+}
+
+Link::~Link()
+{
+    if (d_->connection_) {
+        d_->connection_->set_open_handler(nullptr);
+        d_->connection_->set_close_handler(nullptr);
+        d_->connection_->set_fail_handler(nullptr);
+        d_->connection_->set_message_handler(nullptr);
+        // A connection that waits for bytes holds on to itself; this lets it go.
+        d_->connection_->eof();
+        d_->connection_->set_vector_write_handler(nullptr);
+    }
+    bufferevent_free(d_->stream_);
+}
+
+void Link::start()
+{
+    bufferevent_setcb(d_->stream_, &Link::onRead, &Link::onWritten, &Link::onEvent, this);
+    bufferevent_setwatermark(d_->stream_, EV_WRITE, LowBacklogBytes, 0);
+    bufferevent_enable(d_->stream_, EV_READ | EV_WRITE);
+    if (!d_->dials()) {
+        startWebSocket();
+        return;
+    }
+    const auto socketAddress = Burdock::socketAddress(d_->address_);
+    if (!socketAddress) {
+        end(LinkEnd::Lost);
+        return;
+    }
+    // A failure comes as an event.
+    bufferevent_socket_connect(d_->stream_, reinterpret_cast<const sockaddr *>(&*socketAddress), static_cast<int>(socketAddressLength(*socketAddress)));
+}
+
+void Link::startWebSocket()
+{
+    prepareLinkSocket(bufferevent_getfd(d_->stream_));
+    websocketpp::lib::error_code error;
+    d_->connection_ =
+        d_->dials() ? d_->endpoints_.client.get_connection("ws://" + d_->address_.toString() + LinkPath, error) : d_->endpoints_.server.get_connection();
+    if (error || !d_->connection_) {
+        end(LinkEnd::Lost);
+        return;
+    }
+    WebSocketConnection &connection = *d_->connection_;
+    connection.set_vector_write_handler([this](const auto &, const auto &buffers) { return d_->write(buffers); });
+    connection.set_write_handler([this](const auto &, const char *bytes, std::size_t length) { return d_->write({{bytes, length}}); });
+    connection.set_validate_handler([this](const auto &) { return d_->connection_->get_resource() == LinkPath; });
+    connection.set_open_handler([this](const auto &) { owner_.opened(*this); });
+    connection.set_fail_handler([this](const auto &) { end(d_->reason()); });
+    connection.set_close_handler([this](const auto &) { end(d_->reason()); });
+    connection.set_message_handler([this](const auto &, const auto &message) {
+        if (message->get_opcode() != websocketpp::frame::opcode::binary) {
+            end(LinkEnd::Malformed);
+            return;
+        }
+        owner_.received(*this, message->get_payload());
+    });
+    if (d_->dials()) {
+        d_->endpoints_.client.connect(d_->connection_);
+    } else {
+        connection.start();
+    }
+}
+
+void Link::send(const std::string &frame)
+{
+    lastActivity_ = loop_.now();
+    d_->connection_->send(frame.data(), frame.size(), websocketpp::frame::opcode::binary);
+}
+
+std::size_t Link::backlog() const
+{
+    return evbuffer_get_length(d_->output());
+}
+
+void Link::closeAfterFlush(bool spare)
+{
+    if (d_->closing_ || d_->ended_) {
+        return;
+    }
+    d_->closing_ = true;
+    if (d_->connection_ && d_->connection_->get_state() == websocketpp::session::state::open) {
+        websocketpp::lib::error_code ignored;
+        d_->connection_->close(spare ? websocketpp::close::status::normal : websocketpp::close::status::going_away, {}, ignored);
+    }
+    bufferevent_disable(d_->stream_, EV_READ);
+    bufferevent_setwatermark(d_->stream_, EV_WRITE, 0, 0);
+    // With nothing to write no event comes; the owner's time limit closes what does not drain.
+    if (backlog() == 0) {
+        bufferevent_trigger(d_->stream_, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS | BEV_TRIG_IGNORE_WATERMARKS);
+    }
+}
+
+void Link::flushNow()
+{
+    if (bufferevent_getfd(d_->stream_) >= 0) {
+        evbuffer_write(d_->output(), bufferevent_getfd(d_->stream_));
+    }
+}
+
+void Link::onRead(bufferevent *stream, void *context)
+{
+    auto *self = static_cast<Link *>(context);
+    self->lastActivity_ = self->loop_.now();
+    evbuffer *input = bufferevent_get_input(stream);
+    while (!self->d_->ended_ && !self->d_->closing_ && evbuffer_get_length(input) > 0) {
+        const std::size_t length = evbuffer_get_contiguous_space(input);
+        const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length)));
+        const std::size_t taken = self->d_->connection_->read_all(bytes, length);
+        evbuffer_drain(input, length);
+        if (taken < length) {
+            self->end(LinkEnd::Malformed);
+        }
+    }
+}
+
+void Link::onWritten(bufferevent *, void *context)
+{
+    auto *self = static_cast<Link *>(context);
+    if (!self->d_->closing_) {
+        self->owner_.writable(*self);
+    } else if (self->backlog() == 0) {
+        self->end(LinkEnd::Flushed);
+    }
+}
+
+void Link::onEvent(bufferevent *, short events, void *context)
+{
+    auto *self = static_cast<Link *>(context);
+    if ((events & BEV_EVENT_CONNECTED) != 0) {
+        self->startWebSocket();
+    } else if (self->d_->connection_) {
+        self->d_->connection_->eof();
+        self->end(LinkEnd::Lost);
+    } else {
+        self->end(LinkEnd::Lost);
+    }
+}
+
+void Link::end(LinkEnd end)
+{
+    if (std::exchange(d_->ended_, true)) {
+        return;
+    }
+    bufferevent_disable(d_->stream_, EV_READ | EV_WRITE);
+    owner_.ended(*this, end);
+}
+
+} // namespace Burdock
--- a/packages/wire/src/sockets.cpp
+++ b/packages/wire/src/sockets.cpp
@@ -8,6 +8,23 @@
 namespace Burdock
 {
 
+namespace
+{
+
+/// A link with no traffic is checked after this long, then once more each interval.
+constexpr int KeepAliveIdleSeconds = 10;
+constexpr int KeepAliveIntervalSeconds = 5;
+constexpr int KeepAliveProbes = 2;
+/// Bytes that the peer's machine has not acknowledged for this long break the link.
+constexpr int UnacknowledgedMilliseconds = 15000;
+
+void setOption(evutil_socket_t socket, int level, int option, int value)
+{
+    setsockopt(socket, level, option, &value, sizeof(value));
+}
+
+} // namespace
+
 Result<Address> localAddress(evutil_socket_t socket)
 {
     sockaddr_storage storage{};
@@ -51,8 +68,17 @@
 
 void disableNagle(evutil_socket_t socket)
 {
-    const int on = 1;
-    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+}
+
+void prepareLinkSocket(evutil_socket_t socket)
+{
+    disableNagle(socket);
+    setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedMilliseconds);
 }
 
 } // namespace Burdock
