Add the stand-ins for platform and backend servers

Cause: every contract and failure test needs a store, an instance list and backend servers that fail on command and whose exact answers are known.

--- /dev/null
+++ b/packages/fakes/src/fakeindex.cpp
@@ -0,0 +1,88 @@
+#include <burdock/fakes/fakeindex.h>
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// One document in so many does not match a query.
+constexpr std::uint64_t MismatchEvery = 8;
+constexpr double TopScore = 100.0;
+/// How strongly Skewed favours the upper end of the key space.
+constexpr double SkewExponent = 8.0;
+
+std::uint64_t scoreHash(const std::string &id, std::uint64_t version, const std::string &query)
+{
+    return XXH3_64bits_withSeed(id.data(), id.size(), XXH3_64bits_withSeed(query.data(), query.size(), version));
+}
+
+/// A hash as a number in [0, 1).
+double unitOf(std::uint64_t hash)
+{
+    return std::ldexp(static_cast<double>(hash >> 11), -53);
+}
+
+} // namespace
+
+FakeIndex::FakeIndex(IndexName name, std::uint32_t documents, ScoreShape shape)
+    : name_(std::move(name))
+    , shape_(shape)
+{
+    documents_.reserve(documents);
+    for (std::uint32_t number = 0; number < documents; ++number) {
+        std::string id = "d" + std::to_string(number);
+        documents_.push_back(Document{keyOf(id), std::move(id)});
+    }
+    std::sort(documents_.begin(), documents_.end(), [](const Document &a, const Document &b) { return a.key < b.key; });
+}
+
+std::uint64_t FakeIndex::keyOf(const std::string &id)
+{
+    return XXH3_64bits(id.data(), id.size()) % KeySpace;
+}
+
+Hit FakeIndex::hit(const Document &document, std::uint64_t version, std::uint64_t hash) const
+{
+    const double place = std::ldexp(static_cast<double>(document.key), -32);
+    const double weight = shape_ == ScoreShape::Even ? 1.0 : std::pow(place, SkewExponent);
+    return Hit{document.id, TopScore * weight * unitOf(hash), "body of " + document.id + " at version " + std::to_string(version)};
+}
+
+std::vector<Hit> FakeIndex::matches(const KeyRange &range, std::uint64_t version, const std::string &query) const
+{
+    std::vector<Hit> found;
+    auto document = std::lower_bound(documents_.begin(), documents_.end(), range.begin, [](const Document &a, std::uint64_t key) { return a.key < key; });
+    for (; document != documents_.end() && document->key < range.end; ++document) {
+        const std::uint64_t hash = scoreHash(document->id, version, query);
+        if (hash % MismatchEvery != 0) {
+            found.push_back(hit(*document, version, hash));
+        }
+    }
+    return found;
+}
+
+std::uint64_t FakeIndex::total(const KeyRange &range, std::uint64_t version, const std::string &query) const
+{
+    return matches(range, version, query).size();
+}
+
+std::vector<Hit> FakeIndex::search(const KeyRange &range, std::uint64_t version, const std::string &query, std::uint32_t offset, std::uint32_t limit) const
+{
+    std::vector<Hit> found = matches(range, version, query);
+    const std::size_t begin = std::min<std::size_t>(offset, found.size());
+    const std::size_t end = std::min<std::size_t>(begin + limit, found.size());
+    std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(end), found.end(), ranksBefore);
+    return {found.begin() + static_cast<std::ptrdiff_t>(begin), found.begin() + static_cast<std::ptrdiff_t>(end)};
+}
+
+std::vector<Hit> FakeIndex::oracle(std::uint64_t version, const std::string &query, std::uint32_t limit) const
+{
+    return search(KeyRange{0, KeySpace}, version, query, 0, limit);
+}
+
+} // namespace Burdock
