Check callers' bodies, servers' answers and settings in tables; lay the process tests

Cause: every malformed input owes a clear error, and a refusal counts as not run only where the server marked it so. Ruled out: trusting any 429 or 503 as not run; a proxy or a broken server may answer these after the work began. The program and the process tests are not linked yet, the platform adapters are missing.

--- a/packages/daemon/include/burdock/daemon/instance.h
+++ b/packages/daemon/include/burdock/daemon/instance.h
@@ -8,6 +8,7 @@
 #include <burdock/daemon/holderservice.h>
 #include <burdock/daemon/metrics.h>
 #include <burdock/daemon/settings.h>
+#include <burdock/declarations/configreader.h>
 #include <burdock/platform/factories.h>
 #include <burdock/policy/budgetedtactics.h>
 #include <burdock/policy/entrylist.h>
@@ -44,6 +45,7 @@
     void updateLive(std::vector<ListedInstance> live);
     void install(ConfigurationPtr configuration);
     void limitConnections();
+    void pollConfiguration();
     void backendChanged(const ServerId &server, BackendState state);
     EntryPorts entryPorts();
     std::optional<Failure> notAdmitting() const;
@@ -61,6 +63,7 @@
     std::unique_ptr<Store> store_;
     std::unique_ptr<InstanceListSource> listSource_;
 
+    ConfigReader configReader_;
     Directory directory_;
     BackendLives lives_;
     BackendAdapter backends_;
--- /dev/null
+++ b/packages/daemon/include/burdock/daemon/statuspage.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <burdock/values/configuration.h>
+#include <burdock/values/place.h>
+#include <burdock/values/runtime.h>
+
+#include <string>
+#include <vector>
+
+namespace Burdock
+{
+
+/// One peer as this instance sees it.
+struct MemberStatus {
+    InstanceId id;
+    std::string state;
+    std::uint64_t configurationVersion = 0;
+
+    auto fields() const
+    {
+        return std::tie(id, state, configurationVersion);
+    }
+};
+
+/// What `GET /v1/status` tells of one instance.
+struct InstanceStatus {
+    ListedInstance self;
+    std::uint64_t incarnation = 0;
+    std::string life;
+    std::uint64_t configurationVersion = 0;
+    std::string configurationHash;
+    /// How long the configuration has been in force.
+    Duration inForceFor{0};
+    /// Why a newer configuration could not be taken over; empty where there is none.
+    std::string configurationTrouble;
+    std::vector<MemberStatus> members;
+    std::vector<ServerId> holds;
+    std::size_t requestsInFlight = 0;
+
+    auto fields() const
+    {
+        return std::tie(self, incarnation, life, configurationVersion, configurationHash, inForceFor, configurationTrouble, members, holds, requestsInFlight);
+    }
+};
+
+/// Writes the status as JSON.
+std::string writeStatus(const InstanceStatus &status);
+
+}
--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -1,6 +1,7 @@
 #include <burdock/daemon/instance.h>
 
 #include <burdock/daemon/log.h>
+#include <burdock/declarations/checkdeclarations.h>
 #include <random>
 #include <utility>
 
@@ -26,6 +27,7 @@
     , links_(makePeerLinks(loop, settings_.id, incarnation))
     , store_(makeEtcdStore(loop, *client_, settings_.store, settings_.storeTimeout))
     , listSource_(makeHttpInstanceList(loop, *client_, settings_.instanceList))
+    , configReader_(*store_)
     , lives_(loop, [this](const ServerId &server, BackendState state) { backendChanged(server, state); })
     , backends_(loop, *client_, [this](const ServerId &server) { return directory_.serverAddress(server); })
     , holder_(loop, backends_)
@@ -57,6 +59,7 @@
     self_.peers = *peers;
     updateLive({self_});
     listSource_->follow([this](const InstanceList &list) { updateList(list); });
+    pollConfiguration();
     return {};
 }
 
@@ -148,6 +151,22 @@
     logChange("configuration", "in force", {{"version", std::to_string(configuration_->version)}, {"hash", configuration_->hash}});
 }
 
+void Instance::pollConfiguration()
+{
+    loop_.schedule(std::chrono::milliseconds(500), [this] { pollConfiguration(); });
+    configReader_.readHead([this](const Result<StoredHead> &stored) {
+        if (!stored || stored->head.version <= (configuration_ ? configuration_->version : 0)) {
+            return;
+        }
+        configReader_.readFiles(stored->head, DeclarationSet(), [this, version = stored->head.version](const Result<DeclarationSet> &set) {
+            const auto checked = set ? checkDeclarations(*set, version) : tl::make_unexpected(DeclarationFaults{});
+            if (checked) {
+                install(std::make_shared<const Configuration>(*checked));
+            }
+        });
+    });
+}
+
 void Instance::limitConnections()
 {
     if (!configuration_) {
--- /dev/null
+++ b/packages/daemon/src/statuspage.cpp
@@ -0,0 +1,35 @@
+#include <burdock/daemon/statuspage.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Burdock
+{
+
+std::string writeStatus(const InstanceStatus &status)
+{
+    using nlohmann::json;
+    json members = json::array();
+    for (const MemberStatus &member : status.members) {
+        members.push_back({{"id", member.id.text()}, {"state", member.state}, {"configurationVersion", member.configurationVersion}});
+    }
+    json holds = json::array();
+    for (const ServerId &server : status.holds) {
+        holds.push_back(server.text());
+    }
+    const json page{{"instance", status.self.id.text()},
+                    {"region", status.self.place.region.text()},
+                    {"dataCentre", status.self.place.dataCentre.text()},
+                    {"incarnation", status.incarnation},
+                    {"life", status.life},
+                    {"configuration",
+                     {{"version", status.configurationVersion},
+                      {"hash", status.configurationHash},
+                      {"inForceForMs", std::chrono::duration<double, std::milli>(status.inForceFor).count()},
+                      {"trouble", status.configurationTrouble}}},
+                    {"members", std::move(members)},
+                    {"holds", std::move(holds)},
+                    {"requestsInFlight", status.requestsInFlight}};
+    return page.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+}
--- a/packages/policy/src/querydesk.cpp
+++ b/packages/policy/src/querydesk.cpp
@@ -1,10 +1,24 @@
 #include <burdock/policy/querydesk.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Burdock
 {
 
+namespace
+{
+
+/// True where any index or command is declared for the caller.
+bool isDeclared(const Configuration &configuration, const CallerId &caller)
+{
+    const auto names = [&caller](const auto &entry) { return entry.second.callers.count(caller) > 0; };
+    return std::any_of(configuration.indexes.begin(), configuration.indexes.end(), names)
+        || std::any_of(configuration.commands.begin(), configuration.commands.end(), names);
+}
+
+}
+
 QueryDesk::QueryDesk(QueryContext context, QueryRun::CurrentConfiguration current, Admission admission)
     : context_(context)
     , current_(std::move(current))
@@ -53,6 +67,9 @@
     }
     const auto rule = index->second.callers.find(query.caller);
     if (rule == index->second.callers.end()) {
+        if (!isDeclared(*configuration, query.caller)) {
+            return notRun(Errc::UnknownCaller, "caller '" + query.caller.text() + "' is not declared");
+        }
         return notRun(Errc::NotAllowed, "caller '" + query.caller.text() + "' is not declared for index '" + query.index.text() + "'");
     }
     if (query.limit == 0 || query.limit > context_.limits.hits) {
--- a/packages/policy/tests/querytest.cpp
+++ b/packages/policy/tests/querytest.cpp
@@ -27,7 +27,7 @@
     const Query good{CallerId("technician"), IndexName("parts"), "belt", 20, std::nullopt};
     std::vector<Row> rows(5, Row{good, Errc::Ok});
     rows[0].query.caller = CallerId("stranger");
-    rows[0].code = Errc::NotAllowed;
+    rows[0].code = Errc::UnknownCaller;
     rows[1].query.index = IndexName("nowhere");
     rows[1].code = Errc::NotFound;
     rows[2].query.limit = 0;
--- /dev/null
+++ b/tests/process/childprocess.cpp
@@ -0,0 +1,109 @@
+#include "childprocess.h"
+
+#include <array>
+#include <csignal>
+#include <fcntl.h>
+#include <poll.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char **environ;
+
+namespace Burdock
+{
+
+namespace
+{
+constexpr int LinePatienceMs = 10000;
+constexpr int SignalExitBase = 128;
+} // namespace
+
+ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments)
+{
+    std::array<int, 2> ends{};
+    if (pipe2(ends.data(), O_CLOEXEC) != 0) {
+        throw std::runtime_error("no pipe");
+    }
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    std::vector<char *> argv{const_cast<char *>(program.c_str())};
+    for (const std::string &argument : arguments) {
+        argv.push_back(const_cast<char *>(argument.c_str()));
+    }
+    argv.push_back(nullptr);
+    const int error = posix_spawn(&pid_, program.c_str(), &actions, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    close(ends[1]);
+    output_ = ends[0];
+    if (error != 0) {
+        close(output_);
+        throw std::runtime_error("cannot start " + program);
+    }
+}
+
+ChildProcess::~ChildProcess()
+{
+    if (running()) {
+        ::kill(pid_, SIGKILL);
+        wait();
+    }
+    close(output_);
+}
+
+std::string ChildProcess::readLine()
+{
+    for (;;) {
+        const auto end = buffer_.find('\n');
+        if (end != std::string::npos) {
+            const std::string line = buffer_.substr(0, end);
+            buffer_.erase(0, end + 1);
+            return line;
+        }
+        pollfd ready{output_, POLLIN, 0};
+        std::array<char, 4096> piece{};
+        const ssize_t count = poll(&ready, 1, LinePatienceMs) == 1 ? read(output_, piece.data(), piece.size()) : 0;
+        if (count <= 0) {
+            return {};
+        }
+        buffer_.append(piece.data(), static_cast<std::size_t>(count));
+    }
+}
+
+std::string ChildProcess::readAll()
+{
+    std::string text;
+    for (std::string line = readLine(); !line.empty(); line = readLine()) {
+        text += line + '\n';
+    }
+    return text + buffer_;
+}
+
+void ChildProcess::signal(int number) const
+{
+    if (pid_ > 0 && code_ < 0) {
+        ::kill(pid_, number);
+    }
+}
+
+int ChildProcess::wait()
+{
+    int status = 0;
+    if (code_ < 0 && waitpid(pid_, &status, 0) == pid_) {
+        code_ = WIFEXITED(status) ? WEXITSTATUS(status) : SignalExitBase + WTERMSIG(status);
+    }
+    return code_;
+}
+
+bool ChildProcess::running()
+{
+    int status = 0;
+    if (code_ < 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
+        code_ = WIFEXITED(status) ? WEXITSTATUS(status) : SignalExitBase + WTERMSIG(status);
+    }
+    return code_ < 0;
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/tests/process/testbed.cpp
@@ -0,0 +1,214 @@
+#include "testbed.h"
+
+#include <stdexcept>
+
+namespace Burdock
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr Duration Patience = std::chrono::seconds(20);
+constexpr Duration CallTimeout = std::chrono::seconds(40);
+const ConnectionLimits ClientLimits{64, 16, std::size_t{8} * 1024 * 1024};
+
+Address addressOf(const json &text)
+{
+    const auto address = Address::parse(text.get<std::string>());
+    if (!address) {
+        throw std::runtime_error(address.error().message);
+    }
+    return *address;
+}
+
+/// The JSON after the first word of a program's first line.
+json firstLine(ChildProcess &process)
+{
+    const std::string line = process.readLine();
+    const auto space = line.find(' ');
+    if (space == std::string::npos) {
+        throw std::runtime_error("the program did not start: " + line);
+    }
+    return json::parse(line.substr(space + 1));
+}
+
+} // namespace
+
+Testbed::Testbed(const std::string &deployment, const std::vector<std::string> &regions)
+    : client_(makeHttpClient(loop_, ClientLimits))
+    , deployment_(deployment)
+{
+    std::string list;
+    for (const std::string &region : regions) {
+        list += (list.empty() ? "" : ",") + region;
+    }
+    fakes_ = std::make_unique<ChildProcess>(BURDOCK_FAKES, std::vector<std::string>{"--declarations", declarations(), "--regions", list});
+    const json line = firstLine(*fakes_);
+    store_ = addressOf(line.at("store"));
+    instanceList_ = addressOf(line.at("instanceList"));
+    control_ = addressOf(line.at("control"));
+}
+
+std::string Testbed::declarations() const
+{
+    return std::string(BURDOCK_EXAMPLES) + "/" + deployment_;
+}
+
+void Testbed::startInstance(const std::string &id, const std::string &region, bool listed)
+{
+    Started started;
+    started.region = region;
+    started.process = std::make_unique<ChildProcess>(BURDOCK_DAEMON,
+                                                     std::vector<std::string>{"--instance-id",
+                                                                              id,
+                                                                              "--region",
+                                                                              region,
+                                                                              "--data-centre",
+                                                                              region + "-1",
+                                                                              "--callers-address",
+                                                                              "127.0.0.1:0",
+                                                                              "--peers-address",
+                                                                              "127.0.0.1:0",
+                                                                              "--store-address",
+                                                                              store_.toString(),
+                                                                              "--instance-list-address",
+                                                                              instanceList_.toString(),
+                                                                              "--entries-max-age-ms",
+                                                                              "1000",
+                                                                              "--log-level",
+                                                                              "error"});
+    const json line = firstLine(*started.process);
+    started.callers = line.at("callers").get<std::string>();
+    started.peers = line.at("peers").get<std::string>();
+    started.callersAddress = addressOf(line.at("callers"));
+    instances_[id] = std::move(started);
+    if (listed) {
+        list(id, false);
+    }
+}
+
+void Testbed::list(const std::string &id, bool leaving)
+{
+    const Started &instance = instances_.at(id);
+    control("POST",
+            "/fake/instances",
+            {{"id", id},
+             {"region", instance.region},
+             {"dataCentre", instance.region + "-1"},
+             {"callers", instance.callers},
+             {"peers", instance.peers},
+             {"leaving", leaving}});
+}
+
+void Testbed::unlist(const std::string &id)
+{
+    control("POST", "/fake/instances", {{"id", id}, {"remove", true}});
+}
+
+int Testbed::publish()
+{
+    ChildProcess ctl(BURDOCK_CTL, {"publish", "--store-address", store_.toString(), "--why", "process test", declarations()});
+    ctl.readAll();
+    return ctl.wait();
+}
+
+bool Testbed::eventually(const std::function<bool()> &condition)
+{
+    const TimePoint end = loop_.now() + Patience;
+    while (loop_.now() < end) {
+        if (condition()) {
+            return true;
+        }
+        loop_.runUntil([] { return false; }, std::chrono::milliseconds(20));
+    }
+    return condition();
+}
+
+bool Testbed::allReady()
+{
+    return eventually([this] {
+        for (const auto &[id, instance] : instances_) {
+            const auto answer = call(instance.callersAddress, "GET", "/readyz", "");
+            if (!answer || answer->status != 200) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
+
+void Testbed::send(const Address &address,
+                   const std::string &method,
+                   const std::string &path,
+                   const std::string &body,
+                   const std::map<std::string, std::string> &headers,
+                   HttpClient::Callback done)
+{
+    HttpRequest request;
+    request.address = address;
+    request.method = method;
+    request.path = path;
+    request.headers = headers;
+    request.body = body;
+    request.timeout = CallTimeout;
+    client_->send(std::move(request), std::move(done));
+}
+
+Result<HttpResponse> Testbed::call(
+    const Address &address, const std::string &method, const std::string &path, const std::string &body, const std::map<std::string, std::string> &headers)
+{
+    std::optional<Result<HttpResponse>> result;
+    send(address, method, path, body, headers, [&result](Result<HttpResponse> got) { result = std::move(got); });
+    loop_.runUntil([&result] { return result.has_value(); }, 2 * CallTimeout);
+    return *result;
+}
+
+Result<HttpResponse> Testbed::ask(const std::string &instance, const std::string &caller, const std::string &index, int limit)
+{
+    const json body{{"index", index}, {"query", "belt"}, {"limit", limit}};
+    return call(callersAddress(instance), "POST", "/v1/query", body.dump(), {{"X-Caller", caller}});
+}
+
+json Testbed::control(const std::string &method, const std::string &path, const json &body)
+{
+    const auto answer = call(control_, method, path, method == "GET" ? std::string() : body.dump());
+    if (!answer || answer->status != 200) {
+        throw std::runtime_error("control call " + path + " failed: " + (answer ? answer->body : answer.error().message));
+    }
+    return json::parse(answer->body);
+}
+
+ChildProcess &Testbed::process(const std::string &id)
+{
+    return *instances_.at(id).process;
+}
+
+const Address &Testbed::callersAddress(const std::string &id) const
+{
+    return instances_.at(id).callersAddress;
+}
+
+json Testbed::status(const std::string &id)
+{
+    const auto answer = call(callersAddress(id), "GET", "/v1/status", "");
+    return answer ? json::parse(answer->body) : json();
+}
+
+const Address &Testbed::store() const
+{
+    return store_;
+}
+
+const Address &Testbed::instanceList() const
+{
+    return instanceList_;
+}
+
+EventLoop &Testbed::loop()
+{
+    return loop_;
+}
+
+} // namespace Burdock
