Speak to the platform's store and instance list

Cause: everything that must last goes through the platform's store, and a caller of it has to know whether a failed write may have taken effect. The store's adapter maps the gateway's error codes to verdicts: refused before the effect is notRun, anything else after a byte left is mayHaveRun, a failed read is always notRun. A watch that the store does not confirm in time ends; one whose changes are compacted ends as wrongVersion. StoreEntry gains `deleted`, which a watch needs. Ruled out: restarting watches inside the adapter, since only the caller knows from which revision. The list is polled again after a failure, or after an early answer without news, with doubled backoff and jitter. Seen red when a 500 counts as notRun.

--- a/packages/platform/include/burdock/platform/store.h
+++ b/packages/platform/include/burdock/platform/store.h
@@ -3,6 +3,7 @@
 #include <burdock/values/failure.h>
 #include <burdock/values/runtime.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -21,13 +22,21 @@
     std::int64_t modRevision = 0;
     /// Zero where the key has no lease.
     std::int64_t lease = 0;
+    /// In a watch: the key was deleted at modRevision.
+    bool deleted = false;
 
     auto fields() const
     {
-        return std::tie(key, value, modRevision, lease);
+        return std::tie(key, value, modRevision, lease, deleted);
     }
 };
 
+/// Values above this many bytes are refused as TooLarge.
+constexpr std::size_t LargestStoreValue = std::size_t{1} << 20;
+
+/// The conditions, and the writes, of one transaction are at most this many each; etcd's published default.
+constexpr std::size_t MostStoreOperations = 128;
+
 /// What a read found.
 struct StoreRange
 {
@@ -71,7 +80,8 @@
 
 /// The platform's key-value store. Every call is counted against its rate limits.
 ///
-/// A failed write's verdict tells whether it may have taken effect: MayHaveRun after a lost reply.
+/// A failed write's verdict tells whether it may have taken effect: MayHaveRun after a lost reply. A failed read
+/// is always NotRun. Callbacks are never called from within the call.
 class Store
 {
 public:
@@ -87,11 +97,16 @@
 
     /// A lease of so many seconds; gives its id.
     virtual void grantLease(std::int64_t seconds, Callback<std::int64_t> done) = 0;
+
+    /// Renews a lease; gives its seconds, or NotFound where it is gone.
     virtual void keepLeaseAlive(std::int64_t lease, Callback<std::int64_t> done) = 0;
+
+    /// Ends a lease and deletes its keys; gives its id.
     virtual void revokeLease(std::int64_t lease, Callback<std::int64_t> done) = 0;
 
     /// Calls `changed` for every change of the key or prefix after `fromRevision`, until unwatched;
-    /// `ended` once when the watch breaks, and it must be started anew.
+    /// `ended` once when the watch breaks, and it must be started anew. WrongVersion says that changes after
+    /// `fromRevision` are compacted: read the range first, then watch from its revision.
     virtual std::uint64_t watch(const std::string &key,
                                 bool prefix,
                                 std::int64_t fromRevision,
--- /dev/null
+++ b/packages/platform/src/etcdstore.cpp
@@ -0,0 +1,322 @@
+#include "etcdstore.h"
+
+#include "gatewayjson.h"
+
+#include <burdock/platform/factories.h>
+
+#include <algorithm>
+
+namespace Burdock
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr int OkStatus = 200;
+/// Watches hold a connection each, so there must be more of them than watches.
+constexpr ConnectionLimits StoreConnections{16, 4, std::size_t{32} << 20};
+/// A watch that lasted this long is ended, to be started anew.
+constexpr Duration LongestWatch = std::chrono::hours(24);
+/// A line of a watch above this many bytes breaks the watch.
+constexpr std::size_t LongestWatchLine = std::size_t{32} << 20;
+
+/// The codes of gRPC that the gateway puts into its errors, and what they say of a call.
+struct GatewayCode
+{
+    int code;
+    Errc errc;
+    Verdict verdict;
+};
+
+/// Other codes leave it open whether the call took effect.
+constexpr GatewayCode GatewayCodes[] = {
+    {3, Errc::BadRequest, Verdict::NotRun}, // InvalidArgument
+    {5, Errc::NotFound, Verdict::NotRun}, // NotFound
+    {7, Errc::NotAllowed, Verdict::NotRun}, // PermissionDenied
+    {8, Errc::Overloaded, Verdict::NotRun}, // ResourceExhausted
+    {11, Errc::WrongVersion, Verdict::NotRun}, // OutOfRange
+    {12, Errc::NotFound, Verdict::NotRun}, // Unimplemented
+    {16, Errc::NotAllowed, Verdict::NotRun}, // Unauthenticated
+};
+
+Failure gatewayFailure(const HttpResponse &response)
+{
+    const Json body = Json::parse(response.body, nullptr, false);
+    const bool readable = body.is_object() && body.contains("code") && body["code"].is_number_integer();
+    const int code = readable ? body["code"].get<int>() : 0;
+    const std::string text = readable ? body.value("message", std::string()) : std::string();
+    const std::string message = "the store answered " + std::to_string(response.status) + (text.empty() ? "" : ": " + text);
+    const auto *const known = std::find_if(std::begin(GatewayCodes), std::end(GatewayCodes), [code](const auto &each) { return each.code == code; });
+    if (known == std::end(GatewayCodes)) {
+        return Failure{Errc::Unavailable, Verdict::MayHaveRun, message, Duration{0}};
+    }
+    return Failure{known->errc, known->verdict, message, Duration{0}};
+}
+
+/// The reply's JSON, or why there is none.
+Result<Json> readReply(const Result<HttpResponse> &response)
+{
+    if (!response) {
+        return tl::make_unexpected(response.error());
+    }
+    if (response->status != OkStatus) {
+        return tl::make_unexpected(gatewayFailure(*response));
+    }
+    Json body = Json::parse(response->body, nullptr, false);
+    if (!body.is_object()) {
+        return mayHaveRun(Errc::ConnectionLost, "the store's reply is malformed");
+    }
+    return body;
+}
+
+/// Reads the fields of a reply; one that lacks them leaves it open whether the call took effect.
+template<class T>
+Result<T> readFields(const Result<Json> &reply, T (*read)(const Json &))
+{
+    if (!reply) {
+        return tl::make_unexpected(reply.error());
+    }
+    try {
+        return read(*reply);
+    } catch (const std::exception &error) {
+        return mayHaveRun(Errc::ConnectionLost, std::string("the store's reply is malformed: ") + error.what());
+    }
+}
+
+/// A read that failed had no effect, however it failed.
+template<class T>
+Result<T> asRead(Result<T> result)
+{
+    if (!result) {
+        result.error().verdict = Verdict::NotRun;
+    }
+    return result;
+}
+
+std::int64_t grantedLease(const Json &reply)
+{
+    return std::stoll(reply.at("ID").get<std::string>());
+}
+
+std::int64_t leaseSeconds(const Json &reply)
+{
+    return GatewayJson::number(reply.at("result"), "TTL");
+}
+
+bool tooLarge(const StoreTransaction &transaction)
+{
+    return std::any_of(
+        transaction.writes.begin(), transaction.writes.end(), [](const StoreWrite &write) { return write.value && write.value->size() > LargestStoreValue; });
+}
+
+bool tooMany(const StoreTransaction &transaction)
+{
+    return std::max({transaction.conditions.size(), transaction.writes.size(), transaction.readOnConflict.size()}) > MostStoreOperations;
+}
+
+} // namespace
+
+struct EtcdStore::Watch
+{
+    std::function<void(const StoreEntry &)> changed;
+    std::function<void(const Failure &)> ended;
+    HttpCallId call = 0;
+    /// Fires where the store does not confirm the watch in time.
+    TimerId confirmation = 0;
+    std::string unread;
+};
+
+EtcdStore::EtcdStore(Runtime &runtime, HttpClient &client, const Address &address, Duration timeout)
+    : runtime_(runtime)
+    , client_(client)
+    , address_(address)
+    , timeout_(timeout)
+    , self_(std::make_shared<EtcdStore *>(this))
+{
+    client_.setLimits(address_, StoreConnections);
+}
+
+EtcdStore::~EtcdStore()
+{
+    *self_ = nullptr;
+    for (const auto &watch : watches_) {
+        client_.cancel(watch.second->call);
+        runtime_.cancel(watch.second->confirmation);
+    }
+}
+
+void EtcdStore::call(const char *path, const Json &body, Reader done)
+{
+    HttpRequest request;
+    request.address = address_;
+    request.method = "POST";
+    request.path = path;
+    request.headers["Content-Type"] = "application/json";
+    request.body = body.dump();
+    request.timeout = timeout_;
+    client_.send(std::move(request), [self = self_, done = std::move(done)](const Result<HttpResponse> &response) {
+        if (*self != nullptr) {
+            done(readReply(response));
+        }
+    });
+}
+
+template<class T>
+void EtcdStore::refuseLater(Callback<T> done, Failure failure)
+{
+    runtime_.schedule(Duration{0}, [self = self_, done = std::move(done), failure = std::move(failure)] {
+        if (*self != nullptr) {
+            done(tl::make_unexpected(failure));
+        }
+    });
+}
+
+void EtcdStore::range(const std::string &key, bool prefix, std::int64_t limit, Callback<StoreRange> done)
+{
+    call("/v3/kv/range", GatewayJson::rangeRequest(key, prefix, limit), [done = std::move(done)](const Result<Json> &reply) {
+        done(asRead(readFields(reply, &GatewayJson::rangeReply)));
+    });
+}
+
+void EtcdStore::commit(StoreTransaction transaction, Callback<StoreCommit> done)
+{
+    if (tooLarge(transaction)) {
+        return refuseLater(std::move(done), Failure{Errc::TooLarge, Verdict::NotRun, "a value is over 1 MB", Duration{0}});
+    }
+    if (tooMany(transaction)) {
+        return refuseLater(std::move(done), Failure{Errc::TooLarge, Verdict::NotRun, "too many operations in one transaction", Duration{0}});
+    }
+    call("/v3/kv/txn", GatewayJson::transactionRequest(transaction), [done = std::move(done)](const Result<Json> &reply) {
+        done(readFields(reply, &GatewayJson::transactionReply));
+    });
+}
+
+void EtcdStore::grantLease(std::int64_t seconds, Callback<std::int64_t> done)
+{
+    const Json body{{"TTL", std::to_string(seconds)}};
+    call("/v3/lease/grant", body, [done = std::move(done)](const Result<Json> &reply) { done(readFields(reply, &grantedLease)); });
+}
+
+void EtcdStore::keepLeaseAlive(std::int64_t lease, Callback<std::int64_t> done)
+{
+    const Json body{{"ID", std::to_string(lease)}};
+    call("/v3/lease/keepalive", body, [done = std::move(done)](const Result<Json> &reply) {
+        Result<std::int64_t> seconds = readFields(reply, &leaseSeconds);
+        if (seconds && *seconds <= 0) {
+            seconds = notRun(Errc::NotFound, "the lease has lapsed");
+        }
+        done(std::move(seconds));
+    });
+}
+
+void EtcdStore::revokeLease(std::int64_t lease, Callback<std::int64_t> done)
+{
+    const Json body{{"ID", std::to_string(lease)}};
+    call("/v3/lease/revoke", body, [lease, done = std::move(done)](const Result<Json> &reply) {
+        done(reply ? Result<std::int64_t>(lease) : tl::make_unexpected(reply.error()));
+    });
+}
+
+std::uint64_t EtcdStore::watch(
+    const std::string &key, bool prefix, std::int64_t fromRevision, std::function<void(const StoreEntry &)> changed, std::function<void(const Failure &)> ended)
+{
+    const std::uint64_t id = ++lastWatch_;
+    auto watch = std::make_unique<Watch>();
+    watch->changed = std::move(changed);
+    watch->ended = std::move(ended);
+    HttpRequest request;
+    request.address = address_;
+    request.method = "POST";
+    request.path = "/v3/watch";
+    request.headers["Content-Type"] = "application/json";
+    request.body = GatewayJson::watchRequest(key, prefix, fromRevision).dump();
+    request.timeout = LongestWatch;
+    request.onPiece = [this, id](const std::string &piece) { readPiece(id, piece); };
+    watch->call = client_.send(std::move(request), [this, id](const Result<HttpResponse> &response) {
+        const Result<Json> reply = response && response->status == OkStatus ? notRun(Errc::Unavailable, "the store ended the watch") : readReply(response);
+        endWatch(id, reply ? Failure{} : reply.error());
+    });
+    watch->confirmation = runtime_.schedule(timeout_, [this, id] {
+        endWatch(id, Failure{Errc::DeadlineExceeded, Verdict::NotRun, "the store did not confirm the watch", Duration{0}});
+    });
+    watches_[id] = std::move(watch);
+    return id;
+}
+
+void EtcdStore::readPiece(std::uint64_t id, const std::string &piece)
+{
+    const auto found = watches_.find(id);
+    if (found == watches_.end()) {
+        return;
+    }
+    std::string text = std::move(found->second->unread) + piece;
+    std::size_t begin = 0;
+    for (std::size_t end = text.find('\n'); end != std::string::npos; end = text.find('\n', begin)) {
+        if (!readLine(id, text.substr(begin, end - begin))) {
+            return;
+        }
+        begin = end + 1;
+    }
+    text.erase(0, begin);
+    if (text.size() > LongestWatchLine) {
+        return endWatch(id, Failure{Errc::TooLarge, Verdict::NotRun, "a line of the watch is over the limit", Duration{0}});
+    }
+    watches_.at(id)->unread = std::move(text);
+}
+
+/// False once the watch has ended.
+bool EtcdStore::readLine(std::uint64_t id, const std::string &line)
+{
+    GatewayJson::WatchLine read;
+    try {
+        read = GatewayJson::watchLine(line);
+    } catch (const std::exception &error) {
+        endWatch(id, Failure{Errc::ConnectionLost, Verdict::NotRun, std::string("the watch is malformed: ") + error.what(), Duration{0}});
+        return false;
+    }
+    runtime_.cancel(watches_.at(id)->confirmation);
+    for (const StoreEntry &change : read.changes) {
+        const auto changed = watches_.at(id)->changed;
+        changed(change);
+        if (watches_.count(id) == 0) {
+            return false;
+        }
+    }
+    if (read.cancelled) {
+        const Errc code = read.compacted ? Errc::WrongVersion : Errc::Unavailable;
+        endWatch(id, Failure{code, Verdict::NotRun, "the store ended the watch", Duration{0}});
+        return false;
+    }
+    return true;
+}
+
+void EtcdStore::endWatch(std::uint64_t id, const Failure &failure)
+{
+    const auto node = watches_.extract(id);
+    if (node.empty()) {
+        return;
+    }
+    client_.cancel(node.mapped()->call);
+    runtime_.cancel(node.mapped()->confirmation);
+    Failure told = failure;
+    told.verdict = Verdict::NotRun;
+    node.mapped()->ended(told);
+}
+
+void EtcdStore::unwatch(std::uint64_t id)
+{
+    const auto node = watches_.extract(id);
+    if (!node.empty()) {
+        client_.cancel(node.mapped()->call);
+        runtime_.cancel(node.mapped()->confirmation);
+    }
+}
+
+std::unique_ptr<Store> makeEtcdStore(Runtime &runtime, HttpClient &client, const Address &address, Duration timeout)
+{
+    return std::make_unique<EtcdStore>(runtime, client, address, timeout);
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/platform/src/httpinstancelist.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <burdock/platform/instancelistsource.h>
+#include <burdock/wire/httpclient.h>
+
+#include <random>
+
+namespace Burdock
+{
+
+/// Follows the platform's instance list by HTTP long polls, one at a time.
+class HttpInstanceList final : public InstanceListSource
+{
+public:
+    HttpInstanceList(Runtime &runtime, HttpClient &client, const Address &address);
+    ~HttpInstanceList() override;
+    HttpInstanceList(const HttpInstanceList &) = delete;
+    HttpInstanceList &operator=(const HttpInstanceList &) = delete;
+
+    void follow(std::function<void(const InstanceList &)> changed) override;
+    void stop() override;
+
+private:
+    void poll();
+    void answered(const Result<HttpResponse> &response);
+    void pollLater();
+
+    Runtime &runtime_;
+    HttpClient &client_;
+    const Address address_;
+    std::function<void(const InstanceList &)> changed_;
+    std::uint64_t version_ = 0;
+    /// Polls in a row that failed, or that came back early with nothing new.
+    std::uint32_t failures_ = 0;
+    bool listKnown_ = false;
+    TimePoint pollBegan_{};
+    HttpCallId call_ = 0;
+    TimerId timer_ = 0;
+    std::mt19937_64 random_;
+};
+
+/// Reads the list's JSON; BadRequest where it is malformed or an entry has no usable address.
+Result<InstanceList> parseInstanceList(const std::string &text);
+
+} // namespace Burdock
