--- a/packages/policy/include/burdock/policy/rankqueue.h
+++ b/packages/policy/include/burdock/policy/rankqueue.h
@@ -70,7 +70,8 @@
     std::optional<Rank> nextRank() const;
     void learnPace(Rank chosen);
     Duration drainTime(const Line &line, double ahead, std::uint32_t limit) const;
-    double owedBound(const Line &line) const;
+    double oneService(const Line &line) const;
+    double mostOwed(const Line &line) const;
 
     PerRank<Line> lines_;
     LatencyAverage service_;
--- a/packages/policy/src/holderserver.cpp
+++ b/packages/policy/src/holderserver.cpp
@@ -77,12 +77,13 @@
 
 void HolderServer::learn(const BackendReply &reply, Rank rank, TimePoint started, TimePoint now)
 {
-    const bool limited = queue_.running() >= limit_.current();
-    if (reply.shed) {
-        limit_.shed(started, now);
-    } else if (reply.reply.code == Errc::Ok) {
+    if (reply.reply.code == Errc::Ok) {
+        const bool limited = queue_.running() >= limit_.current();
         queue_.learnService(rank, now - started);
-        limit_.answered(started, limited);
+        limit_.answered(started, now - started, limited, now);
+        ejection_.recordAnswer();
+    } else {
+        learnFailure(reply, started, now);
     }
     if (reply.draining) {
         toldDrainingUntil_ = now + DrainingMemory;
@@ -92,6 +93,19 @@
     }
 }
 
+/// Answers alone teach the service time: a server that fails very fast must not look quick. A server that
+/// could not be reached while it works on other requests has its connections used up by others.
+void HolderServer::learnFailure(const BackendReply &reply, TimePoint started, TimePoint now)
+{
+    const Errc code = reply.reply.code;
+    const bool unreached = code == Errc::Unavailable && reply.reply.verdict == Verdict::NotRun;
+    if (reply.shed || (unreached && queue_.running() > 1)) {
+        limit_.shed(started, now);
+    } else if (code == Errc::Unavailable || code == Errc::ConnectionLost || code == Errc::Internal) {
+        ejection_.recordFailure(now);
+    }
+}
+
 void HolderServer::learnOverrun(Rank rank, Duration took)
 {
     queue_.learnService(rank, took);
@@ -102,6 +116,7 @@
     ServerReport report;
     report.server = id_;
     report.draining = draining(now);
+    report.ejected = ejection_.ejected(now);
     for (const Rank rank : AllRanks) {
         report.queueDelay[rankIndex(rank)] = queue_.queueDelay(rank, limit_.current());
     }
--- a/packages/policy/src/holderserver.h
+++ b/packages/policy/src/holderserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/policy/backendport.h>
+#include <burdock/policy/ejection.h>
 #include <burdock/policy/rankqueue.h>
 #include <burdock/policy/slotlimit.h>
 #include <burdock/values/configuration.h>
@@ -40,10 +41,13 @@
     ServerReport report(TimePoint now) const;
 
 private:
+    void learnFailure(const BackendReply &reply, TimePoint started, TimePoint now);
+
     ServerId id_;
     FleetName fleet_;
     RankQueue queue_;
     SlotLimit limit_;
+    Ejection ejection_;
     bool listedDraining_ = false;
     TimePoint toldDrainingUntil_{};
     std::map<IndexName, VersionWindow> versions_;
--- a/packages/policy/src/rankqueue.cpp
+++ b/packages/policy/src/rankqueue.cpp
@@ -13,6 +13,8 @@
 constexpr double PaceWeight = 0.1;
 /// A rank goes before more urgent ones once it is behind its floor by this part of one service time.
 constexpr double OwedPart = 0.5;
+/// A rank is owed at most what its floor earns in so many service times.
+constexpr double OwedServices = 2;
 /// The least pace that waits are estimated with, so that no estimate is endless.
 constexpr double LeastPace = 0.01;
 /// Stands in for the service time while there was no sample.
@@ -61,6 +63,7 @@
     learnPace(*rank);
     Line &line = lines_[rankIndex(*rank)];
     ++line.running;
+    line.owed = std::max(line.owed - oneService(line), -oneService(line));
     return line.callers.pop();
 }
 
@@ -120,9 +123,8 @@
 {
     const auto span = static_cast<double>(std::max(now - settledAt_, Duration{0}).count());
     for (Line &line : lines_) {
-        const double bound = owedBound(line);
-        line.owed += (line.floor * limit_ - line.running) * span;
-        line.owed = std::clamp(line.owed, -bound, line.callers.size() > 0 ? bound : 0.0);
+        const double most = line.callers.size() > 0 ? mostOwed(line) : 0.0;
+        line.owed = std::min(line.owed + line.floor * limit_ * span, most);
     }
     settledAt_ = now;
     limit_ = limit;
@@ -132,7 +134,7 @@
 {
     for (const Rank rank : AllRanks) {
         const Line &line = lines_[rankIndex(rank)];
-        if (line.callers.size() > 0 && line.floor > 0 && line.owed >= owedBound(line) * OwedPart) {
+        if (line.callers.size() > 0 && line.floor > 0 && line.owed >= oneService(line) * OwedPart) {
             return rank;
         }
     }
@@ -164,10 +166,21 @@
 }
 
 /// One service time of the rank, in microseconds of slot time.
-double RankQueue::owedBound(const Line &line) const
+double RankQueue::oneService(const Line &line) const
 {
     const Duration service = line.service.known() ? line.service.value() : service_.value();
     return static_cast<double>(std::max(service, service_.known() ? Duration{1} : UnknownService).count());
 }
 
+/// A rank may have to wait for the longest service of any rank before a slot is free, and is owed its
+/// floor for that time.
+double RankQueue::mostOwed(const Line &line) const
+{
+    double longest = 0;
+    for (const Line &any : lines_) {
+        longest = std::max(longest, oneService(any));
+    }
+    return std::max(oneService(line), OwedServices * longest * line.floor * limit_);
+}
+
 } // namespace Burdock
