--- a/packages/fakes/include/burdock/fakes/fleetfile.h
+++ b/packages/fakes/include/burdock/fakes/fleetfile.h
@@ -26,7 +26,7 @@
     std::vector<FakeServerDeclaration> servers;
 };
 
-/// Reads a fleet file's text; BadRequest names what is wrong. Its form stands in docs/operations/fakes.md.
+/// Reads a fleet file's text; BadRequest names what is wrong. Its form stands in packages/fakes/README.md.
 Result<FleetFile> parseFleetFile(const std::string &text);
 
 /// The shards of a JSON list; throws on malformed input.
--- a/packages/fakes/src/fakebackend.cpp
+++ b/packages/fakes/src/fakebackend.cpp
@@ -82,7 +82,7 @@
         const char *path;
         void (FakeBackend::*serve)(const JobPtr &);
     };
-    static const Route Routes[] = {
+    static const Route routes[] = {
         {"POST", "/search", &FakeBackend::serveSearch},
         {"POST", "/execute", &FakeBackend::serveExecute},
         {"POST", "/cancel", &FakeBackend::serveCancel},
@@ -90,8 +90,8 @@
         {"GET", "/load", &FakeBackend::serveLoad},
     };
     const auto *const route =
-        std::find_if(std::begin(Routes), std::end(Routes), [&](const Route &r) { return job->request.path == r.path && job->request.method == r.method; });
-    if (route == std::end(Routes)) {
+        std::find_if(std::begin(routes), std::end(routes), [&](const Route &r) { return job->request.path == r.path && job->request.method == r.method; });
+    if (route == std::end(routes)) {
         return refuse(job, 404, "not found");
     }
     try {
