Throttle callers at the entry by what holders serve them

Cause: a flood was fanned out to all shards before the holders refused it. Ruled out: a separate count in the daemon; the run already sees each reply.

--- a/packages/daemon/include/burdock/daemon/instance.h
+++ b/packages/daemon/include/burdock/daemon/instance.h
@@ -74,6 +74,7 @@
     BudgetedTactics tactics_;
     SubRequestIds ids_;
     QueryCounters queryCounters_;
+    Admission admission_;
     QueryDesk queries_;
     Metrics metrics_;
     EntryList entryList_;
--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -35,8 +35,9 @@
     , router_(loop, *links_, holder_, settings_.id, incarnation, [this](const ServerId &server) { return directory_.holders(server); })
     , tactics_(loop, std::random_device{}())
     , ids_(settings_.id, incarnation)
+    , admission_(loop, std::random_device{}())
     , queries_(
-          QueryContext{loop, router_, tactics_, tracker_, ids_, queryCounters_, QueryLimits{}}, [this] { return configuration_; }, nullptr)
+          QueryContext{loop, router_, tactics_, tracker_, ids_, queryCounters_, QueryLimits{}}, [this] { return configuration_; }, admission_)
     , entryList_(EntryListSettings{}, std::random_device{}())
     , entry_(loop, *server_, queries_, metrics_, entryPorts())
 {
--- a/packages/policy/include/burdock/policy/querydesk.h
+++ b/packages/policy/include/burdock/policy/querydesk.h
@@ -14,10 +14,8 @@
 {
 public:
     using Done = QueryRun::Done;
-    /// May refuse a checked query early; an empty result admits it.
-    using Admission = std::function<std::optional<Failure>(const CallerRule &rule, const IndexDeclaration &index)>;
 
-    QueryDesk(QueryContext context, QueryRun::CurrentConfiguration current, Admission admission);
+    QueryDesk(QueryContext context, QueryRun::CurrentConfiguration current, Admission &admission);
 
     /// Starts a query. `done` is called once, possibly from within. Returns its number for `abandon`.
     std::uint64_t submit(const Query &query, Done done);
@@ -29,13 +27,20 @@
     std::size_t running() const;
 
 private:
+    struct Running
+    {
+        AdmissionKey key;
+        std::unique_ptr<QueryRun> run;
+    };
+
     Result<CallerRule> check(const Query &query) const;
+    void ended(const Running &running);
 
     QueryContext context_;
     QueryRun::CurrentConfiguration current_;
-    Admission admission_;
+    Admission &admission_;
     std::uint64_t last_ = 0;
-    std::map<std::uint64_t, std::unique_ptr<QueryRun>> runs_;
+    std::map<std::uint64_t, Running> runs_;
 };
 
 } // namespace Burdock
--- a/packages/policy/include/burdock/policy/queryrun.h
+++ b/packages/policy/include/burdock/policy/queryrun.h
@@ -30,6 +30,9 @@
     /// Starts; `done` is called once, never from within `start`, unless the run is destroyed first.
     void start(Done done);
 
+    /// How the sub-requests have fared so far.
+    const AdmissionOutcome &outcome() const;
+
 private:
     enum class ShardState {
         Asking,
@@ -64,6 +67,7 @@
     Query query_;
     Done done_;
     TimePoint startedAt_;
+    AdmissionOutcome outcome_;
     ShardQuestion question_;
     std::unique_ptr<TopKPlan> plan_;
     std::unique_ptr<SnapshotDiscovery> discovery_;
--- a/packages/policy/include/burdock/policy/shardask.h
+++ b/packages/policy/include/burdock/policy/shardask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/policy/admission.h>
 #include <burdock/policy/query.h>
 #include <burdock/policy/querytactics.h>
 #include <burdock/policy/snapshottracker.h>
@@ -48,6 +49,8 @@
     SnapshotId snapshot;
     std::string text;
     TimePoint deadline;
+    /// Where it is counted how the query's sub-requests fare.
+    AdmissionOutcome *outcome = nullptr;
 };
 
 /// Why a shard has not answered.
@@ -89,6 +92,7 @@
     void armHedge(const ServerId &server);
     void hedge();
     void replied(const SubRequestId &id, const SubReply &reply);
+    void tally(const SubReply &reply);
     void accept(const SubReply &reply);
     void attemptFailed(const SubReply &reply);
     void retry();
--- a/packages/policy/src/querydesk.cpp
+++ b/packages/policy/src/querydesk.cpp
@@ -17,12 +17,12 @@
         || std::any_of(configuration.commands.begin(), configuration.commands.end(), names);
 }
 
-}
+} // namespace
 
-QueryDesk::QueryDesk(QueryContext context, QueryRun::CurrentConfiguration current, Admission admission)
+QueryDesk::QueryDesk(QueryContext context, QueryRun::CurrentConfiguration current, Admission &admission)
     : context_(context)
     , current_(std::move(current))
-    , admission_(std::move(admission))
+    , admission_(admission)
 {
 }
 
@@ -35,11 +35,16 @@
         done(tl::make_unexpected(rule.error()));
         return number;
     }
-    auto run = std::make_unique<QueryRun>(context_, current_, *rule, query);
-    QueryRun &started = *run;
-    runs_.emplace(number, std::move(run));
-    started.start([this, number, finished = std::move(done)](Result<QueryAnswer> result) {
+    const AdmissionKey key{query.caller, rule->rank, query.index.text()};
+    if (auto refusal = admission_.refusal(key, rule->longestWait)) {
+        ++context_.counters.refused;
+        done(tl::make_unexpected(std::move(*refusal)));
+        return number;
+    }
+    const auto place = runs_.emplace(number, Running{key, std::make_unique<QueryRun>(context_, current_, *rule, query)}).first;
+    place->second.run->start([this, number, finished = std::move(done)](Result<QueryAnswer> result) {
         const auto node = runs_.extract(number);
+        ended(node.mapped());
         finished(std::move(result));
     });
     return number;
@@ -47,7 +52,16 @@
 
 void QueryDesk::abandon(std::uint64_t number)
 {
-    context_.counters.cancelled += runs_.erase(number);
+    const auto node = runs_.extract(number);
+    if (!node.empty()) {
+        ++context_.counters.cancelled;
+        ended(node.mapped());
+    }
+}
+
+void QueryDesk::ended(const Running &running)
+{
+    admission_.ended(running.key, running.run->outcome());
 }
 
 std::size_t QueryDesk::running() const
@@ -81,11 +95,6 @@
     if (query.deadline && *query.deadline <= Duration{0}) {
         return notRun(Errc::DeadlineExceeded, "the deadline is past");
     }
-    if (admission_) {
-        if (auto refusal = admission_(rule->second, index->second)) {
-            return tl::make_unexpected(*refusal);
-        }
-    }
     return rule->second;
 }
 
--- a/packages/policy/src/queryrun.cpp
+++ b/packages/policy/src/queryrun.cpp
@@ -46,6 +46,7 @@
     done_ = std::move(done);
     ++context_.counters.started;
     const Duration wait = std::min(rule_.longestWait, query_.deadline.value_or(rule_.longestWait));
+    question_.outcome = &outcome_;
     question_.caller = query_.caller;
     question_.rank = rule_.rank;
     question_.text = query_.text;
@@ -55,6 +56,11 @@
     turnTimer_ = context_.runtime.schedule(Duration{0}, [this] { pinAndAsk(); });
 }
 
+const AdmissionOutcome &QueryRun::outcome() const
+{
+    return outcome_;
+}
+
 Duration QueryRun::timeLeft() const
 {
     return question_.deadline - context_.runtime.now();
--- a/packages/policy/src/shardask.cpp
+++ b/packages/policy/src/shardask.cpp
@@ -136,6 +136,7 @@
     }
     const Attempt attempt = *found;
     attempts_.erase(found);
+    tally(reply);
     nothingRan_ = nothingRan_ && reply.code != Errc::Ok && reply.verdict == Verdict::NotRun;
     context_.tracker.update(reply.report);
     context_.tactics.serverReported(reply.report);
@@ -152,6 +153,14 @@
     attemptFailed(reply);
 }
 
+void ShardAsk::tally(const SubReply &reply)
+{
+    AdmissionOutcome &outcome = *question_.outcome;
+    const bool forLoad = reply.verdict == Verdict::NotRun && (reply.code == Errc::Overloaded || reply.code == Errc::DeadlineExceeded);
+    ++(forLoad ? outcome.refused : outcome.served);
+    outcome.queueDelay = std::max(outcome.queueDelay, reply.report.queueDelay[rankIndex(question_.rank)]);
+}
+
 bool ShardAsk::matches(const SubReply &reply) const
 {
     const bool same = reply.snapshot == question_.snapshot && reply.shard == shard_.id && reply.range == shard_.range;
--- a/packages/policy/tests/queryfixture.h
+++ b/packages/policy/tests/queryfixture.h
@@ -18,7 +18,7 @@
     explicit QueryFixture(std::size_t shardCount = 4, std::size_t replicaCount = 2)
         : shards(runtime, FixtureDocuments)
         , desk(
-              QueryContext{runtime, shards, tactics, tracker, ids, counters, QueryLimits{}}, [this] { return configuration; }, nullptr)
+              QueryContext{runtime, shards, tactics, tracker, ids, counters, QueryLimits{}}, [this] { return configuration; }, admission)
     {
         rule.caller = CallerId("technician");
         rule.rank = Rank::Urgent;
@@ -113,6 +113,7 @@
     ConfigurationPtr configuration;
     CallerRule rule;
     std::map<std::uint64_t, ShardMap> maps;
+    Admission admission{runtime, 1};
     QueryDesk desk;
     std::optional<Result<QueryAnswer>> result;
 };
