Lead a shard's attempts through the chart subrequest

Cause: the states stood as a flag and the number of attempts, beside a chart that said the same. Ruled out: the merge as an action of the chart; it may destroy the run.

--- a/packages/policy/include/burdock/policy/shardask.h
+++ b/packages/policy/include/burdock/policy/shardask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/charts/chartrun.h>
 #include <burdock/policy/admission.h>
 #include <burdock/policy/query.h>
 #include <burdock/policy/querytactics.h>
@@ -62,6 +63,7 @@
 };
 
 /// Gets one stretch of hits from one shard: chooses replicas, hedges, retries, and checks the reply.
+/// Its life is the chart `subrequest`.
 class ShardAsk
 {
 public:
@@ -87,6 +89,8 @@
         TimePoint sentAt;
     };
 
+    static const ChartTable<ShardAsk> &table();
+
     bool launch();
     void send(const ServerId &server);
     void armHedge(const ServerId &server);
@@ -117,7 +121,7 @@
     Duration pause_;
     Duration retryAfter_{0};
     bool nothingRan_ = true;
-    bool ended_ = false;
+    ChartRun<ShardAsk> life_;
 };
 
 } // namespace Burdock
--- a/packages/policy/src/shardask.cpp
+++ b/packages/policy/src/shardask.cpp
@@ -37,11 +37,19 @@
     , offset_(offset)
     , limit_(limit)
     , pause_(context.limits.retryPause)
+    , life_(table(), *this)
 {
 }
 
+const ChartTable<ShardAsk> &ShardAsk::table()
+{
+    static const ChartTable<ShardAsk> table(chartNamed("subrequest"), {});
+    return table;
+}
+
 ShardAsk::~ShardAsk()
 {
+    life_.handle("cancel");
     cancelAttempts();
     context_.runtime.cancel(hedgeTimer_);
     context_.runtime.cancel(pauseTimer_);
@@ -79,6 +87,7 @@
     if (!server) {
         return false;
     }
+    life_.handle("send");
     send(*server);
     armHedge(*server);
     return true;
@@ -117,7 +126,7 @@
 void ShardAsk::hedge()
 {
     hedgeTimer_ = 0;
-    if (attempts_.size() != 1) {
+    if (!life_.in("sent")) {
         return;
     }
     const auto server = context_.tactics.chooseReplica(replicasWithSnapshot(), question_.rank, tried_);
@@ -125,13 +134,14 @@
         return;
     }
     ++context_.counters.hedges;
+    life_.handle("hedge");
     send(*server);
 }
 
 void ShardAsk::replied(const SubRequestId &id, const SubReply &reply)
 {
     const auto found = std::find_if(attempts_.begin(), attempts_.end(), [&id](const Attempt &attempt) { return attempt.id == id; });
-    if (ended_ || found == attempts_.end()) {
+    if (found == attempts_.end()) {
         return;
     }
     const Attempt attempt = *found;
@@ -143,6 +153,7 @@
     const bool good = reply.code == Errc::Ok && matches(reply) && wellFormed(reply);
     const Errc code = good || reply.code != Errc::Ok ? reply.code : Errc::Internal;
     context_.tactics.attemptEnded(attempt.server, question_.rank, code, context_.runtime.now() - attempt.sentAt);
+    life_.handle(good ? "reply" : "fail");
     if (good) {
         accept(reply);
         return;
@@ -183,7 +194,6 @@
 
 void ShardAsk::accept(const SubReply &reply)
 {
-    ended_ = true;
     context_.counters.hitsCarried += reply.hits.size();
     context_.counters.losersCancelled += attempts_.size();
     cancelAttempts();
@@ -195,7 +205,7 @@
 void ShardAsk::attemptFailed(const SubReply &reply)
 {
     retryAfter_ = std::max(retryAfter_, reply.retryAfter);
-    if (attempts_.empty()) {
+    if (life_.in("waiting")) {
         retry();
     }
 }
@@ -203,7 +213,7 @@
 void ShardAsk::retry()
 {
     if (replicasWithSnapshot().empty()) {
-        ended_ = true;
+        life_.handle("giveUp");
         const TroubleHandler handler = onTrouble_;
         handler(ShardTrouble::SnapshotGone);
         return;
