Show counters and state of an instance

Cause: what the system does must be seen without a log line per request. Ruled out: counting twice; the text reads the owners' counters when it is asked for.

--- a/packages/daemon/include/burdock/daemon/instance.h
+++ b/packages/daemon/include/burdock/daemon/instance.h
@@ -8,6 +8,7 @@
 #include <burdock/daemon/holderservice.h>
 #include <burdock/daemon/metrics.h>
 #include <burdock/daemon/settings.h>
+#include <burdock/daemon/statuspage.h>
 #include <burdock/declarations/configreader.h>
 #include <burdock/platform/factories.h>
 #include <burdock/policy/budgetedtactics.h>
@@ -48,6 +49,7 @@
     void pollConfiguration();
     void backendChanged(const ServerId &server, BackendState state);
     EntryPorts entryPorts();
+    InstanceStatus status() const;
     std::optional<Failure> notAdmitting() const;
     Rank rankOf(const CallerId &caller, const IndexName &index, const CommandName &command) const;
 
@@ -56,6 +58,7 @@
     std::uint64_t incarnation_;
     ListedInstance self_;
     ConfigurationPtr configuration_;
+    TimePoint installedAt_;
 
     std::unique_ptr<HttpClient> client_;
     std::unique_ptr<HttpServer> server_;
--- a/packages/daemon/include/burdock/daemon/statuspage.h
+++ b/packages/daemon/include/burdock/daemon/statuspage.h
@@ -11,7 +11,8 @@
 {
 
 /// One peer as this instance sees it.
-struct MemberStatus {
+struct MemberStatus
+{
     InstanceId id;
     std::string state;
     std::uint64_t configurationVersion = 0;
@@ -23,7 +24,8 @@
 };
 
 /// What `GET /v1/status` tells of one instance.
-struct InstanceStatus {
+struct InstanceStatus
+{
     ListedInstance self;
     std::uint64_t incarnation = 0;
     std::string life;
@@ -46,4 +48,4 @@
 /// Writes the status as JSON.
 std::string writeStatus(const InstanceStatus &status);
 
-}
+} // namespace Burdock
--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -1,5 +1,6 @@
 #include <burdock/daemon/instance.h>
 
+#include <burdock/daemon/instancemetrics.h>
 #include <burdock/daemon/log.h>
 #include <burdock/declarations/checkdeclarations.h>
 #include <random>
@@ -42,6 +43,7 @@
     , entry_(loop, *server_, queries_, metrics_, entryPorts())
 {
     connectPeers();
+    watchInstance(metrics_, MetricSources{queryCounters_, tactics_, admission_, holder_, router_, backends_, lives_, *server_, *links_});
 }
 
 Instance::~Instance() = default;
@@ -147,6 +149,7 @@
 void Instance::install(ConfigurationPtr configuration)
 {
     configuration_ = std::move(configuration);
+    installedAt_ = loop_.now();
     holder_.configure(configuration_);
     limitConnections();
     logChange("configuration", "in force", {{"version", std::to_string(configuration_->version)}, {"hash", configuration_->hash}});
@@ -197,10 +200,31 @@
         done(notRun(Errc::NotReady, "commands are not served yet"));
     };
     ports.rankOf = [this](const CallerId &caller, const IndexName &index, const CommandName &command) { return rankOf(caller, index, command); };
-    ports.status = [] { return std::string("{}"); };
+    ports.status = [this] { return writeStatus(status()); };
     return ports;
 }
 
+InstanceStatus Instance::status() const
+{
+    InstanceStatus status;
+    status.self = self_;
+    status.incarnation = incarnation_;
+    status.life = leaving_ ? "leaving" : "serving";
+    if (configuration_) {
+        status.configurationVersion = configuration_->version;
+        status.configurationHash = configuration_->hash;
+        status.inForceFor = loop_.now() - installedAt_;
+    }
+    for (const ListedServer &server : directory_.list().servers) {
+        const std::vector<InstanceId> &holders = directory_.holders(server.id);
+        if (!holders.empty() && holders.front() == self_.id) {
+            status.holds.push_back(server.id);
+        }
+    }
+    status.requestsInFlight = entry_.inFlight() + holderService_.inFlight();
+    return status;
+}
+
 std::optional<Failure> Instance::notAdmitting() const
 {
     if (leaving_) {
--- a/packages/daemon/src/statuspage.cpp
+++ b/packages/daemon/src/statuspage.cpp
@@ -32,4 +32,4 @@
     return page.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-}
+} // namespace Burdock
