--- a/packages/policy/include/burdock/policy/shardask.h
+++ b/packages/policy/include/burdock/policy/shardask.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <burdock/charts/chartrun.h>
+#include <burdock/policy/admission.h>
 #include <burdock/policy/query.h>
 #include <burdock/policy/querytactics.h>
 #include <burdock/policy/snapshottracker.h>
@@ -48,6 +50,8 @@
     SnapshotId snapshot;
     std::string text;
     TimePoint deadline;
+    /// Where it is counted how the query's sub-requests fare.
+    AdmissionOutcome *outcome = nullptr;
 };
 
 /// Why a shard has not answered.
@@ -59,6 +63,7 @@
 };
 
 /// Gets one stretch of hits from one shard: chooses replicas, hedges, retries, and checks the reply.
+/// Its life is the chart `subrequest`.
 class ShardAsk
 {
 public:
@@ -84,11 +89,14 @@
         TimePoint sentAt;
     };
 
+    static const ChartTable<ShardAsk> &table();
+
     bool launch();
     void send(const ServerId &server);
     void armHedge(const ServerId &server);
     void hedge();
     void replied(const SubRequestId &id, const SubReply &reply);
+    void tally(const SubReply &reply);
     void accept(const SubReply &reply);
     void attemptFailed(const SubReply &reply);
     void retry();
@@ -113,7 +121,7 @@
     Duration pause_;
     Duration retryAfter_{0};
     bool nothingRan_ = true;
-    bool ended_ = false;
+    ChartRun<ShardAsk> life_;
 };
 
 } // namespace Burdock
