Add the operators' tool burdockctl

Cause: teams and operators had no way to check, publish or look at declarations. Before: no tool. The program itself is compiled, but not linked or run yet: the store's adapter is not there.

--- /dev/null
+++ b/packages/ctl/include/burdock/ctl/subcommand.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <burdock/ctl/toolcontext.h>
+
+#include <string>
+#include <vector>
+
+namespace Burdock
+{
+
+/// One subcommand of burdockctl.
+struct Subcommand
+{
+    std::string name;
+    /// What follows the name on the command line.
+    std::string arguments;
+    std::string summary;
+    /// How many arguments it takes.
+    std::size_t least;
+    std::size_t most;
+    /// Its own flags, beside the common ones.
+    std::vector<Option> options;
+    ExitCode (*run)(ToolContext &context, const OptionValues &values);
+};
+
+/// All subcommands.
+const std::vector<Subcommand> &subcommands();
+
+/// The flags and variables (`BURDOCK_...`) of a subcommand, the common ones included.
+OptionTable optionsOf(const Subcommand &subcommand);
+
+/// The text of `burdockctl --help`, with the exit codes.
+std::string toolHelp();
+
+/// A count from a flag; nothing where it is none or out of bounds.
+std::optional<std::uint64_t> countOf(const std::string &text, std::uint64_t least, std::uint64_t most);
+
+/// A flag in whole milliseconds.
+Duration millisecondsOf(const OptionValues &values, const std::string &flag);
+
+ExitCode checkCommand(ToolContext &context, const OptionValues &values);
+ExitCode collectCommand(ToolContext &context, const OptionValues &values);
+ExitCode publishCommand(ToolContext &context, const OptionValues &values);
+ExitCode diffCommand(ToolContext &context, const OptionValues &values);
+ExitCode historyCommand(ToolContext &context, const OptionValues &values);
+ExitCode showCommand(ToolContext &context, const OptionValues &values);
+ExitCode statusCommand(ToolContext &context, const OptionValues &values);
+ExitCode entriesCommand(ToolContext &context, const OptionValues &values);
+ExitCode askCommand(ToolContext &context, const OptionValues &values);
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/ctl/tests/ctltest.cpp
@@ -0,0 +1,299 @@
+#include "../../declarations/tests/memorystore.h"
+#include <burdock/ctl/subcommand.h>
+#include <burdock/values/manualruntime.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+using namespace Burdock;
+
+namespace
+{
+
+/// Answers from a table of replies by address and path.
+class FakeHttp final : public HttpClient
+{
+public:
+    explicit FakeHttp(Runtime &runtime)
+        : runtime_(runtime)
+    {
+    }
+
+    std::map<std::string, HttpResponse> replies;
+    std::vector<HttpRequest> sent;
+
+    HttpCallId send(HttpRequest request, Callback done) override
+    {
+        sent.push_back(request);
+        const auto found = replies.find(request.address.toString() + request.path);
+        Result<HttpResponse> result = notRun(Errc::Unavailable, "refused");
+        if (found != replies.end()) {
+            result = found->second;
+        }
+        runtime_.schedule(Duration{100}, [done, result] { done(result); });
+        return sent.size();
+    }
+    void cancel(HttpCallId) override
+    {
+    }
+    void setLimits(const Address &, const ConnectionLimits &) override
+    {
+    }
+    std::uint32_t openConnections(const Address &) const override
+    {
+        return 0;
+    }
+
+private:
+    Runtime &runtime_;
+};
+
+class FakeList final : public InstanceListSource
+{
+public:
+    InstanceList list;
+
+    void follow(std::function<void(const InstanceList &)> changed) override
+    {
+        if (list.version != 0) {
+            changed(list);
+        }
+    }
+    void stop() override
+    {
+    }
+};
+
+class FakeContext final : public ToolContext
+{
+public:
+    ManualRuntime clock;
+    MemoryStore memory{clock};
+    FakeHttp client{clock};
+    FakeList instances;
+    std::ostringstream output;
+    std::ostringstream faults;
+
+    Runtime &runtime() override
+    {
+        return clock;
+    }
+    Store &store() override
+    {
+        return memory;
+    }
+    InstanceListSource &instanceList() override
+    {
+        return instances;
+    }
+    HttpClient &http() override
+    {
+        return client;
+    }
+    bool waitFor(const std::function<bool()> &condition, Duration limit) override
+    {
+        const TimePoint end = clock.now() + limit;
+        while (!condition() && clock.now() < end) {
+            clock.advance(std::chrono::milliseconds(1));
+        }
+        return condition();
+    }
+    std::ostream &out() override
+    {
+        return output;
+    }
+    std::ostream &err() override
+    {
+        return faults;
+    }
+    void progress(const std::string &) override
+    {
+    }
+
+    /// Runs a command line; `output` and `faults` hold what this run wrote.
+    ExitCode run(std::vector<std::string> words)
+    {
+        output.str("");
+        faults.str("");
+        const auto &all = subcommands();
+        const auto found = std::find_if(all.begin(), all.end(), [&](const Subcommand &subcommand) { return subcommand.name == words[0]; });
+        REQUIRE(found != all.end());
+        std::vector<char *> argv;
+        for (std::string &word : words) {
+            argv.push_back(word.data());
+        }
+        argv.push_back(nullptr);
+        const auto values = optionsOf(*found).read(static_cast<int>(words.size()), argv.data());
+        REQUIRE(values);
+        return found->run(*this, *values);
+    }
+
+    nlohmann::json json() const
+    {
+        return nlohmann::json::parse(output.str());
+    }
+};
+
+/// A folder with one file, removed at the end.
+class Folder
+{
+public:
+    explicit Folder(const std::string &text)
+        : path_(std::filesystem::temp_directory_path() / ("burdockctl-test-" + std::to_string(++count) + "-" + std::to_string(::getpid())))
+    {
+        std::filesystem::create_directories(path_);
+        write(text);
+    }
+    ~Folder()
+    {
+        std::error_code error;
+        std::filesystem::remove_all(path_, error);
+    }
+    Folder(const Folder &) = delete;
+    Folder &operator=(const Folder &) = delete;
+
+    void write(const std::string &text) const
+    {
+        std::ofstream(path_ / "fleets.toml") << text;
+    }
+    std::string path() const
+    {
+        return path_.string();
+    }
+
+private:
+    static inline int count = 0;
+    std::filesystem::path path_;
+};
+
+constexpr auto Fleet = "[fleet.desk]\nslots = \"5 slots\"\nconnections = \"40 connections\"\nconnection-cost = \"6ms\"\n";
+
+} // namespace
+
+TEST_CASE("check tells every fault and ends with code 1", "[ctl]")
+{
+    FakeContext context;
+    const Folder folder("[fleet.desk]\nslot = \"5 slots\"\n");
+    CHECK(context.run({"check", folder.path()}) == ExitCode::Found);
+    CHECK(context.output.str().find("fleets.toml:2:1: the fleet 'desk' has no key 'slot'; did you mean 'slots'?") != std::string::npos);
+    CHECK(context.run({"check", "--json", folder.path()}) == ExitCode::Found);
+    CHECK(context.json()["faults"].size() == 4);
+    CHECK(context.json()["faults"][0]["line"] == 1);
+    folder.write(Fleet);
+    CHECK(context.run({"check", folder.path()}) == ExitCode::Ok);
+}
+
+TEST_CASE("collect refuses a name that stands in two folders", "[ctl]")
+{
+    FakeContext context;
+    const Folder one(Fleet);
+    const Folder other(Fleet);
+    CHECK(context.run({"collect", one.path()}) == ExitCode::Ok);
+    CHECK(context.run({"collect", one.path(), other.path()}) == ExitCode::NotRun);
+    CHECK(context.faults.str().find(other.path()) != std::string::npos);
+}
+
+TEST_CASE("publish, diff, history and show work on the store", "[ctl]")
+{
+    FakeContext context;
+    const Folder folder(Fleet);
+    CHECK(context.run({"publish", "--why", "first", "--who", "ana", folder.path()}) == ExitCode::Usage);
+    CHECK(context.run({"publish", "--base", "0", "--who", "ana", folder.path()}) == ExitCode::Usage);
+    REQUIRE(context.run({"publish", "--base", "0", "--why", "first", "--who", "ana", "--json", folder.path()}) == ExitCode::Ok);
+    CHECK(context.json()["version"] == 1);
+    CHECK(context.run({"diff", folder.path()}) == ExitCode::Ok);
+    folder.write(std::string(Fleet) + "rank-floors = { urgent = \"50%\" }\n");
+    CHECK(context.run({"diff", folder.path()}) == ExitCode::Found);
+    CHECK(context.output.str().find("+rank-floors") != std::string::npos);
+
+    SECTION("a stale base ends with code 3 and the diff")
+    {
+        CHECK(context.run({"publish", "--base", "0", "--why", "second", "--who", "ana", folder.path()}) == ExitCode::Conflict);
+        CHECK(context.output.str().find("+rank-floors") != std::string::npos);
+    }
+    SECTION("a faulty set is not published")
+    {
+        folder.write("[fleet.desk]\n");
+        CHECK(context.run({"publish", "--base", "1", "--why", "second", "--who", "ana", folder.path()}) == ExitCode::Found);
+        CHECK(context.memory.writes == 1);
+    }
+    SECTION("the trail shows who, why and the diff")
+    {
+        CHECK(context.run({"publish", "--base", "current", "--why", "second", "--who", "ben", folder.path()}) == ExitCode::Ok);
+        CHECK(context.run({"history", "--json", "--limit", "1"}) == ExitCode::Ok);
+        REQUIRE(context.json()["records"].size() == 1);
+        CHECK(context.json()["records"][0]["who"] == "ben");
+        CHECK(context.json()["records"][0]["diff"].get<std::string>().find("+rank-floors") != std::string::npos);
+        CHECK(context.run({"show", "fleets.toml"}) == ExitCode::Ok);
+        CHECK(context.output.str().find("rank-floors") != std::string::npos);
+        CHECK(context.run({"show", "absent.toml"}) == ExitCode::NotRun);
+    }
+    SECTION("an outage ends with code 4, a lost reply in an outage with code 5 and the way to settle it")
+    {
+        context.memory.commitFaults = {CallFault::LostReply};
+        context.memory.afterEffect = [&] { context.memory.outage = true; };
+        const std::vector<std::string> words{
+            "publish", "--base", "1", "--why", "second", "--who", "ana", "--publish-id", "x1", "--timeout-ms", "3000", folder.path()};
+        CHECK(context.run(words) == ExitCode::MayHaveRun);
+        CHECK(context.faults.str().find("--base 1 --publish-id x1") != std::string::npos);
+        CHECK(context.run({"show", "--timeout-ms", "3000"}) == ExitCode::NotRun);
+        context.memory.outage = false;
+        CHECK(context.run(words) == ExitCode::Ok);
+        CHECK(context.memory.writes == 2);
+    }
+}
+
+TEST_CASE("status shows each instance's version and ends with code 1 while one is behind or silent", "[ctl]")
+{
+    FakeContext context;
+    for (const int port : {1, 2}) {
+        const Address address{"127.0.0.1", static_cast<std::uint16_t>(port)};
+        context.instances.list.instances.push_back({InstanceId("i" + std::to_string(port)), {}, address, address, false});
+        context.client.replies[address.toString() + "/v1/status"] = {
+            200, {}, R"({"configuration":{"version":7,"inForceSince":"2026-03-04T05:06:07Z","state":"current"}})"};
+    }
+    CHECK(context.run({"status", "--timeout-ms", "50"}) == ExitCode::NotRun);
+    context.instances.list.version = 1;
+    CHECK(context.run({"status"}) == ExitCode::Ok);
+    CHECK(context.output.str().find("2026-03-04T05:06:07Z") != std::string::npos);
+    context.client.replies["127.0.0.1:2/v1/status"].body = R"({"configuration":{"version":6}})";
+    CHECK(context.run({"status"}) == ExitCode::Found);
+    context.client.replies.erase("127.0.0.1:2/v1/status");
+    CHECK(context.run({"status", "--json"}) == ExitCode::Found);
+    CHECK(context.json()["instances"][1]["answered"] == false);
+}
+
+TEST_CASE("ask goes to the first entry and passes verdicts on", "[ctl]")
+{
+    FakeContext context;
+    context.client.replies["127.0.0.1:1/v1/entries"] = {200, {}, R"({"entries":[{"address":"127.0.0.1:2","instance":"i2"}],"maxAgeSeconds":5})"};
+    context.client.replies["127.0.0.1:2/v1/query"] = {
+        200, {}, R"({"requestId":"r","coverage":{"fraction":1.0,"missing":[]},"hits":[{"id":"a","score":2.5,"body":"b"}]})"};
+    context.client.replies["127.0.0.1:2/v1/command"] = {502, {}, R"({"error":{"code":"connectionLost","message":"lost","verdict":"mayHaveRun"}})"};
+    const auto ask = [&](const std::string &kind, const std::string &name) {
+        return context.run({"ask", "--instance", "127.0.0.1:1", "--caller", "desk", "--key", "k1", kind, name, "text"});
+    };
+    CHECK(ask("query", "parts") == ExitCode::Ok);
+    CHECK(context.output.str().find("2.5  a  b") == 0);
+    CHECK(ask("command", "invoice") == ExitCode::MayHaveRun);
+    CHECK(context.client.sent.back().headers.at("Idempotency-Key") == "k1");
+    CHECK(nlohmann::json::parse(context.client.sent.back().body) == nlohmann::json{{"command", "invoice"}, {"payload", "text"}});
+    CHECK(ask("question", "parts") == ExitCode::Usage);
+    context.client.replies["127.0.0.1:1/v1/entries"].body = "not json";
+    CHECK(ask("query", "parts") == ExitCode::NotRun);
+}
+
+TEST_CASE("Every subcommand has a help text with its flags and variables", "[ctl]")
+{
+    for (const Subcommand &subcommand : subcommands()) {
+        INFO(subcommand.name);
+        CHECK(toolHelp().find(subcommand.summary) != std::string::npos);
+        CHECK(optionsOf(subcommand).help().find("BURDOCK_STORE_ADDRESS") != std::string::npos);
+    }
+}
--- a/packages/declarations/include/burdock/declarations/collector.h
+++ b/packages/declarations/include/burdock/declarations/collector.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <string>
+#include <vector>
 
 namespace Burdock
 {
@@ -22,4 +23,7 @@
 /// Reads all `*.toml` files below a folder. Hidden files and folders are left out.
 Result<DeclarationSet> collectDeclarations(const std::string &folder);
 
+/// Reads several folders into one set; a name that two of them hold is refused, with both places.
+Result<DeclarationSet> collectDeclarations(const std::vector<std::string> &folders);
+
 } // namespace Burdock
--- a/packages/declarations/src/collector.cpp
+++ b/packages/declarations/src/collector.cpp
@@ -91,4 +91,26 @@
     return DeclarationSet(std::move(files));
 }
 
+Result<DeclarationSet> collectDeclarations(const std::vector<std::string> &folders)
+{
+    std::map<std::string, DeclarationFile> files;
+    std::map<std::string, std::string> folderOf;
+    for (const std::string &folder : folders) {
+        const auto set = collectDeclarations(folder);
+        if (!set) {
+            return tl::make_unexpected(set.error());
+        }
+        for (const auto &[name, file] : set->files()) {
+            const auto [known, isNew] = folderOf.emplace(name, folder);
+            if (!isNew) {
+                std::string message = name;
+                message.append(" stands both in ").append(known->second).append(" and in ").append(folder);
+                return notRun(Errc::BadRequest, std::move(message));
+            }
+            files.emplace(name, file);
+        }
+    }
+    return DeclarationSet(std::move(files));
+}
+
 } // namespace Burdock
--- a/packages/declarations/tests/fakestore.h
+++ b/packages/declarations/tests/memorystore.h
@@ -26,14 +26,14 @@
 };
 
 /// A store in memory, on the test's clock. Faults are given per call, in order.
-class FakeStore final : public Store
+class MemoryStore final : public Store
 {
 public:
     static constexpr Duration Latency = std::chrono::milliseconds(1);
     static constexpr Duration Timeout = std::chrono::milliseconds(500);
     static constexpr Duration LateEffect = std::chrono::milliseconds(700);
 
-    explicit FakeStore(Runtime &runtime)
+    explicit MemoryStore(Runtime &runtime)
         : runtime_(runtime)
     {
     }
--- a/packages/declarations/tests/publishtest.cpp
+++ b/packages/declarations/tests/publishtest.cpp
@@ -1,4 +1,4 @@
-#include "fakestore.h"
+#include "memorystore.h"
 
 #include <burdock/declarations/publisher.h>
 #include <burdock/declarations/setdiff.h>
@@ -29,7 +29,7 @@
 struct Bench
 {
     ManualRuntime runtime;
-    FakeStore store{runtime};
+    MemoryStore store{runtime};
     Publisher publisher{runtime, store, Patience};
     ConfigReader reader{store};
 
