--- a/tests/process/testbed.cpp
+++ b/tests/process/testbed.cpp
@@ -109,7 +109,8 @@
 
 int Testbed::publish()
 {
-    ChildProcess ctl(BURDOCK_CTL, {"publish", "--store-address", store_.toString(), "--why", "process test", declarations()});
+    ChildProcess ctl(BURDOCK_CTL,
+                     {"publish", "--store-address", store_.toString(), "--base", "current", "--who", "test", "--why", "process test", declarations()});
     ctl.readAll();
     return ctl.wait();
 }
