--- a/packages/fakes/include/burdock/fakes/fakefleet.h
+++ b/packages/fakes/include/burdock/fakes/fakefleet.h
@@ -94,7 +94,7 @@
     std::map<ServerId, FakeServer> servers_;
 };
 
-/// Answers one request of the control port: `/fake/...`, see docs/operations/fakes.md.
+/// Answers one request of the control port: `/fake/...`, see packages/fakes/README.md.
 void handleControl(FakeFleet &fleet, const HttpIncoming &request, const std::shared_ptr<FakeResponder> &responder);
 
 } // namespace Burdock
--- a/packages/fakes/src/fakecontrol.cpp
+++ b/packages/fakes/src/fakecontrol.cpp
@@ -229,6 +229,7 @@
     {"/fake/store", true, &storeStatus},
     {"/fake/servers", true, &serverList},
     {"/fake/ran", true, &ran},
+    {"/fake/ran", false, &ran},
     {"/fake/oracle", false, &oracle},
 };
 
--- a/packages/fakes/src/main.cpp
+++ b/packages/fakes/src/main.cpp
@@ -4,11 +4,11 @@
 #include <burdock/declarations/collector.h>
 #include <burdock/fakes/declaredfleet.h>
 #include <burdock/fakes/fakefleet.h>
+#include <burdock/values/optiontable.h>
 #include <burdock/wire/eventloop.h>
 
 #include <csignal>
 #include <fstream>
-#include <getopt.h>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -18,17 +18,29 @@
 namespace
 {
 
-constexpr const char *Usage = "Usage: burdock-fakes [--store ADDRESS] [--instance-list ADDRESS] [--control ADDRESS]\n"
-                              "                     [--fleet-file FILE | --declarations FOLDER --regions NAME,NAME]\n"
-                              "Addresses are IP:PORT; port 0, the default, takes a free one. Prints `ready` and the addresses as JSON.\n";
+constexpr int ExitNoAddress = 1;
+constexpr int ExitUsage = 2;
 
-struct Options
+const OptionTable &optionTable()
 {
-    FakeAddresses addresses{Address{"127.0.0.1", 0}, Address{"127.0.0.1", 0}, Address{"127.0.0.1", 0}};
-    FleetFile fleet;
-    std::string declarations;
-    std::string regions = "local";
-};
+    static const OptionTable table("burdock-fakes",
+                                   "BURDOCK_FAKES_",
+                                   "burdock-fakes: stand-ins for the platform and for servers, for tests. Prints `ready` and the addresses as JSON.",
+                                   {
+                                       {"store", "IP:PORT", "127.0.0.1:0", "The store stand-in; port 0 takes a free one."},
+                                       {"instance-list", "IP:PORT", "127.0.0.1:0", "The instance list stand-in."},
+                                       {"control", "IP:PORT", "127.0.0.1:0", "Where tests steer the stand-ins."},
+                                       {"fleet-file", "FILE", "", "The servers, as JSON."},
+                                       {"declarations", "FOLDER", "", "Makes the servers that these declarations name."},
+                                       {"regions", "NAME,NAME", "local", "With --declarations: over which the replicas are spread."},
+                                       {"documents", "N", "2000", "With --declarations: documents in each index."},
+                                       {"service-ms", "MS", "2", "With --declarations: the middle service time."},
+                                       {"straggler-share", "PART", "0", "With --declarations: the part of requests that are stragglers."},
+                                       {"straggler-factor", "N", "1", "With --declarations: how many times longer these take."},
+                                       {"help", "", "", "Prints this text."},
+                                   });
+    return table;
+}
 
 std::vector<Region> splitRegions(const std::string &text)
 {
@@ -40,76 +52,56 @@
     return regions;
 }
 
-Result<FleetFile> fleetOfDeclarations(const Options &options)
+Result<FleetFile> readFleet(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return notRun(Errc::NotFound, "cannot read " + path);
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseFleetFile(text.str());
+}
+
+Result<FleetFile> fleetOfDeclarations(const OptionValues &values)
 {
-    const auto set = collectDeclarations(options.declarations);
+    const auto set = collectDeclarations(values.text("declarations"));
     if (!set) {
         return tl::make_unexpected(set.error());
     }
     const auto configuration = checkDeclarations(*set, 1);
-    const auto regions = splitRegions(options.regions);
-    if (!configuration || regions.empty()) {
+    DeclaredFleetOptions options;
+    options.regions = splitRegions(values.text("regions"));
+    if (!configuration || options.regions.empty()) {
         return notRun(Errc::BadRequest, "the declarations have faults, see burdockctl check, or --regions is empty");
     }
-    DeclaredFleetOptions declared;
-    declared.regions = regions;
-    return fleetOf(*configuration, declared);
+    options.documentsPerIndex = static_cast<std::uint32_t>(std::stoul(values.text("documents")));
+    options.service = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(std::stod(values.text("service-ms"))));
+    options.stragglerShare = std::stod(values.text("straggler-share"));
+    options.stragglerFactor = std::stod(values.text("straggler-factor"));
+    return fleetOf(*configuration, options);
 }
 
-Result<FleetFile> readFleet(const std::string &path)
+Result<FleetFile> chooseFleet(const OptionValues &values)
 {
-    std::ifstream file(path);
-    if (!file) {
-        return notRun(Errc::NotFound, "cannot read " + path);
+    if (!values.text("declarations").empty()) {
+        return fleetOfDeclarations(values);
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return parseFleetFile(text.str());
+    return values.text("fleet-file").empty() ? FleetFile{} : readFleet(values.text("fleet-file"));
 }
 
-Result<Options> parseOptions(int count, char **arguments)
+Result<FakeAddresses> chooseAddresses(const OptionValues &values)
 {
-    static const option Long[] = {
-        {"store", required_argument, nullptr, 's'},
-        {"instance-list", required_argument, nullptr, 'i'},
-        {"control", required_argument, nullptr, 'c'},
-        {"fleet-file", required_argument, nullptr, 'f'},
-        {"declarations", required_argument, nullptr, 'd'},
-        {"regions", required_argument, nullptr, 'r'},
-        {nullptr, 0, nullptr, 0},
-    };
-    Options options;
-    int chosen = 0;
-    while ((chosen = getopt_long(count, arguments, "", Long, nullptr)) != -1) {
-        if (chosen == 'f') {
-            const auto fleet = readFleet(optarg);
-            if (!fleet) {
-                return tl::make_unexpected(fleet.error());
-            }
-            options.fleet = *fleet;
-            continue;
-        }
-        if (chosen == 'd' || chosen == 'r') {
-            (chosen == 'd' ? options.declarations : options.regions) = optarg;
-            continue;
-        }
-        if (chosen == '?') {
-            return notRun(Errc::BadRequest, Usage);
+    FakeAddresses addresses;
+    for (const auto &[flag, address] :
+         {std::pair{"store", &addresses.store}, std::pair{"instance-list", &addresses.instanceList}, std::pair{"control", &addresses.control}}) {
+        const auto parsed = Address::parse(values.text(flag));
+        if (!parsed) {
+            return tl::make_unexpected(parsed.error());
         }
-        const auto address = Address::parse(optarg);
-        if (!address) {
-            return tl::make_unexpected(address.error());
-        }
-        (chosen == 's' ? options.addresses.store : chosen == 'i' ? options.addresses.instanceList : options.addresses.control) = *address;
+        *address = *parsed;
     }
-    if (!options.declarations.empty()) {
-        const auto fleet = fleetOfDeclarations(options);
-        if (!fleet) {
-            return tl::make_unexpected(fleet.error());
-        }
-        options.fleet = *fleet;
-    }
-    return options;
+    return addresses;
 }
 
 void printReady(FakeFleet &fleet, const FakeAddresses &addresses)
@@ -125,21 +117,14 @@
     std::cout << "ready " << line.dump() << std::endl;
 }
 
-} // namespace
-
-int main(int count, char **arguments)
+int run(const FleetFile &file, const FakeAddresses &wanted)
 {
-    const auto options = parseOptions(count, arguments);
-    if (!options) {
-        std::cerr << options.error().message << '\n';
-        return 2;
-    }
     EventLoop loop;
-    FakeFleet fleet(loop, loop.base(), options->fleet);
-    const auto addresses = fleet.listen(options->addresses);
+    FakeFleet fleet(loop, loop.base(), file);
+    const auto addresses = fleet.listen(wanted);
     if (!addresses) {
         std::cerr << addresses.error().message << '\n';
-        return 1;
+        return ExitNoAddress;
     }
     for (const int signal : {SIGINT, SIGTERM}) {
         loop.onSignal(signal, [&loop] { loop.stop(); });
@@ -148,3 +133,21 @@
     loop.run();
     return 0;
 }
+
+} // namespace
+
+int main(int argc, char *argv[])
+{
+    const auto values = optionTable().read(argc, argv);
+    if (values && values->on("help")) {
+        std::cout << optionTable().help();
+        return 0;
+    }
+    const auto fleet = values ? chooseFleet(*values) : Result<FleetFile>(tl::make_unexpected(values.error()));
+    const auto addresses = fleet ? chooseAddresses(*values) : Result<FakeAddresses>(tl::make_unexpected(fleet.error()));
+    if (!addresses) {
+        std::cerr << addresses.error().message << '\n';
+        return ExitUsage;
+    }
+    return run(*fleet, *addresses);
+}
