Find live instances by probes in the running program

Cause: holders and entries were taken from the lagging list alone. Ruled out: TCP and UDP on different ports, a second address to declare for every instance.

--- a/packages/daemon/include/burdock/daemon/instance.h
+++ b/packages/daemon/include/burdock/daemon/instance.h
@@ -13,8 +13,10 @@
 #include <burdock/platform/factories.h>
 #include <burdock/policy/budgetedtactics.h>
 #include <burdock/policy/entrylist.h>
+#include <burdock/policy/membership.h>
 #include <burdock/policy/querydesk.h>
 #include <burdock/wire/factories.h>
+#include <burdock/wire/probecodec.h>
 
 #include <memory>
 
@@ -40,10 +42,13 @@
     const ListedInstance &self() const;
 
 private:
+    Result<void> listen();
+    Result<Address> listenForPeers();
+    void startMembership();
     void connectPeers();
     void handleMessage(const InstanceId &from, PeerMessage message);
     void updateList(const InstanceList &list);
-    void updateLive(std::vector<ListedInstance> live);
+    void updateLive();
     void install(ConfigurationPtr configuration);
     void limitConnections();
     void pollConfiguration();
@@ -63,6 +68,9 @@
     std::unique_ptr<HttpClient> client_;
     std::unique_ptr<HttpServer> server_;
     std::unique_ptr<PeerLinks> links_;
+    std::unique_ptr<DatagramSocket> socket_;
+    std::unique_ptr<ProbeChannel> probes_;
+    std::unique_ptr<Membership> membership_;
     std::unique_ptr<Store> store_;
     std::unique_ptr<InstanceListSource> listSource_;
 
--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -14,6 +14,20 @@
 
 /// Limits for addresses without a declared fleet: the platform.
 const ConnectionLimits PlatformLimits{8, 2, std::size_t{4} * 1024 * 1024};
+/// A member's state in one word, as the status page tells it.
+std::string describe(const Member &member)
+{
+    if (member.state != MemberState::Alive) {
+        return member.state == MemberState::Dead ? "dead" : "suspect";
+    }
+    if (member.instance.leaving || member.life == MemberLife::Leaving) {
+        return "leaving";
+    }
+    return member.life == MemberLife::Ready ? "ready" : "starting";
+}
+
+/// How often a free port is tried for links and probes together.
+constexpr int PortAttempts = 20;
 constexpr std::size_t BackendResponseBytes = std::size_t{2} * 1024 * 1024;
 
 } // namespace
@@ -49,23 +63,55 @@
 Instance::~Instance() = default;
 
 Result<void> Instance::start()
+{
+    const Result<void> listening = listen();
+    if (!listening) {
+        return listening;
+    }
+    startMembership();
+    listSource_->follow([this](const InstanceList &list) { updateList(list); });
+    pollConfiguration();
+    return {};
+}
+
+Result<void> Instance::listen()
 {
     const Result<Address> callers = server_->listen(settings_.callers);
     if (!callers) {
         return tl::make_unexpected(callers.error());
     }
-    const Result<Address> peers = links_->listen(settings_.peers);
+    const Result<Address> peers = listenForPeers();
     if (!peers) {
         return tl::make_unexpected(peers.error());
     }
     self_.callers = *callers;
     self_.peers = *peers;
-    updateLive({self_});
-    listSource_->follow([this](const InstanceList &list) { updateList(list); });
-    pollConfiguration();
     return {};
 }
 
+Result<Address> Instance::listenForPeers()
+{
+    Result<Address> taken = notRun(Errc::Unavailable, "no port was tried");
+    for (int attempt = 0; attempt < PortAttempts && !taken; ++attempt) {
+        socket_ = makeDatagramSocket(loop_);
+        const Result<Address> bound = socket_->bind(settings_.peers);
+        taken = bound ? links_->listen(*bound) : bound;
+        if (settings_.peers.port != 0) {
+            break;
+        }
+    }
+    return taken;
+}
+
+void Instance::startMembership()
+{
+    probes_ = std::make_unique<ProbeChannel>(*socket_);
+    membership_ = std::make_unique<Membership>(loop_, *probes_, self_, incarnation_, std::random_device{}());
+    probes_->setHandler([this](const Address &from, const ProbeMessage &message) { membership_->onDatagram(from, message); });
+    membership_->onChange([this] { updateLive(); });
+    updateLive();
+}
+
 const ListedInstance &Instance::self() const
 {
     return self_;
@@ -74,6 +120,7 @@
 void Instance::shutDown(std::function<void()> gone)
 {
     leaving_ = true;
+    membership_->leave();
     server_->closeConnectionsAfterAnswers();
     loop_.schedule(std::chrono::milliseconds(20), [this, gone = std::move(gone)]() mutable {
         if (entry_.inFlight() == 0 && holderService_.inFlight() == 0) {
@@ -126,21 +173,22 @@
     }
     lives_.updateList(list);
     limitConnections();
-    std::vector<ListedInstance> live{self_};
-    for (const ListedInstance &instance : list.instances) {
-        if (instance.id != self_.id) {
-            links_->setPeer(instance.id, instance.peers);
-            live.push_back(instance);
-        }
+    membership_->onInstanceList(list);
+    for (const Member &member : membership_->members()) {
+        links_->setPeer(member.instance.id, member.instance.peers);
     }
-    updateLive(std::move(live));
+    updateLive();
 }
 
-void Instance::updateLive(std::vector<ListedInstance> live)
+void Instance::updateLive()
 {
+    std::vector<ListedInstance> live = membership_->live();
     std::vector<EntryCandidate> candidates;
     for (const ListedInstance &instance : live) {
         candidates.push_back(EntryCandidate{instance, !instance.leaving, 1.0});
+        if (instance.id != self_.id) {
+            links_->setPeer(instance.id, instance.peers);
+        }
     }
     entryList_.setCandidates(std::move(candidates));
     directory_.updateLive(std::move(live));
@@ -152,6 +200,8 @@
     installedAt_ = loop_.now();
     holder_.configure(configuration_);
     limitConnections();
+    membership_->setConfigVersion(configuration_->version);
+    membership_->setReady(true);
     logChange("configuration", "in force", {{"version", std::to_string(configuration_->version)}, {"hash", configuration_->hash}});
 }
 
@@ -221,6 +271,9 @@
             status.holds.push_back(server.id);
         }
     }
+    for (const Member &member : membership_->members()) {
+        status.members.push_back(MemberStatus{member.instance.id, describe(member), member.configVersion});
+    }
     status.requestsInFlight = entry_.inFlight() + holderService_.inFlight();
     return status;
 }
