Serve HTTP on libevhtp's parser instead of its server

Cause: fault tables against libevhtp 1.2.18's server showed that it keeps the rest of a buffer when the first of several pipelined requests was answered within its callback, that an answer after a pause ignores Connection: close, that a malformed request is cut without an answer, and that it prints to stderr on the way. Its parser alone, over a bufferevent, passes the same tables. The parser reads one byte beyond a piece that ends within the method or the query (and doubles that letter in the query), so it gets heads whole.

--- a/packages/wire/src/clientconnection.cpp
+++ b/packages/wire/src/clientconnection.cpp
@@ -1,9 +1,9 @@
 #include "internal/clientconnection.h"
 
+#include "internal/httptext.h"
 #include "internal/sockets.h"
 
 #include <algorithm>
-#include <cctype>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
@@ -41,12 +41,6 @@
     return text;
 }
 
-std::string lowerCase(std::string text)
-{
-    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
-    return text;
-}
-
 const char *describe(evhttp_request_error error)
 {
     switch (error) {
--- a/packages/wire/src/httpexchange.cpp
+++ b/packages/wire/src/httpexchange.cpp
@@ -17,7 +17,7 @@
         ++counters_->droppedAnswers;
         return;
     }
-    connection_->answer(std::move(answer));
+    connection_->answer(answer);
 }
 
 void HttpExchange::sendChunk(const std::string &piece)
--- /dev/null
+++ b/packages/wire/src/httprequestparser.cpp
@@ -0,0 +1,244 @@
+#include "internal/httprequestparser.h"
+
+#include "internal/httptext.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <string_view>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+
+bool hasControl(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(), [](unsigned char letter) { return (letter < ' ' && letter != '\t') || letter == 0x7f; });
+}
+
+std::string trimmed(std::string_view text)
+{
+    constexpr const char *Blank = " \t";
+    const std::size_t first = text.find_first_not_of(Blank);
+    return first == std::string_view::npos ? std::string() : std::string(text.substr(first, text.find_last_not_of(Blank) - first + 1));
+}
+
+std::map<std::string, std::string> parseQuery(const std::string &text)
+{
+    std::map<std::string, std::string> query;
+    evkeyvalq pairs{};
+    if (evhttp_parse_query_str(text.c_str(), &pairs) == 0) {
+        for (const evkeyval *pair = pairs.tqh_first; pair != nullptr; pair = pair->next.tqe_next) {
+            query.emplace(pair->key, pair->value);
+        }
+        evhttp_clear_headers(&pairs);
+    }
+    return query;
+}
+
+void skipEmptyLines(evbuffer *input)
+{
+    char first = 0;
+    while (evbuffer_copyout(input, &first, 1) == 1 && (first == '\r' || first == '\n')) {
+        evbuffer_drain(input, 1);
+    }
+}
+
+} // namespace
+
+HttpRequestParser::HttpRequestParser(std::size_t headerLimit, std::size_t bodyLimit)
+    : headerLimit_(headerLimit)
+    , bodyLimit_(bodyLimit)
+    , parser_(htparser_new(), &std::free)
+{
+    restart();
+}
+
+const htparse_hooks &HttpRequestParser::hooks()
+{
+    static const htparse_hooks table = [] {
+        htparse_hooks hooks{};
+        hooks.path = &HttpRequestParser::onPath;
+        hooks.args = &HttpRequestParser::onQuery;
+        hooks.hdr_key = &HttpRequestParser::onHeaderName;
+        hooks.hdr_val = &HttpRequestParser::onHeaderValue;
+        hooks.on_hdrs_complete = &HttpRequestParser::onHeadersDone;
+        hooks.on_new_chunk = &HttpRequestParser::onNewChunk;
+        hooks.body = &HttpRequestParser::onBody;
+        hooks.on_msg_complete = &HttpRequestParser::onDone;
+        return hooks;
+    }();
+    return table;
+}
+
+HttpRequestParser &HttpRequestParser::of(htparser *parser)
+{
+    return *static_cast<HttpRequestParser *>(htparser_get_userdata(parser));
+}
+
+void HttpRequestParser::restart()
+{
+    htparser_init(parser_.get(), htp_type_request);
+    htparser_set_userdata(parser_.get(), this);
+    incoming_ = {};
+    status_ = Status::Incomplete;
+    headerName_.clear();
+    contentLengths_ = 0;
+    headRead_ = false;
+    expectsContinue_ = false;
+}
+
+HttpRequestParser::Status HttpRequestParser::read(evbuffer *input)
+{
+    if (!headRead_) {
+        readHead(input);
+    }
+    while (headRead_ && status_ == Status::Incomplete && evbuffer_get_length(input) > 0) {
+        readBody(input);
+    }
+    return status_;
+}
+
+void HttpRequestParser::readHead(evbuffer *input)
+{
+    skipEmptyLines(input);
+    const evbuffer_ptr end = evbuffer_search(input, HeadEnd.data(), HeadEnd.size(), nullptr);
+    const bool whole = end.pos >= 0;
+    const std::size_t length = whole ? static_cast<std::size_t>(end.pos) + HeadEnd.size() : evbuffer_get_length(input);
+    if (length > headerLimit_) {
+        status_ = Status::TooLarge;
+    } else if (whole) {
+        headRead_ = true;
+        run(input, length);
+    }
+}
+
+void HttpRequestParser::readBody(evbuffer *input)
+{
+    run(input, evbuffer_get_contiguous_space(input));
+}
+
+void HttpRequestParser::run(evbuffer *input, std::size_t length)
+{
+    htparse_hooks table = hooks();
+    const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length)));
+    const std::size_t taken = htparser_run(parser_.get(), &table, bytes, length);
+    evbuffer_drain(input, taken);
+    if (status_ != Status::Incomplete) {
+        return;
+    }
+    if (htparser_get_error(parser_.get()) != htparse_error_none || taken != length) {
+        status_ = failure();
+    }
+}
+
+HttpRequestParser::Status HttpRequestParser::failure() const
+{
+    // The parser says "too big" also of a content length that is no number, and then gives no value for it.
+    const bool badLength = headerName_ == "content-length";
+    return htparser_get_error(parser_.get()) == htparse_error_too_big && !badLength ? Status::TooLarge : Status::Malformed;
+}
+
+bool HttpRequestParser::takeContinue()
+{
+    return std::exchange(expectsContinue_, false);
+}
+
+HttpIncoming HttpRequestParser::take()
+{
+    HttpIncoming incoming = std::move(incoming_);
+    keepAlive_ = htparser_should_keep_alive(parser_.get()) != 0;
+    knowsChunks_ = htparser_get_minor(parser_.get()) > 0;
+    restart();
+    return incoming;
+}
+
+int HttpRequestParser::stop(Status status)
+{
+    status_ = status;
+    return 1;
+}
+
+int HttpRequestParser::onPath(htparser *parser, const char *text, std::size_t length)
+{
+    HttpRequestParser &self = of(parser);
+    self.incoming_.path.assign(text, length);
+    return hasControl(self.incoming_.path) ? self.stop(Status::Malformed) : 0;
+}
+
+int HttpRequestParser::onQuery(htparser *parser, const char *text, std::size_t length)
+{
+    of(parser).incoming_.query = parseQuery(std::string(text, length));
+    return 0;
+}
+
+int HttpRequestParser::onHeaderName(htparser *parser, const char *text, std::size_t length)
+{
+    HttpRequestParser &self = of(parser);
+    if (!self.headerName_.empty()) {
+        return self.stop(Status::Malformed);
+    }
+    self.headerName_ = lowerCase({text, length});
+    return 0;
+}
+
+int HttpRequestParser::onHeaderValue(htparser *parser, const char *text, std::size_t length)
+{
+    HttpRequestParser &self = of(parser);
+    if (self.headerName_.empty() || hasControl({text, length})) {
+        return self.stop(Status::Malformed);
+    }
+    self.contentLengths_ += self.headerName_ == "content-length" ? 1 : 0;
+    self.incoming_.headers.insert_or_assign(std::move(self.headerName_), trimmed({text, length}));
+    self.headerName_.clear();
+    return 0;
+}
+
+bool HttpRequestParser::framedTwice() const
+{
+    return contentLengths_ > 1 || (contentLengths_ == 1 && incoming_.headers.count("transfer-encoding") > 0);
+}
+
+int HttpRequestParser::onHeadersDone(htparser *parser)
+{
+    HttpRequestParser &self = of(parser);
+    const char *method = htparser_get_methodstr(parser);
+    if (!self.headerName_.empty() || method == nullptr || htparser_get_method(parser) == htp_method_UNKNOWN || self.framedTwice()) {
+        return self.stop(Status::Malformed);
+    }
+    self.incoming_.method = method;
+    const auto expect = self.incoming_.headers.find("expect");
+    self.expectsContinue_ = expect != self.incoming_.headers.end() && lowerCase(expect->second) == "100-continue";
+    return htparser_get_content_length(parser) > self.bodyLimit_ ? self.stop(Status::TooLarge) : 0;
+}
+
+int HttpRequestParser::onNewChunk(htparser *parser)
+{
+    // The parser gives the size of the chunk as the content length.
+    HttpRequestParser &self = of(parser);
+    return htparser_get_content_length(parser) > self.bodyLimit_ ? self.stop(Status::TooLarge) : 0;
+}
+
+int HttpRequestParser::onBody(htparser *parser, const char *bytes, std::size_t length)
+{
+    HttpRequestParser &self = of(parser);
+    if (self.incoming_.body.size() + length > self.bodyLimit_) {
+        return self.stop(Status::TooLarge);
+    }
+    self.incoming_.body.append(bytes, length);
+    return 0;
+}
+
+int HttpRequestParser::onDone(htparser *parser)
+{
+    return of(parser).stop(Status::Complete);
+}
+
+} // namespace Burdock
--- a/packages/wire/src/internal/listener.h
+++ b/packages/wire/src/internal/listener.h
@@ -27,11 +27,13 @@
     Result<Address> listen(const Address &address);
 
 private:
+    static void onError(evconnlistener *listener, void *context);
     static void onAccept(evconnlistener *listener, int socket, sockaddr *from, int length, void *context);
 
     EventLoop &loop_;
     Handler handler_;
     evconnlistener *listener_ = nullptr;
+    TimerId retry_ = 0;
 };
 
 } // namespace Burdock
--- a/packages/wire/src/internal/serverconnection.h
+++ b/packages/wire/src/internal/serverconnection.h
@@ -1,13 +1,17 @@
 #pragma once
 
-#include <burdock/wire/httpserver.h>
+#include "httprequestparser.h"
 
 #include <burdock/wire/eventloop.h>
+#include <burdock/wire/httpserver.h>
 
-#include <evhtp.h>
 #include <memory>
 #include <unordered_map>
 
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
+
 namespace Burdock
 {
 
@@ -58,30 +62,17 @@
 
 /// One client's connection: follows a request from its first byte to the last byte of its answer.
 ///
-/// libevhtp stops reading a connection whose request is paused, and then it cannot see the client go.
-/// So reading is switched on again for the time of the pause: libevhtp leaves the bytes of further
-/// requests in the buffer, up to the limits, and reports the end of the connection.
+/// Requests are handed over one at a time. While one is worked on the connection is still read, so that a client
+/// that goes away is noticed; the bytes of further requests wait in the buffer, up to the limits.
 class ServerConnection
 {
 public:
-    ServerConnection(ServerContext &context, evhtp_connection_t *connection);
+    ServerConnection(ServerContext &context, int socket);
     ~ServerConnection();
     ServerConnection(const ServerConnection &) = delete;
     ServerConnection &operator=(const ServerConnection &) = delete;
 
-    /// The connection that a request came on.
-    static ServerConnection &of(const evhtp_request_t *request);
-
-    /// libevhtp's side of the connection.
-    evhtp_connection_t *handle() const
-    {
-        return connection_;
-    }
-
-    /// Hands a whole request to the handler.
-    void work(evhtp_request_t *request);
-
-    void answer(HttpOutgoing answer);
+    void answer(const HttpOutgoing &answer);
     void sendChunk(const std::string &piece);
     void finish();
 
@@ -96,44 +87,40 @@
         Idle,
         Receiving,
         Working,
+        /// The last answer is on its way out; what still comes in is discarded.
+        Closing,
     };
 
-    static evhtp_res onEvent(evhtp_connection_t *connection, short events, void *context);
-    static evhtp_res onHeader(evhtp_request_t *request, evhtp_header_t *header, void *context);
-    static evhtp_res onHeaders(evhtp_request_t *request, evhtp_headers_t *headers, void *context);
-    static evhtp_res onBody(evhtp_request_t *request, evbuffer *piece, void *context);
-    static evhtp_res onWritten(evhtp_connection_t *connection, void *context);
-    static evhtp_res onClosed(evhtp_connection_t *connection, void *context);
-    static void onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *context);
+    static void onRead(bufferevent *stream, void *context);
+    static void onWritten(bufferevent *stream, void *context);
+    static void onEvent(bufferevent *stream, short events, void *context);
     static void onOutput(evbuffer *buffer, const evbuffer_cb_info *info, void *context);
 
-    void installHooks();
     void enter(State state);
-    void prepareHeaders(std::map<std::string, std::string> headers);
+    void readOn();
+    bool mayParse() const;
+    void parse();
+    void work();
+    void refuse(int status);
     void answered();
-    void nextTurn(void (ServerConnection::*step)());
-    void watchClient();
-    void resume();
+    void write(const std::string &bytes);
+    void discardInput();
+    void clientGone();
+    void linger();
     void close();
-    bool outputEmpty() const;
-    evhtp_res refuse(int status);
-    void handOver();
+    std::size_t backlog() const;
 
     ServerContext &context_;
-    evhtp_connection_t *connection_;
-    evhtp_request_t *request_ = nullptr;
+    bufferevent *stream_;
+    HttpRequestParser parser_;
     std::shared_ptr<HttpExchange> exchange_;
     State state_ = State::Idle;
     TimePoint since_;
     TimePoint written_;
-    TimerId turn_ = 0;
-    std::size_t headerBytes_ = 0;
-    std::size_t bodyBytes_ = 0;
-    int refusal_ = 0;
-    bool paused_ = false;
+    bool inHandler_ = false;
+    bool headOnly_ = false;
     bool chunked_ = false;
     bool lastAnswer_ = false;
-    bool broken_ = false;
 };
 
 } // namespace Burdock
--- a/packages/wire/src/lingeringclose.cpp
+++ b/packages/wire/src/lingeringclose.cpp
@@ -14,15 +14,15 @@
 constexpr Duration LingerTime = std::chrono::seconds(2);
 }
 
-LingeringClose::LingeringClose(EventLoop &loop, bufferevent *stream, const std::string &lastBytes, std::function<void()> done)
+LingeringClose::LingeringClose(EventLoop &loop, bufferevent *stream, std::function<void()> done)
     : loop_(loop)
     , stream_(stream)
     , done_(std::move(done))
     , timer_(loop.schedule(LingerTime, [this] { end(); }))
 {
-    bufferevent_setcb(stream_, &LingeringClose::onRead, &LingeringClose::onWritten, &LingeringClose::onEvent, this);
-    bufferevent_write(stream_, lastBytes.data(), lastBytes.size());
-    bufferevent_enable(stream_, EV_READ | EV_WRITE);
+    bufferevent_setcb(stream_, &LingeringClose::onRead, nullptr, &LingeringClose::onEvent, this);
+    bufferevent_enable(stream_, EV_READ);
+    shutdown(bufferevent_getfd(stream_), SHUT_WR);
 }
 
 LingeringClose::~LingeringClose()
@@ -37,11 +37,6 @@
     evbuffer_drain(input, evbuffer_get_length(input));
 }
 
-void LingeringClose::onWritten(bufferevent *stream, void *)
-{
-    shutdown(bufferevent_getfd(stream), SHUT_WR);
-}
-
 void LingeringClose::onEvent(bufferevent *, short, void *context)
 {
     static_cast<LingeringClose *>(context)->end();
--- a/packages/wire/src/listener.cpp
+++ b/packages/wire/src/listener.cpp
@@ -8,6 +8,16 @@
 namespace Burdock
 {
 
+namespace
+{
+
+/// Connections that the kernel holds until the loop accepts them.
+constexpr int ListenBacklog = 1024;
+/// A process out of file descriptors tries to accept again after this long.
+constexpr Duration RetryTime = std::chrono::milliseconds(100);
+
+} // namespace
+
 Listener::Listener(EventLoop &loop, Handler handler)
     : loop_(loop)
     , handler_(std::move(handler))
@@ -16,6 +26,7 @@
 
 Listener::~Listener()
 {
+    loop_.cancel(retry_);
     if (listener_ != nullptr) {
         evconnlistener_free(listener_);
     }
@@ -28,20 +39,28 @@
         return tl::make_unexpected(socketAddress.error());
     }
     constexpr unsigned Flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE;
-    constexpr int SystemBacklog = -1;
     listener_ = evconnlistener_new_bind(loop_.base(),
                                         &Listener::onAccept,
                                         this,
                                         Flags,
-                                        SystemBacklog,
+                                        ListenBacklog,
                                         reinterpret_cast<const sockaddr *>(&*socketAddress),
                                         static_cast<int>(socketAddressLength(*socketAddress)));
     if (listener_ == nullptr) {
         return notRun(Errc::Unavailable, "cannot listen on " + address.toString() + "; is the port in use?");
     }
+    evconnlistener_set_error_cb(listener_, &Listener::onError);
     return localAddress(evconnlistener_get_fd(listener_));
 }
 
+void Listener::onError(evconnlistener *listener, void *context)
+{
+    auto *self = static_cast<Listener *>(context);
+    evconnlistener_disable(listener);
+    self->loop_.cancel(self->retry_);
+    self->retry_ = self->loop_.schedule(RetryTime, [self] { evconnlistener_enable(self->listener_); });
+}
+
 void Listener::onAccept(evconnlistener *, int socket, sockaddr *, int, void *context)
 {
     static_cast<Listener *>(context)->handler_(socket);
--- /dev/null
+++ b/packages/wire/tests/httprequestparsertest.cpp
@@ -0,0 +1,60 @@
+#include "../src/internal/httprequestparser.h"
+
+#include <catch2/catch.hpp>
+#include <event2/buffer.h>
+#include <vector>
+
+using namespace Burdock;
+
+namespace
+{
+
+constexpr std::size_t HeaderLimit = 1000;
+constexpr std::size_t BodyLimit = 1000;
+
+/// Feeds the bytes in two pieces, each in memory of just its size, and collects the requests.
+std::vector<HttpIncoming> parseInTwo(const std::string &bytes, std::size_t cut)
+{
+    HttpRequestParser parser(HeaderLimit, BodyLimit);
+    const std::unique_ptr<evbuffer, void (*)(evbuffer *)> input(evbuffer_new(), &evbuffer_free);
+    std::vector<HttpIncoming> requests;
+    for (const auto &[from, to] : {std::pair(std::size_t{0}, cut), std::pair(cut, bytes.size())}) {
+        const std::vector<char> piece(bytes.begin() + static_cast<std::ptrdiff_t>(from), bytes.begin() + static_cast<std::ptrdiff_t>(to));
+        evbuffer_add_reference(input.get(), piece.data(), piece.size(), nullptr, nullptr);
+        HttpRequestParser::Status status = parser.read(input.get());
+        while (status == HttpRequestParser::Status::Complete) {
+            requests.push_back(parser.take());
+            status = parser.read(input.get());
+        }
+        REQUIRE(status == HttpRequestParser::Status::Incomplete);
+        // What the parser left in the buffer must outlive the piece.
+        std::string rest(evbuffer_get_length(input.get()), 0);
+        evbuffer_remove(input.get(), rest.data(), rest.size());
+        evbuffer_add(input.get(), rest.data(), rest.size());
+    }
+    return requests;
+}
+
+} // namespace
+
+TEST_CASE("requests are the same wherever their bytes are cut", "[http][parser]")
+{
+    const std::string bytes = "POST /a?x=1%202 HTTP/1.1\r\nHost: h\r\nX-Empty:\r\nX-Blank: \t v w \r\nContent-Length: 5\r\n\r\nhello"
+                              "GET http://host:80/b HTTP/1.1\r\n\r\n"
+                              "POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+                              "HEAD /d HTTP/1.0\r\nConnection: keep-alive\r\n\r\n";
+    for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+        INFO("cut at " << cut);
+        const auto requests = parseInTwo(bytes, cut);
+        REQUIRE(requests.size() == 4);
+        CHECK(requests[0].method == "POST");
+        CHECK(requests[0].path == "/a");
+        CHECK(requests[0].query == std::map<std::string, std::string>{{"x", "1 2"}});
+        CHECK(requests[0].headers == std::map<std::string, std::string>{{"host", "h"}, {"x-empty", ""}, {"x-blank", "v w"}, {"content-length", "5"}});
+        CHECK(requests[0].body == "hello");
+        CHECK(requests[1].path == "/b");
+        CHECK(requests[2].path == "/c");
+        CHECK(requests[2].body == "abcde");
+        CHECK(requests[3].method == "HEAD");
+    }
+}
--- a/packages/wire/tests/httptest.cpp
+++ b/packages/wire/tests/httptest.cpp
@@ -20,7 +20,7 @@
 
     HttpRequest post(const std::string &path, const std::string &body) const
     {
-        return {address, "POST", path, {{"X-Caller", "tester"}}, body, Patience, nullptr};
+        return {address, "POST", path, {{"X-Caller", "tester"}, {"X-Empty", ""}}, body, Patience, nullptr};
     }
 
     Result<HttpResponse> call(HttpRequest request)
@@ -57,6 +57,7 @@
     CHECK(seen.path == "/v1/query");
     CHECK(seen.query == std::map<std::string, std::string>{{"after", "3"}, {"name", "a b"}});
     CHECK(seen.headers.at("x-caller") == "tester");
+    CHECK(seen.headers.at("x-empty").empty());
     CHECK(seen.body == "body");
 }
 
