--- a/packages/policy/src/replicachoice.cpp
+++ b/packages/policy/src/replicachoice.cpp
@@ -147,16 +147,17 @@
     ejections_ += !before && replica.ejection.ejected(runtime_.now()) ? 1 : 0;
 }
 
-/// An attempt given up would have taken longer still; it counts only where it shows the replica slower.
+/// An attempt given up would have taken longer still; it counts only where it took longer than usual.
 void ReplicaChoice::givenUp(const ServerId &server, Rank rank, Duration took)
 {
+    const LatencyAverage &usual = pooled_[rankIndex(rank)];
+    if (!usual.known() || took <= usual.value()) {
+        return;
+    }
     Replica &replica = replicas_[server];
     LatencyAverage &latency = replica.latency[rankIndex(rank)];
-    const LatencyAverage &usual = latency.known() ? latency : pooled_[rankIndex(rank)];
-    if (usual.known() && took > usual.value()) {
-        latency.add(took);
-        replica.measuredAt = runtime_.now();
-    }
+    latency.add(std::max(took, latency.value()));
+    replica.measuredAt = runtime_.now();
 }
 
 void ReplicaChoice::reported(const ServerReport &report)
--- a/packages/policy/src/shardask.cpp
+++ b/packages/policy/src/shardask.cpp
@@ -244,6 +244,7 @@
 {
     for (const Attempt &attempt : attempts_) {
         context_.port.cancel(attempt.id);
+        context_.tactics.attemptEnded(attempt.server, question_.rank, Errc::Cancelled, context_.runtime.now() - attempt.sentAt);
     }
     attempts_.clear();
 }
--- a/packages/policy/tests/holderbackend.h
+++ b/packages/policy/tests/holderbackend.h
@@ -3,7 +3,7 @@
 #include <burdock/policy/backendport.h>
 #include <burdock/values/runtime.h>
 
-#include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <vector>
@@ -17,6 +17,7 @@
     enum class Mode {
         Answers,
         FailsAtOnce,
+        Unreachable,
         Silent,
         Drains,
     };
@@ -24,8 +25,9 @@
     Mode mode = Mode::Answers;
     /// How long a request holds one of the server's slots.
     Duration service = std::chrono::milliseconds(10);
-    /// Requests above this many at a time are shed.
+    /// Requests above this many at a time wait inside the server, and above the backlog too they are shed.
     std::uint32_t slots = 1000;
+    std::uint32_t backlog = 0;
 };
 
 /// One request as a modelled server got it.
@@ -35,7 +37,7 @@
     TimePoint at;
 };
 
-/// Backend servers on the manual clock, with a service time each.
+/// Backend servers on the manual clock: slots, a backlog in order of arrival, and service times.
 class ModelBackend final : public BackendPort
 {
 public:
@@ -44,19 +46,30 @@
     {
     }
 
-    void dispatch(const SubRequest &request, Duration budget, Callback done) override
+    void dispatch(const SubRequest &request, Duration /*budget*/, Callback done) override
     {
-        dispatches.push_back({request, runtime_.now()});
-        lastBudget = budget;
-        ModelServer &server = servers[request.server];
-        Running run{std::move(done), request.server, 0};
-        const bool shed = busy(request.server) >= server.slots;
-        const auto reply = replyOf(request, server, shed);
-        if (server.mode != ModelServer::Mode::Silent) {
-            const Duration took = shed || server.mode != ModelServer::Mode::Answers ? RefusalTime : serviceOf ? serviceOf(request) : server.service;
-            run.timer = runtime_.schedule(took, [this, id = request.id, reply] { answer(id, reply); });
+        if (recordDispatches) {
+            dispatches.push_back({request, runtime_.now()});
+        }
+        ++dispatched;
+        State &state = states_[request.server];
+        const ModelServer &server = servers[request.server];
+        const auto run = running_.emplace(request.id, Running{request, std::move(done)}).first;
+        if (server.mode == ModelServer::Mode::Silent) {
+            ++state.busy;
+            run->second.begun = true;
+        } else if (server.mode != ModelServer::Mode::Answers) {
+            answerLater(request.id, RefusalTime, refusalOf(request, server.mode));
+        } else if (state.busy < server.slots) {
+            begin(run->second);
+        } else if (state.backlog.size() < server.backlog) {
+            state.backlog.push_back(request.id);
+        } else {
+            ++sheds;
+            BackendReply reply = answerTo(request, Errc::Overloaded, Verdict::NotRun);
+            reply.shed = true;
+            answerLater(request.id, RefusalTime, reply);
         }
-        running_.emplace(request.id, std::move(run));
     }
 
     void cancel(const SubRequestId &id) override
@@ -65,58 +78,109 @@
         const auto run = running_.find(id);
         if (run != running_.end()) {
             runtime_.cancel(run->second.timer);
-            running_.erase(run);
+            leave(run);
         }
     }
 
-    std::uint32_t busy(const ServerId &server) const
+    std::uint32_t busy(const ServerId &server)
     {
-        return static_cast<std::uint32_t>(std::count_if(running_.begin(), running_.end(), [&](const auto &run) { return run.second.server == server; }));
+        return states_[server].busy;
     }
 
     std::map<ServerId, ModelServer> servers;
     /// Where set, gives each request its own service time.
     std::function<Duration(const SubRequest &)> serviceOf;
+    /// Called as a server begins to work on a request.
+    std::function<void(const SubRequest &)> onBegin;
+    bool recordDispatches = true;
     std::vector<ModelDispatch> dispatches;
-    std::uint32_t cancelled = 0;
-    Duration lastBudget{0};
+    std::uint64_t dispatched = 0;
+    std::uint64_t cancelled = 0;
+    std::uint64_t sheds = 0;
 
 private:
     static constexpr Duration RefusalTime = std::chrono::microseconds(200);
 
     struct Running
     {
+        SubRequest request;
         Callback done;
-        ServerId server;
-        TimerId timer;
+        TimerId timer = 0;
+        bool begun = false;
     };
 
-    static BackendReply replyOf(const SubRequest &request, const ModelServer &server, bool shed)
+    struct State
+    {
+        std::uint32_t busy = 0;
+        std::deque<SubRequestId> backlog;
+    };
+
+    using Runs = std::map<SubRequestId, Running>;
+
+    static BackendReply answerTo(const SubRequest &request, Errc code, Verdict verdict)
     {
         BackendReply reply;
         reply.reply.id = request.id;
-        reply.shed = shed;
-        if (shed || server.mode == ModelServer::Mode::Drains) {
-            reply.draining = server.mode == ModelServer::Mode::Drains;
-            reply.reply.code = shed ? Errc::Overloaded : Errc::Draining;
-            reply.reply.verdict = Verdict::NotRun;
-        } else if (server.mode == ModelServer::Mode::FailsAtOnce) {
-            reply.reply.code = Errc::ConnectionLost;
-            reply.reply.verdict = Verdict::MayHaveRun;
+        reply.reply.code = code;
+        reply.reply.verdict = verdict;
+        reply.reply.snapshot = request.snapshot;
+        reply.reply.shard = request.shard;
+        reply.reply.range = request.range;
+        return reply;
+    }
+
+    static BackendReply refusalOf(const SubRequest &request, ModelServer::Mode mode)
+    {
+        if (mode == ModelServer::Mode::FailsAtOnce) {
+            return answerTo(request, Errc::ConnectionLost, Verdict::MayHaveRun);
         }
+        const bool draining = mode == ModelServer::Mode::Drains;
+        BackendReply reply = answerTo(request, draining ? Errc::Draining : Errc::Unavailable, Verdict::NotRun);
+        reply.draining = draining;
         return reply;
     }
 
-    void answer(const SubRequestId &id, const BackendReply &reply)
+    void begin(Running &run)
     {
-        const auto run = running_.find(id);
-        const Callback done = std::move(run->second.done);
+        run.begun = true;
+        ++states_[run.request.server].busy;
+        if (onBegin) {
+            onBegin(run.request);
+        }
+        const Duration took = serviceOf ? serviceOf(run.request) : servers[run.request.server].service;
+        answerLater(run.request.id, took, answerTo(run.request, Errc::Ok, Verdict::Ran));
+    }
+
+    void answerLater(const SubRequestId &id, Duration after, const BackendReply &reply)
+    {
+        running_.at(id).timer = runtime_.schedule(after, [this, id, reply] {
+            const auto run = running_.find(id);
+            const Callback done = std::move(run->second.done);
+            leave(run);
+            done(reply);
+        });
+    }
+
+    /// Frees the slot of a request and begins the next in the backlog.
+    void leave(Runs::iterator run)
+    {
+        const ServerId server = run->second.request.server;
+        const bool begun = run->second.begun;
         running_.erase(run);
-        done(reply);
+        State &state = states_[server];
+        state.busy -= begun ? 1 : 0;
+        while (begun && !state.backlog.empty() && state.busy < servers[server].slots) {
+            const auto next = running_.find(state.backlog.front());
+            state.backlog.pop_front();
+            if (next != running_.end()) {
+                begin(next->second);
+            }
+        }
     }
 
     Runtime &runtime_;
-    std::map<SubRequestId, Running> running_;
+    Runs running_;
+    std::map<ServerId, State> states_;
 };
 
 } // namespace Burdock
--- a/packages/policy/tests/holdertest.cpp
+++ b/packages/policy/tests/holdertest.cpp
@@ -223,3 +223,41 @@
     CHECK(told.front().queueDelay[rankIndex(Rank::Batch)] > 500ms);
     CHECK(told.front().queueDelay[rankIndex(Rank::Urgent)] < 10ms);
 }
+
+TEST_CASE_METHOD(HolderFixture, "Connections used up by others take the limit down and eject nobody", "[holder][slots]")
+{
+    warmUp();
+    for (int i = 0; i < 3; ++i) {
+        submit(Rank::Urgent, 1s);
+    }
+    backend.servers[TheServer].mode = ModelServer::Mode::Unreachable;
+    submit(Rank::Urgent, 1s);
+    runtime.advance(1ms);
+    CHECK(answered(Errc::Unavailable, Verdict::NotRun) == 1);
+    backend.servers[TheServer].mode = ModelServer::Mode::Answers;
+    runtime.advance(20ms);
+    replies.clear();
+    for (int i = 0; i < 10; ++i) {
+        submit(Rank::Urgent, 1s);
+    }
+    CHECK(backend.busy(TheServer) == 2);
+    CHECK_FALSE(holder.reports().at(0).ejected);
+}
+
+TEST_CASE_METHOD(HolderFixture, "A server that fails at once is reported as ejected and not taken for quick", "[holder][ejection]")
+{
+    warmUp();
+    backend.servers[TheServer].mode = ModelServer::Mode::FailsAtOnce;
+    for (int i = 0; i < 40; ++i) {
+        submit(Rank::Urgent, 1s);
+        runtime.advance(1ms);
+    }
+    CHECK(holder.reports().at(0).ejected);
+    backend.servers[TheServer].mode = ModelServer::Mode::Answers;
+    for (int i = 0; i < 40; ++i) {
+        submit(Rank::Urgent, 10s);
+    }
+    CHECK(holder.reports().at(0).queueDelay[rankIndex(Rank::Urgent)] >= 90ms);
+    runtime.advance(5s);
+    CHECK_FALSE(holder.reports().at(0).ejected);
+}
--- a/packages/values/include/burdock/values/manualruntime.h
+++ b/packages/values/include/burdock/values/manualruntime.h
@@ -3,6 +3,7 @@
 #include <burdock/values/runtime.h>
 
 #include <map>
+#include <unordered_map>
 
 namespace Burdock
 {
@@ -34,7 +35,9 @@
 
     TimePoint now_{std::chrono::hours(1)};
     TimerId last_ = 0;
-    std::multimap<TimePoint, Entry> entries_;
+    using Entries = std::multimap<TimePoint, Entry>;
+    Entries entries_;
+    std::unordered_map<TimerId, Entries::iterator> places_;
 };
 
 } // namespace Burdock
--- a/packages/values/src/manualruntime.cpp
+++ b/packages/values/src/manualruntime.cpp
@@ -19,15 +19,16 @@
 TimerId ManualRuntime::schedule(Duration delay, std::function<void()> callback)
 {
     const TimerId id = ++last_;
-    entries_.emplace(now_ + std::max(delay, Duration{0}), Entry{id, std::move(callback)});
+    places_[id] = entries_.emplace(now_ + std::max(delay, Duration{0}), Entry{id, std::move(callback)});
     return id;
 }
 
 void ManualRuntime::cancel(TimerId timer)
 {
-    const auto found = std::find_if(entries_.begin(), entries_.end(), [timer](const auto &entry) { return entry.second.id == timer; });
-    if (found != entries_.end()) {
-        entries_.erase(found);
+    const auto place = places_.find(timer);
+    if (place != places_.end()) {
+        entries_.erase(place->second);
+        places_.erase(place);
     }
 }
 
@@ -38,6 +39,7 @@
         const auto first = entries_.begin();
         now_ = std::max(now_, first->first);
         const auto callback = std::move(first->second.callback);
+        places_.erase(first->second.id);
         entries_.erase(first);
         callback();
     }
