Bound the servers that one instance holds, and measure membership

Weighed: sharing each server between both holders (two rank queues for one server's slots) against a bound of 1.25 times the mean by deferred acceptance, which depends on the names alone as before. Also: a refutation alone is no change of the members to listeners.

--- a/packages/policy/include/burdock/policy/holderchoice.h
+++ b/packages/policy/include/burdock/policy/holderchoice.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <unordered_map>
 #include <vector>
 
 namespace Burdock
@@ -22,10 +23,15 @@
 /// How many instances hold each backend server.
 constexpr std::size_t HoldersPerServer = 2;
 
+/// The first holders of one data centre's servers have at most this many times the mean.
+constexpr double HolderBound = 1.25;
+
 /// Which instances hold which backend servers.
 ///
 /// The instances of the server's data centre come first, then those of its region, then all others; within one
-/// distance rendezvous hashing decides. The first two hold the server: entries send to the first and use the second while
+/// distance rendezvous hashing decides. Where many instances share few servers of their data centre, chance would give some
+/// of them several times the mean; so no instance is first holder of more than HolderBound times the mean, and the servers
+/// that weigh least there go to the next in their order. The first two hold the server: entries send to the first and use the second while
 /// the first does not answer. Nobody has to agree: instances whose views of the members differ share a server among
 /// more holders for a while, and the server's own cap bounds the harm.
 ///
@@ -33,8 +39,9 @@
 class HolderChoice
 {
 public:
-    /// `live` are the instances that may get new work: alive, ready, and not leaving.
-    explicit HolderChoice(const std::vector<ListedInstance> &live);
+    /// `live` are the instances that may get new work: alive, ready, and not leaving. `servers` are all listed servers;
+    /// those that are not among them are not balanced.
+    explicit HolderChoice(const std::vector<ListedInstance> &live, const std::vector<ListedServer> &servers = {});
 
     /// The holders of a server, the first one first; fewer than HoldersPerServer where there are not enough instances.
     std::vector<InstanceId> holdersOf(const ListedServer &server) const;
@@ -49,10 +56,11 @@
         std::uint64_t hash;
     };
 
+    void assign(const std::vector<Node> &nodes, const std::vector<const ListedServer *> &servers);
+
     std::map<Place, std::vector<Node>> nodes_;
+    /// The first holders of the servers that share their data centre with an instance.
+    std::unordered_map<ServerId, InstanceId> first_;
 };
 
-/// The holders of one server; see HolderChoice, which is cheaper for many servers.
-std::vector<InstanceId> holdersOf(const ListedServer &server, const std::vector<ListedInstance> &live);
-
 } // namespace Burdock
--- a/packages/policy/src/holderchoice.cpp
+++ b/packages/policy/src/holderchoice.cpp
@@ -1,7 +1,10 @@
+#include "holderchoicebound.h"
+
 #include <burdock/policy/holderchoice.h>
 #include <burdock/policy/rendezvous.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Burdock
 {
@@ -13,9 +16,10 @@
 class Best
 {
 public:
-    Best(std::uint64_t key, std::size_t wanted)
+    Best(std::uint64_t key, std::size_t wanted, const InstanceId *without)
         : key_(key)
         , wanted_(wanted)
+        , without_(without)
     {
     }
 
@@ -23,7 +27,9 @@
     void offer(const Nodes &nodes)
     {
         for (const auto &node : nodes) {
-            offerOne(node.id, rendezvousWeight(key_, node.hash));
+            if (without_ == nullptr || node.id != *without_) {
+                offerOne(node.id, rendezvousWeight(key_, node.hash));
+            }
         }
     }
 
@@ -60,6 +66,7 @@
 
     std::uint64_t key_;
     std::size_t wanted_;
+    const InstanceId *without_;
     std::vector<Candidate> best_;
 };
 
@@ -73,22 +80,56 @@
     return a.dataCentre == b.dataCentre ? Distance::SameDataCentre : Distance::SameRegion;
 }
 
-HolderChoice::HolderChoice(const std::vector<ListedInstance> &live)
+HolderChoice::HolderChoice(const std::vector<ListedInstance> &live, const std::vector<ListedServer> &servers)
 {
     for (const ListedInstance &instance : live) {
         nodes_[instance.place].push_back({instance.id, rendezvousHash(instance.id.text())});
     }
+    std::map<Place, std::vector<const ListedServer *>> byPlace;
+    for (const ListedServer &server : servers) {
+        byPlace[server.place].push_back(&server);
+    }
+    for (const auto &[place, here] : byPlace) {
+        const auto nodes = nodes_.find(place);
+        if (nodes != nodes_.end()) {
+            assign(nodes->second, here);
+        }
+    }
+}
+
+void HolderChoice::assign(const std::vector<Node> &nodes, const std::vector<const ListedServer *> &servers)
+{
+    std::vector<std::uint64_t> serverHashes;
+    serverHashes.reserve(servers.size());
+    for (const ListedServer *server : servers) {
+        serverHashes.push_back(rendezvousHash(server->id.text()));
+    }
+    std::vector<std::uint64_t> nodeHashes;
+    nodeHashes.reserve(nodes.size());
+    for (const Node &node : nodes) {
+        nodeHashes.push_back(node.hash);
+    }
+    const double mean = static_cast<double>(servers.size()) / static_cast<double>(nodes.size());
+    const std::vector<std::size_t> assigned = assignBounded(serverHashes, nodeHashes, static_cast<std::size_t>(std::ceil(HolderBound * mean)));
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+        first_.emplace(servers[index]->id, nodes[assigned[index]].id);
+    }
 }
 
 std::vector<InstanceId> HolderChoice::holdersOf(const ListedServer &server) const
 {
     const std::uint64_t key = rendezvousHash(server.id.text());
     std::vector<InstanceId> holders;
+    const auto assigned = first_.find(server.id);
+    if (assigned != first_.end()) {
+        holders.push_back(assigned->second);
+    }
+    const InstanceId *first = assigned != first_.end() ? &assigned->second : nullptr;
     for (const Distance distance : {Distance::SameDataCentre, Distance::SameRegion, Distance::OtherRegion}) {
         if (holders.size() == HoldersPerServer) {
             break;
         }
-        Best best(key, HoldersPerServer - holders.size());
+        Best best(key, HoldersPerServer - holders.size(), first);
         for (const auto &[place, nodes] : nodes_) {
             if (distanceBetween(server.place, place) == distance) {
                 best.offer(nodes);
@@ -105,9 +146,4 @@
     return std::find(holders.begin(), holders.end(), instance) != holders.end();
 }
 
-std::vector<InstanceId> holdersOf(const ListedServer &server, const std::vector<ListedInstance> &live)
-{
-    return HolderChoice(live).holdersOf(server);
-}
-
 } // namespace Burdock
--- a/packages/policy/src/instancelife.cpp
+++ b/packages/policy/src/instancelife.cpp
@@ -126,13 +126,13 @@
 void InstanceLife::checkProgress()
 {
     const Duration passed = runtime_.now() - since_;
+    const bool refusing = run_.in("refusing");
+    const bool graceOver = refusing ? passed >= longestWait_ + settings_.graceMargin : passed >= settings_.handOverLimit;
     if (run_.in("leaving") && passed >= settings_.entriesMaxAge + settings_.leaveSpread) {
         handle("cachesExpired");
-    } else if (run_.in("refusing") && passed >= settings_.linger && port_.inFlight() == 0) {
+    } else if (refusing && passed >= settings_.linger && port_.inFlight() == 0) {
         handle("idle");
-    } else if (run_.in("refusing") && passed >= longestWait_ + settings_.graceMargin) {
-        handle("graceOver");
-    } else if (run_.in("handingOver") && passed >= settings_.handOverLimit) {
+    } else if (graceOver && (refusing || run_.in("handingOver"))) {
         handle("graceOver");
     }
 }
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -167,8 +167,9 @@
     }
     const MemberTable::Record *record = table_.find(update.member);
     const bool wasDead = record != nullptr && record->member.state == MemberState::Dead;
+    const bool same = record != nullptr && record->member.state == update.state && record->member.life == update.life && !update.details;
     // That a listed member is alive is no news; only its incarnation was not known here.
-    const bool expected = record != nullptr && record->member.incarnation == 0 && record->member.state == update.state && record->member.life == update.life;
+    const bool expected = same && record->member.incarnation == 0;
     switch (table_.apply(update, runtime_.now())) {
     case MemberTable::Outcome::Nothing:
         break;
@@ -181,7 +182,7 @@
         break;
     case MemberTable::Outcome::Changed:
         counters_.returns += wasDead && update.state != MemberState::Dead ? 1 : 0;
-        pendingChange_ = true;
+        pendingChange_ = pendingChange_ || !same;
         if (!expected) {
             updates_.add(update.member);
         }
--- a/packages/policy/tests/holderchoicetest.cpp
+++ b/packages/policy/tests/holderchoicetest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 
 using namespace Burdock;
 
@@ -38,7 +39,7 @@
 std::vector<int> distances(const ListedServer &server, const std::vector<ListedInstance> &live)
 {
     std::vector<int> counts(3);
-    for (const InstanceId &holder : holdersOf(server, live)) {
+    for (const InstanceId &holder : HolderChoice(live).holdersOf(server)) {
         const auto found = std::find_if(live.begin(), live.end(), [&](const auto &each) { return each.id == holder; });
         ++counts[static_cast<std::size_t>(distanceBetween(server.place, found->place))];
     }
@@ -85,7 +86,7 @@
     std::vector<ListedInstance> live = instances(placeOf("litoral", "l2"), 5);
     append(live, instances(home, 1));
     for (int number = 0; number < 20; ++number) {
-        CHECK(holdersOf(serverAt(home, number), live).front() == live.back().id);
+        CHECK(HolderChoice(live).holdersOf(serverAt(home, number)).front() == live.back().id);
     }
 }
 
@@ -110,3 +111,38 @@
         }
     }
 }
+
+TEST_CASE("No instance is first holder of much more than the mean", "[holders]")
+{
+    const Place home = placeOf("litoral", "l1");
+    const std::vector<ListedInstance> live = instances(home, 50);
+    std::vector<ListedServer> servers;
+    for (int number = 0; number < 300; ++number) {
+        servers.push_back(serverAt(home, number));
+    }
+    const HolderChoice choice(live, servers);
+    std::map<InstanceId, int> held;
+    for (const ListedServer &server : servers) {
+        const auto holders = choice.holdersOf(server);
+        REQUIRE(holders.size() == 2);
+        CHECK(holders[0] != holders[1]);
+        CHECK(++held[holders[0]] <= 8);
+    }
+
+    SECTION("in whatever order the lists come")
+    {
+        std::vector<ListedInstance> turned(live.rbegin(), live.rend());
+        std::vector<ListedServer> turnedServers(servers.rbegin(), servers.rend());
+        const HolderChoice other(turned, turnedServers);
+        for (const ListedServer &server : servers) {
+            CHECK(other.holdersOf(server) == choice.holdersOf(server));
+        }
+    }
+    SECTION("and where no instance stands in the data centre, the region's hold the servers")
+    {
+        const ListedServer lone = serverAt(placeOf("litoral", "l9"), 1);
+        const HolderChoice other(live, {lone});
+        CHECK(other.holdersOf(lone) == HolderChoice(live).holdersOf(lone));
+        CHECK(other.holdersOf(lone).size() == 2);
+    }
+}
