--- a/packages/policy/tests/backendlifetest.cpp
+++ b/packages/policy/tests/backendlifetest.cpp
@@ -3,6 +3,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <random>
+
 using namespace Burdock;
 using std::chrono::milliseconds;
 using std::chrono::minutes;
@@ -231,3 +236,48 @@
     }
     CHECK(bench.runtime.pending() == 1);
 }
+
+TEST_CASE("No mixture of signals and lies sends work to a server that a trusted signal marks", "[backendlife][point6]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 random(seed);
+        Bench bench;
+        bool listLeaving = false;
+        std::optional<TimePoint> ownWord;
+        std::map<InstanceId, TimePoint> peerWords;
+        const auto believed = [&](TimePoint said) { return bench.runtime.now() - said < seconds(60); };
+        for (int step = 0; step < 500; ++step) {
+            bench.runtime.advance(milliseconds(random() % 20000));
+            const bool leaving = random() % 4 == 0;
+            const InstanceId peer = random() % 2 == 0 ? PeerA : PeerB;
+            switch (random() % 4) {
+            case 0:
+                listLeaving = leaving;
+                bench.list(random() % 2 == 0 || !leaving, leaving);
+                break;
+            case 1:
+                ownWord = leaving ? bench.runtime.now() : ownWord;
+                bench.reply(leaving);
+                break;
+            case 2:
+                bench.report(peer, leaving);
+                peerWords.erase(peer);
+                if (leaving) {
+                    peerWords[peer] = bench.runtime.now();
+                }
+                break;
+            default:
+                bench.table.healthHint(Server, leaving);
+                break;
+            }
+            const bool peerSays = std::any_of(peerWords.begin(), peerWords.end(), [&](const auto &word) { return believed(word.second); });
+            if (listLeaving || (ownWord && believed(*ownWord)) || peerSays) {
+                CHECK_FALSE(bench.mayGetWork());
+            }
+            if (bench.mayGetWork()) {
+                bench.table.dispatched(Server);
+            }
+        }
+    }
+}
