Shut an instance down by its chart, and prove it by a rolling restart

Ruled out: the first version of the test sent 450 queries a second and failed on 80 ms deadlines; a look at the processes showed the one process of stand-in servers at a full core, sorting 2000 documents for every search.

--- a/packages/daemon/include/burdock/daemon/holderservice.h
+++ b/packages/daemon/include/burdock/daemon/holderservice.h
@@ -18,6 +18,9 @@
     /// A peer asks for one of our servers. While refusing, it gets NotRun at once.
     void submit(const InstanceId &from, const SubRequest &request);
 
+    /// From now on new sub-requests are refused; those taken are finished.
+    void refuseNewWork();
+
     /// A peer gives up a sub-request.
     void cancel(const InstanceId &from, const SubRequestId &id);
 
@@ -36,6 +39,7 @@
 private:
     PeerLinks &links_;
     Holder &holder_;
+    bool refusing_ = false;
     std::set<InstanceId> subscribers_;
     std::map<InstanceId, std::set<SubRequestId>> work_;
 };
--- a/packages/daemon/include/burdock/daemon/instance.h
+++ b/packages/daemon/include/burdock/daemon/instance.h
@@ -13,6 +13,7 @@
 #include <burdock/platform/factories.h>
 #include <burdock/policy/budgetedtactics.h>
 #include <burdock/policy/entrylist.h>
+#include <burdock/policy/instancelife.h>
 #include <burdock/policy/membership.h>
 #include <burdock/policy/querydesk.h>
 #include <burdock/wire/factories.h>
@@ -24,11 +25,11 @@
 {
 
 /// One instance of the query tier: makes all parts and connects them; decides nothing itself.
-class Instance
+class Instance final : private InstanceLifePort
 {
 public:
     Instance(EventLoop &loop, Settings settings, std::uint64_t incarnation);
-    ~Instance();
+    ~Instance() override;
     Instance(const Instance &) = delete;
     Instance &operator=(const Instance &) = delete;
 
@@ -42,6 +43,14 @@
     const ListedInstance &self() const;
 
 private:
+    void confirmConfiguration() override;
+    void setReady(bool ready) override;
+    void leaveEntries() override;
+    void closeConnectionsAfterAnswers() override;
+    std::size_t inFlight() const override;
+    void handOver(std::function<void()> done) override;
+    void exit(std::size_t cut) override;
+
     Result<void> listen();
     Result<Address> listenForPeers();
     void startMembership();
@@ -55,7 +64,7 @@
     void backendChanged(const ServerId &server, BackendState state);
     EntryPorts entryPorts();
     InstanceStatus status() const;
-    std::optional<Failure> notAdmitting() const;
+    std::optional<Failure> notAdmitting();
     Rank rankOf(const CallerId &caller, const IndexName &index, const CommandName &command) const;
 
     EventLoop &loop_;
@@ -90,7 +99,8 @@
     Metrics metrics_;
     EntryList entryList_;
     EntryService entry_;
-    bool leaving_ = false;
+    InstanceLife life_;
+    std::function<void()> gone_;
 };
 
 } // namespace Burdock
--- a/packages/daemon/include/burdock/daemon/settings.h
+++ b/packages/daemon/include/burdock/daemon/settings.h
@@ -21,6 +21,8 @@
     Address instanceList;
     /// How long callers may keep the answer of `GET /v1/entries`.
     Duration entriesMaxAge{0};
+    /// How long it takes until no peer names an instance that is leaving.
+    Duration leaveSpread{0};
     /// How long one call to the store may take.
     Duration storeTimeout{0};
     /// `text` or `json`.
@@ -30,7 +32,7 @@
 
     auto fields() const
     {
-        return std::tie(id, place, callers, peers, store, instanceList, entriesMaxAge, storeTimeout, logFormat, logLevel);
+        return std::tie(id, place, callers, peers, store, instanceList, entriesMaxAge, leaveSpread, storeTimeout, logFormat, logLevel);
     }
 };
 
--- a/packages/daemon/src/holderservice.cpp
+++ b/packages/daemon/src/holderservice.cpp
@@ -11,6 +11,15 @@
 
 void HolderService::submit(const InstanceId &from, const SubRequest &request)
 {
+    if (refusing_) {
+        SubReply reply;
+        reply.id = request.id;
+        reply.code = Errc::Draining;
+        reply.verdict = Verdict::NotRun;
+        reply.message = "the holder is leaving";
+        links_.send(from, reply);
+        return;
+    }
     if (!work_[from].insert(request.id).second) {
         return;
     }
@@ -20,6 +29,11 @@
     });
 }
 
+void HolderService::refuseNewWork()
+{
+    refusing_ = true;
+}
+
 void HolderService::cancel(const InstanceId &from, const SubRequestId &id)
 {
     const auto found = work_.find(from);
--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -26,6 +26,30 @@
     return member.life == MemberLife::Ready ? "ready" : "starting";
 }
 
+InstanceLifeSettings lifeSettings(const Settings &settings)
+{
+    InstanceLifeSettings life;
+    life.entriesMaxAge = settings.entriesMaxAge;
+    life.leaveSpread = settings.leaveSpread;
+    return life;
+}
+
+/// The longest time that any caller may wait.
+Duration longestWait(const Configuration &configuration)
+{
+    Duration longest{0};
+    const auto look = [&longest](const auto &declarations) {
+        for (const auto &[name, declaration] : declarations) {
+            for (const auto &[caller, rule] : declaration.callers) {
+                longest = std::max(longest, rule.longestWait);
+            }
+        }
+    };
+    look(configuration.indexes);
+    look(configuration.commands);
+    return longest;
+}
+
 /// How often a free port is tried for links and probes together.
 constexpr int PortAttempts = 20;
 constexpr std::size_t BackendResponseBytes = std::size_t{2} * 1024 * 1024;
@@ -55,6 +79,7 @@
           QueryContext{loop, router_, tactics_, tracker_, ids_, queryCounters_, QueryLimits{}}, [this] { return configuration_; }, admission_)
     , entryList_(EntryListSettings{}, std::random_device{}())
     , entry_(loop, *server_, queries_, metrics_, entryPorts())
+    , life_(loop, *this, lifeSettings(settings_))
 {
     connectPeers();
     watchInstance(metrics_, MetricSources{queryCounters_, tactics_, admission_, holder_, router_, backends_, lives_, *server_, *links_});
@@ -109,6 +134,7 @@
     membership_ = std::make_unique<Membership>(loop_, *probes_, self_, incarnation_, std::random_device{}());
     probes_->setHandler([this](const Address &from, const ProbeMessage &message) { membership_->onDatagram(from, message); });
     membership_->onChange([this] { updateLive(); });
+    life_.onChange([](const std::string &state) { logChange("instance", state); });
     updateLive();
 }
 
@@ -119,16 +145,49 @@
 
 void Instance::shutDown(std::function<void()> gone)
 {
-    leaving_ = true;
+    gone_ = std::move(gone);
+    life_.terminate();
+}
+
+void Instance::confirmConfiguration()
+{
+    if (configuration_) {
+        life_.confirmed();
+    }
+}
+
+void Instance::setReady(bool ready)
+{
+    membership_->setReady(ready);
+}
+
+void Instance::leaveEntries()
+{
     membership_->leave();
+}
+
+void Instance::closeConnectionsAfterAnswers()
+{
     server_->closeConnectionsAfterAnswers();
-    loop_.schedule(std::chrono::milliseconds(20), [this, gone = std::move(gone)]() mutable {
-        if (entry_.inFlight() == 0 && holderService_.inFlight() == 0) {
-            gone();
-        } else {
-            shutDown(std::move(gone));
-        }
-    });
+    holderService_.refuseNewWork();
+}
+
+std::size_t Instance::inFlight() const
+{
+    return entry_.inFlight() + holderService_.inFlight();
+}
+
+void Instance::handOver(std::function<void()> done)
+{
+    loop_.schedule(Duration{0}, std::move(done));
+}
+
+void Instance::exit(std::size_t cut)
+{
+    logChange("instance", "exits", {{"cut", std::to_string(cut)}});
+    if (gone_) {
+        gone_();
+    }
 }
 
 void Instance::connectPeers()
@@ -201,7 +260,8 @@
     holder_.configure(configuration_);
     limitConnections();
     membership_->setConfigVersion(configuration_->version);
-    membership_->setReady(true);
+    life_.setLongestWait(longestWait(*configuration_));
+    life_.confirmed();
     logChange("configuration", "in force", {{"version", std::to_string(configuration_->version)}, {"hash", configuration_->hash}});
 }
 
@@ -259,7 +319,7 @@
     InstanceStatus status;
     status.self = self_;
     status.incarnation = incarnation_;
-    status.life = leaving_ ? "leaving" : "serving";
+    status.life = life_.state();
     if (configuration_) {
         status.configurationVersion = configuration_->version;
         status.configurationHash = configuration_->hash;
@@ -274,19 +334,13 @@
     for (const Member &member : membership_->members()) {
         status.members.push_back(MemberStatus{member.instance.id, describe(member), member.configVersion});
     }
-    status.requestsInFlight = entry_.inFlight() + holderService_.inFlight();
+    status.requestsInFlight = inFlight();
     return status;
 }
 
-std::optional<Failure> Instance::notAdmitting() const
+std::optional<Failure> Instance::notAdmitting()
 {
-    if (leaving_) {
-        return Failure{Errc::Draining, Verdict::NotRun, "this instance is leaving; ask /v1/entries of another one", Duration{0}};
-    }
-    if (!configuration_) {
-        return Failure{Errc::NotReady, Verdict::NotRun, "this instance has no configuration yet; ask another one", std::chrono::seconds(1)};
-    }
-    return std::nullopt;
+    return life_.refusal();
 }
 
 Rank Instance::rankOf(const CallerId &caller, const IndexName &index, const CommandName &command) const
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -82,25 +82,27 @@
 
 const OptionTable &settingsTable()
 {
-    static const OptionTable table("burdockd",
-                                   "BURDOCKD_",
-                                   "burdockd: one instance of the query tier.",
-                                   {
-                                       {"instance-id", "NAME", "", "The name of this instance; the same after a restart."},
-                                       {"region", "NAME", "", "The region that the instance stands in."},
-                                       {"data-centre", "NAME", "", "The data centre that the instance stands in."},
-                                       {"callers-address", "IP:PORT", "127.0.0.1:8080", "Where callers connect."},
-                                       {"peers-address", "IP:PORT", "127.0.0.1:8081", "Where other instances connect (TCP) and probe (UDP)."},
-                                       {"store-address", "IP:PORT", "127.0.0.1:2379", "The platform's configuration store."},
-                                       {"instance-list-address", "IP:PORT", "127.0.0.1:2380", "The platform's instance list."},
-                                       {"entries-max-age-ms", "N", "5000", "How long callers may keep the list of entries; a shutdown waits this long."},
-                                       {"store-timeout-ms", "N", "2000", "How long one call to the store may take."},
-                                       {"log-format", "FORMAT", "text", "text or json."},
-                                       {"log-level", "LEVEL", "info", "debug, info, warn or error."},
-                                       {"check-settings", "", "", "Checks the settings, prints them and exits."},
-                                       {"help", "", "", "Prints this text."},
-                                       {"version", "", "", "Prints the version."},
-                                   });
+    static const OptionTable table(
+        "burdockd",
+        "BURDOCKD_",
+        "burdockd: one instance of the query tier.",
+        {
+            {"instance-id", "NAME", "", "The name of this instance; the same after a restart."},
+            {"region", "NAME", "", "The region that the instance stands in."},
+            {"data-centre", "NAME", "", "The data centre that the instance stands in."},
+            {"callers-address", "IP:PORT", "127.0.0.1:8080", "Where callers connect."},
+            {"peers-address", "IP:PORT", "127.0.0.1:8081", "Where other instances connect (TCP) and probe (UDP)."},
+            {"store-address", "IP:PORT", "127.0.0.1:2379", "The platform's configuration store."},
+            {"instance-list-address", "IP:PORT", "127.0.0.1:2380", "The platform's instance list."},
+            {"entries-max-age-ms", "N", "5000", "How long callers may keep the list of entries; a shutdown waits this long."},
+            {"leave-spread-ms", "N", "5000", "How long peers may take to learn that this instance is leaving; a shutdown waits this long too."},
+            {"store-timeout-ms", "N", "2000", "How long one call to the store may take."},
+            {"log-format", "FORMAT", "text", "text or json."},
+            {"log-level", "LEVEL", "info", "debug, info, warn or error."},
+            {"check-settings", "", "", "Checks the settings, prints them and exits."},
+            {"help", "", "", "Prints this text."},
+            {"version", "", "", "Prints the version."},
+        });
     return table;
 }
 
@@ -115,6 +117,7 @@
     settings.store = reader.address("store-address");
     settings.instanceList = reader.address("instance-list-address");
     settings.entriesMaxAge = reader.milliseconds("entries-max-age-ms", 100, 600000);
+    settings.leaveSpread = reader.milliseconds("leave-spread-ms", 100, 600000);
     settings.storeTimeout = reader.milliseconds("store-timeout-ms", 10, 60000);
     settings.logFormat = reader.oneOf("log-format", {"text", "json"});
     settings.logLevel = reader.oneOf("log-level", {"debug", "info", "warn", "error"});
--- a/packages/fakes/include/burdock/fakes/fakeindex.h
+++ b/packages/fakes/include/burdock/fakes/fakeindex.h
@@ -4,7 +4,9 @@
 #include <burdock/values/subrequest.h>
 
 #include <cstdint>
+#include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Burdock
@@ -51,6 +53,10 @@
         std::string id;
     };
 
+    using Question = std::tuple<KeyRange, std::uint64_t, std::string>;
+
+    /// All hits of the range in the order of answers; kept, so that a load test measures the tier and not its stand-ins.
+    const std::vector<Hit> &ordered(const KeyRange &range, std::uint64_t version, const std::string &query) const;
     std::vector<Hit> matches(const KeyRange &range, std::uint64_t version, const std::string &query) const;
     Hit hit(const Document &document, std::uint64_t version, std::uint64_t hash) const;
 
@@ -58,6 +64,7 @@
     ScoreShape shape_;
     /// By ascending key.
     std::vector<Document> documents_;
+    mutable std::map<Question, std::vector<Hit>> kept_;
 };
 
 } // namespace Burdock
--- a/packages/fakes/src/fakeindex.cpp
+++ b/packages/fakes/src/fakeindex.cpp
@@ -15,6 +15,8 @@
 constexpr double TopScore = 100.0;
 /// How strongly Skewed favours the upper end of the key space.
 constexpr double SkewExponent = 8.0;
+/// How many ordered answers are kept before all are dropped.
+constexpr std::size_t KeptAnswers = 512;
 
 std::uint64_t scoreHash(const std::string &id, std::uint64_t version, const std::string &query)
 {
@@ -66,17 +68,31 @@
     return found;
 }
 
+const std::vector<Hit> &FakeIndex::ordered(const KeyRange &range, std::uint64_t version, const std::string &query) const
+{
+    const Question question{range, version, query};
+    const auto known = kept_.find(question);
+    if (known != kept_.end()) {
+        return known->second;
+    }
+    if (kept_.size() >= KeptAnswers) {
+        kept_.clear();
+    }
+    std::vector<Hit> found = matches(range, version, query);
+    std::sort(found.begin(), found.end(), ranksBefore);
+    return kept_.emplace(question, std::move(found)).first->second;
+}
+
 std::uint64_t FakeIndex::total(const KeyRange &range, std::uint64_t version, const std::string &query) const
 {
-    return matches(range, version, query).size();
+    return ordered(range, version, query).size();
 }
 
 std::vector<Hit> FakeIndex::search(const KeyRange &range, std::uint64_t version, const std::string &query, std::uint32_t offset, std::uint32_t limit) const
 {
-    std::vector<Hit> found = matches(range, version, query);
+    const std::vector<Hit> &found = ordered(range, version, query);
     const std::size_t begin = std::min<std::size_t>(offset, found.size());
     const std::size_t end = std::min<std::size_t>(begin + limit, found.size());
-    std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(end), found.end(), ranksBefore);
     return {found.begin() + static_cast<std::ptrdiff_t>(begin), found.begin() + static_cast<std::ptrdiff_t>(end)};
 }
 
--- a/tests/process/testbed.cpp
+++ b/tests/process/testbed.cpp
@@ -75,6 +75,8 @@
                                                                               store_.toString(),
                                                                               "--instance-list-address",
                                                                               instanceList_.toString(),
+                                                                              "--leave-spread-ms",
+                                                                              "1000",
                                                                               "--entries-max-age-ms",
                                                                               "1000",
                                                                               "--log-level",
