Spread configurations by a few watchers and peers, and never revert

Cause: nothing brought an accepted configuration to the instances. Ruled out: a fetch of the whole configuration from three peers at each try of a confirmation (asks now carry versions only); a version that is merely claimed as reason to refuse work (one broken peer would stop all). Found by the tests while building: an instance that restarted while the newest version could not be used here never took the older one from its peers, since it counted as settled. ConfigOffer gains a last field, confirmed.

--- /dev/null
+++ b/packages/daemon/include/burdock/daemon/configspread.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <burdock/daemon/configlibrary.h>
+#include <burdock/declarations/configreader.h>
+#include <burdock/policy/configkeeper.h>
+#include <burdock/wire/peerlinks.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Burdock
+{
+
+/// What the spreading of configuration has carried between this instance and its peers.
+struct ConfigSpreadCounters
+{
+    std::uint64_t messagesSent = 0;
+    /// Bytes of heads and files in offers, both ways; other fields are a few bytes.
+    std::uint64_t bytesSent = 0;
+    std::uint64_t bytesReceived = 0;
+    /// Offers that contradict themselves or that nobody asked for.
+    std::uint64_t refusedOffers = 0;
+};
+
+/// Connects a ConfigKeeper with the store, the peers and the checker.
+class ConfigSpread final : private ConfigPort
+{
+public:
+    using InstallHandler = std::function<void(const ConfigurationPtr &)>;
+
+    /// `installed` is called for every configuration that comes into force.
+    ConfigSpread(Runtime &runtime,
+                 Store &store,
+                 PeerLinks &links,
+                 const ConfigSettings &settings,
+                 ConfigNeighbours neighbours,
+                 std::uint64_t seed,
+                 InstallHandler installed);
+    ~ConfigSpread() override;
+    ConfigSpread(const ConfigSpread &) = delete;
+    ConfigSpread &operator=(const ConfigSpread &) = delete;
+
+    void start();
+
+    /// A peer's message.
+    void fetched(const InstanceId &from, const ConfigFetch &fetch);
+    void offered(const InstanceId &from, const ConfigOffer &offer);
+
+    /// The keeper, for mayAdmit, version, peerTold, status and counters.
+    ConfigKeeper &keeper();
+    const ConfigKeeper &keeper() const;
+    const ConfigSpreadCounters &counters() const;
+
+    /// The member `configuration` of `GET /v1/status`, as JSON text.
+    std::string statusJson() const;
+
+private:
+    void readStore(std::uint64_t number) override;
+    void startWatch() override;
+    void stopWatch() override;
+    void ask(std::uint64_t number, const InstanceId &peer) override;
+    void fetch(std::uint64_t number, const InstanceId &peer) override;
+    void announce(const InstanceId &peer, std::uint64_t version) override;
+    void install(const ConfigurationPtr &configuration) override;
+
+    void headRead(std::uint64_t number, const Result<StoredHead> &stored);
+    void filesRead(std::uint64_t number, const ConfigHead &head, Result<DeclarationSet> set);
+    void watchFrom(std::uint64_t turn, std::int64_t revision);
+    void takeDelivery(std::uint64_t number, ConfigDelivery &delivery, const ConfigOffer &offer);
+    void sendFetch(std::uint64_t number, const ConfigDelivery &delivery);
+    void send(const InstanceId &peer, PeerMessage message);
+
+    /// A callback that does nothing once this object is gone.
+    template<class Argument, class Function>
+    std::function<void(Argument)> whileAlive(Function function)
+    {
+        return [alive = std::weak_ptr<const bool>(alive_), function = std::move(function)](Argument argument) mutable {
+            if (!alive.expired()) {
+                function(std::move(argument));
+            }
+        };
+    }
+
+    Runtime &runtime_;
+    Store &store_;
+    PeerLinks &links_;
+    ConfigReader reader_;
+    ConfigKeeper keeper_;
+    ConfigLibrary library_;
+    InstallHandler installed_;
+    /// What the keeper is just being offered, to be kept if it is installed.
+    std::optional<LoadedConfig> loading_;
+    std::map<std::uint64_t, ConfigDelivery> deliveries_;
+    std::uint64_t watchTurn_ = 0;
+    std::uint64_t watch_ = 0;
+    ConfigSpreadCounters counters_;
+    std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
+};
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/daemon/src/configspread.cpp
@@ -0,0 +1,256 @@
+#include <burdock/daemon/configspread.h>
+
+#include <nlohmann/json.hpp>
+
+#include <ctime>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// How many deliveries may be open; older ones are given up.
+constexpr std::size_t MaxDeliveries = 8;
+
+std::string timestamp(WallTime time)
+{
+    const std::time_t seconds = std::chrono::duration_cast<std::chrono::seconds>(time.time_since_epoch()).count();
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    char text[32];
+    std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return text;
+}
+
+std::size_t payloadBytes(const ConfigOffer &offer)
+{
+    std::size_t bytes = offer.head.size();
+    for (const ConfigFile &file : offer.files) {
+        bytes += file.name.size() + file.hash.size() + file.text.size();
+    }
+    return bytes;
+}
+
+} // namespace
+
+ConfigSpread::ConfigSpread(
+    Runtime &runtime, Store &store, PeerLinks &links, const ConfigSettings &settings, ConfigNeighbours neighbours, std::uint64_t seed, InstallHandler installed)
+    : runtime_(runtime)
+    , store_(store)
+    , links_(links)
+    , reader_(store)
+    , keeper_(runtime, *this, settings, std::move(neighbours), seed)
+    , installed_(std::move(installed))
+{
+}
+
+ConfigSpread::~ConfigSpread()
+{
+    stopWatch();
+}
+
+void ConfigSpread::start()
+{
+    keeper_.start();
+}
+
+ConfigKeeper &ConfigSpread::keeper()
+{
+    return keeper_;
+}
+
+const ConfigKeeper &ConfigSpread::keeper() const
+{
+    return keeper_;
+}
+
+const ConfigSpreadCounters &ConfigSpread::counters() const
+{
+    return counters_;
+}
+
+std::string ConfigSpread::statusJson() const
+{
+    const ConfigStatus status = keeper_.status();
+    nlohmann::json json{{"version", status.version}, {"state", status.state}, {"highestHeard", status.highestHeard}, {"watching", status.watching}};
+    if (keeper_.configuration()) {
+        json["hash"] = keeper_.configuration()->hash;
+        json["inForceSince"] = timestamp(status.inForceSince);
+    }
+    if (!status.unusableFault.empty()) {
+        json["unusable"] = {{"version", status.unusableVersion}, {"fault", status.unusableFault}};
+    }
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+// The store.
+
+void ConfigSpread::readStore(std::uint64_t number)
+{
+    reader_.readHead(whileAlive<Result<StoredHead>>([this, number](const Result<StoredHead> &stored) { headRead(number, stored); }));
+}
+
+void ConfigSpread::headRead(std::uint64_t number, const Result<StoredHead> &stored)
+{
+    if (!stored) {
+        return stored.error().code == Errc::BadRequest ? keeper_.storeUnreadable(number, stored.error().message) : keeper_.storeFailed(number);
+    }
+    const ConfigHead &head = stored->head;
+    const ConfigStatus status = keeper_.status();
+    if (head.version <= std::max(status.version, status.unusableVersion)) {
+        return keeper_.storeAnswered(number, {head.version, nullptr, {}});
+    }
+    reader_.readFiles(head, library_.set(), whileAlive<Result<DeclarationSet>>([this, number, head](Result<DeclarationSet> set) {
+                          filesRead(number, head, std::move(set));
+                      }));
+}
+
+void ConfigSpread::filesRead(std::uint64_t number, const ConfigHead &head, Result<DeclarationSet> set)
+{
+    if (!set) {
+        return keeper_.storeFailed(number);
+    }
+    loading_ = loadConfig(head, head.toJson(), std::move(*set));
+    keeper_.storeAnswered(number, ConfigCandidate(loading_->candidate));
+    loading_.reset();
+}
+
+void ConfigSpread::startWatch()
+{
+    const std::uint64_t turn = ++watchTurn_;
+    reader_.readHead(whileAlive<Result<StoredHead>>([this, turn](const Result<StoredHead> &stored) {
+        if (turn != watchTurn_) {
+            return;
+        }
+        if (!stored && stored.error().code != Errc::BadRequest) {
+            return keeper_.watchEnded();
+        }
+        watchFrom(turn, stored ? stored->revision : 0);
+        if (stored && stored->head.version > keeper_.version()) {
+            keeper_.watchTold();
+        }
+    }));
+}
+
+void ConfigSpread::watchFrom(std::uint64_t turn, std::int64_t revision)
+{
+    watch_ = store_.watch(ConfigHeadKey,
+                          false,
+                          revision,
+                          whileAlive<const StoreEntry &>([this, turn](const StoreEntry &) {
+                              if (turn == watchTurn_) {
+                                  keeper_.watchTold();
+                              }
+                          }),
+                          whileAlive<const Failure &>([this, turn](const Failure &) {
+                              if (turn == watchTurn_) {
+                                  watch_ = 0;
+                                  keeper_.watchEnded();
+                              }
+                          }));
+}
+
+void ConfigSpread::stopWatch()
+{
+    ++watchTurn_;
+    if (watch_ != 0) {
+        store_.unwatch(std::exchange(watch_, 0));
+    }
+}
+
+// The peers.
+
+void ConfigSpread::send(const InstanceId &peer, PeerMessage message)
+{
+    if (const auto *offer = std::get_if<ConfigOffer>(&message)) {
+        counters_.bytesSent += payloadBytes(*offer);
+    }
+    ++counters_.messagesSent;
+    links_.send(peer, std::move(message));
+}
+
+void ConfigSpread::ask(std::uint64_t number, const InstanceId &peer)
+{
+    send(peer, ConfigFetch{number, VersionOnly, {}});
+}
+
+void ConfigSpread::fetch(std::uint64_t number, const InstanceId &peer)
+{
+    if (deliveries_.size() >= MaxDeliveries) {
+        deliveries_.erase(deliveries_.begin());
+    }
+    sendFetch(number, deliveries_.emplace(number, ConfigDelivery(peer)).first->second);
+}
+
+void ConfigSpread::sendFetch(std::uint64_t number, const ConfigDelivery &delivery)
+{
+    std::vector<std::string> have = delivery.hashes();
+    for (const auto &[name, file] : library_.set().files()) {
+        have.push_back(file.hash());
+    }
+    send(delivery.peer(), ConfigFetch{number, keeper_.version(), std::move(have)});
+}
+
+void ConfigSpread::announce(const InstanceId &peer, std::uint64_t version)
+{
+    send(peer, ConfigOffer{0, version, {}, {}, keeper_.confirmed()});
+}
+
+void ConfigSpread::fetched(const InstanceId &from, const ConfigFetch &fetch)
+{
+    send(from, library_.answer(fetch, keeper_.confirmed()));
+}
+
+void ConfigSpread::offered(const InstanceId &from, const ConfigOffer &offer)
+{
+    counters_.bytesReceived += payloadBytes(offer);
+    if (offer.number == 0 && (offer.head.empty() || offer.version <= keeper_.version())) {
+        return keeper_.peerTold(from, offer.version);
+    }
+    if (offer.number == 0) {
+        ConfigDelivery pushed(from);
+        return takeDelivery(0, pushed, offer);
+    }
+    if (offer.head.empty()) {
+        deliveries_.erase(offer.number);
+        return keeper_.offered(offer.number, from, offer.confirmed, {offer.version, nullptr, {}});
+    }
+    const auto delivery = deliveries_.find(offer.number);
+    if (delivery == deliveries_.end() || delivery->second.peer() != from) {
+        ++counters_.refusedOffers;
+        return;
+    }
+    takeDelivery(offer.number, delivery->second, offer);
+}
+
+void ConfigSpread::takeDelivery(std::uint64_t number, ConfigDelivery &delivery, const ConfigOffer &offer)
+{
+    auto loaded = delivery.add(offer, library_.set());
+    const bool partial = !loaded && loaded.error().code == Errc::Unavailable;
+    if (partial && delivery.progressed() && number != 0) {
+        keeper_.fetchGoesOn(number);
+        return sendFetch(number, delivery);
+    }
+    const InstanceId peer = delivery.peer();
+    deliveries_.erase(number);
+    if (!loaded) {
+        ++counters_.refusedOffers;
+        return keeper_.fetchFailed(number);
+    }
+    loading_ = std::move(*loaded);
+    keeper_.offered(number, peer, offer.confirmed, ConfigCandidate(loading_->candidate));
+    loading_.reset();
+}
+
+void ConfigSpread::install(const ConfigurationPtr &configuration)
+{
+    if (loading_ && loading_->candidate.configuration == configuration) {
+        library_.keep(std::move(*loading_));
+        loading_.reset();
+    }
+    installed_(configuration);
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/policy/tests/configkeepertest.cpp
@@ -0,0 +1,251 @@
+#include <burdock/policy/configkeeper.h>
+#include <burdock/policy/configwatchers.h>
+#include <burdock/values/manualruntime.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Burdock;
+
+namespace
+{
+
+/// Remembers what the keeper asked for.
+class RecordingPort final : public ConfigPort
+{
+public:
+    std::uint64_t storeRead = 0;
+    std::vector<std::uint64_t> asks;
+    std::uint64_t fetchNumber = 0;
+    InstanceId fetchedFrom;
+    std::vector<std::uint64_t> installed;
+    std::size_t announced = 0;
+    int watches = 0;
+
+    void readStore(std::uint64_t number) override
+    {
+        storeRead = number;
+    }
+    void startWatch() override
+    {
+        ++watches;
+    }
+    void stopWatch() override
+    {
+        --watches;
+    }
+    void ask(std::uint64_t number, const InstanceId &) override
+    {
+        asks.push_back(number);
+    }
+    void fetch(std::uint64_t number, const InstanceId &peer) override
+    {
+        fetchNumber = number;
+        fetchedFrom = peer;
+    }
+    void announce(const InstanceId &, std::uint64_t) override
+    {
+        ++announced;
+    }
+    void install(const ConfigurationPtr &configuration) override
+    {
+        installed.push_back(configuration->version);
+    }
+};
+
+const std::vector<InstanceId> Peers{InstanceId("a"), InstanceId("b"), InstanceId("c"), InstanceId("d")};
+
+ConfigCandidate usable(std::uint64_t version)
+{
+    Configuration configuration;
+    configuration.version = version;
+    return {version, std::make_shared<const Configuration>(configuration), {}};
+}
+
+struct KeeperBench
+{
+    ManualRuntime runtime;
+    RecordingPort port;
+    bool watches = false;
+    std::vector<InstanceId> peers = Peers;
+    ConfigKeeper keeper{runtime, port, ConfigSettings{}, ConfigNeighbours{[this] { return peers; }, [this] { return watches; }}, 1};
+
+    /// Starts, with version 5 read from the store.
+    void startAtFive()
+    {
+        keeper.start();
+        keeper.storeAnswered(port.storeRead, usable(5));
+        REQUIRE(keeper.mayAdmit());
+    }
+
+    /// Lets time pass as a process that runs, hearing from a peer.
+    void run(Duration span)
+    {
+        for (Duration passed{0}; passed < span; passed += std::chrono::milliseconds(100)) {
+            runtime.advance(std::chrono::milliseconds(100));
+            keeper.peerTold(Peers[0], keeper.version());
+        }
+    }
+
+    void pause()
+    {
+        runtime.freezeFor(std::chrono::seconds(5));
+        REQUIRE_FALSE(keeper.mayAdmit());
+    }
+};
+
+} // namespace
+
+TEST_CASE("The keeper installs higher versions only, in whatever order they come", "[config][keeper]")
+{
+    KeeperBench bench;
+    bench.startAtFive();
+    const std::uint64_t order[] = {5, 4, 7, 6, 7, 1, 8};
+    for (const std::uint64_t version : order) {
+        bench.keeper.offered(999, Peers[1], true, usable(version));
+        bench.keeper.storeAnswered(999, usable(version));
+    }
+    CHECK(bench.port.installed == std::vector<std::uint64_t>{5, 7, 8});
+    CHECK(bench.keeper.version() == 8);
+    CHECK(bench.keeper.counters().leftOlder == 12);
+}
+
+TEST_CASE("Answers that were asked for before a pause confirm nothing", "[config][keeper]")
+{
+    KeeperBench bench;
+    bench.startAtFive();
+    bench.run(std::chrono::seconds(2));
+    const std::uint64_t readBefore = bench.port.storeRead;
+    const std::uint64_t askBefore = bench.port.asks.back();
+    bench.pause();
+    bench.keeper.storeAnswered(readBefore, {5, nullptr, {}});
+    CHECK_FALSE(bench.keeper.mayAdmit());
+    bench.keeper.storeFailed(bench.port.storeRead);
+    for (const InstanceId &peer : Peers) {
+        bench.keeper.offered(askBefore, peer, true, {5, nullptr, {}});
+    }
+    CHECK_FALSE(bench.keeper.mayAdmit());
+
+    SECTION("an answer of the store since then does")
+    {
+        bench.keeper.storeAnswered(bench.port.storeRead, {5, nullptr, {}});
+        CHECK(bench.keeper.mayAdmit());
+    }
+    SECTION("so do three confirmed peers while the store is out")
+    {
+        for (std::size_t i = 0; i < 3; ++i) {
+            CHECK_FALSE(bench.keeper.mayAdmit());
+            bench.keeper.offered(bench.port.asks.back(), Peers[i], true, {5, nullptr, {}});
+        }
+        CHECK(bench.keeper.mayAdmit());
+    }
+    SECTION("of three peers the highest counts, and is fetched first")
+    {
+        bench.keeper.offered(bench.port.asks.back(), Peers[0], true, {5, nullptr, {}});
+        bench.keeper.offered(bench.port.asks.back(), Peers[1], true, {6, nullptr, {}});
+        bench.keeper.offered(bench.port.asks.back(), Peers[2], true, {5, nullptr, {}});
+        CHECK_FALSE(bench.keeper.mayAdmit());
+        CHECK(bench.port.fetchedFrom == Peers[1]);
+        bench.keeper.offered(bench.port.fetchNumber, Peers[1], true, usable(6));
+        CHECK(bench.keeper.mayAdmit());
+    }
+    SECTION("peers that are not confirmed count only once patience is at its end")
+    {
+        for (const InstanceId &peer : Peers) {
+            bench.keeper.offered(bench.port.asks.back(), peer, false, {5, nullptr, {}});
+        }
+        bench.run(std::chrono::seconds(4));
+        CHECK_FALSE(bench.keeper.mayAdmit());
+        bench.run(std::chrono::seconds(2));
+        CHECK(bench.keeper.mayAdmit());
+    }
+}
+
+TEST_CASE("A peer that claims a version which nobody can deliver stops nothing", "[config][keeper][hostile]")
+{
+    KeeperBench bench;
+    bench.startAtFive();
+    bench.keeper.peerTold(Peers[2], UINT64_MAX);
+    CHECK(bench.keeper.status().state == "behind");
+    CHECK(bench.keeper.mayAdmit());
+    bench.run(std::chrono::seconds(2));
+    CHECK(bench.keeper.status().state == "current");
+    CHECK(bench.keeper.counters().fetchTimeouts == 1);
+    bench.pause();
+    bench.keeper.peerTold(Peers[2], UINT64_MAX);
+    bench.keeper.storeAnswered(bench.port.storeRead, {5, nullptr, {}});
+    CHECK(bench.keeper.mayAdmit());
+}
+
+TEST_CASE("A version that cannot be used is counted once and not fetched again", "[config][keeper][hostile]")
+{
+    KeeperBench bench;
+    bench.startAtFive();
+    for (int i = 0; i < 3; ++i) {
+        bench.keeper.storeAnswered(999, {6, nullptr, "a fault"});
+        bench.keeper.peerTold(Peers[1], 6);
+    }
+    CHECK(bench.keeper.counters().unusable == 1);
+    CHECK(bench.keeper.counters().fetches == 0);
+    CHECK(bench.keeper.status().unusableFault == "a fault");
+    CHECK(bench.keeper.mayAdmit());
+    bench.keeper.storeAnswered(999, usable(7));
+    CHECK(bench.keeper.version() == 7);
+    CHECK(bench.keeper.status().unusableFault.empty());
+}
+
+TEST_CASE("An instance with no other listed stays at work in an outage, and confirms by itself after a pause", "[config][keeper][stale]")
+{
+    KeeperBench bench;
+    bench.peers.clear();
+    bench.startAtFive();
+    for (int second = 0; second < 60; ++second) {
+        bench.runtime.advance(std::chrono::seconds(1));
+        bench.keeper.storeFailed(bench.port.storeRead);
+        REQUIRE(bench.keeper.mayAdmit());
+    }
+    bench.pause();
+    bench.runtime.advance(std::chrono::seconds(6));
+    CHECK(bench.keeper.mayAdmit());
+}
+
+TEST_CASE("The watch follows the choice of watchers and comes back after a break", "[config][keeper]")
+{
+    KeeperBench bench;
+    bench.startAtFive();
+    CHECK(bench.port.watches == 0);
+    bench.watches = true;
+    bench.run(std::chrono::seconds(1));
+    CHECK(bench.port.watches == 1);
+    bench.keeper.watchEnded();
+    bench.run(std::chrono::milliseconds(300));
+    CHECK(bench.port.watches == 1);
+    bench.run(std::chrono::milliseconds(2200));
+    CHECK(bench.port.watches == 2);
+    bench.watches = false;
+    bench.run(std::chrono::seconds(1));
+    CHECK(bench.port.watches == 1);
+}
+
+TEST_CASE("Each data centre has two watchers, and few change when an instance comes or goes", "[config][watchers]")
+{
+    std::vector<ListedInstance> live;
+    for (int i = 0; i < 21; ++i) {
+        live.push_back({InstanceId("i" + std::to_string(i)), {Region("r"), DataCentre(std::string(1, static_cast<char>('a' + i % 3)))}, {}, {}, false});
+    }
+    const auto watchers = [&] {
+        std::vector<InstanceId> ids;
+        for (const ListedInstance &instance : live) {
+            if (!instance.leaving && isConfigWatcher(instance, live)) {
+                ids.push_back(instance.id);
+            }
+        }
+        return ids;
+    };
+    const auto before = watchers();
+    CHECK(before.size() == 3 * WatchersPerDataCentre);
+    const auto gone = std::find_if(live.begin(), live.end(), [&](const ListedInstance &instance) { return instance.id == before[0]; });
+    gone->leaving = true;
+    const auto after = watchers();
+    CHECK(after.size() == 3 * WatchersPerDataCentre);
+    CHECK(std::count_if(after.begin(), after.end(), [&](const InstanceId &id) { return std::find(before.begin(), before.end(), id) == before.end(); }) == 1);
+}
--- a/packages/values/include/burdock/values/configmessages.h
+++ b/packages/values/include/burdock/values/configmessages.h
@@ -10,6 +10,9 @@
 namespace Burdock
 {
 
+/// The version to ask with where only the peer's version is wanted.
+constexpr std::uint64_t VersionOnly = UINT64_MAX;
+
 /// Asks a peer for a configuration newer than `haveVersion`, naming the file hashes already held.
 struct ConfigFetch
 {
@@ -44,10 +47,12 @@
     std::uint64_t version = 0;
     std::string head;
     std::vector<ConfigFile> files;
+    /// Whether the peer has confirmed its version since it started or was paused.
+    bool confirmed = false;
 
     auto fields() const
     {
-        return std::tie(number, version, head, files);
+        return std::tie(number, version, head, files, confirmed);
     }
 };
 
