--- /dev/null
+++ b/bench/load/hedgebench.cpp
@@ -0,0 +1,72 @@
+#include "holderloadmodel.h"
+#include "summary.h"
+
+namespace Burdock
+{
+
+namespace
+{
+
+constexpr Duration WarmUp = std::chrono::seconds(2);
+constexpr Duration Span = std::chrono::seconds(8);
+constexpr Duration Settle = std::chrono::seconds(3);
+
+struct HedgeRun
+{
+    std::vector<double> milliseconds;
+    double extra = 0;
+};
+
+/// Complete answers from 51 shards, one request in a hundred twenty times slower.
+HedgeRun run(std::uint64_t seed, double load, double hedgePart)
+{
+    LoadModelSettings settings;
+    settings.seed = seed;
+    settings.slots = 5;
+    settings.stragglerPart = 0.01;
+    settings.longestWait.fill(std::chrono::seconds(2));
+    settings.leastCoverage.fill(1);
+    settings.partialAllowed.fill(false);
+    settings.tactics.hedgePart = hedgePart;
+    settings.tactics.burst = hedgePart > 0 ? settings.tactics.burst : 0;
+    LoadModel model(settings);
+    const TimePoint begin = model.runtime.now() + WarmUp;
+    model.arrive(Rank::Urgent, load * model.capacity(), WarmUp + Span);
+    model.runtime.advance(WarmUp);
+    const QueryCounters before = model.counters();
+    model.runtime.advance(Span);
+    const QueryCounters after = model.counters();
+    model.runtime.advance(Settle);
+    HedgeRun result;
+    for (const LoadModelResult &query : model.results) {
+        if (query.at >= begin) {
+            result.milliseconds.push_back(static_cast<double>(query.took.count()) / 1000);
+        }
+    }
+    const double extra = static_cast<double>(after.hedges + after.retries) - static_cast<double>(before.hedges + before.retries);
+    result.extra = extra / (static_cast<double>(after.subRequests - before.subRequests) - extra);
+    return result;
+}
+
+} // namespace
+
+void benchHedging(const BenchOptions &options)
+{
+    for (const double load : {0.3, 0.6}) {
+        Summary summary("hedging: 51 shards, 1% stragglers of 20x, load " + std::to_string(load) + " of slot capacity; hedged / unhedged");
+        for (std::uint64_t seed = options.seed; seed < options.seed + options.seeds; ++seed) {
+            const HedgeRun plain = run(seed, load, 0);
+            const HedgeRun hedged = run(seed, load, TacticsSettings().hedgePart);
+            for (const auto &[name, part] : std::map<std::string, double>{{"p50", 0.5}, {"p99", 0.99}, {"p99.9", 0.999}}) {
+                summary.add(name + ", ratio", quantileOf(hedged.milliseconds, part) / quantileOf(plain.milliseconds, part));
+                summary.add(name + ", ms, unhedged", quantileOf(plain.milliseconds, part));
+                summary.add(name + ", ms, hedged", quantileOf(hedged.milliseconds, part));
+            }
+            summary.add("extra sub-requests, part", hedged.extra);
+            summary.add("queries", static_cast<double>(hedged.milliseconds.size()));
+        }
+        summary.print();
+    }
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/bench/load/summary.cpp
@@ -0,0 +1,41 @@
+#include "summary.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace Burdock
+{
+
+Summary::Summary(std::string title)
+    : title_(std::move(title))
+{
+}
+
+void Summary::add(const std::string &name, double value)
+{
+    figures_[name].push_back(value);
+}
+
+void Summary::print() const
+{
+    std::printf("%s\n", title_.c_str());
+    for (const auto &[name, values] : figures_) {
+        const auto [least, largest] = std::minmax_element(values.begin(), values.end());
+        std::printf("  %-52s min %10.3f  median %10.3f  max %10.3f\n", name.c_str(), *least, quantileOf(values, 0.5), *largest);
+    }
+    std::fflush(stdout);
+}
+
+double quantileOf(std::vector<double> values, double part)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    const auto place = static_cast<std::size_t>(part * static_cast<double>(values.size() - 1) + 0.5);
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(place);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+} // namespace Burdock
--- a/packages/policy/include/burdock/policy/hedgedelay.h
+++ b/packages/policy/include/burdock/policy/hedgedelay.h
@@ -14,8 +14,8 @@
 ///
 /// A replica with few samples gets the quantile over all replicas, and no replica is waited for more than
 /// twice that, or a replica that is slow as a whole would never be hedged. There is no hedge of a rank
-/// whose reported queue delay is longer than the service itself: then all replicas are busy, and more
-/// requests only make the queues longer.
+/// whose reported queue delay is longer than a few times what an answer takes without a queue: then all
+/// replicas are busy, and more requests only make the queues longer.
 class HedgeDelay
 {
 public:
@@ -33,14 +33,21 @@
     /// The wait; nothing where no hedge is wanted.
     std::optional<Duration> delay(const ServerId &server, Rank rank, TimePoint now) const;
 
-    /// True where the rank's queues are longer than its service.
+    /// True where the rank's queues are several times longer than its service.
     bool flooded(Rank rank) const;
 
 private:
+    struct Server
+    {
+        PerRank<std::optional<LatencyHistogram>> latency;
+        PerRank<Duration> queueDelay{};
+    };
+
     double quantile_;
-    std::unordered_map<ServerId, PerRank<std::optional<LatencyHistogram>>> servers_;
+    std::unordered_map<ServerId, Server> servers_;
     PerRank<LatencyHistogram> pooled_;
-    PerRank<LatencyAverage> latency_;
+    /// What answers take where no queue was reported with them.
+    PerRank<LatencyAverage> unqueued_;
     PerRank<LatencyAverage> queueDelay_;
 };
 
--- a/packages/policy/include/burdock/policy/topkplan.h
+++ b/packages/policy/include/burdock/policy/topkplan.h
@@ -32,6 +32,9 @@
 public:
     TopKPlan(std::uint32_t k, std::size_t shardCount);
 
+    /// As above, with a first share of one's own choice.
+    TopKPlan(std::uint32_t k, std::size_t shardCount, std::uint32_t firstLimit);
+
     /// How many hits to ask every shard for in the first round, from offset 0.
     std::uint32_t firstLimit() const;
 
--- a/packages/policy/src/hedgedelay.cpp
+++ b/packages/policy/src/hedgedelay.cpp
@@ -10,10 +10,12 @@
 
 /// A replica is waited for at most this many times the quantile of all.
 constexpr int LongestOfPooled = 2;
-/// A flood is on where the queue delay is more than the latency divided by this.
-constexpr int FloodDivisor = 2;
+/// A flood is on where the queue delay is more than so many answers without a queue.
+constexpr int FloodAnswers = 3;
+/// A sample counts for at most so many times the average, so that stragglers do not raise it.
+constexpr int LargestStep = 2;
 /// Queue delays below this are no flood.
-constexpr Duration LeastFloodDelay = std::chrono::milliseconds(1);
+constexpr Duration LeastFloodDelay = std::chrono::milliseconds(5);
 
 } // namespace
 
@@ -24,13 +26,17 @@
 
 void HedgeDelay::measured(const ServerId &server, Rank rank, Duration took, TimePoint now)
 {
-    std::optional<LatencyHistogram> &own = servers_[server][rankIndex(rank)];
+    Server &from = servers_[server];
+    std::optional<LatencyHistogram> &own = from.latency[rankIndex(rank)];
     if (!own) {
         own.emplace();
     }
     own->add(took, now);
     pooled_[rankIndex(rank)].add(took, now);
-    latency_[rankIndex(rank)].add(took);
+    LatencyAverage &unqueued = unqueued_[rankIndex(rank)];
+    if (from.queueDelay[rankIndex(rank)] == Duration{0}) {
+        unqueued.add(unqueued.known() ? std::min(took, unqueued.value() * LargestStep) : took);
+    }
 }
 
 void HedgeDelay::givenUp(const ServerId &server, Rank rank, Duration took, TimePoint now)
@@ -43,6 +49,7 @@
 
 void HedgeDelay::reported(const ServerReport &report)
 {
+    servers_[report.server].queueDelay = report.queueDelay;
     for (const Rank rank : AllRanks) {
         queueDelay_[rankIndex(rank)].add(report.queueDelay[rankIndex(rank)]);
     }
@@ -51,7 +58,7 @@
 bool HedgeDelay::flooded(Rank rank) const
 {
     const Duration delay = queueDelay_[rankIndex(rank)].value();
-    return delay > std::max(latency_[rankIndex(rank)].value() / FloodDivisor, LeastFloodDelay);
+    return delay > std::max(unqueued_[rankIndex(rank)].value() * FloodAnswers, LeastFloodDelay);
 }
 
 std::optional<Duration> HedgeDelay::delay(const ServerId &server, Rank rank, TimePoint now) const
@@ -61,8 +68,8 @@
     }
     const std::optional<Duration> pooled = pooled_[rankIndex(rank)].quantile(quantile_, now);
     const auto found = servers_.find(server);
-    const bool measured = found != servers_.end() && found->second[rankIndex(rank)];
-    const std::optional<Duration> own = measured ? found->second[rankIndex(rank)]->quantile(quantile_, now) : std::nullopt;
+    const bool measured = found != servers_.end() && found->second.latency[rankIndex(rank)];
+    const std::optional<Duration> own = measured ? found->second.latency[rankIndex(rank)]->quantile(quantile_, now) : std::nullopt;
     return own && pooled ? std::min(*own, *pooled * LongestOfPooled) : pooled;
 }
 
--- a/packages/policy/src/topkplan.cpp
+++ b/packages/policy/src/topkplan.cpp
@@ -14,21 +14,28 @@
 
 /// How many standard deviations above an even share the first request asks for.
 constexpr double FirstShareMargin = 3;
+/// How many hits more the first request asks for, so that small answers seldom need a second round.
+constexpr double FirstShareExtra = 2;
 /// The round after which duplicates must be the cause, and asks grow.
 constexpr std::uint32_t ExactRounds = 2;
 
 std::uint32_t firstShare(std::uint32_t k, std::size_t shardCount)
 {
     const double even = static_cast<double>(k) / static_cast<double>(std::max<std::size_t>(shardCount, 1));
-    const double share = std::ceil(even + FirstShareMargin * std::sqrt(even));
+    const double share = std::ceil(even + FirstShareMargin * std::sqrt(even) + FirstShareExtra);
     return std::clamp<std::uint32_t>(static_cast<std::uint32_t>(share), std::min(k, 1U), k);
 }
 
 } // namespace
 
 TopKPlan::TopKPlan(std::uint32_t k, std::size_t shardCount)
+    : TopKPlan(k, shardCount, firstShare(k, shardCount))
+{
+}
+
+TopKPlan::TopKPlan(std::uint32_t k, std::size_t shardCount, std::uint32_t firstLimit)
     : k_(k)
-    , firstLimit_(firstShare(k, shardCount))
+    , firstLimit_(firstLimit)
     , shards_(shardCount)
 {
     for (ShardState &state : shards_) {
