--- a/packages/policy/include/burdock/policy/admission.h
+++ b/packages/policy/include/burdock/policy/admission.h
@@ -33,13 +33,17 @@
     std::uint32_t refused = 0;
     /// The longest queue delay of the rank that a holder reported meanwhile.
     Duration queueDelay{0};
+    /// How long the request took in all; zero where its caller went away.
+    Duration took{0};
 };
 
 /// Refuses at the entry what the holders would refuse, before it is fanned out.
 ///
-/// While the reported queue delay is longer than half of what a request may wait, a caller may send
-/// about twice what the holders serve it. Holders serve callers by their shares within the rank, so
-/// each caller is held to its fair share, and one that stays below it is never refused.
+/// While the reported queue delay is longer than half of what a request may wait, a caller may send so
+/// many times what it is served: one and a half times while its own requests take half of their wait,
+/// down to half as many when they take all of it. So its queue settles where all that is sent is served
+/// in time. Holders serve callers by their shares within the rank, so each caller is held to its fair
+/// share, and one that stays below it is served quickly and never refused.
 class Admission
 {
 public:
@@ -59,12 +63,16 @@
     {
         double requests = 0;
         double served = 0;
+        /// Recent requests' time taken as a part of the longest wait; 1 where holders refused them.
+        double pressure = 0;
+        Duration longestWait{0};
         Duration queueDelay{0};
         TimePoint reportedAt{};
         TimePoint decayedAt{};
     };
 
     Account &account(const AdmissionKey &key);
+    static double refusedPart(const Account &account);
     Duration retryAfter(Duration queueDelay);
 
     Runtime &runtime_;
