--- a/packages/policy/include/burdock/policy/member.h
+++ b/packages/policy/include/burdock/policy/member.h
@@ -37,18 +37,22 @@
 {
     /// One member is probed in each period.
     Duration period = std::chrono::seconds(1);
-    /// After this without an Ack, other members are asked to probe it too.
+    /// After this without an Ack the ping is repeated and other members are asked to probe it too, until the period ends.
     Duration ackTimeout = std::chrono::milliseconds(300);
     /// How many members are asked.
     std::uint32_t helpers = 3;
     /// A suspect has this many periods, times the decimal logarithm of the members but at least once, to refute.
-    double suspicionPeriods = 5;
+    double suspicionPeriods = 3;
     /// A fact is passed on this many times, times the binary logarithm of the members.
-    std::uint32_t transmitFactor = 3;
-    /// A datagram is filled with facts up to this size.
-    std::size_t datagramBytes = 700;
+    std::uint32_t transmitFactor = 2;
+    /// Pings and Acks are filled with facts up to this size.
+    std::size_t datagramBytes = 600;
+    /// A Notice is filled with facts up to this size.
+    std::size_t noticeBytes = 150;
     /// How many members are told at once of a new configuration version or a changed life.
     std::uint32_t burst = 4;
+    /// The changed life of another member is passed on at once, but not more often than this.
+    Duration noticeInterval = std::chrono::seconds(1);
     /// How often one dead member that is still listed is probed, so that a healed split is noticed.
     Duration deadProbeInterval = std::chrono::seconds(5);
     /// How long a dead member that is not listed is remembered.
@@ -67,6 +71,7 @@
     std::uint64_t pingsSent = 0;
     std::uint64_t pingRequestsSent = 0;
     std::uint64_t acksSent = 0;
+    std::uint64_t noticesSent = 0;
     std::uint64_t received = 0;
     std::uint64_t answersRefused = 0;
     /// Acks that answer no running probe: late ones, and those of pings that wait for none.
--- a/packages/policy/include/burdock/policy/membership.h
+++ b/packages/policy/include/burdock/policy/membership.h
@@ -96,9 +96,12 @@
     void probeNext();
     void probeSuspect();
     void probeDead();
+    void retryProbe();
     void askHelpers();
-    void burst();
+    void sendPings();
+    void sendNotices();
     std::uint32_t ping(const InstanceId &target);
+    void sendPing(const InstanceId &target, std::uint32_t number);
 
     void learn(const ProbeUpdate &update);
     void learnOfSelf(const ProbeUpdate &update);
@@ -111,7 +114,7 @@
     void notify();
 
     ProbeMessage compose(ProbeKind kind, std::uint32_t number) const;
-    void addNews(ProbeMessage &message, const InstanceId &addressee);
+    void addNews(ProbeMessage &message, const InstanceId &addressee, std::size_t mostBytes);
     std::optional<ProbeUpdate> factOf(const InstanceId &id) const;
     ProbeUpdate selfFact() const;
     std::vector<InstanceId> sample(std::size_t count, const Predicate &eligible);
@@ -133,9 +136,11 @@
     std::vector<InstanceId> stale_;
     std::uint32_t answers_ = 0;
     bool pendingChange_ = false;
+    bool pendingNotice_ = false;
     TimePoint started_;
     TimePoint nextPeriod_;
     TimePoint nextDeadProbe_;
+    TimePoint nextNotice_;
     TimerId periodTimer_ = 0;
     TimerId ackTimer_ = 0;
 };
--- a/packages/policy/src/membership.cpp
+++ b/packages/policy/src/membership.cpp
@@ -14,6 +14,11 @@
     return member.state != MemberState::Dead;
 }
 
+bool standsAt(const ListedInstance &known, const ListedInstance &told)
+{
+    return known.place == told.place && known.callers == told.callers && known.peers == told.peers;
+}
+
 } // namespace
 
 Membership::Membership(
@@ -50,7 +55,7 @@
     self_.listed = own != list.instances.end();
     pendingChange_ = table_.takeList(list.instances) || pendingChange_;
     if (first) {
-        burst();
+        sendPings();
     }
     notify();
 }
@@ -77,6 +82,12 @@
     case ProbeKind::Ack:
         takeAck(message);
         break;
+    case ProbeKind::Notice:
+        break;
+    }
+    if (std::exchange(pendingNotice_, false) && runtime_.now() >= nextNotice_) {
+        nextNotice_ = runtime_.now() + settings_.noticeInterval;
+        sendNotices();
     }
     notify();
 }
@@ -96,7 +107,7 @@
     const bool higher = version > self_.configVersion;
     self_.configVersion = version;
     if (higher) {
-        burst();
+        sendNotices();
     }
 }
 
@@ -105,7 +116,7 @@
     const MemberLife life = ready ? MemberLife::Ready : MemberLife::Starting;
     if (self_.life != MemberLife::Leaving && self_.life != life) {
         changeSelf(life, self_.incarnation + 1);
-        burst();
+        sendNotices();
         notify();
     }
 }
@@ -114,7 +125,7 @@
 {
     if (self_.life != MemberLife::Leaving) {
         changeSelf(MemberLife::Leaving, self_.incarnation + 1);
-        burst();
+        sendNotices();
         notify();
     }
 }
@@ -167,7 +178,9 @@
     }
     const MemberTable::Record *record = table_.find(update.member);
     const bool wasDead = record != nullptr && record->member.state == MemberState::Dead;
-    const bool same = record != nullptr && record->member.state == update.state && record->member.life == update.life && !update.details;
+    const bool same = record != nullptr && record->member.state == update.state && record->member.life == update.life
+        && (!update.details || standsAt(record->member.instance, *update.details));
+    const bool lifeChanged = record != nullptr && record->member.life != update.life;
     // That a listed member is alive is no news; only its incarnation was not known here.
     const bool expected = same && record->member.incarnation == 0;
     switch (table_.apply(update, runtime_.now())) {
@@ -183,6 +196,7 @@
     case MemberTable::Outcome::Changed:
         counters_.returns += wasDead && update.state != MemberState::Dead ? 1 : 0;
         pendingChange_ = pendingChange_ || !same;
+        pendingNotice_ = pendingNotice_ || lifeChanged;
         if (!expected) {
             updates_.add(update.member);
         }
@@ -235,13 +249,13 @@
     return {kind, number, self_.instance.id, self_.incarnation, self_.life, self_.configVersion, {}, {}};
 }
 
-void Membership::addNews(ProbeMessage &message, const InstanceId &addressee)
+void Membership::addNews(ProbeMessage &message, const InstanceId &addressee, std::size_t mostBytes)
 {
     const MemberTable::Record *record = table_.find(addressee);
     if (record == nullptr) {
         return;
     }
-    std::size_t room = settings_.datagramBytes - std::min(settings_.datagramBytes, probeHeaderBytes(message));
+    std::size_t room = mostBytes - std::min(mostBytes, probeHeaderBytes(message));
     const auto take = [&](const ProbeUpdate &fact) {
         const std::size_t bytes = probeUpdateBytes(fact);
         if (bytes > room) {
@@ -304,7 +318,7 @@
     return drawn;
 }
 
-void Membership::burst()
+void Membership::sendPings()
 {
     stale_.clear();
     for (const InstanceId &id : sample(settings_.burst, isAlive)) {
@@ -312,4 +326,15 @@
     }
 }
 
+void Membership::sendNotices()
+{
+    stale_.clear();
+    for (const InstanceId &id : sample(settings_.burst, isAlive)) {
+        ProbeMessage notice = compose(ProbeKind::Notice, 0);
+        addNews(notice, id, settings_.noticeBytes);
+        ++counters_.noticesSent;
+        port_.send(table_.find(id)->member.instance.peers, notice);
+    }
+}
+
 } // namespace Burdock
--- a/packages/policy/src/membershipprobes.cpp
+++ b/packages/policy/src/membershipprobes.cpp
@@ -18,7 +18,7 @@
         ++counters_.pauses;
         table_.postpone(late);
         probe_.reset();
-        burst();
+        sendPings();
     }
     concludeProbe();
     expireMembers();
@@ -65,7 +65,21 @@
     if (ackTimer_ != 0) {
         runtime_.cancel(ackTimer_);
     }
-    ackTimer_ = runtime_.schedule(settings_.ackTimeout, [this] { askHelpers(); });
+    ackTimer_ = runtime_.schedule(settings_.ackTimeout, [this] { retryProbe(); });
+}
+
+void Membership::retryProbe()
+{
+    ackTimer_ = 0;
+    if (!probe_ || probe_->acked) {
+        return;
+    }
+    sendPing(probe_->target, probe_->number);
+    askHelpers();
+    // A retry that could not be answered before the period ends is of no use.
+    if (nextPeriod_ - runtime_.now() >= 2 * settings_.ackTimeout) {
+        ackTimer_ = runtime_.schedule(settings_.ackTimeout, [this] { retryProbe(); });
+    }
 }
 
 void Membership::probeSuspect()
@@ -89,10 +103,6 @@
 
 void Membership::askHelpers()
 {
-    ackTimer_ = 0;
-    if (!probe_ || probe_->acked) {
-        return;
-    }
     const InstanceId target = probe_->target;
     const auto helps = [&target](const Member &member) { return member.state == MemberState::Alive && member.instance.id != target; };
     for (const InstanceId &helper : sample(settings_.helpers, helps)) {
@@ -105,11 +115,20 @@
 
 std::uint32_t Membership::ping(const InstanceId &target)
 {
-    ProbeMessage message = compose(ProbeKind::Ping, ++number_);
-    addNews(message, target);
+    sendPing(target, ++number_);
+    return number_;
+}
+
+void Membership::sendPing(const InstanceId &target, std::uint32_t number)
+{
+    const MemberTable::Record *record = table_.find(target);
+    if (record == nullptr) {
+        return;
+    }
+    ProbeMessage message = compose(ProbeKind::Ping, number);
+    addNews(message, target, settings_.datagramBytes);
     ++counters_.pingsSent;
-    port_.send(table_.find(target)->member.instance.peers, message);
-    return message.number;
+    port_.send(record->member.instance.peers, message);
 }
 
 void Membership::answerPing(const Address &from, const ProbeMessage &message)
@@ -118,7 +137,7 @@
         return;
     }
     ProbeMessage ack = compose(ProbeKind::Ack, message.number);
-    addNews(ack, message.from);
+    addNews(ack, message.from, settings_.datagramBytes);
     ++counters_.acksSent;
     port_.send(from, ack);
 }
--- a/packages/policy/tests/membershiptest.cpp
+++ b/packages/policy/tests/membershiptest.cpp
@@ -89,6 +89,16 @@
     CHECK(network.sees(1, 0));
 }
 
+TEST_CASE("A probe is repeated twice before its target is suspected", "[membership]")
+{
+    MembershipNetwork network(Seed);
+    network.cut_ = [](std::size_t, std::size_t) { return true; };
+    network.start(2);
+    network.advanceUntil([&] { return network[0].counters().suspicions == 1; }, seconds(5));
+    // One for the first list, three in the period, and two in the next: to the target drawn and to the suspect.
+    CHECK(network[0].counters().pingsSent == 1 + 3 + 2);
+}
+
 TEST_CASE("A frozen member comes back and accuses nobody", "[membership]")
 {
     for (const Duration pause : {Duration(milliseconds(1500)), Duration(seconds(5)), Duration(seconds(40))}) {
@@ -292,6 +302,8 @@
         }
         quietBytes[size] = static_cast<double>(total) / static_cast<double>(size) / 10;
         CHECK(most / 10 < 7000);
+        network[1].leave();
+        CHECK(network.advanceUntil([&] { return network.seenBy(1) == 0; }, seconds(60)) < seconds(5));
         network.kill(size / 2);
         CHECK(network.advanceUntil([&] { return network.seenBy(size / 2) == 0; }, seconds(60)) < seconds(40));
         CHECK(network.sum(&MembershipCounters::deaths) <= size);
--- a/packages/values/include/burdock/values/probe.h
+++ b/packages/values/include/burdock/values/probe.h
@@ -19,6 +19,8 @@
     PingRequest,
     /// Answers a Ping, or passes on that `target` answered one.
     Ack,
+    /// Tells news and wants no Ack.
+    Notice,
 };
 
 /// Whether a member answers probes, in the order in which one state overrides another of the same incarnation.
--- a/packages/wire/src/probecodec.cpp
+++ b/packages/wire/src/probecodec.cpp
@@ -110,7 +110,7 @@
         throw OutOfBounds();
     }
     ProbeMessage message;
-    message.kind = enumerator(fields[1], ProbeKind::Ack);
+    message.kind = enumerator(fields[1], ProbeKind::Notice);
     message.number = static_cast<std::uint32_t>(wholeNumber(fields[2], UINT32_MAX));
     message.from = InstanceId(text(fields[3], ProbeNameBytes));
     message.incarnation = wholeNumber(fields[4], MaxIncarnation);
