Claim the key of an unrepeatable command before its dispatch

Cause: an unrepeatable request runs at most once, whatever instances, owners and store do. A command is dispatched only after the store's own word that the record of this very run's nonce stands. Owners of claim partitions write many claims in one transaction with a condition per key; one that fails is split by what it read back, a lost reply is settled by running it again. Keys tell when they were made, and every claim names its command's floor, so a key that was forgotten cannot be claimed anew, however long its owner slept. Ruled out: opaque keys (a forgotten one could run again), taking over a dead claimant's command (it may have run), one value per partition with all its claims (every commit would rewrite it, and one loser fails the rest). The messages move to values/claim.h, since policy may not see wire.

--- /dev/null
+++ b/packages/policy/src/claimkey.cpp
@@ -0,0 +1,77 @@
+#include <burdock/policy/claimkey.h>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace Burdock
+{
+
+namespace
+{
+
+constexpr std::size_t LongestKey = 200;
+constexpr std::size_t UuidLength = 36;
+constexpr std::size_t UuidVersionPlace = 14;
+constexpr std::size_t MostSecondsDigits = 11;
+constexpr const char *WantedForm = "Idempotency-Key must tell when it was made: a UUID of version 7, or SECONDS-REST with the seconds since 1970";
+
+template<class Number>
+std::optional<Number> wholeNumber(std::string_view text, int base)
+{
+    Number number{};
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), number, base);
+    return read.ec == std::errc() && read.ptr == text.data() + text.size() ? std::optional<Number>(number) : std::nullopt;
+}
+
+/// The milliseconds since 1970 that a UUID of version 7 begins with.
+std::optional<std::uint64_t> uuidMilliseconds(std::string_view key)
+{
+    if (key.size() != UuidLength || key[8] != '-' || key[13] != '-' || key[UuidVersionPlace] != '7' || key[18] != '-' || key[23] != '-') {
+        return std::nullopt;
+    }
+    return wholeNumber<std::uint64_t>(std::string(key.substr(0, 8)) + std::string(key.substr(9, 4)), 16);
+}
+
+std::optional<std::uint64_t> leadingSeconds(std::string_view key)
+{
+    const std::size_t dash = key.find('-');
+    if (dash == std::string_view::npos || dash == 0 || dash > MostSecondsDigits || dash + 1 == key.size()) {
+        return std::nullopt;
+    }
+    return wholeNumber<std::uint64_t>(key.substr(0, dash), 10);
+}
+
+} // namespace
+
+std::uint64_t claimBucketOf(WallTime moment)
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(moment.time_since_epoch());
+    return seconds.count() <= 0 ? 0 : static_cast<std::uint64_t>(seconds / ClaimBucketWidth);
+}
+
+Result<WallTime> claimKeyTime(std::string_view key)
+{
+    if (const auto milliseconds = uuidMilliseconds(key)) {
+        return WallTime(std::chrono::milliseconds(*milliseconds));
+    }
+    if (const auto seconds = leadingSeconds(key)) {
+        return WallTime(std::chrono::seconds(*seconds));
+    }
+    return notRun(Errc::BadRequest, WantedForm);
+}
+
+Result<ClaimKey> parseClaimKey(const CommandName &command, const std::string &key)
+{
+    const bool visible = std::all_of(key.begin(), key.end(), [](unsigned char letter) { return letter > ' ' && letter < 0x7f; });
+    if (!visible || key.size() > LongestKey) {
+        return notRun(Errc::BadRequest, "Idempotency-Key may hold at most " + std::to_string(LongestKey) + " visible ASCII characters");
+    }
+    const Result<WallTime> made = claimKeyTime(key);
+    if (!made) {
+        return tl::make_unexpected(made.error());
+    }
+    return ClaimKey{command, claimBucketOf(*made), key};
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/policy/src/claimpartition.cpp
@@ -0,0 +1,377 @@
+#include <burdock/policy/claimpartition.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// Never the revision of a record: the transaction conflicts and reads the record.
+constexpr std::int64_t UnknownRevision = -1;
+/// Around a record's own bytes.
+constexpr std::size_t RecordOverhead = 256;
+
+} // namespace
+
+/// An ask or an outcome on its way into the store.
+struct ClaimPartition::Item
+{
+    ClaimKey key;
+    ClaimRecord record;
+    std::int64_t expected = 0;
+    std::uint64_t number = 0;
+    /// Unset for an outcome.
+    Answer answer;
+    std::uint32_t attempts = 0;
+
+    bool isAsk() const
+    {
+        return static_cast<bool>(answer);
+    }
+
+    std::size_t bytes() const
+    {
+        return RecordOverhead + key.key.size() + record.outcome.size();
+    }
+};
+
+ClaimPartition::ClaimPartition(Runtime &runtime, ClaimStorePort &store, ClaimCounters &counters, const ClaimSettings &settings)
+    : runtime_(runtime)
+    , store_(store)
+    , counters_(counters)
+    , settings_(settings)
+    , alive_(std::make_shared<bool>(true))
+{
+}
+
+ClaimPartition::~ClaimPartition()
+{
+    *alive_ = false;
+    runtime_.cancel(timer_);
+}
+
+std::size_t ClaimPartition::waiting() const
+{
+    return queue_.size() + batch_.size();
+}
+
+void ClaimPartition::ask(const ClaimAsk &ask, Answer answer)
+{
+    ++counters_.asks;
+    const Result<ClaimKey> key = parseClaimKey(ask.command, ask.key);
+    auto item = std::make_shared<Item>();
+    item->number = ask.number;
+    item->answer = std::move(answer);
+    if (!key || waiting() >= settings_.waiting) {
+        ++counters_.refused;
+        return reply(*item, key ? Errc::Overloaded : Errc::BadRequest);
+    }
+    item->key = *key;
+    item->record = ClaimRecord{ask.claimant, ask.incarnation, ask.nonce, ClaimState::Claimed, {}};
+    enqueue(std::move(item));
+}
+
+void ClaimPartition::record(const ClaimOutcome &outcome)
+{
+    const Result<ClaimKey> key = parseClaimKey(outcome.command, outcome.key);
+    const bool released = outcome.verdict == Verdict::NotRun;
+    if (!key || outcome.verdict == Verdict::MayHaveRun) {
+        return;
+    }
+    if (released) {
+        // Nothing of this ask was written while it waits in the queue for its first try.
+        const auto queued = std::find_if(
+            queue_.begin(), queue_.end(), [&](const ItemPtr &item) { return item->isAsk() && item->record.nonce == outcome.nonce && item->attempts == 0; });
+        if (queued != queue_.end()) {
+            queue_.erase(queued);
+            return;
+        }
+    }
+    if (waiting() >= settings_.waiting || outcome.outcome.size() > settings_.outcomeBytes) {
+        ++counters_.outcomesDropped;
+        return;
+    }
+    auto item = std::make_shared<Item>();
+    item->key = *key;
+    item->record.nonce = outcome.nonce;
+    item->record.state = released ? ClaimState::Released : ClaimState::Ran;
+    item->record.outcome = outcome.outcome;
+    item->expected = UnknownRevision;
+    enqueue(std::move(item));
+}
+
+void ClaimPartition::enqueue(ItemPtr item)
+{
+    queue_.push_back(std::move(item));
+    schedule();
+}
+
+void ClaimPartition::schedule()
+{
+    if (timer_ != 0 || !batch_.empty() || queue_.empty()) {
+        return;
+    }
+    const Duration wait = std::max(nextCommit_ - runtime_.now(), Duration{0});
+    timer_ = runtime_.schedule(wait, [this] {
+        timer_ = 0;
+        commitNext();
+    });
+}
+
+void ClaimPartition::commitNext()
+{
+    takeBatch();
+    if (batch_.empty()) {
+        return schedule();
+    }
+    inDoubt_ = false;
+    tries_ = 0;
+    commit();
+}
+
+/// Takes what fits into one transaction; of several items of one key only the first.
+void ClaimPartition::takeBatch()
+{
+    std::set<ClaimKey> keys;
+    std::set<CommandName> commands;
+    std::deque<ItemPtr> left;
+    std::size_t bytes = 0;
+    for (ItemPtr &item : queue_) {
+        if (dropExpired(*item)) {
+            continue;
+        }
+        const bool fits = keys.size() + commands.size() + 2 <= settings_.operationsPerCommit && bytes + item->bytes() <= settings_.bytesPerCommit;
+        if (!fits || keys.count(item->key) > 0) {
+            left.push_back(std::move(item));
+            continue;
+        }
+        keys.insert(item->key);
+        commands.insert(item->key.command);
+        bytes += item->bytes();
+        batch_.push_back(std::move(item));
+    }
+    queue_ = std::move(left);
+}
+
+bool ClaimPartition::dropExpired(const Item &item)
+{
+    const auto floor = floors_.find(item.key.command);
+    if (floor == floors_.end() || item.key.bucket >= floor->second.bucket) {
+        return false;
+    }
+    if (item.isAsk()) {
+        ++counters_.expired;
+        reply(item, Errc::KeyExpired);
+    } else {
+        ++counters_.outcomesDropped;
+    }
+    return true;
+}
+
+/// Completes an outcome from what was remembered of its claim.
+void ClaimPartition::applyKnown(Item &item) const
+{
+    const auto known = known_.find(item.key);
+    if (item.expected == UnknownRevision && known != known_.end() && known->second.record.nonce == item.record.nonce) {
+        item.expected = known->second.revision;
+        item.record.claimant = known->second.record.claimant;
+        item.record.incarnation = known->second.record.incarnation;
+    }
+}
+
+void ClaimPartition::commit()
+{
+    ClaimTransaction transaction;
+    std::set<CommandName> commands;
+    for (const ItemPtr &item : batch_) {
+        ++item->attempts;
+        applyKnown(*item);
+        transaction.writes.push_back(ClaimWrite{item->key, item->expected, item->record});
+        commands.insert(item->key.command);
+    }
+    for (const CommandName &command : commands) {
+        const auto floor = floors_.find(command);
+        transaction.floors.push_back(floor == floors_.end() ? ClaimFloor{command, 0, 0} : floor->second);
+    }
+    ++counters_.commits;
+    ++tries_;
+    nextCommit_ = runtime_.now() + settings_.commitInterval;
+    store_.commit(transaction, [this, alive = alive_](const Result<ClaimCommit> &result) {
+        if (*alive) {
+            committed(result);
+        }
+    });
+}
+
+void ClaimPartition::committed(const Result<ClaimCommit> &result)
+{
+    if (!result) {
+        failed(result.error());
+    } else if (result->succeeded) {
+        succeeded(result->revision);
+    } else {
+        split(*result);
+    }
+}
+
+void ClaimPartition::succeeded(std::int64_t revision)
+{
+    for (const ItemPtr &item : std::exchange(batch_, {})) {
+        if (item->isAsk()) {
+            grant(*item, revision);
+        } else {
+            ++counters_.outcomes;
+            known_.erase(item->key);
+        }
+    }
+    schedule();
+}
+
+/// Settles what was found taken; what is left goes on as a transaction of its own, so that others' repeats do not
+/// hold it up again.
+void ClaimPartition::split(const ClaimCommit &found)
+{
+    ++counters_.conflicts;
+    for (const ClaimFloor &floor : found.floors) {
+        floors_[floor.command] = floor;
+    }
+    std::map<ClaimKey, const StoredClaim *> claims;
+    for (const StoredClaim &claim : found.claims) {
+        claims[claim.key] = &claim;
+    }
+    for (ItemPtr &item : std::exchange(batch_, {})) {
+        const auto claim = claims.find(item->key);
+        if (!resolve(*item, claim == claims.end() ? nullptr : claim->second)) {
+            continue;
+        }
+        if (item->attempts < settings_.attempts) {
+            batch_.push_back(std::move(item));
+        } else {
+            giveUp(*item);
+        }
+    }
+    inDoubt_ = false;
+    tries_ = 0;
+    if (batch_.empty()) {
+        schedule();
+    } else {
+        commit();
+    }
+}
+
+/// True where the item must be tried again.
+bool ClaimPartition::resolve(Item &item, const StoredClaim *found)
+{
+    if (dropExpired(item)) {
+        return false;
+    }
+    if (found != nullptr) {
+        return item.isAsk() ? resolveAsk(item, *found) : resolveOutcome(item, *found);
+    }
+    if (!item.isAsk()) {
+        ++counters_.outcomesDropped;
+        return false;
+    }
+    item.expected = 0;
+    return true;
+}
+
+bool ClaimPartition::resolveAsk(Item &item, const StoredClaim &found)
+{
+    const bool own = found.record.isOf(item.record);
+    if (own && found.record.state == ClaimState::Claimed) {
+        grant(item, found.revision);
+        return false;
+    }
+    if (own && found.record.state == ClaimState::Released) {
+        reply(item, Errc::Cancelled);
+        return false;
+    }
+    if (found.record.state == ClaimState::Released) {
+        item.expected = found.revision;
+        return true;
+    }
+    ++counters_.elsewhere;
+    reply(item, Errc::ClaimedElsewhere, &found.record);
+    return false;
+}
+
+bool ClaimPartition::resolveOutcome(Item &item, const StoredClaim &found)
+{
+    if (found.record.nonce != item.record.nonce) {
+        ++counters_.outcomesDropped;
+        return false;
+    }
+    if (found.record.state != ClaimState::Claimed) {
+        // Recorded by a try whose reply was lost.
+        ++counters_.outcomes;
+        return false;
+    }
+    item.expected = found.revision;
+    item.record.claimant = found.record.claimant;
+    item.record.incarnation = found.record.incarnation;
+    return true;
+}
+
+void ClaimPartition::failed(const Failure &failure)
+{
+    const bool lost = failure.verdict != Verdict::NotRun;
+    counters_.lostReplies += lost ? 1 : 0;
+    inDoubt_ = inDoubt_ || lost;
+    if (inDoubt_ && tries_ < settings_.attempts) {
+        timer_ = runtime_.schedule(settings_.settlePause, [this] {
+            timer_ = 0;
+            commit();
+        });
+        return;
+    }
+    nextCommit_ = runtime_.now() + settings_.settlePause;
+    for (ItemPtr &item : std::exchange(batch_, {})) {
+        if (item->isAsk() || item->attempts >= settings_.attempts) {
+            giveUp(*item);
+        } else {
+            queue_.push_back(std::move(item));
+        }
+    }
+    schedule();
+}
+
+void ClaimPartition::giveUp(const Item &item)
+{
+    if (!item.isAsk()) {
+        ++counters_.outcomesDropped;
+        return;
+    }
+    ++counters_.refused;
+    reply(item, Errc::Unavailable);
+}
+
+void ClaimPartition::grant(const Item &item, std::int64_t revision)
+{
+    ++counters_.granted;
+    remember(item.key, Known{revision, item.record});
+    reply(item, Errc::Ok);
+}
+
+void ClaimPartition::reply(const Item &item, Errc code, const ClaimRecord *found)
+{
+    const bool known = found != nullptr && found->state == ClaimState::Ran;
+    item.answer(ClaimAnswer{item.number, code, known, known ? found->outcome : std::string()});
+}
+
+void ClaimPartition::remember(const ClaimKey &key, Known known)
+{
+    if (known_.insert_or_assign(key, known).second) {
+        knownOrder_.push_back(key);
+    }
+    while (knownOrder_.size() > settings_.remembered) {
+        known_.erase(knownOrder_.front());
+        knownOrder_.pop_front();
+    }
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/policy/src/claimsweeper.cpp
@@ -0,0 +1,87 @@
+#include <burdock/policy/claimsweeper.h>
+
+#include <algorithm>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// At most so many buckets are forgotten in one transaction, so that a late sweep does not stall the store.
+constexpr std::uint64_t MostBucketsAtOnce = 10;
+
+} // namespace
+
+std::uint64_t firstRememberedBucket(WallTime now, Duration window)
+{
+    // An entry's clock may be behind and this one ahead.
+    return claimBucketOf(now - window - 2 * ClockSkewBound);
+}
+
+ClaimSweeper::ClaimSweeper(Runtime &runtime, ClaimStorePort &store, CurrentConfiguration current, IsMine isMine)
+    : runtime_(runtime)
+    , store_(store)
+    , current_(std::move(current))
+    , isMine_(std::move(isMine))
+    , alive_(std::make_shared<bool>(true))
+{
+}
+
+ClaimSweeper::~ClaimSweeper()
+{
+    *alive_ = false;
+    runtime_.cancel(timer_);
+}
+
+std::uint64_t ClaimSweeper::raised() const
+{
+    return raised_;
+}
+
+std::uint64_t ClaimSweeper::failed() const
+{
+    return failed_;
+}
+
+void ClaimSweeper::start()
+{
+    sweep();
+    timer_ = runtime_.schedule(ClaimBucketWidth, [this] { start(); });
+}
+
+void ClaimSweeper::sweep()
+{
+    const ConfigurationPtr configuration = current_();
+    if (!configuration) {
+        return;
+    }
+    for (const auto &command : configuration->commands) {
+        if (command.second.unrepeatable && isMine_(command.first)) {
+            sweepCommand(command.second);
+        }
+    }
+}
+
+void ClaimSweeper::sweepCommand(const CommandDeclaration &command)
+{
+    const ClaimFloor found = floors_.emplace(command.name, ClaimFloor{command.name, 0, 0}).first->second;
+    const std::uint64_t wanted = firstRememberedBucket(runtime_.wallNow(), command.claimWindow);
+    const std::uint64_t next = found.bucket == 0 ? wanted : std::min(wanted, found.bucket + MostBucketsAtOnce);
+    if (next <= found.bucket) {
+        return;
+    }
+    store_.raiseFloor(found, next, [this, alive = alive_, name = command.name](const Result<ClaimFloor> &floor) {
+        if (!*alive) {
+            return;
+        }
+        if (!floor) {
+            ++failed_;
+            return;
+        }
+        ++raised_;
+        floors_[name] = *floor;
+    });
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/policy/tests/claimpartitiontest.cpp
@@ -0,0 +1,274 @@
+#include "claimworld.h"
+
+#include <burdock/charts/chart.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Burdock;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A store that answers when told to.
+class StepStore final : public ClaimStorePort
+{
+public:
+    void commit(const ClaimTransaction &transaction, Callback<ClaimCommit> done) override
+    {
+        transactions.push_back(transaction);
+        waiting.push_back(std::move(done));
+    }
+
+    void raiseFloor(const ClaimFloor &, std::uint64_t, Callback<ClaimFloor>) override
+    {
+    }
+
+    /// Lets the waiting transaction take effect, and answers it unless the reply is lost.
+    void work(bool replyLost = false)
+    {
+        const ClaimCommit result = state.commit(transactions.back());
+        answer(replyLost ? Result<ClaimCommit>(mayHaveRun(Errc::DeadlineExceeded, "timeout")) : result);
+    }
+
+    void answer(const Result<ClaimCommit> &result)
+    {
+        REQUIRE_FALSE(waiting.empty());
+        const auto done = std::exchange(waiting, {}).back();
+        done(result);
+    }
+
+    MemoryClaimStore state;
+    std::vector<ClaimTransaction> transactions;
+    std::vector<Callback<ClaimCommit>> waiting;
+};
+
+struct Bench
+{
+    ManualRuntime runtime;
+    StepStore store;
+    ClaimCounters counters;
+    ClaimSettings settings;
+    std::unique_ptr<ClaimPartition> partition;
+    std::map<std::uint64_t, ClaimAnswer> answers;
+
+    Bench()
+    {
+        reopen();
+    }
+
+    void reopen()
+    {
+        partition = std::make_unique<ClaimPartition>(runtime, store, counters, settings);
+    }
+
+    void ask(std::uint64_t nonce, const std::string &key)
+    {
+        partition->ask(ClaimAsk{nonce, CommandName("invoice"), "100-" + key, InstanceId("i"), 1, nonce},
+                       [this, nonce](const ClaimAnswer &answer) { answers[nonce] = answer; });
+    }
+
+    void record(std::uint64_t nonce, const std::string &key, Verdict verdict, const std::string &outcome = {})
+    {
+        partition->record(ClaimOutcome{CommandName("invoice"), "100-" + key, nonce, verdict, outcome});
+    }
+
+    std::string codeOf(std::uint64_t nonce) const
+    {
+        return answers.count(nonce) == 0 ? "none" : std::string(errcName(answers.at(nonce).code));
+    }
+
+    /// Works off everything.
+    void settle()
+    {
+        do {
+            runtime.advance(1s);
+            if (!store.waiting.empty()) {
+                store.work();
+            }
+        } while (!store.waiting.empty() || runtime.pending() > 0);
+    }
+};
+
+} // namespace
+
+TEST_CASE("Claims that arrive together are written together", "[claims][partition]")
+{
+    Bench bench;
+    for (std::uint64_t nonce = 1; nonce <= 50; ++nonce) {
+        bench.ask(nonce, std::to_string(nonce));
+    }
+    bench.runtime.advance(0ms);
+    REQUIRE(bench.store.transactions.size() == 1);
+    CHECK(bench.store.transactions[0].writes.size() == 50);
+    CHECK(bench.codeOf(1) == "none");
+    bench.store.work();
+    CHECK(bench.codeOf(1) == "ok");
+    CHECK(bench.codeOf(50) == "ok");
+
+    SECTION("the next commit waits for the interval and for the one before")
+    {
+        bench.ask(51, "51");
+        bench.runtime.advance(bench.settings.commitInterval - 1us);
+        CHECK(bench.store.transactions.size() == 1);
+        bench.runtime.advance(1us);
+        CHECK(bench.store.transactions.size() == 2);
+        bench.ask(52, "52");
+        bench.runtime.advance(1s);
+        CHECK(bench.store.transactions.size() == 2);
+    }
+    SECTION("outcomes ride along")
+    {
+        bench.record(1, "1", Verdict::Ran, "paid");
+        bench.ask(51, "51");
+        bench.settle();
+        CHECK(bench.store.transactions.size() == 2);
+        bench.ask(52, "1");
+        bench.settle();
+        CHECK(bench.codeOf(52) == "claimedElsewhere");
+        CHECK(bench.answers[52].outcome == "paid");
+    }
+    SECTION("one transaction never has more operations or bytes than allowed")
+    {
+        bench.settings.bytesPerCommit = 3000;
+        bench.reopen();
+        for (std::uint64_t nonce = 100; nonce < 400; ++nonce) {
+            bench.ask(nonce, std::to_string(nonce));
+        }
+        bench.settle();
+        for (const ClaimTransaction &transaction : bench.store.transactions) {
+            CHECK(transaction.writes.size() + transaction.floors.size() <= 120);
+        }
+        CHECK(bench.store.transactions[1].writes.size() < 12);
+        CHECK(bench.codeOf(399) == "ok");
+    }
+}
+
+TEST_CASE("A key that is taken does not hold up the others of its transaction", "[claims][partition]")
+{
+    Bench bench;
+    bench.ask(1, "taken");
+    bench.settle();
+    for (std::uint64_t nonce = 2; nonce <= 20; ++nonce) {
+        bench.ask(nonce, nonce == 10 ? "taken" : std::to_string(nonce));
+    }
+    bench.ask(21, "2");
+    bench.settle();
+    CHECK(bench.codeOf(10) == "claimedElsewhere");
+    CHECK(bench.codeOf(2) == "ok");
+    CHECK(bench.codeOf(20) == "ok");
+    CHECK(bench.codeOf(21) == "claimedElsewhere");
+    // The one with `taken`, the rest of it, and the one that repeats `2`.
+    CHECK(bench.counters.commits == 1 + 3);
+}
+
+TEST_CASE("A lost reply is settled by reading back the nonce", "[claims][partition][faults]")
+{
+    Bench bench;
+    bench.ask(1, "a");
+    bench.ask(2, "b");
+    bench.runtime.advance(0ms);
+
+    SECTION("the write had taken effect")
+    {
+        bench.store.work(true);
+        bench.settle();
+        CHECK(bench.codeOf(1) == "ok");
+        CHECK(bench.codeOf(2) == "ok");
+    }
+    SECTION("the write had not taken effect, and another owner took one key in the meantime")
+    {
+        bench.store.answer(mayHaveRun(Errc::DeadlineExceeded, "timeout"));
+        ClaimRecord other;
+        other.nonce = 99;
+        bench.store.state.commit(ClaimTransaction{{}, {ClaimWrite{bench.store.transactions[0].writes[0].key, 0, other}}});
+        bench.settle();
+        CHECK(bench.codeOf(1) == "claimedElsewhere");
+        CHECK(bench.codeOf(2) == "ok");
+    }
+    SECTION("nothing is granted while it is in doubt, and a refusal after that says nothing of the claim")
+    {
+        for (std::uint32_t attempt = 0; attempt < bench.settings.attempts; ++attempt) {
+            CHECK(bench.codeOf(1) == "none");
+            bench.runtime.advance(1s);
+            bench.store.answer(attempt == 0 ? mayHaveRun(Errc::ConnectionLost, "lost") : notRun(Errc::Unavailable, "down"));
+        }
+        CHECK(bench.codeOf(1) == "unavailable");
+        CHECK(bench.store.state.claims.empty());
+    }
+    SECTION("another owner settles it by the same nonce")
+    {
+        bench.store.work(true);
+        bench.reopen();
+        bench.ask(1, "a");
+        bench.settle();
+        CHECK(bench.codeOf(1) == "ok");
+    }
+}
+
+TEST_CASE("A release takes back what was or will be written for its ask only", "[claims][partition]")
+{
+    Bench bench;
+    SECTION("an ask that still waits is not written")
+    {
+        bench.ask(1, "a");
+        bench.record(1, "a", Verdict::NotRun);
+        bench.settle();
+        CHECK(bench.store.transactions.empty());
+    }
+    SECTION("a written claim is released, also by an owner that did not write it")
+    {
+        bench.ask(1, "a");
+        bench.settle();
+        const bool sameOwner = GENERATE(true, false);
+        if (!sameOwner) {
+            bench.reopen();
+        }
+        bench.record(1, "a", Verdict::NotRun);
+        bench.ask(2, "a");
+        bench.settle();
+        CHECK(bench.codeOf(2) == "ok");
+        CHECK(bench.store.state.claims.begin()->second.record.claimant == InstanceId("i"));
+    }
+    SECTION("another's claim stays")
+    {
+        bench.ask(1, "a");
+        bench.settle();
+        bench.record(2, "a", Verdict::NotRun);
+        bench.settle();
+        CHECK(bench.store.state.claims.begin()->second.record.state == ClaimState::Claimed);
+        CHECK(bench.counters.outcomesDropped == 1);
+    }
+}
+
+TEST_CASE("The owner's bounds refuse what is too much or malformed", "[claims][partition]")
+{
+    Bench bench;
+    bench.settings.waiting = 2;
+    bench.reopen();
+    bench.ask(1, "a");
+    bench.ask(2, "b");
+    bench.ask(3, "c");
+    CHECK(bench.codeOf(3) == "overloaded");
+    bench.partition->ask(ClaimAsk{4, CommandName("invoice"), "no-time", InstanceId("i"), 1, 4}, [&](const ClaimAnswer &answer) { bench.answers[4] = answer; });
+    CHECK(bench.codeOf(4) == "badRequest");
+}
+
+TEST_CASE("A key tells when it was made", "[claims][key]")
+{
+    CHECK(claimKeyTime("1764828000-x")->time_since_epoch() == 1764828000s);
+    CHECK(claimKeyTime("017f22e2-79b0-7cc3-98c4-dc0c0c07398f")->time_since_epoch() == 1645557742000ms);
+    for (const std::string key :
+         {"", "abc", "-5", "17648280000000-x", "1764828000", "1764828000-", "017f22e2-79b0-4cc3-98c4-dc0c0c07398f", "x7f22e2x-79b0-7cc3-98c4-dc0c0c07398f"}) {
+        INFO(key);
+        CHECK_FALSE(claimKeyTime(key));
+    }
+    for (const std::string &key : {std::string("5-a b"), "5-" + std::string(300, 'x'), std::string("5-\xff")}) {
+        CHECK_FALSE(parseClaimKey(CommandName("c"), key));
+    }
+}
+
+TEST_CASE("The chart commandclaim is well formed", "[claims][chart]")
+{
+    CHECK(chartFaults(chartNamed("commandclaim")).empty());
+}
--- /dev/null
+++ b/packages/policy/tests/claimtest.cpp
@@ -0,0 +1,273 @@
+#include "claimworld.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Burdock;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Duration Rest = 3s;
+
+void checkPromises(const ClaimWorld &world)
+{
+    const auto broken = world.brokenPromises();
+    for (const std::string &promise : broken) {
+        UNSCOPED_INFO(promise);
+    }
+    CHECK(broken.empty());
+}
+
+/// The verdict of an answer; Ran for an outcome.
+Verdict verdictOf(const CallerRequest &request)
+{
+    return request.result ? Verdict::Ran : request.result.error().verdict;
+}
+
+} // namespace
+
+TEST_CASE("One key sent to several instances at once runs once", "[claims][command]")
+{
+    ClaimWorld world(4);
+    const bool differing = GENERATE(false, true);
+    for (std::size_t instance = 0; differing && instance < 4; ++instance) {
+        world.setView(instance, {instance, (instance + 1) % 4});
+    }
+    const std::string key = world.keyMade(0s, "a");
+    for (std::size_t instance = 0; instance < 4; ++instance) {
+        world.submit(instance, key);
+    }
+    world.run(Rest);
+    CHECK(world.runsOf(key) == 1);
+    const std::size_t later = world.submit(2, key);
+    world.run(Rest);
+    REQUIRE(world.requests[later].result);
+    CHECK(world.requests[later].result->replayed);
+    CHECK(world.requests[later].result->outcome == "done " + key);
+    checkPromises(world);
+}
+
+TEST_CASE("A claimant or owner that is killed or frozen at any moment never lets a key run twice", "[claims][command][faults]")
+{
+    enum class Strike { Kill, ShortFreeze, FreezePastDeadline };
+    const Strike strike = GENERATE(Strike::Kill, Strike::ShortFreeze, Strike::FreezePastDeadline);
+    const StoreConduct firstCommit = GENERATE(StoreConduct::Works, StoreConduct::ReplyLost, StoreConduct::RequestLost, StoreConduct::LateEffect);
+    const ServerConduct server = GENERATE(ServerConduct::Runs, ServerConduct::Refuses, ServerConduct::RunsReplyLost, ServerConduct::RunsLate);
+    // Instance 0 is claimant and owner, or only claimant, or only owner.
+    const std::size_t owner = GENERATE(0, 1);
+    const std::size_t struck = GENERATE(0, 1);
+    std::set<std::string> states;
+    for (int moment = 0; moment < 130; moment += 3) {
+        CAPTURE(static_cast<int>(strike), static_cast<int>(firstCommit), static_cast<int>(server), owner, struck, moment);
+        ClaimWorld world(3, static_cast<std::uint64_t>(moment));
+        world.setView(0, {owner, 2});
+        world.setView(2, {2, owner});
+        world.run(20ms);
+        int commits = 0;
+        world.storeConduct = [&] { return commits++ == 0 ? firstCommit : StoreConduct::Works; };
+        int sent = 0;
+        world.serverConduct = [&] { return sent++ < 2 ? server : ServerConduct::Runs; };
+        const std::string key = world.keyMade(0s, "a");
+        world.submit(0, key);
+        world.run(std::chrono::milliseconds(moment));
+        for (const auto &state : world.desk(0).states()) {
+            states.insert(state.first);
+        }
+        if (strike == Strike::Kill) {
+            world.kill(struck);
+        } else {
+            world.freeze(struck);
+        }
+        // The caller sends it again elsewhere, and once more when the struck one is back.
+        world.submit(2, key);
+        world.run(strike == Strike::ShortFreeze ? 60ms : 900ms);
+        world.thaw(struck);
+        world.restart(struck);
+        world.submit(struck, key);
+        world.run(Rest);
+        world.submit(1, key);
+        world.run(Rest);
+        const auto broken = world.brokenPromises();
+        REQUIRE(broken == std::vector<std::string>{});
+    }
+    CHECK(states.count("claiming") == 1);
+    CHECK(states.count("dispatched") + states.count("finished") + states.count("overdue") > 0);
+}
+
+TEST_CASE("While the store is down a command is refused as not run, and runs once it is back", "[claims][command][faults]")
+{
+    const StoreConduct conduct = GENERATE(StoreConduct::Down, StoreConduct::RequestLost, StoreConduct::ReplyLost, StoreConduct::LateEffect);
+    CAPTURE(static_cast<int>(conduct));
+    ClaimWorld world(3);
+    world.run(20ms);
+    world.storeConduct = [conduct] { return conduct; };
+    const std::string key = world.keyMade(0s, "a");
+    const std::size_t refused = world.submit(0, key, 1500ms);
+    world.run(2s);
+    REQUIRE_FALSE(world.requests[refused].result);
+    CHECK(verdictOf(world.requests[refused]) == Verdict::NotRun);
+    CHECK(world.runsOf(key) == 0);
+    world.storeConduct = [] { return StoreConduct::Works; };
+    world.run(Rest);
+    const std::size_t again = world.submit(1, key);
+    world.run(Rest);
+    if (conduct == StoreConduct::Down || conduct == StoreConduct::RequestLost) {
+        CHECK(world.requests[again].result);
+    }
+    checkPromises(world);
+}
+
+TEST_CASE("A claimant that dies before dispatch leaves an honest answer to repeats", "[claims][command][faults]")
+{
+    ClaimWorld world(3);
+    world.setView(0, {1});
+    world.run(20ms);
+    const std::string key = world.keyMade(0s, "a");
+    world.submit(0, key);
+    for (int waited = 0; waited < 100 && world.store.claims.empty(); ++waited) {
+        world.run(1ms);
+    }
+    REQUIRE(world.store.claims.size() == 1);
+    world.kill(0);
+    const std::size_t repeat = world.submit(2, key);
+    world.run(Rest);
+    CHECK(world.runsOf(key) == 0);
+    CHECK(verdictOf(world.requests[repeat]) == Verdict::MayHaveRun);
+    CHECK(world.requests[repeat].result.error().code == Errc::ClaimedElsewhere);
+}
+
+TEST_CASE("A claim that was given up in time can be claimed anew", "[claims][command]")
+{
+    ClaimWorld world(2);
+    world.run(20ms);
+    const std::string key = world.keyMade(0s, "a");
+    world.serverConduct = [] { return ServerConduct::Refuses; };
+    const std::size_t refused = world.submit(0, key);
+    world.run(Rest);
+    CHECK(verdictOf(world.requests[refused]) == Verdict::NotRun);
+    CHECK(world.store.claims.begin()->second.record.state == ClaimState::Released);
+    world.serverConduct = [] { return ServerConduct::Runs; };
+    const std::size_t again = world.submit(1, key);
+    world.run(Rest);
+    CHECK(verdictOf(world.requests[again]) == Verdict::Ran);
+    checkPromises(world);
+}
+
+TEST_CASE("A late outcome is told to those who ask again", "[claims][command]")
+{
+    ClaimWorld world(2);
+    world.run(20ms);
+    const std::string key = world.keyMade(0s, "a");
+    world.serverConduct = [] { return ServerConduct::RunsLate; };
+    const std::size_t first = world.submit(0, key);
+    world.run(400ms);
+    CHECK(verdictOf(world.requests[first]) == Verdict::MayHaveRun);
+    CHECK(world.desk(0).states() == std::map<std::string, std::size_t>{{"overdue", 1}});
+    world.run(Rest);
+    const std::size_t again = world.submit(1, key);
+    world.run(Rest);
+    REQUIRE(world.requests[again].result);
+    CHECK(world.requests[again].result->replayed);
+    checkPromises(world);
+}
+
+TEST_CASE("A key older than the claim window is refused, also by an instance that slept through the sweep", "[claims][command][faults]")
+{
+    ClaimWorld world(3);
+    world.setView(0, {1});
+    world.setView(1, {1});
+    world.setView(2, {2});
+    world.run(20ms);
+    const std::string key = world.keyMade(0s, "a");
+
+    SECTION("by the entry's clock")
+    {
+        const std::size_t old = world.submit(0, world.keyMade(11min, "old"));
+        CHECK(world.requests[old].result.error().code == Errc::KeyExpired);
+        CHECK(verdictOf(world.requests[old]) == Verdict::MayHaveRun);
+    }
+    SECTION("the record is forgotten, but the key does not run again")
+    {
+        world.submit(0, key);
+        world.run(1s);
+        // This repeat is accepted now, and its entry and owner sleep until the claim is swept.
+        world.freeze(2);
+        world.submit(2, key, 2s);
+        world.run(16min);
+        CHECK(world.store.claims.empty());
+        // Its deadline passes only now by its own reckoning: the ask was never sent.
+        world.thaw(2);
+        world.run(Rest);
+        CHECK(world.runsOf(key) == 1);
+    }
+    SECTION("an owner that slept with the ask cannot write it below the floor")
+    {
+        const ClaimAsk ask{1, CommandName("invoice"), key, InstanceId("i0"), 1, 77};
+        world.submit(0, key);
+        world.run(1s);
+        std::vector<ClaimAnswer> answers;
+        world.owner(2).ask(ask, [&](const ClaimAnswer &answer) { answers.push_back(answer); });
+        world.freeze(2);
+        world.run(16min);
+        world.thaw(2);
+        world.run(1s);
+        REQUIRE(answers.size() == 1);
+        CHECK(errcName(answers[0].code) == errcName(Errc::KeyExpired));
+        CHECK(world.store.claims.empty());
+    }
+    SECTION("a sweeper whose clock is far ahead makes keys expire early, and nothing worse")
+    {
+        world.submit(0, key);
+        world.run(1s);
+        world.runtime(1).freezeFor(24h);
+        world.run(2min);
+        const std::size_t again = world.submit(2, key);
+        world.run(Rest);
+        CHECK(verdictOf(world.requests[again]) == Verdict::MayHaveRun);
+        CHECK(world.runsOf(key) == 1);
+    }
+    checkPromises(world);
+}
+
+TEST_CASE("Drawn combinations of faults never run a key twice, and every refusal as not run is true", "[claims][command][faults][drawn]")
+{
+    const unsigned seed = GENERATE(range(1U, 401U));
+    std::mt19937_64 random(seed);
+    const auto draw = [&random](std::size_t below) { return static_cast<std::size_t>(random() % below); };
+    const std::size_t instances = 2 + draw(4);
+    const std::size_t storeFault = draw(30);
+    const std::size_t serverFault = draw(40);
+    INFO("seed " << seed);
+    ClaimWorld world(instances, seed);
+    world.storeConduct = [&] { return draw(100) < storeFault ? static_cast<StoreConduct>(1 + draw(4)) : StoreConduct::Works; };
+    world.serverConduct = [&] { return draw(100) < serverFault ? static_cast<ServerConduct>(1 + draw(4)) : ServerConduct::Runs; };
+    for (int step = 0; step < 60; ++step) {
+        const std::size_t instance = draw(instances);
+        switch (draw(8)) {
+        case 0:
+            world.kill(instance);
+            break;
+        case 1:
+            world.freeze(instance);
+            break;
+        case 2:
+            world.thaw(instance);
+            world.restart(instance);
+            break;
+        case 3:
+            world.setView(instance, {draw(instances), draw(instances), instance});
+            break;
+        default:
+            world.submit(instance, world.keyMade(0s, "k" + std::to_string(draw(3))), std::chrono::milliseconds(20 + draw(600)));
+        }
+        world.run(std::chrono::milliseconds(draw(80)));
+    }
+    world.storeConduct = [] { return StoreConduct::Works; };
+    for (std::size_t instance = 0; instance < instances; ++instance) {
+        world.thaw(instance);
+        world.restart(instance);
+    }
+    world.run(Rest);
+    checkPromises(world);
+}
--- a/packages/wire/include/burdock/wire/peermessage.h
+++ b/packages/wire/include/burdock/wire/peermessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/values/claim.h>
 #include <burdock/values/configmessages.h>
 #include <burdock/values/subrequest.h>
 
@@ -50,52 +51,6 @@
     }
 };
 
-/// Asks the owner of a claim partition to claim a key before a command is dispatched.
-struct ClaimAsk
-{
-    std::uint64_t number = 0;
-    CommandName command;
-    std::string key;
-    InstanceId claimant;
-    std::uint64_t incarnation = 0;
-    std::uint64_t nonce = 0;
-
-    auto fields() const
-    {
-        return std::tie(number, command, key, claimant, incarnation, nonce);
-    }
-};
-
-/// The owner's reply to ClaimAsk.
-struct ClaimAnswer
-{
-    std::uint64_t number = 0;
-    /// Errc::Ok: the claim is the asker's. ClaimedElsewhere: see `outcome`. Else why not.
-    Errc code = Errc::Ok;
-    bool outcomeKnown = false;
-    std::string outcome;
-
-    auto fields() const
-    {
-        return std::tie(number, code, outcomeKnown, outcome);
-    }
-};
-
-/// Tells the owner of a claim partition how a claimed command ended, to be stored lazily.
-struct ClaimOutcome
-{
-    CommandName command;
-    std::string key;
-    std::uint64_t nonce = 0;
-    Verdict verdict = Verdict::Ran;
-    std::string outcome;
-
-    auto fields() const
-    {
-        return std::tie(command, key, nonce, verdict, outcome);
-    }
-};
-
 /// Everything that travels on a link. The place in the list is the message's number on the wire.
 using PeerMessage =
     std::variant<Hello, SubRequest, SubReply, CancelSubRequest, SubscribeReports, ServerReport, ConfigFetch, ConfigOffer, ClaimAsk, ClaimAnswer, ClaimOutcome>;
