--- /dev/null
+++ b/packages/wire/tests/linknode.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <burdock/wire/factories.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Burdock
+{
+
+constexpr Duration Patience = std::chrono::seconds(5);
+
+/// One instance's links with what they reported.
+struct Node
+{
+    Node(EventLoop &loop, const std::string &name, std::uint64_t incarnation = 1)
+        : id(name)
+        , links(makePeerLinks(loop, id, incarnation))
+        , address(links->listen({"127.0.0.1", 0}).value())
+    {
+        links->setHandlers([this](const InstanceId &from, PeerMessage message) { received.emplace_back(from, std::move(message)); },
+                           [this](const InstanceId &peer) { lost.push_back(peer); });
+    }
+
+    InstanceId id;
+    std::unique_ptr<PeerLinks> links;
+    Address address;
+    std::vector<std::pair<InstanceId, PeerMessage>> received;
+    std::vector<InstanceId> lost;
+};
+
+/// A small message that a test knows again by its number.
+inline PeerMessage numbered(std::uint64_t number)
+{
+    return CancelSubRequest{{InstanceId("x"), 1, number}};
+}
+
+/// The numbers of the messages received, in order.
+inline std::vector<std::uint64_t> numbers(const Node &node)
+{
+    std::vector<std::uint64_t> all;
+    for (const auto &[from, message] : node.received) {
+        all.push_back(std::get<CancelSubRequest>(message).id.number);
+    }
+    return all;
+}
+
+} // namespace Burdock
