--- /dev/null
+++ b/packages/daemon/include/burdock/daemon/instance.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <burdock/daemon/backendadapter.h>
+#include <burdock/daemon/backendlives.h>
+#include <burdock/daemon/directory.h>
+#include <burdock/daemon/entryservice.h>
+#include <burdock/daemon/holderrouter.h>
+#include <burdock/daemon/holderservice.h>
+#include <burdock/daemon/metrics.h>
+#include <burdock/daemon/settings.h>
+#include <burdock/daemon/statuspage.h>
+#include <burdock/declarations/configreader.h>
+#include <burdock/platform/factories.h>
+#include <burdock/policy/budgetedtactics.h>
+#include <burdock/policy/entrylist.h>
+#include <burdock/policy/instancelife.h>
+#include <burdock/policy/membership.h>
+#include <burdock/policy/querydesk.h>
+#include <burdock/wire/factories.h>
+#include <burdock/wire/probecodec.h>
+
+#include <memory>
+
+namespace Burdock
+{
+
+/// One instance of the query tier: makes all parts and connects them; decides nothing itself.
+class Instance final : private InstanceLifePort
+{
+public:
+    Instance(EventLoop &loop, Settings settings, std::uint64_t incarnation);
+    ~Instance() override;
+    Instance(const Instance &) = delete;
+    Instance &operator=(const Instance &) = delete;
+
+    /// Listens and starts to follow the platform. The failure names the address that could not be had.
+    Result<void> start();
+
+    /// Begins the graceful shutdown; `gone` is called when nothing is in flight any more.
+    void shutDown(std::function<void()> gone);
+
+    /// Where callers and peers connect, once started.
+    const ListedInstance &self() const;
+
+private:
+    void confirmConfiguration() override;
+    void setReady(bool ready) override;
+    void leaveEntries() override;
+    void closeConnectionsAfterAnswers() override;
+    std::size_t inFlight() const override;
+    void handOver(std::function<void()> done) override;
+    void exit(std::size_t cut) override;
+
+    Result<void> listen();
+    Result<Address> listenForPeers();
+    void startMembership();
+    void connectPeers();
+    void handleMessage(const InstanceId &from, PeerMessage message);
+    void updateList(const InstanceList &list);
+    void updateLive();
+    void install(ConfigurationPtr configuration);
+    void limitConnections();
+    void pollConfiguration();
+    void backendChanged(const ServerId &server, BackendState state);
+    EntryPorts entryPorts();
+    InstanceStatus status() const;
+    std::optional<Failure> notAdmitting();
+    Rank rankOf(const CallerId &caller, const IndexName &index, const CommandName &command) const;
+
+    EventLoop &loop_;
+    Settings settings_;
+    std::uint64_t incarnation_;
+    ListedInstance self_;
+    ConfigurationPtr configuration_;
+    TimePoint installedAt_;
+
+    std::unique_ptr<HttpClient> client_;
+    std::unique_ptr<HttpServer> server_;
+    std::unique_ptr<PeerLinks> links_;
+    std::unique_ptr<DatagramSocket> socket_;
+    std::unique_ptr<ProbeChannel> probes_;
+    std::unique_ptr<Membership> membership_;
+    std::unique_ptr<Store> store_;
+    std::unique_ptr<InstanceListSource> listSource_;
+
+    ConfigReader configReader_;
+    Directory directory_;
+    BackendLives lives_;
+    BackendAdapter backends_;
+    Holder holder_;
+    HolderService holderService_;
+    HolderRouter router_;
+    SnapshotTracker tracker_;
+    BudgetedTactics tactics_;
+    SubRequestIds ids_;
+    QueryCounters queryCounters_;
+    Admission admission_;
+    QueryDesk queries_;
+    Metrics metrics_;
+    EntryList entryList_;
+    EntryService entry_;
+    InstanceLife life_;
+    std::function<void()> gone_;
+};
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/daemon/src/instance.cpp
@@ -0,0 +1,358 @@
+#include <burdock/daemon/instance.h>
+
+#include <burdock/daemon/instancemetrics.h>
+#include <burdock/daemon/log.h>
+#include <burdock/declarations/checkdeclarations.h>
+#include <random>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// Limits for addresses without a declared fleet: the platform.
+const ConnectionLimits PlatformLimits{8, 2, std::size_t{4} * 1024 * 1024};
+/// A member's state in one word, as the status page tells it.
+std::string describe(const Member &member)
+{
+    if (member.state != MemberState::Alive) {
+        return member.state == MemberState::Dead ? "dead" : "suspect";
+    }
+    if (member.instance.leaving || member.life == MemberLife::Leaving) {
+        return "leaving";
+    }
+    return member.life == MemberLife::Ready ? "ready" : "starting";
+}
+
+InstanceLifeSettings lifeSettings(const Settings &settings)
+{
+    InstanceLifeSettings life;
+    life.entriesMaxAge = settings.entriesMaxAge;
+    life.leaveSpread = settings.leaveSpread;
+    return life;
+}
+
+/// The longest time that any caller may wait.
+Duration longestWait(const Configuration &configuration)
+{
+    Duration longest{0};
+    const auto look = [&longest](const auto &declarations) {
+        for (const auto &[name, declaration] : declarations) {
+            for (const auto &[caller, rule] : declaration.callers) {
+                longest = std::max(longest, rule.longestWait);
+            }
+        }
+    };
+    look(configuration.indexes);
+    look(configuration.commands);
+    return longest;
+}
+
+/// How often a free port is tried for links and probes together.
+constexpr int PortAttempts = 20;
+constexpr std::size_t BackendResponseBytes = std::size_t{2} * 1024 * 1024;
+
+} // namespace
+
+Instance::Instance(EventLoop &loop, Settings settings, std::uint64_t incarnation)
+    : loop_(loop)
+    , settings_(std::move(settings))
+    , incarnation_(incarnation)
+    , self_{settings_.id, settings_.place, settings_.callers, settings_.peers, false}
+    , client_(makeHttpClient(loop, PlatformLimits))
+    , server_(makeHttpServer(loop, HttpServerLimits{}))
+    , links_(makePeerLinks(loop, settings_.id, incarnation))
+    , store_(makeEtcdStore(loop, *client_, settings_.store, settings_.storeTimeout))
+    , listSource_(makeHttpInstanceList(loop, *client_, settings_.instanceList))
+    , configReader_(*store_)
+    , lives_(loop, [this](const ServerId &server, BackendState state) { backendChanged(server, state); })
+    , backends_(loop, *client_, [this](const ServerId &server) { return directory_.serverAddress(server); })
+    , holder_(loop, backends_)
+    , holderService_(*links_, holder_)
+    , router_(loop, *links_, holder_, settings_.id, incarnation, [this](const ServerId &server) { return directory_.holders(server); })
+    , tactics_(loop, std::random_device{}())
+    , ids_(settings_.id, incarnation)
+    , admission_(loop, std::random_device{}())
+    , queries_(
+          QueryContext{loop, router_, tactics_, tracker_, ids_, queryCounters_, QueryLimits{}}, [this] { return configuration_; }, admission_)
+    , entryList_(EntryListSettings{}, std::random_device{}())
+    , entry_(loop, *server_, queries_, metrics_, entryPorts())
+    , life_(loop, *this, lifeSettings(settings_))
+{
+    connectPeers();
+    watchInstance(metrics_, MetricSources{queryCounters_, tactics_, admission_, holder_, router_, backends_, lives_, *server_, *links_});
+}
+
+Instance::~Instance() = default;
+
+Result<void> Instance::start()
+{
+    const Result<void> listening = listen();
+    if (!listening) {
+        return listening;
+    }
+    startMembership();
+    listSource_->follow([this](const InstanceList &list) { updateList(list); });
+    pollConfiguration();
+    return {};
+}
+
+Result<void> Instance::listen()
+{
+    const Result<Address> callers = server_->listen(settings_.callers);
+    if (!callers) {
+        return tl::make_unexpected(callers.error());
+    }
+    const Result<Address> peers = listenForPeers();
+    if (!peers) {
+        return tl::make_unexpected(peers.error());
+    }
+    self_.callers = *callers;
+    self_.peers = *peers;
+    return {};
+}
+
+Result<Address> Instance::listenForPeers()
+{
+    Result<Address> taken = notRun(Errc::Unavailable, "no port was tried");
+    for (int attempt = 0; attempt < PortAttempts && !taken; ++attempt) {
+        socket_ = makeDatagramSocket(loop_);
+        const Result<Address> bound = socket_->bind(settings_.peers);
+        taken = bound ? links_->listen(*bound) : bound;
+        if (settings_.peers.port != 0) {
+            break;
+        }
+    }
+    return taken;
+}
+
+void Instance::startMembership()
+{
+    probes_ = std::make_unique<ProbeChannel>(*socket_);
+    membership_ = std::make_unique<Membership>(loop_, *probes_, self_, incarnation_, std::random_device{}());
+    probes_->setHandler([this](const Address &from, const ProbeMessage &message) { membership_->onDatagram(from, message); });
+    membership_->onChange([this] { updateLive(); });
+    life_.onChange([](const std::string &state) { logChange("instance", state); });
+    updateLive();
+}
+
+const ListedInstance &Instance::self() const
+{
+    return self_;
+}
+
+void Instance::shutDown(std::function<void()> gone)
+{
+    gone_ = std::move(gone);
+    life_.terminate();
+}
+
+void Instance::confirmConfiguration()
+{
+    if (configuration_) {
+        life_.confirmed();
+    }
+}
+
+void Instance::setReady(bool ready)
+{
+    membership_->setReady(ready);
+}
+
+void Instance::leaveEntries()
+{
+    membership_->leave();
+}
+
+void Instance::closeConnectionsAfterAnswers()
+{
+    server_->closeConnectionsAfterAnswers();
+    holderService_.refuseNewWork();
+}
+
+std::size_t Instance::inFlight() const
+{
+    return entry_.inFlight() + holderService_.inFlight();
+}
+
+void Instance::handOver(std::function<void()> done)
+{
+    loop_.schedule(Duration{0}, std::move(done));
+}
+
+void Instance::exit(std::size_t cut)
+{
+    logChange("instance", "exits", {{"cut", std::to_string(cut)}});
+    if (gone_) {
+        gone_();
+    }
+}
+
+void Instance::connectPeers()
+{
+    links_->setHandlers([this](const InstanceId &from, PeerMessage message) { handleMessage(from, std::move(message)); },
+                        [this](const InstanceId &peer) {
+                            router_.peerLost(peer);
+                            holderService_.peerLost(peer);
+                        });
+    const auto learn = [this](const ServerReport &report) {
+        tracker_.update(report);
+        tactics_.serverReported(report);
+    };
+    holder_.onReport([this, learn](const ServerReport &report) {
+        learn(report);
+        holderService_.publish(report);
+    });
+    router_.onReport(learn);
+    backends_.onReply([this](const ServerId &server, bool draining, TimePoint dispatched) { lives_.replied(server, draining, dispatched); });
+}
+
+void Instance::handleMessage(const InstanceId &from, PeerMessage message)
+{
+    if (const auto *request = std::get_if<SubRequest>(&message)) {
+        holderService_.submit(from, *request);
+    } else if (const auto *reply = std::get_if<SubReply>(&message)) {
+        router_.replyArrived(*reply);
+    } else if (const auto *cancelled = std::get_if<CancelSubRequest>(&message)) {
+        holderService_.cancel(from, cancelled->id);
+    } else if (std::holds_alternative<SubscribeReports>(message)) {
+        holderService_.subscribe(from);
+    } else if (const auto *report = std::get_if<ServerReport>(&message)) {
+        router_.reportArrived(*report);
+        lives_.reported(from, *report);
+    }
+}
+
+void Instance::updateList(const InstanceList &list)
+{
+    if (!directory_.updateList(list)) {
+        return;
+    }
+    lives_.updateList(list);
+    limitConnections();
+    membership_->onInstanceList(list);
+    for (const Member &member : membership_->members()) {
+        links_->setPeer(member.instance.id, member.instance.peers);
+    }
+    updateLive();
+}
+
+void Instance::updateLive()
+{
+    std::vector<ListedInstance> live = membership_->live();
+    std::vector<EntryCandidate> candidates;
+    for (const ListedInstance &instance : live) {
+        candidates.push_back(EntryCandidate{instance, !instance.leaving, 1.0});
+        if (instance.id != self_.id) {
+            links_->setPeer(instance.id, instance.peers);
+        }
+    }
+    entryList_.setCandidates(std::move(candidates));
+    directory_.updateLive(std::move(live));
+}
+
+void Instance::install(ConfigurationPtr configuration)
+{
+    configuration_ = std::move(configuration);
+    installedAt_ = loop_.now();
+    holder_.configure(configuration_);
+    limitConnections();
+    membership_->setConfigVersion(configuration_->version);
+    life_.setLongestWait(longestWait(*configuration_));
+    life_.confirmed();
+    logChange("configuration", "in force", {{"version", std::to_string(configuration_->version)}, {"hash", configuration_->hash}});
+}
+
+void Instance::pollConfiguration()
+{
+    loop_.schedule(std::chrono::milliseconds(500), [this] { pollConfiguration(); });
+    configReader_.readHead([this](const Result<StoredHead> &stored) {
+        if (!stored || stored->head.version <= (configuration_ ? configuration_->version : 0)) {
+            return;
+        }
+        configReader_.readFiles(stored->head, DeclarationSet(), [this, version = stored->head.version](const Result<DeclarationSet> &set) {
+            const auto checked = set ? checkDeclarations(*set, version) : tl::make_unexpected(DeclarationFaults{});
+            if (checked) {
+                install(std::make_shared<const Configuration>(*checked));
+            }
+        });
+    });
+}
+
+void Instance::limitConnections()
+{
+    if (!configuration_) {
+        return;
+    }
+    for (const ListedServer &server : directory_.list().servers) {
+        const auto fleet = configuration_->fleets.find(server.fleet);
+        if (fleet != configuration_->fleets.end()) {
+            const std::uint32_t share = std::max<std::uint32_t>(1, fleet->second.connections / HoldersPerServer);
+            client_->setLimits(server.address, ConnectionLimits{share, std::min(share, fleet->second.slots), BackendResponseBytes});
+        }
+    }
+}
+
+void Instance::backendChanged(const ServerId &server, BackendState state)
+{
+    holder_.setDraining(server, state == BackendState::Draining || state == BackendState::Gone);
+}
+
+EntryPorts Instance::entryPorts()
+{
+    EntryPorts ports;
+    ports.notAdmitting = [this] { return notAdmitting(); };
+    ports.entries = [this](const Place &caller) { return entryList_.answerFor(caller.region.empty() ? self_.place : caller).entries; };
+    ports.entriesMaxAge = settings_.entriesMaxAge;
+    ports.command = [](const CommandAsk &, const std::function<void(Result<CommandOutcome>)> &done) {
+        done(notRun(Errc::NotReady, "commands are not served yet"));
+    };
+    ports.rankOf = [this](const CallerId &caller, const IndexName &index, const CommandName &command) { return rankOf(caller, index, command); };
+    ports.status = [this] { return writeStatus(status()); };
+    return ports;
+}
+
+InstanceStatus Instance::status() const
+{
+    InstanceStatus status;
+    status.self = self_;
+    status.incarnation = incarnation_;
+    status.life = life_.state();
+    if (configuration_) {
+        status.configurationVersion = configuration_->version;
+        status.configurationHash = configuration_->hash;
+        status.inForceFor = loop_.now() - installedAt_;
+    }
+    for (const ListedServer &server : directory_.list().servers) {
+        const std::vector<InstanceId> &holders = directory_.holders(server.id);
+        if (!holders.empty() && holders.front() == self_.id) {
+            status.holds.push_back(server.id);
+        }
+    }
+    for (const Member &member : membership_->members()) {
+        status.members.push_back(MemberStatus{member.instance.id, describe(member), member.configVersion});
+    }
+    status.requestsInFlight = inFlight();
+    return status;
+}
+
+std::optional<Failure> Instance::notAdmitting()
+{
+    return life_.refusal();
+}
+
+Rank Instance::rankOf(const CallerId &caller, const IndexName &index, const CommandName &command) const
+{
+    const auto rankIn = [&caller](const auto &declarations, const auto &name) {
+        const auto found = declarations.find(name);
+        if (found == declarations.end() || found->second.callers.count(caller) == 0) {
+            return Rank::Batch;
+        }
+        return found->second.callers.at(caller).rank;
+    };
+    return command.empty() ? rankIn(configuration_->indexes, index) : rankIn(configuration_->commands, command);
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/policy/src/holderserver.cpp
@@ -0,0 +1,127 @@
+#include "holderserver.h"
+
+#include <algorithm>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// How long a server's word that it is leaving holds, where the instance list does not say so.
+constexpr Duration DrainingMemory = std::chrono::seconds(60);
+
+std::uint32_t usableSlots(const FleetDeclaration &fleet)
+{
+    return std::max<std::uint32_t>(std::min(fleet.slots, fleet.connections), 1);
+}
+
+} // namespace
+
+HolderServer::HolderServer(ServerId id, const FleetDeclaration &fleet)
+    : id_(std::move(id))
+    , fleet_(fleet.name)
+    , queue_(fleet.rankFloors)
+    , limit_(usableSlots(fleet))
+{
+}
+
+void HolderServer::configure(const FleetDeclaration &fleet)
+{
+    queue_.setFloors(fleet.rankFloors);
+    limit_.setDeclared(usableSlots(fleet));
+}
+
+RankQueue &HolderServer::queue()
+{
+    return queue_;
+}
+
+const RankQueue &HolderServer::queue() const
+{
+    return queue_;
+}
+
+std::uint32_t HolderServer::slots() const
+{
+    return limit_.current();
+}
+
+const FleetName &HolderServer::fleet() const
+{
+    return fleet_;
+}
+
+void HolderServer::setListedDraining(bool draining)
+{
+    if (listedDraining_ && !draining) {
+        toldDrainingUntil_ = {};
+    }
+    listedDraining_ = draining;
+}
+
+bool HolderServer::draining(TimePoint now) const
+{
+    return listedDraining_ || now < toldDrainingUntil_;
+}
+
+bool HolderServer::canMeet(const QueuedRequest &request) const
+{
+    const bool startsAtOnce = queue_.waiting() == 0 && queue_.running() < limit_.current();
+    if (startsAtOnce) {
+        return true;
+    }
+    const Duration wait = queue_.estimatedWait(request.rank, request.caller, request.share, limit_.current());
+    return wait + queue_.serviceTime(request.rank) <= request.deadline - request.arrived;
+}
+
+void HolderServer::learn(const BackendReply &reply, Rank rank, TimePoint started, TimePoint now)
+{
+    if (reply.reply.code == Errc::Ok) {
+        const bool limited = queue_.running() >= limit_.current();
+        queue_.learnService(rank, now - started);
+        limit_.answered(started, now - started, limited, now);
+        ejection_.recordAnswer();
+    } else {
+        learnFailure(reply, started, now);
+    }
+    if (reply.draining) {
+        toldDrainingUntil_ = now + DrainingMemory;
+    }
+    for (const auto &[index, window] : reply.versions) {
+        versions_[index] = window;
+    }
+}
+
+/// Answers alone teach the service time: a server that fails very fast must not look quick. A server that
+/// could not be reached while it works on other requests has its connections used up by others.
+void HolderServer::learnFailure(const BackendReply &reply, TimePoint started, TimePoint now)
+{
+    const Errc code = reply.reply.code;
+    const bool unreached = code == Errc::Unavailable && reply.reply.verdict == Verdict::NotRun;
+    if (reply.shed || (unreached && queue_.running() > 1)) {
+        limit_.shed(started, now);
+    } else if (code == Errc::Unavailable || code == Errc::ConnectionLost || code == Errc::Internal) {
+        ejection_.recordFailure(now);
+    }
+}
+
+void HolderServer::learnOverrun(Rank rank, Duration took)
+{
+    queue_.learnService(rank, took);
+}
+
+ServerReport HolderServer::report(TimePoint now) const
+{
+    ServerReport report;
+    report.server = id_;
+    report.draining = draining(now);
+    report.ejected = ejection_.ejected(now);
+    for (const Rank rank : AllRanks) {
+        report.queueDelay[rankIndex(rank)] = queue_.queueDelay(rank, limit_.current());
+    }
+    report.versions.assign(versions_.begin(), versions_.end());
+    return report;
+}
+
+} // namespace Burdock
