Hand an accepted version to a few instances straight from the publisher

Cause: where the store goes out at the moment of acceptance, no watch and no read brings the change to anybody. Ruled out: an HTTP endpoint for it on the callers' address, where any caller could hand in a configuration; the peers' address has the trust already. Nothing is handed out that was not accepted.

--- a/packages/ctl/include/burdock/ctl/subcommand.h
+++ b/packages/ctl/include/burdock/ctl/subcommand.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <burdock/ctl/toolcontext.h>
+#include <burdock/declarations/confighead.h>
+#include <burdock/values/configmessages.h>
 
 #include <string>
 #include <vector>
@@ -38,6 +40,29 @@
 /// A flag in whole milliseconds.
 Duration millisecondsOf(const OptionValues &values, const std::string &flag);
 
+/// The platform's instance list.
+Result<InstanceList> readInstances(ToolContext &context, Duration limit);
+
+/// What to hand to instances after a publish.
+struct ConfigPush
+{
+    ConfigHead head;
+    /// The files that the version before did not have.
+    std::vector<ConfigFile> files;
+};
+
+/// How far a push came.
+struct PushReport
+{
+    std::size_t asked = 0;
+    /// How many of those asked said that they have the version in force.
+    std::size_t inForce = 0;
+};
+
+/// Hands an accepted configuration to a few instances of each data centre, so that it spreads even if the store
+/// goes out right after it accepted. Never fails: what it misses, the instances learn from the store.
+PushReport pushConfiguration(ToolContext &context, const ConfigPush &push, Duration limit);
+
 ExitCode checkCommand(ToolContext &context, const OptionValues &values);
 ExitCode collectCommand(ToolContext &context, const OptionValues &values);
 ExitCode publishCommand(ToolContext &context, const OptionValues &values);
--- a/packages/ctl/include/burdock/ctl/toolcontext.h
+++ b/packages/ctl/include/burdock/ctl/toolcontext.h
@@ -5,6 +5,7 @@
 #include <burdock/platform/store.h>
 #include <burdock/values/optiontable.h>
 #include <burdock/wire/httpclient.h>
+#include <burdock/wire/peerlinks.h>
 
 #include <functional>
 #include <iosfwd>
@@ -26,6 +27,9 @@
     virtual InstanceListSource &instanceList() = 0;
     virtual HttpClient &http() = 0;
 
+    /// Links with the instances' peer addresses.
+    virtual PeerLinks &links() = 0;
+
     /// Lets the loop run until the condition holds or the time is up; true where it holds.
     virtual bool waitFor(const std::function<bool()> &condition, Duration limit) = 0;
 
--- a/packages/ctl/src/instancecommands.cpp
+++ b/packages/ctl/src/instancecommands.cpp
@@ -14,18 +14,6 @@
 
 using Json = nlohmann::json;
 
-Result<InstanceList> readInstances(ToolContext &context, const OptionValues &values)
-{
-    context.progress("reading the instance list");
-    auto list = context.await<InstanceList>(millisecondsOf(values, "timeout-ms"),
-                                            [&](auto done) { context.instanceList().follow([done](const InstanceList &read) { done(read); }); });
-    context.instanceList().stop();
-    if (!list) {
-        return notRun(Errc::Unavailable, "the instance list does not answer");
-    }
-    return list;
-}
-
 HttpRequest get(const Address &address, const std::string &path, Duration timeout)
 {
     HttpRequest request;
@@ -51,7 +39,7 @@
         }
         return std::vector{*address};
     }
-    const auto list = readInstances(context, values);
+    const auto list = readInstances(context, millisecondsOf(values, "timeout-ms"));
     if (!list) {
         return tl::make_unexpected(list.error());
     }
@@ -206,9 +194,20 @@
 
 } // namespace
 
+Result<InstanceList> readInstances(ToolContext &context, Duration limit)
+{
+    context.progress("reading the instance list");
+    auto list = context.await<InstanceList>(limit, [&](auto done) { context.instanceList().follow([done](const InstanceList &read) { done(read); }); });
+    context.instanceList().stop();
+    if (!list) {
+        return notRun(Errc::Unavailable, "the instance list does not answer");
+    }
+    return list;
+}
+
 ExitCode statusCommand(ToolContext &context, const OptionValues &values)
 {
-    const auto list = readInstances(context, values);
+    const auto list = readInstances(context, millisecondsOf(values, "timeout-ms"));
     if (!list) {
         return reportFailure(context, list.error());
     }
@@ -225,7 +224,7 @@
     } else {
         printStatuses(context, statuses);
     }
-    return allAnswered && versions.size() <= 1 ? ExitCode::Ok : ExitCode::Found;
+    return allAnswered && versions.size() == 1 ? ExitCode::Ok : ExitCode::Found;
 }
 
 ExitCode entriesCommand(ToolContext &context, const OptionValues &values)
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -25,6 +25,7 @@
         : client_(makeHttpClient(loop_, Limits))
         , store_(makeEtcdStore(loop_, *client_, store, StoreTimeout))
         , instanceList_(makeHttpInstanceList(loop_, *client_, instanceList))
+        , links_(makePeerLinks(loop_, InstanceId("burdockctl-" + std::to_string(getpid())), incarnation()))
     {
     }
 
@@ -63,11 +64,22 @@
         }
     }
 
+    PeerLinks &links() override
+    {
+        return *links_;
+    }
+
 private:
+    std::uint64_t incarnation() const
+    {
+        return static_cast<std::uint64_t>(loop_.wallNow().time_since_epoch().count());
+    }
+
     EventLoop loop_;
     std::unique_ptr<HttpClient> client_;
     std::unique_ptr<Store> store_;
     std::unique_ptr<InstanceListSource> instanceList_;
+    std::unique_ptr<PeerLinks> links_;
 };
 
 int usage(const std::string &message)
--- a/packages/ctl/src/storecommands.cpp
+++ b/packages/ctl/src/storecommands.cpp
@@ -52,15 +52,11 @@
     return values.text("who").empty() && user != nullptr ? user : values.text("who");
 }
 
-/// The version that `--base` names; nothing, with a message, where it names none.
-Result<std::uint64_t> baseOf(ToolContext &context, const OptionValues &values)
+/// The version that `--base` names, where the store's head is `head`.
+Result<std::uint64_t> baseOf(const OptionValues &values, const StoredHead &head)
 {
     if (values.text("base") == "current") {
-        auto head = readHead(context, values);
-        if (!head) {
-            return notRun(head.error().code, head.error().message);
-        }
-        return head->head.version;
+        return head.head.version;
     }
     const auto base = countOf(values.text("base"), 0, std::numeric_limits<std::uint64_t>::max());
     if (!base) {
@@ -69,6 +65,24 @@
     return *base;
 }
 
+/// Hands the accepted version to instances, and tells how far that came.
+void push(ToolContext &context, const OptionValues &values, const PublishRequest &request, const StoredHead &before, std::uint64_t version)
+{
+    const Duration limit = millisecondsOf(values, "push-ms");
+    if (limit == Duration{0}) {
+        return;
+    }
+    ConfigPush push{{version, request.publishId, request.set.hash(), request.set.hashes()}, {}};
+    for (const auto &[name, file] : request.set.files()) {
+        const auto known = before.head.files.find(name);
+        if (known == before.head.files.end() || known->second != file.hash()) {
+            push.files.push_back({name, file.hash(), file.text()});
+        }
+    }
+    const PushReport report = pushConfiguration(context, push, limit);
+    context.err() << "in force on " << report.inForce << " of " << report.asked << " instances that were told directly; 'burdockctl status' shows all\n";
+}
+
 ExitCode printReport(ToolContext &context, const OptionValues &values, const PublishRequest &request, const PublishReport &report)
 {
     static constexpr const char *Names[] = {"accepted", "unchanged", "conflict"};
@@ -111,10 +125,14 @@
         context.err() << "--why needs the reason for the audit trail, and --who the name of who publishes\n";
         return ExitCode::Usage;
     }
-    const auto base = baseOf(context, values);
+    const auto head = readHead(context, values);
+    if (!head) {
+        return reportFailure(context, head.error());
+    }
+    const auto base = baseOf(values, *head);
     if (!base) {
-        const ExitCode code = reportFailure(context, base.error());
-        return base.error().code == Errc::BadRequest ? ExitCode::Usage : code;
+        reportFailure(context, base.error());
+        return ExitCode::Usage;
     }
     const std::string id = values.text("publish-id").empty() ? randomId() : values.text("publish-id");
     const PublishRequest request{*set, *base, id, whoPublishes(values), values.text("why")};
@@ -129,6 +147,9 @@
         }
         return code;
     }
+    if (report->outcome == PublishOutcome::Accepted && report->version > head->head.version) {
+        push(context, values, request, *head, report->version);
+    }
     return printReport(context, values, request, *report);
 }
 
--- a/packages/ctl/src/subcommand.cpp
+++ b/packages/ctl/src/subcommand.cpp
@@ -30,6 +30,7 @@
     static const Option why{"why", "TEXT", "", "Why, for the audit trail. Needed."};
     static const Option base{"base", "N", "", "The version that the files were changed from, or 'current'. Needed."};
     static const Option publishId{"publish-id", "ID", "", "Names this publish; give the same again to settle an earlier one. Default: a random one."};
+    static const Option pushMs{"push-ms", "N", "1000", "How long to hand the new version to instances directly; 0 leaves it to the store."};
     static const Option limit{"limit", "N", "20", "How many at most, newest last."};
     static const Option hits{"limit", "N", "10", "How many hits."};
     static const Option into{"into", "FOLDER", "", "Also writes the files into this folder."};
@@ -40,7 +41,7 @@
     static const std::vector<Subcommand> all{
         {"check", "FOLDER...", "Checks declarations and prints every fault.", 1, SIZE_MAX, {}, checkCommand},
         {"collect", "FOLDER...", "Collects the files of several folders and prints their hashes.", 1, SIZE_MAX, {into}, collectCommand},
-        {"publish", "FOLDER...", "Publishes declarations as the next version.", 1, SIZE_MAX, {base, why, who, publishId}, publishCommand},
+        {"publish", "FOLDER...", "Publishes declarations as the next version.", 1, SIZE_MAX, {base, why, who, publishId, pushMs}, publishCommand},
         {"diff", "FOLDER...", "Shows what publishing would change.", 1, SIZE_MAX, {}, diffCommand},
         {"history", "", "Shows the audit trail.", 0, 0, {limit}, historyCommand},
         {"show", "[FILE]", "Shows the accepted configuration, or one file of it.", 0, 1, {}, showCommand},
--- a/packages/ctl/tests/ctltest.cpp
+++ b/packages/ctl/tests/ctltest.cpp
@@ -70,6 +70,60 @@
     }
 };
 
+/// Instances that take what they are handed and say so, but for the one named `deaf`.
+class FakeLinks final : public PeerLinks
+{
+public:
+    explicit FakeLinks(Runtime &runtime)
+        : runtime_(runtime)
+    {
+    }
+
+    std::map<InstanceId, ConfigOffer> pushed;
+    InstanceId deaf;
+
+    Result<Address> listen(const Address &address) override
+    {
+        return address;
+    }
+    void setHandlers(MessageHandler onMessage, LostHandler) override
+    {
+        onMessage_ = std::move(onMessage);
+    }
+    void setPeer(const InstanceId &, const Address &) override
+    {
+    }
+    void removePeer(const InstanceId &) override
+    {
+    }
+    bool send(const InstanceId &peer, PeerMessage message) override
+    {
+        if (peer == deaf) {
+            return true;
+        }
+        if (const auto *offer = std::get_if<ConfigOffer>(&message)) {
+            pushed[peer] = *offer;
+        } else if (const auto *fetch = std::get_if<ConfigFetch>(&message)) {
+            const ConfigOffer answer{fetch->number, pushed[peer].version, {}, {}, true};
+            runtime_.schedule(Duration{100}, [this, peer, answer] { onMessage_(peer, answer); });
+        }
+        return true;
+    }
+    std::uint32_t openLinks() const override
+    {
+        return 0;
+    }
+    const PeerLinkCounters &counters() const override
+    {
+        return counters_;
+    }
+
+private:
+    Runtime &runtime_;
+    MessageHandler onMessage_;
+    PeerLinkCounters counters_;
+};
+
 class FakeContext final : public ToolContext
 {
 public:
@@ -77,6 +131,7 @@
     MemoryStore memory{clock};
     FakeHttp client{clock};
     FakeList instances;
+    FakeLinks peers{clock};
     std::ostringstream output;
     std::ostringstream faults;
 
@@ -96,6 +151,10 @@
     {
         return client;
     }
+    PeerLinks &links() override
+    {
+        return peers;
+    }
     bool waitFor(const std::function<bool()> &condition, Duration limit) override
     {
         const TimePoint end = clock.now() + limit;
@@ -249,6 +308,35 @@
     }
 }
 
+TEST_CASE("publish hands the new version to two instances of each data centre", "[ctl]")
+{
+    FakeContext context;
+    context.instances.list.version = 1;
+    for (int i = 0; i < 6; ++i) {
+        const Place place{Region("r"), DataCentre(i % 2 == 0 ? "a" : "b")};
+        context.instances.list.instances.push_back({InstanceId("i" + std::to_string(i)), place, {}, {}, i == 0});
+    }
+    context.peers.deaf = InstanceId("i1");
+    const Folder folder(Fleet);
+    REQUIRE(context.run({"publish", "--base", "0", "--why", "first", "--who", "ana", folder.path()}) == ExitCode::Ok);
+    CHECK(context.faults.str().find("in force on 3 of 4 instances") == 0);
+    CHECK(context.peers.pushed.size() == 3);
+    CHECK(context.peers.pushed.count(InstanceId("i0")) == 0);
+    const ConfigOffer &offer = context.peers.pushed.at(InstanceId("i2"));
+    CHECK(ConfigHead::parse(offer.head)->version == 1);
+    CHECK(offer.files.size() == 1);
+
+    SECTION("nothing is handed out that was not accepted")
+    {
+        context.peers.pushed.clear();
+        folder.write(std::string(Fleet) + "#");
+        CHECK(context.run({"publish", "--base", "0", "--why", "second", "--who", "ana", folder.path()}) == ExitCode::Conflict);
+        context.memory.outage = true;
+        CHECK(context.run({"publish", "--base", "1", "--why", "second", "--who", "ana", "--timeout-ms", "2000", folder.path()}) == ExitCode::NotRun);
+        CHECK(context.peers.pushed.empty());
+    }
+}
+
 TEST_CASE("status shows each instance's version and ends with code 1 while one is behind or silent", "[ctl]")
 {
     FakeContext context;
--- a/packages/daemon/tests/configspreadtest.cpp
+++ b/packages/daemon/tests/configspreadtest.cpp
@@ -63,6 +63,17 @@
                              Target);
              fleet.store.beginOutage();
          }},
+        {"outage at the moment of acceptance, and the publisher hands it to two instances",
+         [](ConfigFleet &fleet) { fleet.store.afterEffect = [&fleet] { fleet.runtime.schedule(Duration{0}, [&fleet] { fleet.store.beginOutage(); }); }; },
+         [](ConfigFleet &fleet) {
+             const DeclarationSet set = ConfigFleet::files(3);
+             const DeclarationFile &file = set.files().begin()->second;
+             const ConfigHead head{2, "p2", set.hash(), set.hashes()};
+             for (const std::size_t i : {0U, 1U}) {
+                 fleet.nodes[i]->spread->offered(InstanceId("burdockctl"),
+                                                 {0, 2, head.toJson(), {{set.files().begin()->first, file.hash(), file.text()}}, true});
+             }
+         }},
         {"one instance is cut from the store and half of its peers",
          [](ConfigFleet &fleet) {
              fleet.nodes[0]->store.cut = true;
