Spread configurations between running instances

Ruled out: taking only higher versions from probes as a sign of life, since a quiet fleet in a store outage would then count itself as cut off; each probe of a known member counts.

--- a/packages/daemon/include/burdock/daemon/instance.h
+++ b/packages/daemon/include/burdock/daemon/instance.h
@@ -2,6 +2,7 @@
 
 #include <burdock/daemon/backendadapter.h>
 #include <burdock/daemon/backendlives.h>
+#include <burdock/daemon/configspread.h>
 #include <burdock/daemon/directory.h>
 #include <burdock/daemon/entryservice.h>
 #include <burdock/daemon/holderrouter.h>
@@ -9,7 +10,6 @@
 #include <burdock/daemon/metrics.h>
 #include <burdock/daemon/settings.h>
 #include <burdock/daemon/statuspage.h>
-#include <burdock/declarations/configreader.h>
 #include <burdock/platform/factories.h>
 #include <burdock/policy/budgetedtactics.h>
 #include <burdock/policy/entrylist.h>
@@ -60,7 +60,8 @@
     void updateLive();
     void install(ConfigurationPtr configuration);
     void limitConnections();
-    void pollConfiguration();
+    void followConfiguration(const ConfigStatus &status);
+    ConfigNeighbours configNeighbours() const;
     void backendChanged(const ServerId &server, BackendState state);
     EntryPorts entryPorts();
     InstanceStatus status() const;
@@ -72,7 +73,6 @@
     std::uint64_t incarnation_;
     ListedInstance self_;
     ConfigurationPtr configuration_;
-    TimePoint installedAt_;
 
     std::unique_ptr<HttpClient> client_;
     std::unique_ptr<HttpServer> server_;
@@ -83,7 +83,6 @@
     std::unique_ptr<Store> store_;
     std::unique_ptr<InstanceListSource> listSource_;
 
-    ConfigReader configReader_;
     Directory directory_;
     BackendLives lives_;
     BackendAdapter backends_;
@@ -101,6 +100,7 @@
     EntryService entry_;
     InstanceLife life_;
     std::function<void()> gone_;
+    ConfigSpread configuring_;
 };
 
 } // namespace Burdock
--- a/packages/daemon/include/burdock/daemon/statuspage.h
+++ b/packages/daemon/include/burdock/daemon/statuspage.h
@@ -29,19 +29,15 @@
     ListedInstance self;
     std::uint64_t incarnation = 0;
     std::string life;
-    std::uint64_t configurationVersion = 0;
-    std::string configurationHash;
-    /// How long the configuration has been in force.
-    Duration inForceFor{0};
-    /// Why a newer configuration could not be taken over; empty where there is none.
-    std::string configurationTrouble;
+    /// The state of the configuration as JSON text, as ConfigSpread gives it.
+    std::string configuration;
     std::vector<MemberStatus> members;
     std::vector<ServerId> holds;
     std::size_t requestsInFlight = 0;
 
     auto fields() const
     {
-        return std::tie(self, incarnation, life, configurationVersion, configurationHash, inForceFor, configurationTrouble, members, holds, requestsInFlight);
+        return std::tie(self, incarnation, life, configuration, members, holds, requestsInFlight);
     }
 };
 
--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -2,7 +2,7 @@
 
 #include <burdock/daemon/instancemetrics.h>
 #include <burdock/daemon/log.h>
-#include <burdock/declarations/checkdeclarations.h>
+#include <burdock/policy/configwatchers.h>
 #include <random>
 #include <utility>
 
@@ -66,7 +66,6 @@
     , links_(makePeerLinks(loop, settings_.id, incarnation))
     , store_(makeEtcdStore(loop, *client_, settings_.store, settings_.storeTimeout))
     , listSource_(makeHttpInstanceList(loop, *client_, settings_.instanceList))
-    , configReader_(*store_)
     , lives_(loop, [this](const ServerId &server, BackendState state) { backendChanged(server, state); })
     , backends_(loop, *client_, [this](const ServerId &server) { return directory_.serverAddress(server); })
     , holder_(loop, backends_)
@@ -80,6 +79,8 @@
     , entryList_(EntryListSettings{}, std::random_device{}())
     , entry_(loop, *server_, queries_, metrics_, entryPorts())
     , life_(loop, *this, lifeSettings(settings_))
+    , configuring_(
+          loop, *store_, *links_, ConfigSettings{}, configNeighbours(), std::random_device{}(), [this](const ConfigurationPtr &next) { install(next); })
 {
     connectPeers();
     watchInstance(metrics_, MetricSources{queryCounters_, tactics_, admission_, holder_, router_, backends_, lives_, *server_, *links_});
@@ -95,7 +96,7 @@
     }
     startMembership();
     listSource_->follow([this](const InstanceList &list) { updateList(list); });
-    pollConfiguration();
+    configuring_.start();
     return {};
 }
 
@@ -132,7 +133,13 @@
 {
     probes_ = std::make_unique<ProbeChannel>(*socket_);
     membership_ = std::make_unique<Membership>(loop_, *probes_, self_, incarnation_, std::random_device{}());
-    probes_->setHandler([this](const Address &from, const ProbeMessage &message) { membership_->onDatagram(from, message); });
+    probes_->setHandler([this](const Address &from, const ProbeMessage &message) {
+        membership_->onDatagram(from, message);
+        if (membership_->member(message.from) != nullptr) {
+            configuring_.keeper().peerTold(message.from, message.configVersion);
+        }
+    });
+    configuring_.keeper().onChange([this](const ConfigStatus &status) { followConfiguration(status); });
     membership_->onChange([this] { updateLive(); });
     life_.onChange([](const std::string &state) { logChange("instance", state); });
     updateLive();
@@ -151,7 +158,7 @@
 
 void Instance::confirmConfiguration()
 {
-    if (configuration_) {
+    if (configuring_.keeper().mayAdmit()) {
         life_.confirmed();
     }
 }
@@ -222,6 +229,10 @@
     } else if (const auto *report = std::get_if<ServerReport>(&message)) {
         router_.reportArrived(*report);
         lives_.reported(from, *report);
+    } else if (const auto *fetch = std::get_if<ConfigFetch>(&message)) {
+        configuring_.fetched(from, *fetch);
+    } else if (const auto *offer = std::get_if<ConfigOffer>(&message)) {
+        configuring_.offered(from, *offer);
     }
 }
 
@@ -256,29 +267,38 @@
 void Instance::install(ConfigurationPtr configuration)
 {
     configuration_ = std::move(configuration);
-    installedAt_ = loop_.now();
     holder_.configure(configuration_);
     limitConnections();
     membership_->setConfigVersion(configuration_->version);
     life_.setLongestWait(longestWait(*configuration_));
-    life_.confirmed();
     logChange("configuration", "in force", {{"version", std::to_string(configuration_->version)}, {"hash", configuration_->hash}});
 }
 
-void Instance::pollConfiguration()
+void Instance::followConfiguration(const ConfigStatus &status)
 {
-    loop_.schedule(std::chrono::milliseconds(500), [this] { pollConfiguration(); });
-    configReader_.readHead([this](const Result<StoredHead> &stored) {
-        if (!stored || stored->head.version <= (configuration_ ? configuration_->version : 0)) {
-            return;
-        }
-        configReader_.readFiles(stored->head, DeclarationSet(), [this, version = stored->head.version](const Result<DeclarationSet> &set) {
-            const auto checked = set ? checkDeclarations(*set, version) : tl::make_unexpected(DeclarationFaults{});
-            if (checked) {
-                install(std::make_shared<const Configuration>(*checked));
+    if (configuring_.keeper().mayAdmit()) {
+        life_.confirmed();
+    } else {
+        life_.doubted();
+    }
+    if (!status.unusableFault.empty()) {
+        logTrouble("configuration", "cannot be used", {{"version", std::to_string(status.unusableVersion)}, {"fault", status.unusableFault}});
+    }
+    logChange("configuration", status.state, {{"version", std::to_string(status.version)}});
+}
+
+ConfigNeighbours Instance::configNeighbours() const
+{
+    const auto peers = [this] {
+        std::vector<InstanceId> ids;
+        for (const Member &member : membership_->members()) {
+            if (!member.instance.leaving && member.life != MemberLife::Leaving) {
+                ids.push_back(member.instance.id);
             }
-        });
-    });
+        }
+        return ids;
+    };
+    return ConfigNeighbours{peers, [this] { return isConfigWatcher(self_, membership_->live()); }};
 }
 
 void Instance::limitConnections()
@@ -320,11 +340,7 @@
     status.self = self_;
     status.incarnation = incarnation_;
     status.life = life_.state();
-    if (configuration_) {
-        status.configurationVersion = configuration_->version;
-        status.configurationHash = configuration_->hash;
-        status.inForceFor = loop_.now() - installedAt_;
-    }
+    status.configuration = configuring_.statusJson();
     for (const ListedServer &server : directory_.list().servers) {
         const std::vector<InstanceId> &holders = directory_.holders(server.id);
         if (!holders.empty() && holders.front() == self_.id) {
@@ -340,7 +356,13 @@
 
 std::optional<Failure> Instance::notAdmitting()
 {
-    return life_.refusal();
+    if (auto refusal = life_.refusal()) {
+        return refusal;
+    }
+    if (!configuring_.keeper().mayAdmit()) {
+        return Failure{Errc::NotReady, Verdict::NotRun, "this instance has no confirmed configuration; ask another one", std::chrono::seconds(1)};
+    }
+    return std::nullopt;
 }
 
 Rank Instance::rankOf(const CallerId &caller, const IndexName &index, const CommandName &command) const
--- a/packages/daemon/src/statuspage.cpp
+++ b/packages/daemon/src/statuspage.cpp
@@ -21,11 +21,7 @@
                     {"dataCentre", status.self.place.dataCentre.text()},
                     {"incarnation", status.incarnation},
                     {"life", status.life},
-                    {"configuration",
-                     {{"version", status.configurationVersion},
-                      {"hash", status.configurationHash},
-                      {"inForceForMs", std::chrono::duration<double, std::milli>(status.inForceFor).count()},
-                      {"trouble", status.configurationTrouble}}},
+                    {"configuration", json::parse(status.configuration)},
                     {"members", std::move(members)},
                     {"holds", std::move(holds)},
                     {"requestsInFlight", status.requestsInFlight}};
