--- a/packages/daemon/include/burdock/daemon/instance.h
+++ b/packages/daemon/include/burdock/daemon/instance.h
@@ -2,6 +2,7 @@
 
 #include <burdock/daemon/backendadapter.h>
 #include <burdock/daemon/backendlives.h>
+#include <burdock/daemon/configspread.h>
 #include <burdock/daemon/directory.h>
 #include <burdock/daemon/entryservice.h>
 #include <burdock/daemon/holderrouter.h>
@@ -9,12 +10,14 @@
 #include <burdock/daemon/metrics.h>
 #include <burdock/daemon/settings.h>
 #include <burdock/daemon/statuspage.h>
-#include <burdock/declarations/configreader.h>
 #include <burdock/platform/factories.h>
 #include <burdock/policy/budgetedtactics.h>
 #include <burdock/policy/entrylist.h>
+#include <burdock/policy/instancelife.h>
+#include <burdock/policy/membership.h>
 #include <burdock/policy/querydesk.h>
 #include <burdock/wire/factories.h>
+#include <burdock/wire/probecodec.h>
 
 #include <memory>
 
@@ -22,11 +25,11 @@
 {
 
 /// One instance of the query tier: makes all parts and connects them; decides nothing itself.
-class Instance
+class Instance final : private InstanceLifePort
 {
 public:
     Instance(EventLoop &loop, Settings settings, std::uint64_t incarnation);
-    ~Instance();
+    ~Instance() override;
     Instance(const Instance &) = delete;
     Instance &operator=(const Instance &) = delete;
 
@@ -40,17 +43,29 @@
     const ListedInstance &self() const;
 
 private:
+    void confirmConfiguration() override;
+    void setReady(bool ready) override;
+    void leaveEntries() override;
+    void closeConnectionsAfterAnswers() override;
+    std::size_t inFlight() const override;
+    void handOver(std::function<void()> done) override;
+    void exit(std::size_t cut) override;
+
+    Result<void> listen();
+    Result<Address> listenForPeers();
+    void startMembership();
     void connectPeers();
     void handleMessage(const InstanceId &from, PeerMessage message);
     void updateList(const InstanceList &list);
-    void updateLive(std::vector<ListedInstance> live);
+    void updateLive();
     void install(ConfigurationPtr configuration);
     void limitConnections();
-    void pollConfiguration();
+    void followConfiguration(const ConfigStatus &status);
+    ConfigNeighbours configNeighbours() const;
     void backendChanged(const ServerId &server, BackendState state);
     EntryPorts entryPorts();
     InstanceStatus status() const;
-    std::optional<Failure> notAdmitting() const;
+    std::optional<Failure> notAdmitting();
     Rank rankOf(const CallerId &caller, const IndexName &index, const CommandName &command) const;
 
     EventLoop &loop_;
@@ -58,15 +73,16 @@
     std::uint64_t incarnation_;
     ListedInstance self_;
     ConfigurationPtr configuration_;
-    TimePoint installedAt_;
 
     std::unique_ptr<HttpClient> client_;
     std::unique_ptr<HttpServer> server_;
     std::unique_ptr<PeerLinks> links_;
+    std::unique_ptr<DatagramSocket> socket_;
+    std::unique_ptr<ProbeChannel> probes_;
+    std::unique_ptr<Membership> membership_;
     std::unique_ptr<Store> store_;
     std::unique_ptr<InstanceListSource> listSource_;
 
-    ConfigReader configReader_;
     Directory directory_;
     BackendLives lives_;
     BackendAdapter backends_;
@@ -82,7 +98,9 @@
     Metrics metrics_;
     EntryList entryList_;
     EntryService entry_;
-    bool leaving_ = false;
+    InstanceLife life_;
+    std::function<void()> gone_;
+    ConfigSpread configuring_;
 };
 
 } // namespace Burdock
--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -2,7 +2,7 @@
 
 #include <burdock/daemon/instancemetrics.h>
 #include <burdock/daemon/log.h>
-#include <burdock/declarations/checkdeclarations.h>
+#include <burdock/policy/configwatchers.h>
 #include <random>
 #include <utility>
 
@@ -14,6 +14,44 @@
 
 /// Limits for addresses without a declared fleet: the platform.
 const ConnectionLimits PlatformLimits{8, 2, std::size_t{4} * 1024 * 1024};
+/// A member's state in one word, as the status page tells it.
+std::string describe(const Member &member)
+{
+    if (member.state != MemberState::Alive) {
+        return member.state == MemberState::Dead ? "dead" : "suspect";
+    }
+    if (member.instance.leaving || member.life == MemberLife::Leaving) {
+        return "leaving";
+    }
+    return member.life == MemberLife::Ready ? "ready" : "starting";
+}
+
+InstanceLifeSettings lifeSettings(const Settings &settings)
+{
+    InstanceLifeSettings life;
+    life.entriesMaxAge = settings.entriesMaxAge;
+    life.leaveSpread = settings.leaveSpread;
+    return life;
+}
+
+/// The longest time that any caller may wait.
+Duration longestWait(const Configuration &configuration)
+{
+    Duration longest{0};
+    const auto look = [&longest](const auto &declarations) {
+        for (const auto &[name, declaration] : declarations) {
+            for (const auto &[caller, rule] : declaration.callers) {
+                longest = std::max(longest, rule.longestWait);
+            }
+        }
+    };
+    look(configuration.indexes);
+    look(configuration.commands);
+    return longest;
+}
+
+/// How often a free port is tried for links and probes together.
+constexpr int PortAttempts = 20;
 constexpr std::size_t BackendResponseBytes = std::size_t{2} * 1024 * 1024;
 
 } // namespace
@@ -28,7 +66,6 @@
     , links_(makePeerLinks(loop, settings_.id, incarnation))
     , store_(makeEtcdStore(loop, *client_, settings_.store, settings_.storeTimeout))
     , listSource_(makeHttpInstanceList(loop, *client_, settings_.instanceList))
-    , configReader_(*store_)
     , lives_(loop, [this](const ServerId &server, BackendState state) { backendChanged(server, state); })
     , backends_(loop, *client_, [this](const ServerId &server) { return directory_.serverAddress(server); })
     , holder_(loop, backends_)
@@ -41,6 +78,9 @@
           QueryContext{loop, router_, tactics_, tracker_, ids_, queryCounters_, QueryLimits{}}, [this] { return configuration_; }, admission_)
     , entryList_(EntryListSettings{}, std::random_device{}())
     , entry_(loop, *server_, queries_, metrics_, entryPorts())
+    , life_(loop, *this, lifeSettings(settings_))
+    , configuring_(
+          loop, *store_, *links_, ConfigSettings{}, configNeighbours(), std::random_device{}(), [this](const ConfigurationPtr &next) { install(next); })
 {
     connectPeers();
     watchInstance(metrics_, MetricSources{queryCounters_, tactics_, admission_, holder_, router_, backends_, lives_, *server_, *links_});
@@ -49,23 +89,62 @@
 Instance::~Instance() = default;
 
 Result<void> Instance::start()
+{
+    const Result<void> listening = listen();
+    if (!listening) {
+        return listening;
+    }
+    startMembership();
+    listSource_->follow([this](const InstanceList &list) { updateList(list); });
+    configuring_.start();
+    return {};
+}
+
+Result<void> Instance::listen()
 {
     const Result<Address> callers = server_->listen(settings_.callers);
     if (!callers) {
         return tl::make_unexpected(callers.error());
     }
-    const Result<Address> peers = links_->listen(settings_.peers);
+    const Result<Address> peers = listenForPeers();
     if (!peers) {
         return tl::make_unexpected(peers.error());
     }
     self_.callers = *callers;
     self_.peers = *peers;
-    updateLive({self_});
-    listSource_->follow([this](const InstanceList &list) { updateList(list); });
-    pollConfiguration();
     return {};
 }
 
+Result<Address> Instance::listenForPeers()
+{
+    Result<Address> taken = notRun(Errc::Unavailable, "no port was tried");
+    for (int attempt = 0; attempt < PortAttempts && !taken; ++attempt) {
+        socket_ = makeDatagramSocket(loop_);
+        const Result<Address> bound = socket_->bind(settings_.peers);
+        taken = bound ? links_->listen(*bound) : bound;
+        if (settings_.peers.port != 0) {
+            break;
+        }
+    }
+    return taken;
+}
+
+void Instance::startMembership()
+{
+    probes_ = std::make_unique<ProbeChannel>(*socket_);
+    membership_ = std::make_unique<Membership>(loop_, *probes_, self_, incarnation_, std::random_device{}());
+    probes_->setHandler([this](const Address &from, const ProbeMessage &message) {
+        membership_->onDatagram(from, message);
+        if (membership_->member(message.from) != nullptr) {
+            configuring_.keeper().peerTold(message.from, message.configVersion);
+        }
+    });
+    configuring_.keeper().onChange([this](const ConfigStatus &status) { followConfiguration(status); });
+    membership_->onChange([this] { updateLive(); });
+    life_.onChange([](const std::string &state) { logChange("instance", state); });
+    updateLive();
+}
+
 const ListedInstance &Instance::self() const
 {
     return self_;
@@ -73,15 +152,49 @@
 
 void Instance::shutDown(std::function<void()> gone)
 {
-    leaving_ = true;
+    gone_ = std::move(gone);
+    life_.terminate();
+}
+
+void Instance::confirmConfiguration()
+{
+    if (configuring_.keeper().mayAdmit()) {
+        life_.confirmed();
+    }
+}
+
+void Instance::setReady(bool ready)
+{
+    membership_->setReady(ready);
+}
+
+void Instance::leaveEntries()
+{
+    membership_->leave();
+}
+
+void Instance::closeConnectionsAfterAnswers()
+{
     server_->closeConnectionsAfterAnswers();
-    loop_.schedule(std::chrono::milliseconds(20), [this, gone = std::move(gone)]() mutable {
-        if (entry_.inFlight() == 0 && holderService_.inFlight() == 0) {
-            gone();
-        } else {
-            shutDown(std::move(gone));
-        }
-    });
+    holderService_.refuseNewWork();
+}
+
+std::size_t Instance::inFlight() const
+{
+    return entry_.inFlight() + holderService_.inFlight();
+}
+
+void Instance::handOver(std::function<void()> done)
+{
+    loop_.schedule(Duration{0}, std::move(done));
+}
+
+void Instance::exit(std::size_t cut)
+{
+    logChange("instance", "exits", {{"cut", std::to_string(cut)}});
+    if (gone_) {
+        gone_();
+    }
 }
 
 void Instance::connectPeers()
@@ -116,6 +229,10 @@
     } else if (const auto *report = std::get_if<ServerReport>(&message)) {
         router_.reportArrived(*report);
         lives_.reported(from, *report);
+    } else if (const auto *fetch = std::get_if<ConfigFetch>(&message)) {
+        configuring_.fetched(from, *fetch);
+    } else if (const auto *offer = std::get_if<ConfigOffer>(&message)) {
+        configuring_.offered(from, *offer);
     }
 }
 
@@ -126,21 +243,22 @@
     }
     lives_.updateList(list);
     limitConnections();
-    std::vector<ListedInstance> live{self_};
-    for (const ListedInstance &instance : list.instances) {
-        if (instance.id != self_.id) {
-            links_->setPeer(instance.id, instance.peers);
-            live.push_back(instance);
-        }
+    membership_->onInstanceList(list);
+    for (const Member &member : membership_->members()) {
+        links_->setPeer(member.instance.id, member.instance.peers);
     }
-    updateLive(std::move(live));
+    updateLive();
 }
 
-void Instance::updateLive(std::vector<ListedInstance> live)
+void Instance::updateLive()
 {
+    std::vector<ListedInstance> live = membership_->live();
     std::vector<EntryCandidate> candidates;
     for (const ListedInstance &instance : live) {
         candidates.push_back(EntryCandidate{instance, !instance.leaving, 1.0});
+        if (instance.id != self_.id) {
+            links_->setPeer(instance.id, instance.peers);
+        }
     }
     entryList_.setCandidates(std::move(candidates));
     directory_.updateLive(std::move(live));
@@ -149,26 +267,38 @@
 void Instance::install(ConfigurationPtr configuration)
 {
     configuration_ = std::move(configuration);
-    installedAt_ = loop_.now();
     holder_.configure(configuration_);
     limitConnections();
+    membership_->setConfigVersion(configuration_->version);
+    life_.setLongestWait(longestWait(*configuration_));
     logChange("configuration", "in force", {{"version", std::to_string(configuration_->version)}, {"hash", configuration_->hash}});
 }
 
-void Instance::pollConfiguration()
+void Instance::followConfiguration(const ConfigStatus &status)
 {
-    loop_.schedule(std::chrono::milliseconds(500), [this] { pollConfiguration(); });
-    configReader_.readHead([this](const Result<StoredHead> &stored) {
-        if (!stored || stored->head.version <= (configuration_ ? configuration_->version : 0)) {
-            return;
-        }
-        configReader_.readFiles(stored->head, DeclarationSet(), [this, version = stored->head.version](const Result<DeclarationSet> &set) {
-            const auto checked = set ? checkDeclarations(*set, version) : tl::make_unexpected(DeclarationFaults{});
-            if (checked) {
-                install(std::make_shared<const Configuration>(*checked));
+    if (configuring_.keeper().mayAdmit()) {
+        life_.confirmed();
+    } else {
+        life_.doubted();
+    }
+    if (!status.unusableFault.empty()) {
+        logTrouble("configuration", "cannot be used", {{"version", std::to_string(status.unusableVersion)}, {"fault", status.unusableFault}});
+    }
+    logChange("configuration", status.state, {{"version", std::to_string(status.version)}});
+}
+
+ConfigNeighbours Instance::configNeighbours() const
+{
+    const auto peers = [this] {
+        std::vector<InstanceId> ids;
+        for (const Member &member : membership_->members()) {
+            if (!member.instance.leaving && member.life != MemberLife::Leaving) {
+                ids.push_back(member.instance.id);
             }
-        });
-    });
+        }
+        return ids;
+    };
+    return ConfigNeighbours{peers, [this] { return isConfigWatcher(self_, membership_->live()); }};
 }
 
 void Instance::limitConnections()
@@ -209,29 +339,28 @@
     InstanceStatus status;
     status.self = self_;
     status.incarnation = incarnation_;
-    status.life = leaving_ ? "leaving" : "serving";
-    if (configuration_) {
-        status.configurationVersion = configuration_->version;
-        status.configurationHash = configuration_->hash;
-        status.inForceFor = loop_.now() - installedAt_;
-    }
+    status.life = life_.state();
+    status.configuration = configuring_.statusJson();
     for (const ListedServer &server : directory_.list().servers) {
         const std::vector<InstanceId> &holders = directory_.holders(server.id);
         if (!holders.empty() && holders.front() == self_.id) {
             status.holds.push_back(server.id);
         }
     }
-    status.requestsInFlight = entry_.inFlight() + holderService_.inFlight();
+    for (const Member &member : membership_->members()) {
+        status.members.push_back(MemberStatus{member.instance.id, describe(member), member.configVersion});
+    }
+    status.requestsInFlight = inFlight();
     return status;
 }
 
-std::optional<Failure> Instance::notAdmitting() const
+std::optional<Failure> Instance::notAdmitting()
 {
-    if (leaving_) {
-        return Failure{Errc::Draining, Verdict::NotRun, "this instance is leaving; ask /v1/entries of another one", Duration{0}};
+    if (auto refusal = life_.refusal()) {
+        return refusal;
     }
-    if (!configuration_) {
-        return Failure{Errc::NotReady, Verdict::NotRun, "this instance has no configuration yet; ask another one", std::chrono::seconds(1)};
+    if (!configuring_.keeper().mayAdmit()) {
+        return Failure{Errc::NotReady, Verdict::NotRun, "this instance has no confirmed configuration; ask another one", std::chrono::seconds(1)};
     }
     return std::nullopt;
 }
--- a/packages/policy/src/admission.cpp
+++ b/packages/policy/src/admission.cpp
@@ -15,8 +15,14 @@
 constexpr Duration ReportLife = std::chrono::seconds(1);
 /// Requests are refused only while the queue delay is above the longest wait divided by this.
 constexpr int WaitDivisor = 2;
-/// How many requests are sent on for each one served.
-constexpr double SentPerServed = 2;
+/// How many requests are sent on for each one served: this many, less the pressure. At a pressure of
+/// three quarters what is sent is what is served.
+constexpr double SentPerServed = 2.5;
+constexpr double SentPerPressure = 2;
+/// A caller whose requests take less than this part of their wait is not refused.
+constexpr double LeastPressure = 0.5;
+/// How much one request moves the pressure.
+constexpr double PressureWeight = 0.1;
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(100);
 /// Callers refused together are asked back over a span of this part of the wait.
 constexpr double RetryAfterSpread = 0.5;
@@ -32,8 +38,9 @@
 std::optional<Failure> Admission::refusal(const AdmissionKey &key, Duration longestWait)
 {
     Account &account = this->account(key);
-    const double part = (account.requests - SentPerServed * account.served) / (account.requests + 1);
+    const double part = refusedPart(account);
     account.requests += 1;
+    account.longestWait = longestWait;
     const bool fresh = runtime_.now() < account.reportedAt + ReportLife;
     if (!fresh || account.queueDelay <= longestWait / WaitDivisor || std::uniform_real_distribution<>(0, 1)(random_) >= part) {
         return std::nullopt;
@@ -42,11 +49,24 @@
     return Failure{Errc::Overloaded, Verdict::NotRun, "The caller's share is used up; come back later.", retryAfter(account.queueDelay)};
 }
 
+/// The part of the caller's requests that is to be refused.
+double Admission::refusedPart(const Account &account)
+{
+    if (account.pressure < LeastPressure) {
+        return 0;
+    }
+    const double sent = (SentPerServed - SentPerPressure * account.pressure) * account.served;
+    return (account.requests - sent) / (account.requests + 1);
+}
+
 void Admission::ended(const AdmissionKey &key, const AdmissionOutcome &outcome)
 {
     Account &account = this->account(key);
     const std::uint32_t sent = outcome.served + outcome.refused;
     account.served += sent == 0 ? 0 : static_cast<double>(outcome.served) / sent;
+    const double longest = std::max(static_cast<double>(account.longestWait.count()), 1.0);
+    const double pressure = outcome.refused > 0 ? 1 : std::min(static_cast<double>(outcome.took.count()) / longest, 1.0);
+    account.pressure += (pressure - account.pressure) * PressureWeight;
     account.queueDelay = outcome.queueDelay;
     account.reportedAt = runtime_.now();
 }
--- a/packages/wire/src/clientconnection.cpp
+++ b/packages/wire/src/clientconnection.cpp
@@ -1,9 +1,9 @@
 #include "internal/clientconnection.h"
 
+#include "internal/httptext.h"
 #include "internal/sockets.h"
 
 #include <algorithm>
-#include <cctype>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
@@ -41,12 +41,6 @@
     return text;
 }
 
-std::string lowerCase(std::string text)
-{
-    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
-    return text;
-}
-
 const char *describe(evhttp_request_error error)
 {
     switch (error) {
@@ -79,7 +73,7 @@
     }
     evhttp_connection_set_timeout_tv(connection_, &LibraryTimeout);
     evhttp_connection_set_max_headers_size(connection_, ResponseHeaderBytes);
-    evhttp_connection_set_flags(connection_, EVHTTP_CON_READ_ON_WRITE_ERROR);
+    // Without EVHTTP_CON_READ_ON_WRITE_ERROR: with it libevent 2.1.12 never reports a response that is cut off.
     evhttp_connection_set_closecb(connection_, &ClientConnection::onClose, this);
     evbuffer_add_cb(bufferevent_get_output(stream_), &ClientConnection::onOutput, this);
 }
--- a/tests/process/testbed.cpp
+++ b/tests/process/testbed.cpp
@@ -75,6 +75,8 @@
                                                                               store_.toString(),
                                                                               "--instance-list-address",
                                                                               instanceList_.toString(),
+                                                                              "--leave-spread-ms",
+                                                                              "1000",
                                                                               "--entries-max-age-ms",
                                                                               "1000",
                                                                               "--log-level",
@@ -109,7 +111,8 @@
 
 int Testbed::publish()
 {
-    ChildProcess ctl(BURDOCK_CTL, {"publish", "--store-address", store_.toString(), "--why", "process test", declarations()});
+    ChildProcess ctl(BURDOCK_CTL,
+                     {"publish", "--store-address", store_.toString(), "--base", "current", "--who", "test", "--why", "process test", declarations()});
     ctl.readAll();
     return ctl.wait();
 }
