Race publishers, lose replies, stop the store and freeze an instance around a change

Ruled out: nothing. Of four racing publishers one exits with 0 and three with 3, three rounds of three; versions never fall on any instance.

--- /dev/null
+++ b/tests/process/publishprocesstest.cpp
@@ -0,0 +1,160 @@
+#include "querystream.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+using namespace Burdock;
+using nlohmann::json;
+
+namespace
+{
+
+const std::vector<std::string> Instances{"litoral-a", "litoral-b", "litoral-c", "capital-a", "capital-b", "norte-a", "norte-b"};
+
+/// The seven instances of today, and copies of the declarations that differ in one number.
+class PublishBed
+{
+public:
+    PublishBed()
+        : bed("pereyra-hermanos", {"litoral", "capital", "norte"})
+        , folder_(std::filesystem::temp_directory_path() / ("burdock-publish-" + std::to_string(getpid())))
+    {
+        for (const std::string &id : Instances) {
+            bed.startInstance(id, id.substr(0, id.find('-')));
+        }
+        REQUIRE(bed.publish() == 0);
+        REQUIRE(bed.allReady());
+    }
+
+    ~PublishBed()
+    {
+        std::filesystem::remove_all(folder_);
+    }
+
+    PublishBed(const PublishBed &) = delete;
+    PublishBed &operator=(const PublishBed &) = delete;
+
+    /// A folder with the deployment's declarations and one more rule, whose wait is the number.
+    std::string variant(int number)
+    {
+        const auto copy = folder_ / std::to_string(number);
+        std::filesystem::create_directories(folder_);
+        std::filesystem::copy(bed.declarations(), copy, std::filesystem::copy_options::recursive);
+        std::ofstream(copy / "teams" / "added.toml")
+            << "team = \"Added\"\n[[rule]]\ncallers = [\"added\"]\nindex = \"parts\"\nrank = \"batch\"\nlongest-wait = \"" << 1000 + number << "ms\"\n";
+        return copy.string();
+    }
+
+    /// Starts to publish a variant on a base; the caller waits for its end.
+    std::unique_ptr<ChildProcess> startPublish(int number, const std::string &base)
+    {
+        return std::make_unique<ChildProcess>(BURDOCK_CTL,
+                                              std::vector<std::string>{"publish",
+                                                                       "--store-address",
+                                                                       bed.store().toString(),
+                                                                       "--instance-list-address",
+                                                                       bed.instanceList().toString(),
+                                                                       "--base",
+                                                                       base,
+                                                                       "--who",
+                                                                       "test",
+                                                                       "--why",
+                                                                       "race",
+                                                                       variant(number)});
+    }
+
+    /// The versions in force, and a check that none has ever gone down.
+    std::vector<std::uint64_t> versions(const std::vector<std::string> &ids)
+    {
+        std::vector<std::uint64_t> found;
+        for (const std::string &id : ids) {
+            const json status = bed.status(id);
+            const std::uint64_t version = status.is_null() ? 0 : status.at("configuration").at("version").get<std::uint64_t>();
+            CHECK(version >= highest_[id]);
+            highest_[id] = std::max(highest_[id], version);
+            found.push_back(version);
+        }
+        return found;
+    }
+
+    bool allReach(std::uint64_t version, const std::vector<std::string> &ids = Instances)
+    {
+        return bed.eventually([&] {
+            const auto found = versions(ids);
+            return std::all_of(found.begin(), found.end(), [version](std::uint64_t each) { return each == version; });
+        });
+    }
+
+    Testbed bed;
+
+private:
+    std::filesystem::path folder_;
+    std::map<std::string, std::uint64_t> highest_;
+};
+
+} // namespace
+
+TEST_CASE("Of racing publishers one wins, the others are told, and all instances get the winner's version", "[process][publish]")
+{
+    PublishBed publishing;
+    for (int round = 0; round < 3; ++round) {
+        std::vector<std::unique_ptr<ChildProcess>> racers;
+        for (int racer = 0; racer < 4; ++racer) {
+            racers.push_back(publishing.startPublish(10 * round + racer, std::to_string(1 + round)));
+        }
+        std::map<int, int> codes;
+        for (const auto &racer : racers) {
+            racer->readAll();
+            ++codes[racer->wait()];
+        }
+        CHECK(codes == std::map<int, int>{{0, 1}, {3, 3}});
+        CHECK(publishing.allReach(static_cast<std::uint64_t>(2 + round)));
+    }
+}
+
+TEST_CASE("An accepted configuration is in force everywhere though the store loses the reply and goes away", "[process][publish]")
+{
+    PublishBed publishing;
+    Testbed &bed = publishing.bed;
+    SECTION("the reply to the write is lost")
+    {
+        bed.control("POST", "/fake/faults", {{"target", "store"}, {"transport", {{"delivery", "dropped"}, {"path", "/v3/kv/txn"}, {"times", 1}}}});
+        const auto publish = publishing.startPublish(1, "1");
+        publish->readAll();
+        CHECK(publish->wait() == 0);
+        CHECK(publishing.allReach(2));
+    }
+    SECTION("the store goes out right after the acceptance, and an instance restarts meanwhile")
+    {
+        const auto publish = publishing.startPublish(1, "1");
+        publish->readAll();
+        REQUIRE(publish->wait() == 0);
+        bed.control("POST", "/fake/faults", {{"target", "store"}, {"transport", {{"outage", "refuse"}}}});
+        CHECK(publishing.allReach(2));
+        bed.process("norte-b").signal(SIGKILL);
+        bed.process("norte-b").wait();
+        bed.startInstance("norte-c", "norte");
+        CHECK(publishing.allReach(2, {"norte-a", "norte-c", "capital-a"}));
+        CHECK(bed.eventually([&] {
+            const auto answer = bed.call(bed.callersAddress("norte-c"), "GET", "/readyz", "");
+            return answer && answer->status == 200;
+        }));
+    }
+    SECTION("an instance was frozen across the change and admits nothing under the old version when it wakes")
+    {
+        bed.process("litoral-c").signal(SIGSTOP);
+        const auto publish = publishing.startPublish(1, "1");
+        publish->readAll();
+        REQUIRE(publish->wait() == 0);
+        CHECK(publishing.allReach(2, {"litoral-a", "capital-a", "norte-a"}));
+        bed.loop().runUntil([] { return false; }, std::chrono::seconds(3));
+        bed.process("litoral-c").signal(SIGCONT);
+        const auto answer = bed.ask("litoral-c", "added", "parts");
+        REQUIRE(answer);
+        const json body = json::parse(answer->body);
+        const bool refusedUntilCurrent = answer->status == 503 && body.at("error").at("code") == "notReady";
+        CHECK((answer->status == 200 || refusedUntilCurrent));
+        CHECK(publishing.allReach(2));
+    }
+}
