--- a/packages/daemon/include/burdock/daemon/callerjson.h
+++ b/packages/daemon/include/burdock/daemon/callerjson.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/policy/commandrun.h>
 #include <burdock/policy/query.h>
 #include <burdock/values/place.h>
 #include <burdock/wire/httpserver.h>
@@ -9,26 +10,11 @@
 namespace Burdock
 {
 
-/// What a caller asks for by `POST /v1/command`.
-struct CommandAsk
-{
-    CallerId caller;
-    CommandName command;
-    std::string key;
-    std::string payload;
-    std::optional<Duration> deadline;
-
-    auto fields() const
-    {
-        return std::tie(caller, command, key, payload, deadline);
-    }
-};
-
 /// Reads the body and headers of `POST /v1/query`; every fault names the field and what is allowed.
 Result<Query> readQuery(const HttpIncoming &request);
 
 /// Reads the body and headers of `POST /v1/command`.
-Result<CommandAsk> readCommand(const HttpIncoming &request);
+Result<CommandRequest> readCommand(const HttpIncoming &request);
 
 /// Writes an answer.
 HttpOutgoing writeAnswer(const std::string &requestId, const QueryAnswer &answer);
--- a/packages/daemon/include/burdock/daemon/entryservice.h
+++ b/packages/daemon/include/burdock/daemon/entryservice.h
@@ -14,19 +14,6 @@
 namespace Burdock
 {
 
-/// How a command ended well.
-struct CommandOutcome
-{
-    std::string outcome;
-    /// True where the outcome is that of an earlier request with the same key.
-    bool replayed = false;
-
-    auto fields() const
-    {
-        return std::tie(outcome, replayed);
-    }
-};
-
 /// What the callers' interface needs from the rest of the instance.
 struct EntryPorts
 {
@@ -36,7 +23,7 @@
     std::function<std::vector<ListedInstance>(const Place &caller)> entries;
     Duration entriesMaxAge{0};
     /// Runs a command.
-    std::function<void(const CommandAsk &ask, std::function<void(Result<CommandOutcome>)> done)> command;
+    std::function<void(const CommandRequest &request, CommandRun::Done done)> command;
     /// The rank that the declarations give the caller of a query or command; for metrics only.
     std::function<Rank(const CallerId &caller, const IndexName &index, const CommandName &command)> rankOf;
     /// The JSON text of `GET /v1/status`.
--- a/packages/daemon/src/callerjson.cpp
+++ b/packages/daemon/src/callerjson.cpp
@@ -176,14 +176,14 @@
     return query;
 }
 
-Result<CommandAsk> readCommand(const HttpIncoming &request)
+Result<CommandRequest> readCommand(const HttpIncoming &request)
 {
     const Result<CallerId> caller = readCaller(request);
     if (!caller) {
         return tl::make_unexpected(caller.error());
     }
     BodyReader body(request.body);
-    CommandAsk ask;
+    CommandRequest ask;
     ask.caller = *caller;
     ask.command = CommandName(body.text("command", true, LongestName));
     ask.payload = body.text("payload", true, std::size_t{64} * 1024);
--- a/packages/daemon/src/entryservice.cpp
+++ b/packages/daemon/src/entryservice.cpp
@@ -123,7 +123,7 @@
 void EntryService::command(const HttpIncoming &request, const Responder &responder)
 {
     const std::string id = requestId(request);
-    const Result<CommandAsk> ask = readCommand(request);
+    const Result<CommandRequest> ask = readCommand(request);
     const auto closed = ports_.notAdmitting();
     if (!ask || closed) {
         refuse(closed ? *closed : ask.error(), id, responder);
@@ -132,7 +132,7 @@
     const Rank rank = ports_.rankOf(ask->caller, IndexName(), ask->command);
     const TimePoint startedAt = runtime_.now();
     ++inFlight_;
-    ports_.command(*ask, [this, id, rank, startedAt, responder](Result<CommandOutcome> result) {
+    ports_.command(*ask, [this, id, rank, startedAt, responder](Result<CommandResult> result) {
         --inFlight_;
         if (!result) {
             refuse(result.error(), id, responder);
--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -326,9 +326,7 @@
     ports.notAdmitting = [this] { return notAdmitting(); };
     ports.entries = [this](const Place &caller) { return entryList_.answerFor(caller.region.empty() ? self_.place : caller).entries; };
     ports.entriesMaxAge = settings_.entriesMaxAge;
-    ports.command = [](const CommandAsk &, const std::function<void(Result<CommandOutcome>)> &done) {
-        done(notRun(Errc::NotReady, "commands are not served yet"));
-    };
+    ports.command = [](const CommandRequest &, const CommandRun::Done &done) { done(notRun(Errc::NotReady, "commands are not served yet")); };
     ports.rankOf = [this](const CallerId &caller, const IndexName &index, const CommandName &command) { return rankOf(caller, index, command); };
     ports.status = [this] { return writeStatus(status()); };
     return ports;
