--- a/packages/wire/src/httprequestparser.cpp
+++ b/packages/wire/src/httprequestparser.cpp
@@ -56,9 +56,8 @@
 HttpRequestParser::HttpRequestParser(std::size_t headerLimit, std::size_t bodyLimit)
     : headerLimit_(headerLimit)
     , bodyLimit_(bodyLimit)
-    , parser_(htparser_new(), &std::free)
+    , parser_(nullptr, &std::free)
 {
-    restart();
 }
 
 const htparse_hooks &HttpRequestParser::hooks()
@@ -85,8 +84,7 @@
 
 void HttpRequestParser::restart()
 {
-    htparser_init(parser_.get(), htp_type_request);
-    htparser_set_userdata(parser_.get(), this);
+    parser_.reset();
     incoming_ = {};
     status_ = Status::Incomplete;
     headerName_.clear();
@@ -116,6 +114,9 @@
         status_ = Status::TooLarge;
     } else if (whole) {
         headRead_ = true;
+        parser_.reset(htparser_new());
+        htparser_init(parser_.get(), htp_type_request);
+        htparser_set_userdata(parser_.get(), this);
         run(input, length);
     }
 }
--- a/packages/wire/src/internal/httprequestparser.h
+++ b/packages/wire/src/internal/httprequestparser.h
@@ -73,6 +73,7 @@
 
     const std::size_t headerLimit_;
     const std::size_t bodyLimit_;
+    /// Holds a line of 8 KiB, so it is there only while a request is read.
     std::unique_ptr<htparser, void (*)(void *)> parser_;
     HttpIncoming incoming_;
     std::string headerName_;
