--- a/packages/daemon/include/burdock/daemon/configspread.h
+++ b/packages/daemon/include/burdock/daemon/configspread.h
@@ -17,7 +17,7 @@
 struct ConfigSpreadCounters
 {
     std::uint64_t messagesSent = 0;
-    /// Bytes of heads and files in offers, both ways; other fields are a few bytes.
+    /// Bytes of heads, files and hashes; the other fields are a few bytes a message.
     std::uint64_t bytesSent = 0;
     std::uint64_t bytesReceived = 0;
     /// Offers that contradict themselves or that nobody asked for.
--- a/packages/daemon/src/configspread.cpp
+++ b/packages/daemon/src/configspread.cpp
@@ -24,11 +24,18 @@
     return text;
 }
 
-std::size_t payloadBytes(const ConfigOffer &offer)
+std::size_t payloadBytes(const PeerMessage &message)
 {
-    std::size_t bytes = offer.head.size();
-    for (const ConfigFile &file : offer.files) {
-        bytes += file.name.size() + file.hash.size() + file.text.size();
+    std::size_t bytes = 0;
+    if (const auto *offer = std::get_if<ConfigOffer>(&message)) {
+        bytes += offer->head.size();
+        for (const ConfigFile &file : offer->files) {
+            bytes += file.name.size() + file.hash.size() + file.text.size();
+        }
+    } else if (const auto *fetch = std::get_if<ConfigFetch>(&message)) {
+        for (const std::string &hash : fetch->haveHashes) {
+            bytes += hash.size();
+        }
     }
     return bytes;
 }
@@ -164,9 +171,7 @@
 
 void ConfigSpread::send(const InstanceId &peer, PeerMessage message)
 {
-    if (const auto *offer = std::get_if<ConfigOffer>(&message)) {
-        counters_.bytesSent += payloadBytes(*offer);
-    }
+    counters_.bytesSent += payloadBytes(message);
     ++counters_.messagesSent;
     links_.send(peer, std::move(message));
 }
--- a/packages/daemon/tests/configfleet.h
+++ b/packages/daemon/tests/configfleet.h
@@ -221,10 +221,10 @@
     ConfigSettings settings;
     std::vector<std::unique_ptr<Node>> nodes;
     std::mt19937 random;
-    /// Lets every instance watch the store, for comparison.
-    bool allWatch = false;
-    /// Without probes and announcements, for comparison.
-    bool peersSilent = false;
+    /// Who watches the store; for comparison all or none of the instances.
+    enum class Watchers { Few, All, None };
+    Watchers watchers = Watchers::Few;
+    /// For comparison, probes that tell nothing of versions.
     bool probesCarryVersions = true;
 
     ConfigFleet(std::size_t count, std::size_t dataCentres, unsigned seed)
@@ -242,7 +242,7 @@
     {
         Node &node = *nodes[i];
         node.spread.reset();
-        ConfigNeighbours neighbours{[this, i] { return others(i); }, [this, i] { return allWatch || isConfigWatcher(nodes[i]->listed, listed()); }};
+        ConfigNeighbours neighbours{[this, i] { return others(i); }, [this, i] { return watches(i); }};
         node.spread = std::make_unique<ConfigSpread>(
             node.runtime, node.store, node.links, settings, std::move(neighbours), random(), [this, i](const ConfigurationPtr &configuration) {
                 nodes[i]->reverted = nodes[i]->reverted || configuration->version <= nodes[i]->highestInForce;
@@ -349,9 +349,14 @@
         return all;
     }
 
+    bool watches(std::size_t self) const
+    {
+        return watchers == Watchers::All || (watchers == Watchers::Few && isConfigWatcher(nodes[self]->listed, listed()));
+    }
+
     void deliver(std::size_t from, std::size_t to, const std::function<void()> &arrive)
     {
-        if (peersSilent || nodes[from]->cutFrom.count(to) != 0 || nodes[to]->cutFrom.count(from) != 0) {
+        if (nodes[from]->cutFrom.count(to) != 0 || nodes[to]->cutFrom.count(from) != 0) {
             return;
         }
         runtime.schedule(LinkLatency, [this, to, arrive] { nodes[to]->runtime.run(arrive); });
