--- a/packages/policy/include/burdock/policy/holder.h
+++ b/packages/policy/include/burdock/policy/holder.h
@@ -12,6 +12,16 @@
 namespace Burdock
 {
 
+/// What a holder has counted since the start, over all its servers.
+struct HolderCounters
+{
+    /// Sub-requests given to servers, and those refused as NotRun without, by rank.
+    PerRank<std::uint64_t> dispatched{};
+    PerRank<std::uint64_t> refused{};
+    /// Requests that servers refused for lack of a slot.
+    std::uint64_t sheds = 0;
+};
+
 /// Holds backend servers on behalf of all entry instances: one rank queue and one slot limit per server.
 ///
 /// A sub-request that cannot meet its budget is refused at once as NotRun. Queues, floors, fairness
@@ -46,6 +56,8 @@
     /// How many sub-requests wait or run.
     std::size_t inFlight() const;
 
+    const HolderCounters &counters() const;
+
 private:
     class Private;
     std::unique_ptr<Private> d_;
--- a/packages/policy/src/holder.cpp
+++ b/packages/policy/src/holder.cpp
@@ -42,6 +42,11 @@
         return items_.size();
     }
 
+    const HolderCounters &counters() const
+    {
+        return counters_;
+    }
+
     void onReport(ReportHandler handler)
     {
         reporter_.setHandler(std::move(handler));
@@ -88,6 +93,7 @@
     Items items_;
     HolderDeadlines deadlines_;
     HolderReporter reporter_;
+    HolderCounters counters_;
 };
 
 Holder::Private::~Private()
@@ -207,6 +213,7 @@
     reply.message = message;
     reply.retryAfter = retryAfter;
     item->second.state = State::Refused;
+    ++counters_.refused[rankIndex(item->second.request.rank)];
     item->second.refusal = runtime_.schedule(Duration{0}, [this, id = item->first, reply = std::move(reply)] {
         const auto refused = items_.find(id);
         refused->second.refusal = 0;
@@ -234,6 +241,7 @@
         return;
     }
     work.state = State::Running;
+    ++counters_.dispatched[rankIndex(work.request.rank)];
     backend_.dispatch(work.request, work.deadline - now, [this, id = item->first](const BackendReply &reply) { answered(id, reply); });
 }
 
@@ -245,6 +253,7 @@
     }
     const ServerId name = item->second.request.server;
     HolderServer &server = servers_.at(name);
+    counters_.sheds += reply.shed ? 1 : 0;
     server.learn(reply, item->second.request.rank, item->second.started, runtime_.now());
     release(item->second, server);
     if (server.draining(runtime_.now())) {
@@ -322,6 +331,7 @@
         drain(server);
     } else {
         server.queue().remove(item->second.ticket, runtime_.now());
+        ++counters_.refused[rankIndex(item->second.request.rank)];
         reply.verdict = Verdict::NotRun;
         reply.message = "The deadline passed in the queue.";
     }
@@ -380,4 +390,9 @@
     return d_->inFlight();
 }
 
+const HolderCounters &Holder::counters() const
+{
+    return d_->counters();
+}
+
 } // namespace Burdock
--- a/packages/policy/tests/holdertest.cpp
+++ b/packages/policy/tests/holdertest.cpp
@@ -120,6 +120,8 @@
             CHECK(replies[0].verdict == fault.verdict);
             CHECK(replies[0].report.server == TheServer);
             CHECK(backend.dispatches.size() == fault.dispatched);
+            CHECK(holder.counters().dispatched[rankIndex(Rank::Urgent)] == fault.dispatched);
+            CHECK(holder.counters().refused[rankIndex(Rank::Urgent)] == 1 - fault.dispatched);
             CHECK(holder.inFlight() == 0);
         }
     }
