Keep claims in the platform's store and route asks between instances

Cause: the claims' decisions need their way to the store and to the owners. One store key for each idempotency key, one floor for each command, both named by every transaction. A record that cannot be read counts as somebody's claim. An answer is matched by owner and nonce. Numbers counted from the start were ruled out: a late answer to an ask of this instance's earlier incarnation would have passed for a grant to another key. StoreWrite gains `deleteEnd`, so that old claims go in one call.

--- /dev/null
+++ b/packages/daemon/include/burdock/daemon/claimrouter.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <burdock/policy/claimowner.h>
+#include <burdock/wire/peerlinks.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace Burdock
+{
+
+/// Takes asks for claims to the owners of their partitions, on this instance or on a peer, and serves peers' asks.
+class ClaimRouter final : public ClaimPort
+{
+public:
+    /// The owners of a partition, preferred first.
+    using FindOwners = std::function<std::vector<InstanceId>(std::size_t partition)>;
+
+    ClaimRouter(Runtime &runtime, PeerLinks &links, ClaimOwner &local, InstanceId self, FindOwners find);
+    ~ClaimRouter() override;
+    ClaimRouter(const ClaimRouter &) = delete;
+    ClaimRouter &operator=(const ClaimRouter &) = delete;
+
+    void ask(const ClaimAsk &ask, std::size_t attempt, Callback done) override;
+    void record(const ClaimOutcome &outcome) override;
+
+    /// Messages from peers.
+    void askArrived(const InstanceId &from, const ClaimAsk &ask);
+    void answerArrived(const InstanceId &from, const ClaimAnswer &answer);
+    void outcomeArrived(const ClaimOutcome &outcome);
+
+    /// The link to a peer is lost: what it was asked is asked elsewhere.
+    void peerLost(const InstanceId &peer);
+
+    /// How many asks are without an answer.
+    std::size_t pending() const;
+
+private:
+    struct Pending
+    {
+        Callback done;
+        TimerId timer = 0;
+    };
+    /// The owner and the ask's nonce. The nonce is drawn anew for each run, so that an answer to an ask of an earlier incarnation
+    /// of this instance never passes for one to an ask of this one.
+    using PendingKey = std::pair<InstanceId, std::uint64_t>;
+
+    void answerLater(Callback done, ClaimAnswer answer);
+    void settle(const PendingKey &key, const ClaimAnswer &answer);
+
+    Runtime &runtime_;
+    PeerLinks &links_;
+    ClaimOwner &local_;
+    const InstanceId self_;
+    FindOwners find_;
+    std::map<PendingKey, Pending> pending_;
+    std::shared_ptr<bool> alive_;
+};
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/daemon/tests/claimstoreadaptertest.cpp
@@ -0,0 +1,119 @@
+#include <burdock/daemon/claimstoreadapter.h>
+#include <burdock/fakes/fakefleet.h>
+#include <burdock/platform/factories.h>
+#include <burdock/wire/factories.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+using namespace Burdock;
+
+namespace
+{
+
+const CommandName Invoice("invoice");
+
+/// The adapter over the real client and a stand-in store on loopback.
+struct Bench
+{
+    EventLoop loop;
+    std::unique_ptr<HttpClient> client = makeHttpClient(loop, ConnectionLimits{4, 4, 0});
+    FakeFleet fleet{loop, loop.base(), FleetFile{}};
+    FakeAddresses addresses = fleet.listen({{"127.0.0.1", 0}, {"127.0.0.1", 0}, {"127.0.0.1", 0}}).value();
+    std::unique_ptr<Store> store = makeEtcdStore(loop, *client, addresses.store, std::chrono::milliseconds(300));
+    ClaimStoreAdapter adapter{*store};
+
+    template<class T, class Start>
+    Result<T> await(Start start)
+    {
+        std::optional<Result<T>> result;
+        start([&result](Result<T> given) { result = std::move(given); });
+        REQUIRE(loop.runUntil([&] { return result.has_value(); }, std::chrono::seconds(20)));
+        return *result;
+    }
+
+    Result<ClaimCommit> commit(const ClaimTransaction &transaction)
+    {
+        return await<ClaimCommit>([&](auto done) { adapter.commit(transaction, done); });
+    }
+
+    Result<ClaimFloor> raise(const ClaimFloor &found, std::uint64_t bucket)
+    {
+        return await<ClaimFloor>([&](auto done) { adapter.raiseFloor(found, bucket, done); });
+    }
+
+    std::size_t storedClaims()
+    {
+        return fleet.store().state().range(KeySpan{"burdock/claims/invoice/b/", "burdock/claims/invoice/b0"}, 0).entries.size();
+    }
+};
+
+ClaimWrite write(std::uint64_t bucket, const std::string &key, std::int64_t expected, ClaimState state = ClaimState::Claimed)
+{
+    return {ClaimKey{Invoice, bucket, key}, expected, ClaimRecord{InstanceId("i1"), 3, UINT64_MAX, state, state == ClaimState::Ran ? "paid \"17\"" : ""}};
+}
+
+} // namespace
+
+TEST_CASE("Claims keep their promises over the platform's store", "[claims][store]")
+{
+    Bench bench;
+    const ClaimFloor unset{Invoice, 0, 0};
+    const auto first = bench.commit({{unset}, {write(7, "7-a", 0), write(7, "7-b", 0)}});
+    REQUIRE(first);
+    REQUIRE(first->succeeded);
+
+    SECTION("a taken key fails the whole transaction, which reads back all that stands in its way")
+    {
+        const auto second = bench.commit({{unset}, {write(7, "7-c", 0), write(7, "7-a", 0)}});
+        REQUIRE(second);
+        CHECK_FALSE(second->succeeded);
+        REQUIRE(second->claims.size() == 1);
+        CHECK(second->claims[0] == StoredClaim{ClaimKey{Invoice, 7, "7-a"}, first->revision, write(7, "7-a", 0).record});
+        CHECK(second->floors == std::vector<ClaimFloor>{unset});
+        CHECK(bench.storedClaims() == 2);
+    }
+    SECTION("an outcome replaces the record that it names")
+    {
+        CHECK(bench.commit({{unset}, {write(7, "7-a", first->revision, ClaimState::Ran)}})->succeeded);
+        const auto again = bench.commit({{unset}, {write(7, "7-a", first->revision, ClaimState::Released)}});
+        CHECK(again->claims.at(0).record.state == ClaimState::Ran);
+        CHECK(again->claims.at(0).record.outcome == "paid \"17\"");
+    }
+    SECTION("a raised floor forgets what lies below it and fails those who do not know it")
+    {
+        bench.commit({{unset}, {write(9, "9-a", 0)}});
+        const auto floor = bench.raise(unset, 8);
+        REQUIRE(floor);
+        CHECK(floor->bucket == 8);
+        CHECK(bench.storedClaims() == 1);
+        const auto stale = bench.commit({{unset}, {write(7, "7-a", 0)}});
+        CHECK_FALSE(stale->succeeded);
+        CHECK(stale->floors.at(0) == *floor);
+        CHECK(bench.commit({{*floor}, {write(9, "9-b", 0)}})->succeeded);
+        // A second sweeper that did not know of it learns it and changes nothing.
+        CHECK(bench.raise(unset, 12) == floor);
+        CHECK(bench.storedClaims() == 2);
+    }
+    SECTION("records that cannot be read let nothing run")
+    {
+        const std::string key = claimStoreKey(ClaimKey{Invoice, 7, "7-x"});
+        bench.await<StoreCommit>([&](auto done) { bench.store->commit(StoreTransaction{{}, {StoreWrite{key, "garbage", 0, {}}}, {}}, done); });
+        const auto taken = bench.commit({{unset}, {write(7, "7-x", 0)}});
+        REQUIRE(taken->claims.size() == 1);
+        CHECK(taken->claims[0].record.state == ClaimState::Claimed);
+        bench.await<StoreCommit>([&](auto done) {
+            bench.store->commit(StoreTransaction{{}, {StoreWrite{claimFloorStoreKey(Invoice), "?", 0, {}}}, {}}, done);
+        });
+        CHECK(bench.commit({{unset}, {write(7, "7-y", 0)}})->floors.at(0).bucket == UINT64_MAX);
+    }
+    SECTION("a lost reply may have taken effect")
+    {
+        bench.fleet.storePort().gate.setFaults(changeFaults(TransportFaults{}, nlohmann::json{{"delivery", "dropped"}}).value());
+        const auto lost = bench.commit({{unset}, {write(7, "7-z", 0)}});
+        REQUIRE_FALSE(lost);
+        CHECK(lost.error().verdict == Verdict::MayHaveRun);
+        CHECK(bench.storedClaims() == 3);
+    }
+}
--- a/packages/platform/include/burdock/platform/store.h
+++ b/packages/platform/include/burdock/platform/store.h
@@ -58,6 +58,8 @@
     std::string key;
     std::optional<std::string> value;
     std::int64_t lease = 0;
+    /// With no value: deletes all keys from `key` on that stand before this one.
+    std::string deleteEnd{};
 };
 
 /// Writes that happen together if all conditions hold, or not at all.
--- a/packages/platform/src/gatewayjson.cpp
+++ b/packages/platform/src/gatewayjson.cpp
@@ -50,7 +50,11 @@
 Json writeJson(const StoreWrite &write)
 {
     if (!write.value) {
-        return {{"request_delete_range", {{"key", encodeBytes(write.key)}}}};
+        Json range{{"key", encodeBytes(write.key)}};
+        if (!write.deleteEnd.empty()) {
+            range["range_end"] = encodeBytes(write.deleteEnd);
+        }
+        return {{"request_delete_range", std::move(range)}};
     }
     return {{"request_put", {{"key", encodeBytes(write.key)}, {"value", encodeBytes(*write.value)}, {"lease", std::to_string(write.lease)}}}};
 }
