--- a/bench/spread/spreadbench.cpp
+++ b/bench/spread/spreadbench.cpp
@@ -188,6 +188,9 @@
             bytes.push_back(median(figures.bytesPerNode));
             time.push_back(median(figures.secondsToLast));
         }
+        if (sizes.size() < 2) {
+            continue;
+        }
         std::printf(
             "| %s, slope per instance | | %.3g | %.3g | %.3g | %.3g | | |\n", way.name, slope(x, rest), slope(x, perChange), slope(x, bytes), slope(x, time));
     }
@@ -206,7 +209,7 @@
                     for (std::size_t at = text.find("callers = [\""); at != std::string::npos; at = text.find("callers = [\"", at + 1)) {
                         const std::size_t end = text.find(']', at);
                         std::string list = text.substr(at, end - at);
-                        for (std::size_t quote = list.find("\"", 11); quote != std::string::npos; quote = list.find(", \"", quote + 1)) {
+                        for (std::size_t quote = list.find('"', 11); quote != std::string::npos; quote = list.find(", \"", quote + 1)) {
                             list.insert(list[quote] == ',' ? quote + 3 : quote + 1, "c" + std::to_string(copy) + "-");
                         }
                         text.replace(at, end - at, list);
--- a/packages/policy/include/burdock/policy/configkeeper.h
+++ b/packages/policy/include/burdock/policy/configkeeper.h
@@ -134,7 +134,6 @@
     void announce();
     void updateStanding();
     void fetchHigher();
-    void fetchEnded();
     void fetchTimedOut();
     void giveUpFetch();
     void readStore();
@@ -159,6 +158,7 @@
     ConfigClaims claims_;
 
     ConfigConfirmation confirmation_;
+    bool peersKnown_ = false;
     TimePoint lastTurn_{};
     TimePoint lastPeer_{};
     TimePoint lastStore_{};
--- a/packages/policy/src/configkeeper.cpp
+++ b/packages/policy/src/configkeeper.cpp
@@ -80,6 +80,7 @@
 {
     confirmation_ = ConfigConfirmation(settings_.confirmation, runtime_.now(), lastNumber_ + 1);
     storeRead_ = 0;
+    peersKnown_ = !neighbours_.peers().empty();
     askForConfirmation();
 }
 
@@ -95,7 +96,8 @@
 
 void ConfigKeeper::evaluateConfirmation()
 {
-    if (!run_.in("unconfirmed") || !confirmation_.decided(runtime_.now(), neighbours_.peers().size())) {
+    const bool known = configuration_ != nullptr || confirmation_.hasStore();
+    if (!known || !run_.in("unconfirmed") || !confirmation_.decided(runtime_.now(), neighbours_.peers().size())) {
         return;
     }
     const std::uint64_t accepted = confirmation_.version();
@@ -114,7 +116,12 @@
     lookAfterStore();
     lookForSilence();
     if (run_.in("unconfirmed")) {
-        askForConfirmation();
+        // The patience with peers begins when the first of them is known.
+        if (peersKnown_ || neighbours_.peers().empty()) {
+            askForConfirmation();
+        } else {
+            beginConfirmation();
+        }
         evaluateConfirmation();
     }
     turnTimer_ = runtime_.schedule(settings_.turn, [this] { turn(); });
@@ -198,13 +205,12 @@
     consider(candidate);
     confirmation_.peerAnswered(number, peer, candidate.version, peerConfirmed);
     if (number == fetch_) {
+        runtime_.cancel(fetchTimer_);
+        fetch_ = 0;
         claims_.forget(peer);
     } else {
         claims_.told(peer, candidate.version, version());
     }
-    if (number == fetch_) {
-        fetchEnded();
-    }
     evaluateConfirmation();
     updateStanding();
     fetchHigher();
@@ -223,8 +229,8 @@
 
 void ConfigKeeper::storeUnreadable(std::uint64_t number, const std::string &fault)
 {
-    unusableFault_ = fault;
     heardOf(lastStore_);
+    unusableFault_ = fault;
     storeFailed(number);
 }
 
@@ -349,12 +355,6 @@
     }
 }
 
-void ConfigKeeper::fetchEnded()
-{
-    runtime_.cancel(fetchTimer_);
-    fetch_ = 0;
-}
-
 void ConfigKeeper::fetchTimedOut()
 {
     ++counters_.fetchTimeouts;
--- a/packages/policy/tests/configkeepertest.cpp
+++ b/packages/policy/tests/configkeepertest.cpp
@@ -208,6 +208,28 @@
     CHECK(bench.keeper.mayAdmit());
 }
 
+TEST_CASE("An instance that learns of its peers late waits for several of them all the same", "[config][keeper]")
+{
+    KeeperBench bench;
+    bench.peers.clear();
+    bench.keeper.start();
+    for (int second = 0; second < 7; ++second) {
+        bench.keeper.storeFailed(bench.port.storeRead);
+        bench.runtime.advance(std::chrono::seconds(1));
+    }
+    bench.peers = Peers;
+    bench.runtime.advance(std::chrono::milliseconds(300));
+    bench.keeper.storeFailed(bench.port.storeRead);
+    bench.keeper.peerTold(Peers[0], 5);
+    bench.keeper.offered(bench.port.fetchNumber, Peers[0], true, usable(5));
+    CHECK(bench.keeper.version() == 5);
+    CHECK_FALSE(bench.keeper.mayAdmit());
+    bench.keeper.offered(bench.port.asks.back(), Peers[1], true, {5, nullptr, {}});
+    CHECK_FALSE(bench.keeper.mayAdmit());
+    bench.keeper.offered(bench.port.asks.back(), Peers[2], true, {5, nullptr, {}});
+    CHECK(bench.keeper.mayAdmit());
+}
+
 TEST_CASE("The watch follows the choice of watchers and comes back after a break", "[config][keeper]")
 {
     KeeperBench bench;
