Serve commands, hold leaving servers back by their life, and bound holders' load

Cause: commands were refused, Suspected servers got full load, and a first holder could have two and a half times the mean of servers. Ruled out: a table of servers' lives of our own beside BackendLifeTable; removed.

--- a/packages/daemon/include/burdock/daemon/backendadapter.h
+++ b/packages/daemon/include/burdock/daemon/backendadapter.h
@@ -35,6 +35,12 @@
 
     BackendAdapter(Runtime &runtime, HttpClient &client, FindServer find);
 
+    /// Says whether a request may go to its server now.
+    using Gate = std::function<bool(const SubRequest &request)>;
+
+    /// Sets the gate; what it holds back is refused as not run, as from a leaving server.
+    void setGate(Gate gate);
+
     /// Sets who is told of responses.
     void onReply(ReplyHandler handler);
 
@@ -52,12 +58,13 @@
         bool cancelled = false;
     };
 
-    void refuseUnlisted(const SubRequest &request, Callback done);
+    void refuse(const SubRequest &request, const Failure &failure, Callback done);
     void finished(const SubRequest &request, const Result<HttpResponse> &response);
 
     Runtime &runtime_;
     HttpClient &client_;
     FindServer find_;
+    Gate gate_;
     ReplyHandler onReply_;
     std::map<SubRequestId, Call> calls_;
     BackendCounters counters_;
--- a/packages/daemon/include/burdock/daemon/instance.h
+++ b/packages/daemon/include/burdock/daemon/instance.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include <burdock/daemon/backendadapter.h>
-#include <burdock/daemon/backendlives.h>
+#include <burdock/daemon/claimrouter.h>
+#include <burdock/daemon/claimstoreadapter.h>
 #include <burdock/daemon/configspread.h>
 #include <burdock/daemon/directory.h>
 #include <burdock/daemon/entryservice.h>
@@ -11,7 +12,11 @@
 #include <burdock/daemon/settings.h>
 #include <burdock/daemon/statuspage.h>
 #include <burdock/platform/factories.h>
+#include <burdock/policy/backendlifetable.h>
 #include <burdock/policy/budgetedtactics.h>
+#include <burdock/policy/claimowner.h>
+#include <burdock/policy/claimsweeper.h>
+#include <burdock/policy/commanddesk.h>
 #include <burdock/policy/entrylist.h>
 #include <burdock/policy/instancelife.h>
 #include <burdock/policy/membership.h>
@@ -59,9 +64,12 @@
     void updateList(const InstanceList &list);
     void updateLive();
     void install(ConfigurationPtr configuration);
+    std::vector<InstanceId> liveIds() const;
+    bool sweeps(const CommandName &command) const;
     void limitConnections();
     void followConfiguration(const ConfigStatus &status);
     ConfigNeighbours configNeighbours() const;
+    bool mayDispatch(const SubRequest &request);
     void backendChanged(const ServerId &server, BackendState state);
     EntryPorts entryPorts();
     InstanceStatus status() const;
@@ -84,7 +92,7 @@
     std::unique_ptr<InstanceListSource> listSource_;
 
     Directory directory_;
-    BackendLives lives_;
+    BackendLifeTable lives_;
     BackendAdapter backends_;
     Holder holder_;
     HolderService holderService_;
@@ -95,6 +103,12 @@
     QueryCounters queryCounters_;
     Admission admission_;
     QueryDesk queries_;
+    ClaimStoreAdapter claimStore_;
+    ClaimOwner claimOwner_;
+    ClaimRouter claims_;
+    ClaimSweeper claimSweeper_;
+    CommandCounters commandCounters_;
+    CommandDesk commands_;
     Metrics metrics_;
     EntryList entryList_;
     EntryService entry_;
--- a/packages/daemon/include/burdock/daemon/instancemetrics.h
+++ b/packages/daemon/include/burdock/daemon/instancemetrics.h
@@ -1,13 +1,15 @@
 #pragma once
 
 #include <burdock/daemon/backendadapter.h>
-#include <burdock/daemon/backendlives.h>
 #include <burdock/daemon/entryservice.h>
 #include <burdock/daemon/holderrouter.h>
 #include <burdock/daemon/metrics.h>
 #include <burdock/policy/admission.h>
+#include <burdock/policy/backendlifetable.h>
 #include <burdock/policy/budgetedtactics.h>
+#include <burdock/policy/commandrun.h>
 #include <burdock/policy/holder.h>
+#include <burdock/policy/membership.h>
 #include <burdock/policy/query.h>
 #include <burdock/wire/httpserver.h>
 #include <burdock/wire/peerlinks.h>
@@ -20,11 +22,12 @@
 {
     const QueryCounters &queries;
     const BudgetedTactics &tactics;
+    const CommandCounters &commands;
     const Admission &admission;
     const Holder &holder;
     const HolderRouter &router;
     const BackendAdapter &backends;
-    const BackendLives &lives;
+    const BackendLifeTable &lives;
     const HttpServer &server;
     const PeerLinks &links;
 };
@@ -32,4 +35,7 @@
 /// Names every counter of the sources, to be read when the metrics are written.
 void watchInstance(Metrics &metrics, const MetricSources &sources);
 
+/// Names the counters of the membership, which is made later than the rest.
+void watchMembership(Metrics &metrics, const Membership &membership);
+
 } // namespace Burdock
--- a/packages/daemon/src/backendadapter.cpp
+++ b/packages/daemon/src/backendadapter.cpp
@@ -23,7 +23,11 @@
 {
     const std::optional<Address> server = find_(request.server);
     if (!server) {
-        refuseUnlisted(request, std::move(done));
+        refuse(request, Failure{Errc::Unavailable, Verdict::NotRun, "server '" + request.server.text() + "' is not in the instance list"}, std::move(done));
+        return;
+    }
+    if (gate_ && !gate_(request)) {
+        refuse(request, Failure{Errc::Draining, Verdict::NotRun, "server '" + request.server.text() + "' is leaving"}, std::move(done));
         return;
     }
     ++counters_.requests;
@@ -36,11 +40,14 @@
     onReply_ = std::move(handler);
 }
 
-void BackendAdapter::refuseUnlisted(const SubRequest &request, Callback done)
+void BackendAdapter::setGate(Gate gate)
+{
+    gate_ = std::move(gate);
+}
+
+void BackendAdapter::refuse(const SubRequest &request, const Failure &failure, Callback done)
 {
-    runtime_.schedule(Duration{0}, [request, done = std::move(done)] {
-        done(backendFailure(request, Failure{Errc::Unavailable, Verdict::NotRun, "server '" + request.server.text() + "' is not in the instance list"}));
-    });
+    runtime_.schedule(Duration{0}, [reply = backendFailure(request, failure), done = std::move(done)] { done(reply); });
 }
 
 void BackendAdapter::finished(const SubRequest &request, const Result<HttpResponse> &response)
--- a/packages/daemon/src/directory.cpp
+++ b/packages/daemon/src/directory.cpp
@@ -16,13 +16,14 @@
     for (const ListedServer &server : list_.servers) {
         servers_.emplace(server.id, server);
     }
+    choice_ = HolderChoice(live_, list_.servers);
     return true;
 }
 
 void Directory::updateLive(std::vector<ListedInstance> live)
 {
     live_ = std::move(live);
-    choice_ = HolderChoice(live_);
+    choice_ = HolderChoice(live_, list_.servers);
     holders_.clear();
 }
 
--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -3,6 +3,7 @@
 #include <burdock/daemon/instancemetrics.h>
 #include <burdock/daemon/log.h>
 #include <burdock/policy/configwatchers.h>
+#include <burdock/policy/rendezvous.h>
 #include <random>
 #include <utility>
 
@@ -66,7 +67,7 @@
     , links_(makePeerLinks(loop, settings_.id, incarnation))
     , store_(makeEtcdStore(loop, *client_, settings_.store, settings_.storeTimeout))
     , listSource_(makeHttpInstanceList(loop, *client_, settings_.instanceList))
-    , lives_(loop, [this](const ServerId &server, BackendState state) { backendChanged(server, state); })
+    , lives_(loop, BackendLifeSettings{}, [this](const ServerId &server, BackendState state) { backendChanged(server, state); })
     , backends_(loop, *client_, [this](const ServerId &server) { return directory_.serverAddress(server); })
     , holder_(loop, backends_)
     , holderService_(*links_, holder_)
@@ -76,6 +77,15 @@
     , admission_(loop, std::random_device{}())
     , queries_(
           QueryContext{loop, router_, tactics_, tracker_, ids_, queryCounters_, QueryLimits{}}, [this] { return configuration_; }, admission_)
+    , claimStore_(*store_)
+    , claimOwner_(loop, claimStore_)
+    , claims_(loop, *links_, claimOwner_, settings_.id, [this](std::size_t partition) { return rendezvousOrder(claimPartitionName(partition), liveIds()); })
+    , claimSweeper_(
+          loop, claimStore_, [this] { return configuration_; }, [this](const CommandName &command) { return sweeps(command); })
+    , commands_(
+          CommandContext{loop, router_, claims_, tactics_, ids_, commandCounters_, settings_.id, incarnation, CommandLimits{}},
+          [this] { return configuration_; },
+          incarnation ^ std::random_device{}())
     , entryList_(EntryListSettings{}, std::random_device{}())
     , entry_(loop, *server_, queries_, metrics_, entryPorts())
     , life_(loop, *this, lifeSettings(settings_))
@@ -83,7 +93,7 @@
           loop, *store_, *links_, ConfigSettings{}, configNeighbours(), std::random_device{}(), [this](const ConfigurationPtr &next) { install(next); })
 {
     connectPeers();
-    watchInstance(metrics_, MetricSources{queryCounters_, tactics_, admission_, holder_, router_, backends_, lives_, *server_, *links_});
+    watchInstance(metrics_, MetricSources{queryCounters_, tactics_, commandCounters_, admission_, holder_, router_, backends_, lives_, *server_, *links_});
 }
 
 Instance::~Instance() = default;
@@ -97,6 +107,7 @@
     startMembership();
     listSource_->follow([this](const InstanceList &list) { updateList(list); });
     configuring_.start();
+    claimSweeper_.start();
     return {};
 }
 
@@ -140,6 +151,7 @@
         }
     });
     configuring_.keeper().onChange([this](const ConfigStatus &status) { followConfiguration(status); });
+    watchMembership(metrics_, *membership_);
     membership_->onChange([this] { updateLive(); });
     life_.onChange([](const std::string &state) { logChange("instance", state); });
     updateLive();
@@ -181,7 +193,7 @@
 
 std::size_t Instance::inFlight() const
 {
-    return entry_.inFlight() + holderService_.inFlight();
+    return entry_.inFlight() + holderService_.inFlight() + commands_.running() + claimOwner_.waiting();
 }
 
 void Instance::handOver(std::function<void()> done)
@@ -203,6 +215,7 @@
                         [this](const InstanceId &peer) {
                             router_.peerLost(peer);
                             holderService_.peerLost(peer);
+                            claims_.peerLost(peer);
                         });
     const auto learn = [this](const ServerReport &report) {
         tracker_.update(report);
@@ -214,6 +227,7 @@
         holderService_.publish(report);
     });
     router_.onReport(learn);
+    backends_.setGate([this](const SubRequest &request) { return mayDispatch(request); });
     backends_.onReply([this](const ServerId &server, bool draining, TimePoint dispatched) { lives_.replied(server, draining, dispatched); });
 }
 
@@ -230,6 +244,12 @@
     } else if (const auto *report = std::get_if<ServerReport>(&message)) {
         router_.reportArrived(*report);
         lives_.reported(from, *report);
+    } else if (const auto *ask = std::get_if<ClaimAsk>(&message)) {
+        claims_.askArrived(from, *ask);
+    } else if (const auto *answer = std::get_if<ClaimAnswer>(&message)) {
+        claims_.answerArrived(from, *answer);
+    } else if (const auto *outcome = std::get_if<ClaimOutcome>(&message)) {
+        claims_.outcomeArrived(*outcome);
     } else if (const auto *fetch = std::get_if<ConfigFetch>(&message)) {
         configuring_.fetched(from, *fetch);
     } else if (const auto *offer = std::get_if<ConfigOffer>(&message)) {
@@ -242,7 +262,7 @@
     if (!directory_.updateList(list)) {
         return;
     }
-    lives_.updateList(list);
+    lives_.onInstanceList(list);
     limitConnections();
     membership_->onInstanceList(list);
     for (const Member &member : membership_->members()) {
@@ -302,6 +322,21 @@
     return ConfigNeighbours{peers, [this] { return isConfigWatcher(self_, membership_->live()); }};
 }
 
+std::vector<InstanceId> Instance::liveIds() const
+{
+    std::vector<InstanceId> ids;
+    for (const ListedInstance &instance : directory_.live()) {
+        ids.push_back(instance.id);
+    }
+    return ids;
+}
+
+bool Instance::sweeps(const CommandName &command) const
+{
+    const std::vector<InstanceId> first = rendezvousFirst("sweep/" + command.text(), liveIds(), 1);
+    return !first.empty() && first.front() == self_.id;
+}
+
 void Instance::limitConnections()
 {
     if (!configuration_) {
@@ -316,6 +351,16 @@
     }
 }
 
+bool Instance::mayDispatch(const SubRequest &request)
+{
+    const bool trial = lives_.state(request.server) == BackendState::Suspected;
+    if (!lives_.mayGetWork(request.server) || (trial && request.kind == SubRequestKind::Command)) {
+        return false;
+    }
+    lives_.dispatched(request.server);
+    return true;
+}
+
 void Instance::backendChanged(const ServerId &server, BackendState state)
 {
     holder_.setDraining(server, state == BackendState::Draining || state == BackendState::Gone);
@@ -327,7 +372,7 @@
     ports.notAdmitting = [this] { return notAdmitting(); };
     ports.entries = [this](const Place &caller) { return entryList_.answerFor(caller.region.empty() ? self_.place : caller).entries; };
     ports.entriesMaxAge = settings_.entriesMaxAge;
-    ports.command = [](const CommandRequest &, const CommandRun::Done &done) { done(notRun(Errc::NotReady, "commands are not served yet")); };
+    ports.command = [this](const CommandRequest &request, CommandRun::Done done) { commands_.submit(request, std::move(done)); };
     ports.rankOf = [this](const CallerId &caller, const IndexName &index, const CommandName &command) { return rankOf(caller, index, command); };
     ports.status = [this] { return writeStatus(status()); };
     return ports;
--- a/packages/daemon/src/instancemetrics.cpp
+++ b/packages/daemon/src/instancemetrics.cpp
@@ -1,5 +1,6 @@
 #include <burdock/daemon/instancemetrics.h>
 
+#include <algorithm>
 #include <string>
 
 namespace Burdock
@@ -86,6 +87,24 @@
     {"link_messages_dropped", "Messages dropped for a full queue or a lost link.", &PeerLinkCounters::messagesDropped},
 };
 
+const CounterRow<CommandCounters> CommandRows[] = {
+    {"commands_started", "Commands taken up.", &CommandCounters::started},
+    {"commands_dispatched", "Commands sent to a server.", &CommandCounters::dispatched},
+    {"commands_ran", "Commands that ran.", &CommandCounters::ran},
+    {"commands_replayed", "Commands answered with the outcome of an earlier request of the same key.", &CommandCounters::replayed},
+    {"commands_not_run", "Commands refused as not run.", &CommandCounters::notRun},
+    {"commands_may_have_run", "Commands whose outcome is not known.", &CommandCounters::mayHaveRun},
+};
+
+const CounterRow<MembershipCounters> MembershipRows[] = {
+    {"member_suspicions", "Members that came under suspicion.", &MembershipCounters::suspicions},
+    {"member_deaths", "Members taken for dead.", &MembershipCounters::deaths},
+    {"member_returns", "Dead members that came back.", &MembershipCounters::returns},
+    {"member_refutations", "Suspicions of this instance that it refuted.", &MembershipCounters::refutations},
+    {"member_pauses", "Times this instance found that it had stood still.", &MembershipCounters::pauses},
+    {"probe_answers_refused", "Probes left unanswered at the limit.", &MembershipCounters::answersRefused},
+};
+
 void watchGauges(Metrics &metrics, const MetricSources &sources)
 {
     const auto gauge = [&metrics](const char *name, const char *help, std::function<double()> read) {
@@ -113,6 +132,7 @@
 void watchInstance(Metrics &metrics, const MetricSources &sources)
 {
     watchCounters(metrics, QueryRows, [&queries = sources.queries]() -> const QueryCounters & { return queries; });
+    watchCounters(metrics, CommandRows, [&commands = sources.commands]() -> const CommandCounters & { return commands; });
     watchCounters(metrics, TacticsRows, [&tactics = sources.tactics] { return tactics.counters(); });
     watchCounters(metrics, RouterRows, [&router = sources.router]() -> const RouterCounters & { return router.counters(); });
     watchCounters(metrics, BackendRows, [&backends = sources.backends]() -> const BackendCounters & { return backends.counters(); });
@@ -121,4 +141,15 @@
     watchGauges(metrics, sources);
 }
 
+void watchMembership(Metrics &metrics, const Membership &membership)
+{
+    watchCounters(metrics, MembershipRows, [&membership]() -> const MembershipCounters & { return membership.counters(); });
+    const std::pair<const char *, MemberState> states[] = {{"alive", MemberState::Alive}, {"suspect", MemberState::Suspect}, {"dead", MemberState::Dead}};
+    for (const auto &[name, state] : states) {
+        metrics.watch(std::string("burdock_members_") + name, "gauge", "Other members in this state.", [&membership, wanted = state] {
+            const std::vector<Member> members = membership.members();
+            return static_cast<double>(std::count_if(members.begin(), members.end(), [wanted](const Member &member) { return member.state == wanted; }));
+        });
+    }
+}
 } // namespace Burdock
