--- a/packages/wire/src/clientconnection.cpp
+++ b/packages/wire/src/clientconnection.cpp
@@ -4,11 +4,13 @@
 #include "internal/sockets.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <new>
+#include <sys/socket.h>
 #include <utility>
 
 namespace Burdock
@@ -138,11 +140,18 @@
     closed_ = true;
 }
 
+bool ClientConnection::endedByPeer() const
+{
+    char byte = 0;
+    const ssize_t length = recv(bufferevent_getfd(stream_), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return length >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void ClientConnection::onOutput(evbuffer *, const evbuffer_cb_info *info, void *context)
 {
     auto *self = static_cast<ClientConnection *>(context);
-    // When libevent gives a connection up it takes the socket away first and then drains the buffer: nothing is written then.
-    if (info->n_deleted > 0 && bufferevent_getfd(self->stream_) >= 0) {
+    // A buffer that is drained unsent as the connection is given up counts as written too: the safe side.
+    if (info->n_deleted > 0) {
         self->written_ = true;
     }
 }
--- a/packages/wire/src/evhttpclient.cpp
+++ b/packages/wire/src/evhttpclient.cpp
@@ -141,9 +141,16 @@
     ClientConnection *unused(Peer &peer)
     {
         for (const auto &connection : peer.connections) {
-            if (!connection->busy() && !connection->closed()) {
-                return connection.get();
+            if (connection->busy() || connection->closed()) {
+                continue;
+            }
+            // A request written now would be lost, and nobody could say that it did not run.
+            if (connection->endedByPeer()) {
+                connection->retire();
+                reapLater(peer);
+                continue;
             }
+            return connection.get();
         }
         if (peer.connections.size() >= peer.limits.connections) {
             return nullptr;
--- a/packages/wire/src/internal/clientconnection.h
+++ b/packages/wire/src/internal/clientconnection.h
@@ -47,6 +47,9 @@
     /// Marks an unused connection as of no more use.
     void retire();
 
+    /// On an unused connection: true where its end, or bytes that nobody asked for, wait to be read.
+    bool endedByPeer() const;
+
     bool busy() const
     {
         return call_ != nullptr;
--- a/packages/wire/tests/httpserverfaulttest.cpp
+++ b/packages/wire/tests/httpserverfaulttest.cpp
@@ -101,6 +101,7 @@
          "413",
          "tooLarge"},
         {"a body announced too large", "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", "413", "tooLarge"},
+        {"a body too large that is sent all the same", "POST / HTTP/1.1\r\nContent-Length: 5000000\r\n\r\n" + std::string(5000000, 'x'), "413", "tooLarge"},
         {"a chunked body too large", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + chunk + chunk, "413", "tooLarge"},
         {"a header with a zero byte", std::string("GET / HTTP/1.1\r\nA: b\0c\r\n\r\n", 27), "400", "badRequest"},
         {"no HTTP at all", "hello there, this is no HTTP\r\n\r\n", "400", "badRequest"},
