Split the claims' test world into store, ports and checks

No test changed. Before/after: the same 19 cases of [claims] and [command] pass; not measured otherwise. Ruled out: sharing the stand-in store's state, which policy may not see.

--- a/packages/policy/tests/claimworld.cpp
+++ b/packages/policy/tests/claimworld.cpp
@@ -71,46 +71,6 @@
 
 } // namespace
 
-ClaimCommit MemoryClaimStore::commit(const ClaimTransaction &transaction)
-{
-    ++calls;
-    ClaimCommit result;
-    result.succeeded = true;
-    for (const ClaimFloor &floor : transaction.floors) {
-        const ClaimFloor standing = floors.emplace(floor.command, ClaimFloor{floor.command, 0, 0}).first->second;
-        result.succeeded = result.succeeded && standing.revision == floor.revision;
-        result.floors.push_back(standing);
-    }
-    for (const ClaimWrite &write : transaction.writes) {
-        const auto found = claims.find(write.key);
-        result.succeeded = result.succeeded && (found == claims.end() ? 0 : found->second.revision) == write.expected;
-        if (found != claims.end()) {
-            result.claims.push_back(found->second);
-        }
-    }
-    if (!result.succeeded) {
-        return result;
-    }
-    result.revision = ++revision;
-    for (const ClaimWrite &write : transaction.writes) {
-        claims[write.key] = StoredClaim{write.key, revision, write.record};
-    }
-    return result;
-}
-
-ClaimFloor MemoryClaimStore::raiseFloor(const ClaimFloor &found, std::uint64_t bucket)
-{
-    ++calls;
-    ClaimFloor &floor = floors.emplace(found.command, ClaimFloor{found.command, 0, 0}).first->second;
-    if (floor.revision == found.revision) {
-        floor = ClaimFloor{found.command, bucket, ++revision};
-        for (auto claim = claims.begin(); claim != claims.end();) {
-            claim = claim->first.command == found.command && claim->first.bucket < bucket ? claims.erase(claim) : std::next(claim);
-        }
-    }
-    return floor;
-}
-
 class WorldStorePort final : public ClaimStorePort
 {
 public:
@@ -431,58 +391,4 @@
     return nodes_[instance]->life->runtime;
 }
 
-void ClaimWorld::recordRun(const SubRequest &request)
-{
-    ++runsByKey_[request.key];
-    ++runsByRequest_[request.text];
-}
-
-std::uint32_t ClaimWorld::runsOf(const std::string &key) const
-{
-    const auto found = runsByKey_.find(key);
-    return found == runsByKey_.end() ? 0 : found->second;
-}
-
-std::uint32_t ClaimWorld::runsOfRequest(std::size_t number) const
-{
-    const auto found = runsByRequest_.find(std::to_string(number));
-    return found == runsByRequest_.end() ? 0 : found->second;
-}
-
-std::vector<std::string> ClaimWorld::brokenPromises() const
-{
-    std::vector<std::string> broken;
-    if (sentWithoutTime_ > 0) {
-        broken.emplace_back("commands were dispatched after their deadline");
-    }
-    for (const auto &runs : runsByKey_) {
-        if (runs.second > 1) {
-            broken.push_back(runs.first + " ran " + std::to_string(runs.second) + " times");
-        }
-    }
-    for (std::size_t number = 0; number < requests.size(); ++number) {
-        const CallerRequest &request = requests[number];
-        const std::string name = "request " + std::to_string(number) + " of " + request.key;
-        if (!request.answered) {
-            if (!request.cut) {
-                broken.push_back(name + " was never answered");
-            }
-        } else if (!request.result) {
-            if (request.result.error().verdict == Verdict::NotRun && runsOfRequest(number) > 0) {
-                broken.push_back(name + " was refused as not run, but ran");
-            }
-        } else if (runsOf(request.key) != 1 || (!request.result->replayed && runsOfRequest(number) != 1)) {
-            broken.push_back(name + " was answered, but did not run once");
-        }
-    }
-    return broken;
-}
-
-std::string ClaimWorld::keyMade(Duration age, const std::string &rest) const
-{
-    ManualRuntime start;
-    const WallTime made = start.wallNow() + now_.time_since_epoch() - age;
-    return std::to_string(std::chrono::duration_cast<std::chrono::seconds>(made.time_since_epoch()).count()) + "-" + rest;
-}
-
 } // namespace Burdock
--- a/packages/policy/tests/claimworld.h
+++ b/packages/policy/tests/claimworld.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "memoryclaimstore.h"
+
 #include <burdock/policy/claimowner.h>
 #include <burdock/policy/claimsweeper.h>
 #include <burdock/policy/commanddesk.h>
@@ -41,19 +43,6 @@
     LateEffect,
 };
 
-/// The store's state: compare-and-swap on floors and records.
-class MemoryClaimStore
-{
-public:
-    ClaimCommit commit(const ClaimTransaction &transaction);
-    ClaimFloor raiseFloor(const ClaimFloor &found, std::uint64_t bucket);
-
-    std::map<ClaimKey, StoredClaim> claims;
-    std::map<CommandName, ClaimFloor> floors;
-    std::int64_t revision = 1;
-    std::uint64_t calls = 0;
-};
-
 /// What became of one request of a caller.
 struct CallerRequest
 {
