--- a/tests/process/commandprocesstest.cpp
+++ b/tests/process/commandprocesstest.cpp
@@ -84,6 +84,14 @@
     std::map<std::string, std::vector<std::string>> verdicts_;
 };
 
+/// An idempotency key that tells when this test began; the same for the same name and number.
+std::string freshKey(const std::string &name, int number)
+{
+    static const std::string began =
+        std::to_string(std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    return began + "-" + name + "-" + std::to_string(number);
+}
+
 const std::vector<std::string> Everywhere{"litoral-a", "capital-a", "norte-a"};
 
 } // namespace
@@ -94,20 +102,20 @@
     Invoices invoices(deployment.bed);
     for (int number = 0; number < 20; ++number) {
         for (const std::string &instance : Everywhere) {
-            invoices.send(instance, "once-" + std::to_string(number));
+            invoices.send(instance, freshKey("once", number));
         }
     }
     REQUIRE(invoices.settle());
     invoices.checkAll();
     for (int number = 0; number < 20; ++number) {
-        CHECK(invoices.ran("once-" + std::to_string(number)) == 1);
+        CHECK(invoices.ran(freshKey("once", number)) == 1);
     }
     // A repeat long after tells the outcome and runs nothing.
     CHECK(deployment.bed.eventually([&] {
-        invoices.send("norte-a", "once-0");
-        return invoices.settle() && invoices.verdicts("once-0").back() == "ran";
+        invoices.send("norte-a", freshKey("once", 0));
+        return invoices.settle() && invoices.verdicts(freshKey("once", 0)).back() == "ran";
     }));
-    CHECK(invoices.ran("once-0") == 1);
+    CHECK(invoices.ran(freshKey("once", 0)) == 1);
 }
 
 TEST_CASE("An unrepeatable command runs at most once and a refusal as not run is true under faults", "[process][command][verdict]")
@@ -140,7 +148,7 @@
         bed.control(
             "POST", "/fake/faults", {{"target", row.target}, {"ids", servers}, {"reset", true}, {"transport", row.transport}, {"conduct", row.conduct}});
         for (int number = 0; number < 6; ++number) {
-            const std::string key = "faulty-" + std::to_string(next++);
+            const std::string key = freshKey("faulty", next++);
             for (const std::string &instance : Everywhere) {
                 invoices.send(instance, key);
             }
@@ -159,7 +167,7 @@
     Invoices invoices(bed);
     bed.control("POST", "/fake/faults", {{"target", "server"}, {"conduct", {{"slowFactor", 20}}}});
     for (int number = 0; number < 30; ++number) {
-        const std::string key = "orphan-" + std::to_string(number);
+        const std::string key = freshKey("orphan", number);
         invoices.send("norte-a", key);
         bed.loop().runUntil([] { return false; }, std::chrono::milliseconds(3));
         if (number == 20) {
@@ -167,7 +175,7 @@
         }
     }
     for (int number = 0; number < 30; ++number) {
-        invoices.send(number % 2 == 0 ? "litoral-a" : "capital-a", "orphan-" + std::to_string(number));
+        invoices.send(number % 2 == 0 ? "litoral-a" : "capital-a", freshKey("orphan", number));
     }
     bed.loop().runUntil([] { return false; }, std::chrono::seconds(4));
     bed.process("norte-a").signal(SIGCONT);
