--- a/bench/load/summary.cpp
+++ b/bench/load/summary.cpp
@@ -1,6 +1,7 @@
 #include "summary.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <utility>
 
@@ -32,7 +33,7 @@
     if (values.empty()) {
         return 0;
     }
-    const auto place = static_cast<std::size_t>(part * static_cast<double>(values.size() - 1) + 0.5);
+    const auto place = static_cast<std::size_t>(std::lround(part * static_cast<double>(values.size() - 1)));
     const auto middle = values.begin() + static_cast<std::ptrdiff_t>(place);
     std::nth_element(values.begin(), middle, values.end());
     return *middle;
