--- a/bench/spread/processbench.cpp
+++ b/bench/spread/processbench.cpp
@@ -3,7 +3,7 @@
 ///
 ///     spreadprocessbench [CHANGES [INSTANCES...]]
 
-#include "../../tests/process/testbed.h"
+#include "testbed.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/tests/process/childprocess.h
+++ b/tests/testbed/childprocess.h
@@ -29,6 +29,12 @@
     /// Waits for the end; the exit code, or 128 plus the signal that ended it.
     int wait();
 
+    /// The process's id.
+    pid_t pid() const
+    {
+        return pid_;
+    }
+
     /// True while the program runs.
     bool running();
 
