--- a/bench/instance/instancebench.cpp
+++ b/bench/instance/instancebench.cpp
@@ -19,6 +19,8 @@
 constexpr int Queries = 300;
 constexpr int WarmUp = 100;
 constexpr int Hits = 20;
+constexpr int AtATime = 8;
+constexpr Duration AnswerPatience = std::chrono::seconds(10);
 
 /// Processor time that a process has used, in microseconds, and its resident memory in bytes.
 struct Usage
@@ -40,20 +42,32 @@
     return Usage{ticks * 1e6 / static_cast<double>(sysconf(_SC_CLK_TCK)), std::stod(words.at(23)) * static_cast<double>(sysconf(_SC_PAGESIZE))};
 }
 
-void askMany(Testbed &bed, const std::string &caller, const std::string &index, int count)
+/// Who asks which index, and of how many shards it is.
+struct Question
+{
+    const char *caller;
+    const char *index;
+    double shards;
+};
+
+/// Asks a number of queries, some at a time, and waits for all answers; false where one did not come.
+bool askMany(Testbed &bed, const Question &question, int count)
 {
     int answered = 0;
     int sent = 0;
-    const nlohmann::json body{{"index", index}, {"query", "belt"}, {"limit", Hits}};
+    const nlohmann::json body{{"index", question.index}, {"query", "belt"}, {"limit", Hits}};
     while (answered < count) {
-        while (sent - answered < 8 && sent < count) {
-            ++sent;
-            bed.send(bed.callersAddress("entry"), "POST", "/v1/query", body.dump(), {{"X-Caller", caller}}, [&answered](const Result<HttpResponse> &) {
+        for (; sent < count && sent - answered < AtATime; ++sent) {
+            bed.send(bed.callersAddress("entry"), "POST", "/v1/query", body.dump(), {{"X-Caller", question.caller}}, [&answered](const Result<HttpResponse> &) {
                 ++answered;
             });
         }
-        bed.loop().runUntil([&] { return answered == sent || sent - answered < 8; }, std::chrono::seconds(10));
+        const int before = answered;
+        if (!bed.loop().runUntil([&] { return answered > before; }, AnswerPatience)) {
+            return false;
+        }
     }
+    return true;
 }
 
 /// One value and how it came out over the runs.
@@ -80,13 +94,6 @@
     std::vector<double> values_;
 };
 
-struct Question
-{
-    const char *caller;
-    const char *index;
-    double shards;
-};
-
 /// Least squares: intercept and slope.
 std::array<double, 2> fit(const std::vector<std::array<double, 2>> &points)
 {
@@ -123,11 +130,14 @@
     for (const Question &question : questions) {
         Series entry;
         Series holder;
-        askMany(bed, question.caller, question.index, WarmUp);
+        askMany(bed, question, WarmUp);
         for (int run = 0; run < Runs; ++run) {
             const Usage entryBefore = usageOf(bed.process("entry").pid());
             const Usage holderBefore = usageOf(bed.process("holder").pid());
-            askMany(bed, question.caller, question.index, Queries);
+            if (!askMany(bed, question, Queries)) {
+                std::cerr << question.index << ": an answer did not come\n";
+                return 1;
+            }
             entry.add((usageOf(bed.process("entry").pid()).microseconds - entryBefore.microseconds) / Queries);
             holder.add((usageOf(bed.process("holder").pid()).microseconds - holderBefore.microseconds) / Queries);
         }
