Shorten the wiring of an instance

Cause: instance.cpp had grown over 400 lines and held the words for members' states and the longest wait beside its wiring; a shutdown did not wait for claims asked of peers.

--- a/packages/daemon/include/burdock/daemon/statuspage.h
+++ b/packages/daemon/include/burdock/daemon/statuspage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/policy/member.h>
 #include <burdock/values/configuration.h>
 #include <burdock/values/place.h>
 #include <burdock/values/runtime.h>
@@ -23,6 +24,9 @@
     }
 };
 
+/// A member as the status page tells it: dead, suspect, leaving, ready or starting.
+MemberStatus statusOf(const Member &member);
+
 /// What `GET /v1/status` tells of one instance.
 struct InstanceStatus
 {
--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -15,18 +15,6 @@
 
 /// Limits for addresses without a declared fleet: the platform.
 const ConnectionLimits PlatformLimits{8, 2, std::size_t{4} * 1024 * 1024};
-/// A member's state in one word, as the status page tells it.
-std::string describe(const Member &member)
-{
-    if (member.state != MemberState::Alive) {
-        return member.state == MemberState::Dead ? "dead" : "suspect";
-    }
-    if (member.instance.leaving || member.life == MemberLife::Leaving) {
-        return "leaving";
-    }
-    return member.life == MemberLife::Ready ? "ready" : "starting";
-}
-
 InstanceLifeSettings lifeSettings(const Settings &settings)
 {
     InstanceLifeSettings life;
@@ -35,22 +23,6 @@
     return life;
 }
 
-/// The longest time that any caller may wait.
-Duration longestWait(const Configuration &configuration)
-{
-    Duration longest{0};
-    const auto look = [&longest](const auto &declarations) {
-        for (const auto &[name, declaration] : declarations) {
-            for (const auto &[caller, rule] : declaration.callers) {
-                longest = std::max(longest, rule.longestWait);
-            }
-        }
-    };
-    look(configuration.indexes);
-    look(configuration.commands);
-    return longest;
-}
-
 /// How often a free port is tried for links and probes together.
 constexpr int PortAttempts = 20;
 constexpr std::size_t BackendResponseBytes = std::size_t{2} * 1024 * 1024;
@@ -193,7 +165,7 @@
 
 std::size_t Instance::inFlight() const
 {
-    return entry_.inFlight() + holderService_.inFlight() + commands_.running() + claimOwner_.waiting();
+    return entry_.inFlight() + holderService_.inFlight() + commands_.running() + claimOwner_.waiting() + claims_.pending();
 }
 
 void Instance::handOver(std::function<void()> done)
@@ -392,7 +364,7 @@
         }
     }
     for (const Member &member : membership_->members()) {
-        status.members.push_back(MemberStatus{member.instance.id, describe(member), member.configVersion});
+        status.members.push_back(statusOf(member));
     }
     status.requestsInFlight = inFlight();
     return status;
--- a/packages/daemon/src/statuspage.cpp
+++ b/packages/daemon/src/statuspage.cpp
@@ -5,6 +5,27 @@
 namespace Burdock
 {
 
+namespace
+{
+
+std::string wordFor(const Member &member)
+{
+    if (member.state != MemberState::Alive) {
+        return member.state == MemberState::Dead ? "dead" : "suspect";
+    }
+    if (member.instance.leaving || member.life == MemberLife::Leaving) {
+        return "leaving";
+    }
+    return member.life == MemberLife::Ready ? "ready" : "starting";
+}
+
+} // namespace
+
+MemberStatus statusOf(const Member &member)
+{
+    return MemberStatus{member.instance.id, wordFor(member), member.configVersion};
+}
+
 std::string writeStatus(const InstanceStatus &status)
 {
     using nlohmann::json;
--- a/packages/values/include/burdock/values/configuration.h
+++ b/packages/values/include/burdock/values/configuration.h
@@ -102,6 +102,9 @@
     }
 };
 
+/// The longest time that any caller may wait by the configuration.
+Duration longestWait(const Configuration &configuration);
+
 /// A configuration that nobody can change any more.
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
 
--- a/packages/wire/include/burdock/wire/factories.h
+++ b/packages/wire/include/burdock/wire/factories.h
@@ -15,7 +15,7 @@
 /// An HttpClient on libevent. `defaults` hold for addresses without limits of their own.
 std::unique_ptr<HttpClient> makeHttpClient(EventLoop &loop, const ConnectionLimits &defaults);
 
-/// An HttpServer on libevhtp.
+/// An HttpServer on libevhtp's parser and libevent's buffers; docs/notes/links.md tells why not on its server.
 std::unique_ptr<HttpServer> makeHttpServer(EventLoop &loop, const HttpServerLimits &limits);
 
 /// PeerLinks on websocketpp over libevent's buffers. `self` and `incarnation` go into Hello.
