--- a/bench/claims/claimsbench.cpp
+++ b/bench/claims/claimsbench.cpp
@@ -2,8 +2,8 @@
 
 #include <burdock/daemon/claimstoreadapter.h>
 #include <burdock/fakes/fakefleet.h>
-#include <burdock/platform/factories.h>
 #include <burdock/policy/claimowner.h>
+#include <burdock/store/factories.h>
 #include <burdock/wire/factories.h>
 
 #include <algorithm>
--- a/cmake/BurdockPackage.cmake
+++ b/cmake/BurdockPackage.cmake
@@ -17,7 +17,9 @@
     endif()
     target_include_directories(burdock_${name} ${scope} ${CMAKE_CURRENT_SOURCE_DIR}/include)
     target_link_libraries(burdock_${name} ${scope} ${arg_DEPENDS} ${arg_LIBRARIES})
-    burdock_tests(${name}test ${CMAKE_CURRENT_SOURCE_DIR}/tests burdock_${name})
+    if(NOT BURDOCK_ROUTER_ONLY)
+        burdock_tests(${name}test ${CMAKE_CURRENT_SOURCE_DIR}/tests burdock_${name})
+    endif()
 endfunction()
 
 # Adds one Catch2 program from every source in a folder; its cases are single tests to CTest.
--- a/packages/ctl/include/burdock/ctl/toolcontext.h
+++ b/packages/ctl/include/burdock/ctl/toolcontext.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <burdock/ctl/exitcode.h>
-#include <burdock/platform/instancelistsource.h>
-#include <burdock/platform/store.h>
+#include <burdock/store/instancelistsource.h>
+#include <burdock/store/store.h>
 #include <burdock/values/optiontable.h>
 #include <burdock/wire/httpclient.h>
 #include <burdock/wire/peerlinks.h>
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -1,7 +1,7 @@
 /// burdockctl: the teams' and operators' tool.
 
 #include <burdock/ctl/subcommand.h>
-#include <burdock/platform/factories.h>
+#include <burdock/store/factories.h>
 #include <burdock/wire/factories.h>
 
 #include <algorithm>
--- a/packages/ctl/tests/ctltest.cpp
+++ b/packages/ctl/tests/ctltest.cpp
@@ -42,6 +42,10 @@
     void cancel(HttpCallId) override
     {
     }
+    void closeIdle() override
+    {
+    }
+
     void setLimits(const Address &, const ConnectionLimits &) override
     {
     }
--- a/packages/daemon/include/burdock/daemon/claimstoreadapter.h
+++ b/packages/daemon/include/burdock/daemon/claimstoreadapter.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <burdock/platform/store.h>
 #include <burdock/policy/claimports.h>
+#include <burdock/store/store.h>
 
 #include <string>
 
--- a/packages/daemon/include/burdock/daemon/instance.h
+++ b/packages/daemon/include/burdock/daemon/instance.h
@@ -11,7 +11,6 @@
 #include <burdock/daemon/metrics.h>
 #include <burdock/daemon/settings.h>
 #include <burdock/daemon/statuspage.h>
-#include <burdock/platform/factories.h>
 #include <burdock/policy/backendlifetable.h>
 #include <burdock/policy/budgetedtactics.h>
 #include <burdock/policy/claimowner.h>
@@ -21,6 +20,7 @@
 #include <burdock/policy/instancelife.h>
 #include <burdock/policy/membership.h>
 #include <burdock/policy/querydesk.h>
+#include <burdock/store/factories.h>
 #include <burdock/wire/factories.h>
 #include <burdock/wire/probecodec.h>
 
--- a/packages/daemon/tests/claimstoreadaptertest.cpp
+++ b/packages/daemon/tests/claimstoreadaptertest.cpp
@@ -1,6 +1,6 @@
 #include <burdock/daemon/claimstoreadapter.h>
 #include <burdock/fakes/fakefleet.h>
-#include <burdock/platform/factories.h>
+#include <burdock/store/factories.h>
 #include <burdock/wire/factories.h>
 
 #include <catch2/catch.hpp>
--- a/packages/declarations/include/burdock/declarations/configreader.h
+++ b/packages/declarations/include/burdock/declarations/configreader.h
@@ -2,7 +2,7 @@
 
 #include <burdock/declarations/confighead.h>
 #include <burdock/declarations/declarationset.h>
-#include <burdock/platform/store.h>
+#include <burdock/store/store.h>
 
 #include <functional>
 #include <string>
--- a/packages/declarations/tests/memorystore.h
+++ b/packages/declarations/tests/memorystore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <burdock/platform/store.h>
+#include <burdock/store/store.h>
 
 #include <algorithm>
 #include <deque>
--- /dev/null
+++ b/packages/router/include/burdock/router/router.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <burdock/router/clientdoor.h>
+#include <burdock/router/decisionlog.h>
+#include <burdock/router/dialect.h>
+#include <burdock/router/httpbackends.h>
+#include <burdock/router/routermetrics.h>
+#include <burdock/router/routersettings.h>
+#include <burdock/router/routingfeed.h>
+#include <burdock/routing/instancelease.h>
+#include <burdock/wire/eventloop.h>
+
+#include <memory>
+
+namespace Burdock
+{
+
+/// A routing instance: serves clients, says whether it is ready, and tells clients which instances to use.
+class Router
+{
+public:
+    Router(EventLoop &loop, const RouterSettings &settings, const Dialect &dialect, Store &store, HttpClient &client, DecisionLog &log, std::uint64_t seed);
+    ~Router();
+    Router(const Router &) = delete;
+    Router &operator=(const Router &) = delete;
+
+    /// Listens and begins to learn; a failure names the address that cannot be used.
+    Result<void> start();
+
+    /// Takes in settings that have changed. Addresses stay as they were at the start.
+    void reload(const RouterSettings &settings);
+
+    /// Leaves: clients are told to go elsewhere at once, and `done` is called when no request is left or the time is up.
+    void shutDown(std::function<void()> done);
+
+private:
+    class Journal;
+
+    Result<void> listen(HttpServer &server, const char *what, const Address &address);
+    void serveReadiness(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder);
+    void serveDirectory(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder);
+    void serveMetrics(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder);
+    void routesChanged(const std::shared_ptr<const RouteTable> &routes);
+    void instancesChanged();
+    void serverChanged(const ServerEntry &server, bool usable);
+    void connectionsChanged();
+    void tick();
+    bool ready() const;
+    void announce();
+    void leaveLate();
+    void endIfIdle();
+    void registerMetrics();
+
+    EventLoop &loop_;
+    RouterSettings settings_;
+    const Dialect &dialect_;
+    HttpClient &client_;
+    DecisionLog &log_;
+    InstanceRecord self_;
+    RouterMetrics metrics_;
+    std::unique_ptr<Journal> journal_;
+    RoutingCounters counters_;
+    ServerTable servers_;
+    InstanceTable instances_;
+    LatencyBook latencies_;
+    ServerLoad load_;
+    ServerChoice choice_;
+    RepeatBudget budget_;
+    HttpBackends backends_;
+    RoutingContext context_;
+    RequestDesk desk_;
+    ClientDoor door_;
+    RoutingFeed feed_;
+    InstanceLease lease_;
+    std::unique_ptr<HttpServer> clients_;
+    std::unique_ptr<HttpServer> readiness_;
+    std::unique_ptr<HttpServer> directory_;
+    std::unique_ptr<HttpServer> metricsServer_;
+    std::map<ServerId, ServerEntry> reachable_;
+    Duration suspended_{0};
+    TimerId tickTimer_ = 0;
+    bool announced_ = false;
+    bool leaving_ = false;
+    TimePoint leavingSince_{};
+    std::function<void()> left_;
+};
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/router/src/httpbackends.cpp
@@ -0,0 +1,116 @@
+#include <burdock/router/httpbackends.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+constexpr int MisdirectedRequest = 421;
+constexpr std::array<const char *, 11> ConnectionHeaders{"connection",
+                                                         "content-length",
+                                                         "expect",
+                                                         "keep-alive",
+                                                         "proxy-authenticate",
+                                                         "proxy-authorization",
+                                                         "proxy-connection",
+                                                         "te",
+                                                         "trailer",
+                                                         "transfer-encoding",
+                                                         "upgrade"};
+
+/// The words of a comma-separated header value, in lower case.
+std::vector<std::string> wordsOf(const std::string &value)
+{
+    std::vector<std::string> words(1);
+    for (const char letter : value) {
+        if (letter == ',') {
+            words.emplace_back();
+        } else if (letter != ' ' && letter != '\t') {
+            words.back() += static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+        }
+    }
+    return words;
+}
+
+std::string valueOf(const std::map<std::string, std::string> &headers, const std::string &name)
+{
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string() : found->second;
+}
+
+} // namespace
+
+void dropConnectionHeaders(std::map<std::string, std::string> &headers)
+{
+    for (const std::string &word : wordsOf(valueOf(headers, "connection"))) {
+        headers.erase(word);
+    }
+    for (const char *name : ConnectionHeaders) {
+        headers.erase(name);
+    }
+}
+
+HttpBackends::HttpBackends(Runtime &runtime, HttpClient &client, HeaderNames names)
+    : runtime_(runtime)
+    , client_(client)
+    , names_(std::move(names))
+{
+}
+
+BackendRequestId HttpBackends::send(const ServerHandle &server, const std::shared_ptr<const ClientRequest> &request, TimePoint deadline, Callback done)
+{
+    const Duration left = std::max(deadline - runtime_.now(), Duration{0});
+    HttpRequest out;
+    out.address = server->address;
+    out.method = request->method;
+    out.path = request->target;
+    out.headers = request->headers;
+    out.headers[names_.timeLeft] = std::to_string(left / std::chrono::milliseconds(1));
+    out.headers[names_.targetServer] = server->id.text();
+    out.body = request->body;
+    out.timeout = left;
+    out.accept = [names = &names_, request](const HttpResponse &response) {
+        const auto echoed = response.headers.find(names->requestId);
+        return echoed == response.headers.end() || echoed->second == request->id;
+    };
+    return client_.send(std::move(out),
+                        [this, server, done = std::move(done)](Result<HttpResponse> response) { done(read(names_, *server, std::move(response))); });
+}
+
+void HttpBackends::cancel(BackendRequestId id)
+{
+    client_.cancel(id);
+}
+
+Result<BackendReply> HttpBackends::read(const HeaderNames &names, const ServerEntry &server, Result<HttpResponse> response)
+{
+    if (!response) {
+        return tl::make_unexpected(response.error());
+    }
+    if (response->status == MisdirectedRequest) {
+        return notRun(Errc::Unavailable, "another server has the address: " + valueOf(response->headers, names.answeringServer));
+    }
+    if (response->headers.count(names.notRun) > 0) {
+        return notRun(Errc::Overloaded, "the server did not run it, status " + std::to_string(response->status));
+    }
+    BackendReply reply;
+    reply.status = response->status;
+    reply.signature = valueOf(response->headers, names.signature);
+    if (response->headers.count("content-encoding") > 0) {
+        return mayHaveRun(Errc::ConnectionLost, "the body is encoded, and so is not the server's, " + server.address.toString());
+    }
+    if (reply.succeeded() && reply.signature.empty()) {
+        return mayHaveRun(Errc::ConnectionLost, "a success without a signature, " + server.address.toString());
+    }
+    reply.headers = std::move(response->headers);
+    dropConnectionHeaders(reply.headers);
+    reply.body = std::move(response->body);
+    return reply;
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/router/src/instancecodec.cpp
@@ -0,0 +1,38 @@
+#include <burdock/router/instancecodec.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Burdock
+{
+
+using Json = nlohmann::json;
+
+std::string writeInstance(const InstanceRecord &record)
+{
+    return Json{{"id", record.id.text()},
+                {"address", record.address.toString()},
+                {"region", record.region.text()},
+                {"dataCentre", record.dataCentre.text()},
+                {"ready", record.ready}}
+        .dump();
+}
+
+Result<InstanceRecord> readInstance(const std::string &value)
+{
+    try {
+        const Json read = Json::parse(value);
+        const Result<Address> address = Address::parse(read.at("address").get<std::string>());
+        if (!address) {
+            return tl::make_unexpected(address.error());
+        }
+        return InstanceRecord{InstanceId(read.at("id").get<std::string>()),
+                              *address,
+                              Region(read.at("region").get<std::string>()),
+                              DataCentre(read.at("dataCentre").get<std::string>()),
+                              read.at("ready").get<bool>()};
+    } catch (const Json::exception &error) {
+        return notRun(Errc::BadRequest, std::string("not an instance's record: ") + error.what());
+    }
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/router/src/router.cpp
@@ -0,0 +1,344 @@
+#include <burdock/router/router.h>
+
+#include <burdock/router/instancecodec.h>
+#include <burdock/wire/factories.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// The term of an instance's record: a lost instance is off the others' answers after that.
+constexpr std::chrono::seconds RecordTerm{3};
+/// How often suspension and readiness are looked at.
+constexpr Duration TickEvery = std::chrono::milliseconds(200);
+/// A jump of the suspended time above this means that the machine slept.
+constexpr Duration SuspensionNoticed = std::chrono::milliseconds(300);
+/// The most addresses that an answer names.
+constexpr std::size_t MostAddresses = 64;
+/// After the signal to stop, new connections are taken for so many lives of an entry answer: some clients keep it thrice as long.
+constexpr int EntryLivesBeforeClosing = 3;
+/// How long before the end of the stop time the process ends by itself, so that its last answers leave.
+constexpr Duration EndBeforeKill = std::chrono::milliseconds(350);
+/// How often a leaving instance looks whether it is idle.
+constexpr Duration IdleCheck = std::chrono::milliseconds(20);
+/// The part of the descriptors that clients' connections may use; the rest is for servers and the store.
+constexpr double ClientDescriptors = 0.6;
+constexpr std::uint32_t SmallServerConnections = 200;
+
+HttpServerLimits clientLimits(const ClientLimits &limits, std::uint32_t descriptors)
+{
+    HttpServerLimits out;
+    out.headerBytes = limits.headerBytes;
+    out.bodyBytes = limits.bodyBytes;
+    out.connections = static_cast<std::uint32_t>(descriptors * ClientDescriptors);
+    out.requestTime = std::max(limits.headerTime, HttpServerLimits().requestTime);
+    out.idleTime = limits.idleTime;
+    return out;
+}
+
+HttpServerLimits smallLimits()
+{
+    HttpServerLimits out;
+    out.connections = SmallServerConnections;
+    return out;
+}
+
+HttpOutgoing plain(int status, const std::string &text)
+{
+    HttpOutgoing out;
+    out.status = status;
+    out.headers["Content-Type"] = "text/plain; charset=utf-8";
+    out.body = text;
+    return out;
+}
+
+} // namespace
+
+/// Writes the steps of requests to the log.
+class Router::Journal final : public RoutingJournal
+{
+public:
+    explicit Journal(DecisionLog &log)
+        : log_(log)
+    {
+    }
+
+    void note(const RoutingEvent &event) override
+    {
+        log_.write(DecisionWeight::Trouble,
+                   "request.repeated",
+                   {{"request", event.request},
+                    {"decision", event.decision},
+                    {"service", event.service},
+                    {"server", event.server},
+                    {"reason", event.reason},
+                    {"ageUs", event.age.count()}});
+    }
+
+private:
+    DecisionLog &log_;
+};
+
+Router::Router(EventLoop &loop, const RouterSettings &settings, const Dialect &dialect, Store &store, HttpClient &client, DecisionLog &log, std::uint64_t seed)
+    : loop_(loop)
+    , settings_(settings)
+    , dialect_(dialect)
+    , client_(client)
+    , log_(log)
+    , self_{settings.id, settings.clients, settings.region, settings.dataCentre, false}
+    , journal_(std::make_unique<Journal>(log))
+    , servers_([this](const ServerEntry &server, bool usable) { serverChanged(server, usable); })
+    , instances_(seed)
+    , choice_(servers_, latencies_, load_, settings.regions, settings.region, seed)
+    , budget_(settings.repeats)
+    , backends_(loop, client, dialect.headers())
+    , context_{loop, backends_, servers_, choice_, load_, budget_, counters_, *journal_}
+    , desk_(context_, seed)
+    , door_(loop, desk_, log, metrics_, dialect.headers())
+    , feed_(loop,
+            store,
+            dialect,
+            servers_,
+            instances_,
+            log,
+            {[this](const std::shared_ptr<const RouteTable> &routes) { routesChanged(routes); }, [this] { instancesChanged(); }})
+    , lease_(loop,
+             store,
+             dialect.instancesPrefix() + settings.id.text(),
+             RecordTerm,
+             [this](const Failure *failure) {
+                 log_.write(DecisionWeight::Change,
+                            failure != nullptr ? "store.lost" : "store.regained",
+                            {{"dependency", "lease"}, {"reason", failure != nullptr ? failure->message : std::string()}});
+             })
+    , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
+    , readiness_(makeHttpServer(loop, smallLimits()))
+    , directory_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
+    , metricsServer_(makeHttpServer(loop, smallLimits()))
+    , suspended_(loop.suspended())
+{
+    clients_->setHandler([this](HttpIncoming in, const std::shared_ptr<HttpResponder> &out) { door_.serve(std::move(in), out); });
+    readiness_->setHandler([this](const HttpIncoming &in, const std::shared_ptr<HttpResponder> &out) { serveReadiness(in, out); });
+    directory_->setHandler([this](const HttpIncoming &in, const std::shared_ptr<HttpResponder> &out) { serveDirectory(in, out); });
+    metricsServer_->setHandler([this](const HttpIncoming &in, const std::shared_ptr<HttpResponder> &out) { serveMetrics(in, out); });
+    registerMetrics();
+}
+
+Router::~Router()
+{
+    loop_.cancel(tickTimer_);
+}
+
+Result<void> Router::listen(HttpServer &server, const char *what, const Address &address)
+{
+    const Result<Address> bound = server.listen(address);
+    if (!bound) {
+        return tl::make_unexpected(bound.error());
+    }
+    log_.write(DecisionWeight::Change, "listening", {{"for", what}, {"address", bound->toString()}});
+    return {};
+}
+
+Result<void> Router::start()
+{
+    const std::vector<std::tuple<HttpServer *, const char *, std::optional<Address>>> listeners{{clients_.get(), "clients", settings_.clients},
+                                                                                                {readiness_.get(), "readiness", settings_.readiness},
+                                                                                                {directory_.get(), "directory", settings_.directory},
+                                                                                                {metricsServer_.get(), "metrics", settings_.metrics}};
+    for (const auto &[server, what, address] : listeners) {
+        if (address) {
+            const Result<void> bound = listen(*server, what, *address);
+            if (!bound) {
+                return bound;
+            }
+        }
+    }
+    feed_.start();
+    lease_.start(writeInstance(self_));
+    tick();
+    return {};
+}
+
+void Router::reload(const RouterSettings &settings)
+{
+    const bool same = settings == settings_;
+    const bool addressesKept = settings.clients == settings_.clients && settings.readiness == settings_.readiness && settings.directory == settings_.directory;
+    log_.write(DecisionWeight::Change,
+               "settings.reloaded",
+               {{"outcome", same ? "unchanged" : "taken"}, {"addresses", addressesKept ? "kept" : "changed; they hold from the next start"}});
+    settings_ = settings;
+    budget_.setTerms(settings.repeats);
+}
+
+bool Router::ready() const
+{
+    return !leaving_ && feed_.known();
+}
+
+void Router::announce()
+{
+    if (self_.ready != ready()) {
+        self_.ready = ready();
+        log_.write(DecisionWeight::Change, "readiness.changed", {{"ready", self_.ready ? 1 : 0}, {"config", feed_.version()}});
+        if (!leaving_) {
+            lease_.change(writeInstance(self_));
+        }
+    }
+}
+
+void Router::tick()
+{
+    const Duration suspended = loop_.suspended();
+    if (suspended - suspended_ > SuspensionNoticed) {
+        log_.write(DecisionWeight::Change, "machine.woke", {{"suspendedMs", (suspended - suspended_).count() / 1000}});
+        // Connections may have been given up by the other side, and everything known may be old.
+        client_.closeIdle();
+        feed_.restart();
+    }
+    suspended_ = suspended;
+    announce();
+    tickTimer_ = loop_.schedule(TickEvery, [this] { tick(); });
+}
+
+void Router::serveReadiness(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder)
+{
+    if (incoming.path != dialect_.readinessPath()) {
+        responder->respond(plain(AnswerStatus::NotFound, "no such path\n"));
+        return;
+    }
+    responder->respond(ready() ? plain(AnswerStatus::Ok, "ready\n") : plain(AnswerStatus::Unavailable, leaving_ ? "leaving\n" : "starting\n"));
+}
+
+void Router::serveDirectory(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder)
+{
+    if (incoming.path != dialect_.directoryPath()) {
+        responder->respond(plain(AnswerStatus::NotFound, "no such path\n"));
+        return;
+    }
+    const auto region = incoming.query.find(dialect_.regionParameter());
+    announce();
+    const auto addresses = instances_.addressesFor(region == incoming.query.end() ? self_.region : Region(region->second), self_, MostAddresses);
+    if (addresses.empty()) {
+        responder->respond(plain(AnswerStatus::Unavailable, "no instance is ready\n"));
+        return;
+    }
+    responder->respond(dialect_.directoryAnswer(addresses, settings_.entryLife));
+}
+
+void Router::serveMetrics(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder)
+{
+    responder->respond(incoming.path == "/metrics" ? plain(AnswerStatus::Ok, metrics_.text()) : plain(AnswerStatus::NotFound, "no such path\n"));
+}
+
+void Router::routesChanged(const std::shared_ptr<const RouteTable> &routes)
+{
+    door_.setVersion(routes->config().version);
+    choice_.setConnections(routes->config().services);
+    desk_.setRoutes(routes);
+    clients_->setLimits(clientLimits(routes->config().limits, settings_.descriptors));
+    connectionsChanged();
+    announce();
+}
+
+void Router::instancesChanged()
+{
+    const std::size_t all = instances_.count(self_);
+    choice_.setInstances(instances_.countIn(self_.region, self_), all);
+    budget_.setInstances(all);
+    connectionsChanged();
+}
+
+void Router::connectionsChanged()
+{
+    for (const auto &[id, server] : reachable_) {
+        const std::uint32_t share = choice_.connectionShare(server.service);
+        client_.setLimits(server.address, ConnectionLimits{share, share, 0});
+    }
+}
+
+void Router::serverChanged(const ServerEntry &server, bool usable)
+{
+    log_.write(DecisionWeight::Change,
+               "server.changed",
+               {{"server", server.id.text()},
+                {"service", server.service.text()},
+                {"address", server.address.toString()},
+                {"usable", usable ? 1 : 0},
+                {"draining", server.draining ? 1 : 0},
+                {"born", server.born}});
+    if (usable) {
+        reachable_[server.id] = server;
+        const std::uint32_t share = choice_.connectionShare(server.service);
+        client_.setLimits(server.address, ConnectionLimits{share, share, 0});
+        return;
+    }
+    reachable_.erase(server.id);
+    latencies_.forget(server.id);
+    const bool reused = std::any_of(reachable_.begin(), reachable_.end(), [&server](const auto &other) { return other.second.address == server.address; });
+    if (!reused) {
+        client_.setLimits(server.address, ConnectionLimits{1, 0, 0});
+    }
+}
+
+void Router::shutDown(std::function<void()> done)
+{
+    if (leaving_) {
+        return;
+    }
+    leaving_ = true;
+    left_ = std::move(done);
+    leavingSince_ = loop_.now();
+    log_.write(DecisionWeight::Change, "leaving", {{"waiting", static_cast<std::int64_t>(desk_.waiting())}});
+    announce();
+    lease_.withdraw();
+    clients_->announceClose();
+    directory_->announceClose();
+    const Duration staleAnswers = std::min<Duration>(settings_.entryLife * EntryLivesBeforeClosing, settings_.stopTime / 2);
+    loop_.schedule(staleAnswers, [this] { leaveLate(); });
+}
+
+void Router::leaveLate()
+{
+    clients_->stopAccepting();
+    clients_->closeConnectionsAfterAnswers();
+    log_.write(DecisionWeight::Change, "closing", {{"waiting", static_cast<std::int64_t>(desk_.waiting())}});
+    endIfIdle();
+}
+
+void Router::endIfIdle()
+{
+    const bool timeUp = loop_.now() - leavingSince_ > settings_.stopTime - EndBeforeKill;
+    if (timeUp || (clients_->requestsInFlight() == 0 && clients_->openConnections() == 0)) {
+        log_.write(DecisionWeight::Change, "stopped", {{"unanswered", static_cast<std::int64_t>(clients_->requestsInFlight())}});
+        log_.flush();
+        left_();
+        return;
+    }
+    loop_.schedule(IdleCheck, [this] { endIfIdle(); });
+}
+
+void Router::registerMetrics()
+{
+    const auto counter = [this](const char *name, const char *help, const std::uint64_t *value) {
+        metrics_.watch(name, "counter", help, [value] { return static_cast<double>(*value); });
+    };
+    counter("burdock_first_sends_total", "Requests sent to a server for the first time.", &counters_.firstSends);
+    counter("burdock_hedges_total", "Requests sent to a second server because the first was late.", &counters_.hedges);
+    counter("burdock_retries_total", "Requests sent to another server after a failure.", &counters_.retries);
+    counter("burdock_repeats_denied_total", "Hedges and retries that the budget did not allow.", &counters_.repeatsDenied);
+    counter("burdock_refused_by_servers_total", "Requests that a server did not run.", &counters_.refusedByServers);
+    counter("burdock_failed_at_servers_total", "Requests that failed and may have run.", &counters_.failedAtServers);
+    metrics_.watch("burdock_requests_waiting", "gauge", "Requests that wait for their answer.", [this] { return static_cast<double>(desk_.waiting()); });
+    metrics_.watch("burdock_config_version", "gauge", "Version of the routes in force.", [this] { return static_cast<double>(feed_.version()); });
+    metrics_.watch("burdock_servers_listed", "gauge", "Servers with an entry.", [this] { return static_cast<double>(servers_.size()); });
+    metrics_.watch("burdock_instances", "gauge", "Instances with a record.", [this] { return static_cast<double>(instances_.count(self_)); });
+    metrics_.watch(
+        "burdock_log_lines_dropped_total", "counter", "Log lines for which there was no room.", [this] { return static_cast<double>(log_.dropped()); });
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/routing/include/burdock/routing/instancelease.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <burdock/charts/chartrun.h>
+#include <burdock/store/store.h>
+#include <burdock/values/runtime.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Burdock
+{
+
+/// Keeps one key in the store under a lease for as long as the process lives and reaches the store.
+/// Its life is the chart `instancelease`.
+class InstanceLease
+{
+public:
+    /// `reach`: the store was lost, with the failure, or reached again, with null.
+    using ReachHandler = std::function<void(const Failure *)>;
+
+    InstanceLease(Runtime &runtime, Store &store, std::string key, std::chrono::seconds term, ReachHandler reach);
+    ~InstanceLease();
+    InstanceLease(const InstanceLease &) = delete;
+    InstanceLease &operator=(const InstanceLease &) = delete;
+
+    void start(std::string value);
+
+    /// Writes another value under the key.
+    void change(std::string value);
+
+    /// Removes the key for good.
+    void withdraw();
+
+    /// Whether the store has confirmed the key within the lease's term.
+    bool held() const;
+
+private:
+    static const ChartTable<InstanceLease> &table();
+
+    void grant();
+    void write();
+    void renew();
+    void renewLater();
+    void renewSoon();
+    void pause();
+    void revoke();
+    void wait(Duration span);
+    void failed(const Failure &failure);
+    void confirmed(const char *event);
+
+    Runtime &runtime_;
+    Store &store_;
+    const std::string key_;
+    const std::chrono::seconds term_;
+    const ReachHandler reach_;
+    std::string value_;
+    std::int64_t lease_ = 0;
+    std::uint64_t turn_ = 0;
+    TimerId timer_ = 0;
+    TimePoint askedAt_{};
+    TimePoint heldUntil_{};
+    bool lost_ = false;
+    ChartRun<InstanceLease> life_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/routing/include/burdock/routing/latencybook.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <burdock/routing/routingconfig.h>
+
+#include <array>
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+
+namespace Burdock
+{
+
+/// How far a server stands from this instance.
+enum class Distance {
+    SameRegion,
+    OtherRegion,
+};
+constexpr std::size_t DistanceCount = 2;
+
+/// What answers take, by route, distance and server.
+///
+/// A server's estimate is a moving average in which one sample counts for at most twice the estimate, so that a single
+/// pause does not mark a server as slow while a run of slow answers does. Without fresh samples it returns to what all
+/// servers at its distance take, so that a server that was slow is tried again.
+class LatencyBook
+{
+public:
+    /// Counts an answer; `target` is the route's, from which a first guess is made.
+    void answered(const std::string &route, Duration target, const ServerId &server, Distance distance, Duration took, TimePoint now);
+
+    /// What an answer of the server is expected to take.
+    Duration expected(const std::string &route, Duration target, const ServerId &server, Distance distance, TimePoint now) const;
+
+    /// What an answer of any server at the distance is expected to take.
+    Duration usual(const std::string &route, Duration target, Distance distance) const;
+
+    /// Forgets a server that is gone.
+    void forget(const ServerId &server);
+
+private:
+    struct Sampled
+    {
+        double microseconds = 0;
+        TimePoint at{};
+    };
+
+    struct RouteTimes
+    {
+        std::array<double, DistanceCount> usual{};
+        std::unordered_map<ServerId, Sampled> servers;
+    };
+
+    std::unordered_map<std::string, RouteTimes> routes_;
+};
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/routing/include/burdock/routing/routingcontext.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <burdock/routing/backendrequests.h>
+#include <burdock/routing/repeatbudget.h>
+#include <burdock/routing/routingconfig.h>
+#include <burdock/routing/serverchoice.h>
+
+#include <cstdint>
+#include <string>
+
+namespace Burdock
+{
+
+/// What happened to requests, counted since the start.
+struct RoutingCounters
+{
+    std::uint64_t firstSends = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t repeatsDenied = 0;
+    std::uint64_t refusedByServers = 0;
+    std::uint64_t failedAtServers = 0;
+    std::uint64_t clientsGone = 0;
+};
+
+/// One step in the life of a request, for the log.
+struct RoutingEvent
+{
+    /// What was decided, such as `hedge` or `retry`.
+    const char *decision = "";
+    const std::string &request;
+    const std::string &service;
+    const std::string &server;
+    /// Why, in a few words.
+    const std::string &reason;
+    Duration age{0};
+};
+
+/// Gets the decisions that touch a request.
+class RoutingJournal
+{
+public:
+    virtual ~RoutingJournal() = default;
+    virtual void note(const RoutingEvent &event) = 0;
+};
+
+/// What all requests of an instance share.
+struct RoutingContext
+{
+    Runtime &runtime;
+    BackendRequests &backends;
+    ServerTable &servers;
+    ServerChoice &choice;
+    ServerLoad &load;
+    RepeatBudget &budget;
+    RoutingCounters &counters;
+    RoutingJournal &journal;
+};
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/routing/include/burdock/routing/serverchoice.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <burdock/routing/latencybook.h>
+#include <burdock/routing/serverload.h>
+#include <burdock/routing/servertable.h>
+
+#include <map>
+#include <random>
+
+namespace Burdock
+{
+
+/// A server for one request, with what its answer is expected to take.
+struct ChosenServer
+{
+    ServerHandle server;
+    Duration expected{0};
+    /// After this long without an answer it is late.
+    Duration lateAfter{0};
+};
+
+/// Chooses the server of a service whose answer is expected first.
+///
+/// Answers ordinary load and single slow, paused or failing servers: the expectation is what its answers took, raised while
+/// its slots fill, while a request there is overdue, and with the share of its requests that failed. A server of another
+/// region is taken when all near ones look worse than the way there. Under more load than all servers bear it spreads evenly
+/// and refusals by the servers decide.
+class ServerChoice
+{
+public:
+    ServerChoice(const ServerTable &table, LatencyBook &latencies, ServerLoad &load, std::map<DataCentre, Region> regions, Region own, std::uint64_t seed);
+
+    /// How many instances of this region share the servers, and how many instances there are in all.
+    void setInstances(std::size_t inRegion, std::size_t all);
+
+    /// How many connections one server of each service accepts.
+    void setConnections(const std::vector<RoutedService> &services);
+
+    /// The best server outside `tried`; null where there is none that may get a request now.
+    ChosenServer choose(const Route &route, const ServiceName &service, const std::vector<ServerId> &tried, TimePoint now);
+
+    /// How many connections this instance may hold to one server of the service.
+    std::uint32_t connectionShare(const ServiceName &service) const;
+
+    Distance distance(const ServerEntry &server) const;
+
+    /// Takes in how a request fared.
+    void sent(const ServerEntry &server, TimePoint now);
+    void answered(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now);
+
+private:
+    double cost(const Route &route, const ServerEntry &server, Duration expected, TimePoint now);
+
+    const ServerTable &table_;
+    LatencyBook &latencies_;
+    ServerLoad &load_;
+    const std::map<DataCentre, Region> regions_;
+    const Region own_;
+    std::mt19937_64 random_;
+    std::size_t inRegion_ = 1;
+    std::size_t all_ = 1;
+    std::unordered_map<ServiceName, std::uint32_t> connections_;
+};
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/routing/include/burdock/routing/serverload.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <burdock/values/names.h>
+#include <burdock/values/runtime.h>
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace Burdock
+{
+
+/// What this instance has under way at each server, and how its requests there fared of late.
+class ServerLoad
+{
+public:
+    /// A request went out at `now`.
+    void sent(const ServerId &server, TimePoint now);
+
+    /// A request sent at `sentAt` ended with an answer, with a refusal or connection failure, or with a failure after it may have run.
+    void answered(const ServerId &server, TimePoint sentAt, TimePoint now);
+    void refused(const ServerId &server, TimePoint sentAt, TimePoint now);
+    void failed(const ServerId &server, TimePoint sentAt, TimePoint now);
+
+    /// A request was given up; says nothing of the server.
+    void givenUp(const ServerId &server, TimePoint sentAt);
+
+    /// How many requests are under way.
+    std::uint32_t underWay(const ServerId &server) const;
+
+    /// How long ago the oldest request under way went out; zero where there is none.
+    Duration oldest(const ServerId &server, TimePoint now) const;
+
+    /// The share of requests, 0 to 1, that failed of late.
+    double failing(const ServerId &server, TimePoint now) const;
+
+    /// Until when it is left alone after refusals and connection failures.
+    TimePoint restsUntil(const ServerId &server) const;
+
+    void forget(const ServerId &server);
+
+private:
+    struct Server
+    {
+        std::vector<TimePoint> open;
+        double failing = 0;
+        TimePoint failingAt{};
+        std::uint32_t refusalsInARow = 0;
+        TimePoint restsUntil{};
+    };
+
+    void ended(Server &server, TimePoint sentAt, double failure, TimePoint now);
+
+    std::unordered_map<ServerId, Server> servers_;
+};
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/routing/src/forwardrun.cpp
@@ -0,0 +1,60 @@
+#include <burdock/routing/requestrun.h>
+
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// One request to one service.
+class ForwardRun final : public RequestRun
+{
+public:
+    ForwardRun(RoutingContext &context, const RunTerms &terms, const ServiceName &service)
+        : context_(context)
+        , terms_(terms)
+        , call_(context, terms.route, service, terms.request, terms.deadline)
+    {
+    }
+
+    void start(Done done) override
+    {
+        call_.start([this, done = std::move(done)](const CallOutcome &outcome) { done(answer(outcome)); });
+    }
+
+    std::size_t underWay() const override
+    {
+        return call_.underWay();
+    }
+
+private:
+    ClientAnswer answer(const CallOutcome &outcome) const
+    {
+        if (!outcome.reply) {
+            const bool past = context_.runtime.now() >= terms_.deadline;
+            return failureAnswer(outcome.reply.error(), outcome.nothingRan, past, terms_.retryAfter);
+        }
+        ClientAnswer answer;
+        answer.kind = ClientAnswer::Kind::Passed;
+        answer.status = outcome.reply->status;
+        answer.headers = outcome.reply->headers;
+        answer.body = outcome.reply->body;
+        answer.signatures = {outcome.reply->signature};
+        return answer;
+    }
+
+    RoutingContext &context_;
+    const RunTerms terms_;
+    ServiceCall call_;
+};
+
+} // namespace
+
+std::unique_ptr<RequestRun> makeForwardRun(RoutingContext &context, const RunTerms &terms, const ServiceName &service)
+{
+    return std::make_unique<ForwardRun>(context, terms, service);
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/routing/src/gatherrun.cpp
@@ -0,0 +1,147 @@
+#include <burdock/routing/partmerge.h>
+#include <burdock/routing/requestrun.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// How long before the target an answer has to leave: the way to the client and back, its new connection, and a queue here.
+constexpr Duration AnswerMargin = std::chrono::milliseconds(20);
+/// No more than this part of a short target.
+constexpr int MostMarginParts = 4;
+
+/// One request to all shards of a route.
+///
+/// Answers stragglers: it waits for every part until just before the target, then leaves with what is there if the share serves.
+/// A part that is missing then costs less than an answer that is late. It gives up as soon as the share cannot be reached.
+class GatherRun final : public RequestRun
+{
+public:
+    GatherRun(RoutingContext &context, const RunTerms &terms)
+        : context_(context)
+        , terms_(terms)
+    {
+    }
+
+    ~GatherRun() override
+    {
+        context_.runtime.cancel(leaveTimer_);
+    }
+
+    GatherRun(const GatherRun &) = delete;
+    GatherRun &operator=(const GatherRun &) = delete;
+
+    void start(Done done) override
+    {
+        done_ = std::move(done);
+        const Route &route = *terms_.route;
+        const Duration margin = std::min(AnswerMargin, route.target / MostMarginParts);
+        leaveAt_ = terms_.request->arrived + route.target - margin;
+        calls_.reserve(route.shards.size());
+        for (const ServiceName &shard : route.shards) {
+            calls_.push_back(std::make_unique<ServiceCall>(context_, terms_.route, shard, terms_.request, terms_.deadline));
+        }
+        for (const auto &call : calls_) {
+            if (done_) {
+                call->start([this](const CallOutcome &outcome) { ended(outcome); });
+            }
+        }
+        if (done_) {
+            leaveTimer_ = context_.runtime.schedule(leaveAt_ - context_.runtime.now(), [this] { decide(); });
+        }
+    }
+
+    std::size_t underWay() const override
+    {
+        std::size_t sum = 0;
+        for (const auto &call : calls_) {
+            sum += call->underWay();
+        }
+        return sum;
+    }
+
+private:
+    void ended(const CallOutcome &outcome)
+    {
+        nothingRan_ = nothingRan_ && !outcome.reply && outcome.nothingRan;
+        const bool sound = outcome.reply && !outcome.reply->signature.empty();
+        // Two answers with one signature are one part.
+        const bool twice = sound && std::find(signatures_.begin(), signatures_.end(), outcome.reply->signature) != signatures_.end();
+        if (sound && !twice) {
+            signatures_.push_back(outcome.reply->signature);
+            bodies_.push_back(outcome.reply->body);
+        } else {
+            ++failed_;
+            lastFailure_ = outcome.reply ? mayHaveRun(Errc::Unavailable, "a server answered with status " + std::to_string(outcome.reply->status)).value()
+                                         : outcome.reply.error();
+        }
+        decide();
+    }
+
+    bool enough(std::size_t parts) const
+    {
+        return parts > 0 && static_cast<double>(parts) >= terms_.route->leastShare * static_cast<double>(calls_.size());
+    }
+
+    void decide()
+    {
+        if (!done_) {
+            return;
+        }
+        const std::size_t pending = calls_.size() - signatures_.size() - failed_;
+        const bool leaving = context_.runtime.now() >= leaveAt_;
+        if (enough(signatures_.size()) && (pending == 0 || leaving)) {
+            answer(gathered());
+        } else if (!enough(signatures_.size() + pending) || pending == 0) {
+            const bool past = context_.runtime.now() >= terms_.deadline;
+            const bool ran = !nothingRan_ || pending > 0;
+            answer(failureAnswer(lastFailure_, !ran, past, terms_.retryAfter));
+        }
+    }
+
+    ClientAnswer gathered() const
+    {
+        ClientAnswer answer;
+        answer.kind = ClientAnswer::Kind::Gathered;
+        answer.status = AnswerStatus::Ok;
+        answer.body = greatestRecords({bodies_.begin(), bodies_.end()}, terms_.route->resultLimit);
+        answer.signatures = signatures_;
+        answer.missing = static_cast<std::uint32_t>(calls_.size() - signatures_.size());
+        return answer;
+    }
+
+    void answer(ClientAnswer answer)
+    {
+        context_.runtime.cancel(std::exchange(leaveTimer_, 0));
+        for (const auto &call : calls_) {
+            call->stop();
+        }
+        std::exchange(done_, nullptr)(std::move(answer));
+    }
+
+    RoutingContext &context_;
+    const RunTerms terms_;
+    Done done_;
+    TimePoint leaveAt_;
+    TimerId leaveTimer_ = 0;
+    std::vector<std::unique_ptr<ServiceCall>> calls_;
+    std::vector<std::string> signatures_;
+    std::vector<std::string> bodies_;
+    std::size_t failed_ = 0;
+    bool nothingRan_ = true;
+    Failure lastFailure_;
+};
+
+} // namespace
+
+std::unique_ptr<RequestRun> makeGatherRun(RoutingContext &context, const RunTerms &terms)
+{
+    return std::make_unique<GatherRun>(context, terms);
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/routing/src/partmerge.cpp
@@ -0,0 +1,27 @@
+#include <burdock/routing/partmerge.h>
+
+#include <algorithm>
+
+namespace Burdock
+{
+
+std::string greatestRecords(const std::vector<std::string_view> &parts, std::uint32_t limit)
+{
+    std::vector<std::string_view> records;
+    for (const std::string_view part : parts) {
+        for (std::size_t place = 0; place + RecordBytes <= part.size(); place += RecordBytes) {
+            records.push_back(part.substr(place, RecordBytes));
+        }
+    }
+    const std::size_t count = std::min<std::size_t>(limit, records.size());
+    // The comparison of string views is that of unsigned bytes.
+    std::partial_sort(records.begin(), records.begin() + static_cast<std::ptrdiff_t>(count), records.end(), std::greater<>());
+    std::string merged;
+    merged.reserve(count * RecordBytes);
+    for (std::size_t place = 0; place < count; ++place) {
+        merged.append(records[place]);
+    }
+    return merged;
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/routing/src/routetable.cpp
@@ -0,0 +1,53 @@
+#include <burdock/routing/routetable.h>
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// The host's name in lower case, without a port.
+std::string hostName(std::string_view host)
+{
+    std::string name(host.substr(0, host.find(':')));
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    return name;
+}
+
+} // namespace
+
+RouteTable::RouteTable(std::shared_ptr<const RoutingConfig> config)
+    : config_(std::move(config))
+{
+    for (const Route &route : config_->routes) {
+        hosts_[hostName(route.host)].push_back(&route);
+    }
+    for (auto &[host, routes] : hosts_) {
+        std::stable_sort(routes.begin(), routes.end(), [](const Route *a, const Route *b) { return a->prefix.size() > b->prefix.size(); });
+    }
+}
+
+std::shared_ptr<const Route> RouteTable::find(std::string_view host, std::string_view path) const
+{
+    const auto found = hosts_.find(hostName(host));
+    if (found == hosts_.end()) {
+        return nullptr;
+    }
+    for (const Route *route : found->second) {
+        if (path.substr(0, route->prefix.size()) == route->prefix) {
+            return {config_, route};
+        }
+    }
+    return nullptr;
+}
+
+bool RouteTable::knowsHost(std::string_view host) const
+{
+    return hosts_.count(hostName(host)) > 0;
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/routing/src/servertable.cpp
@@ -0,0 +1,120 @@
+#include <burdock/routing/servertable.h>
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+void erase(std::vector<ServerHandle> &servers, const ServerId &id)
+{
+    const auto named = [&id](const ServerHandle &server) { return server->id == id; };
+    servers.erase(std::remove_if(servers.begin(), servers.end(), named), servers.end());
+}
+
+bool sameLife(const ServerEntry &a, const ServerEntry &b)
+{
+    return a.service == b.service && a.address == b.address && a.born == b.born;
+}
+
+} // namespace
+
+ServerTable::ServerTable(ChangeHandler changed)
+    : changed_(std::move(changed))
+{
+}
+
+void ServerTable::put(const ServerEntry &entry)
+{
+    const auto known = listed_.find(entry.id);
+    const bool sameState = known != listed_.end() && sameLife(*known->second, entry) && known->second->draining == entry.draining;
+    if (sameState) {
+        return;
+    }
+    leave(entry.id);
+    const auto handle = std::make_shared<const ServerEntry>(entry);
+    listed_[entry.id] = handle;
+    if (!entry.draining) {
+        services_[entry.service].ready.push_back(handle);
+    }
+    changed_(entry, !entry.draining);
+}
+
+void ServerTable::leave(const ServerId &id)
+{
+    for (auto *table : {&listed_, &lapsed_}) {
+        const auto node = table->extract(id);
+        if (!node.empty()) {
+            Service &service = services_[node.mapped()->service];
+            erase(service.ready, id);
+            erase(service.lapsed, id);
+        }
+    }
+}
+
+void ServerTable::remove(const ServerId &id, bool storeDisturbed)
+{
+    const auto known = listed_.find(id);
+    if (known == listed_.end()) {
+        return;
+    }
+    const ServerHandle handle = known->second;
+    leave(id);
+    if (storeDisturbed && !handle->draining) {
+        lapsed_[id] = handle;
+        services_[handle->service].lapsed.push_back(handle);
+    }
+    changed_(*handle, false);
+}
+
+void ServerTable::replace(const std::vector<ServerEntry> &entries, bool storeDisturbed)
+{
+    std::unordered_set<ServerId> named;
+    for (const ServerEntry &entry : entries) {
+        named.insert(entry.id);
+        put(entry);
+    }
+    std::vector<ServerId> missing;
+    for (const auto &[id, handle] : listed_) {
+        if (named.count(id) == 0) {
+            missing.push_back(id);
+        }
+    }
+    for (const ServerId &id : missing) {
+        remove(id, storeDisturbed);
+    }
+}
+
+void ServerTable::believeListing()
+{
+    for (const auto &[id, handle] : lapsed_) {
+        erase(services_[handle->service].lapsed, id);
+    }
+    lapsed_.clear();
+}
+
+const std::vector<ServerHandle> &ServerTable::servers(const ServiceName &service) const
+{
+    static const std::vector<ServerHandle> none;
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return none;
+    }
+    return found->second.ready.empty() ? found->second.lapsed : found->second.ready;
+}
+
+bool ServerTable::usable(const ServerEntry &entry) const
+{
+    const auto known = listed_.find(entry.id);
+    if (known != listed_.end()) {
+        return sameLife(*known->second, entry) && !known->second->draining;
+    }
+    const auto lapsed = lapsed_.find(entry.id);
+    return lapsed != lapsed_.end() && sameLife(*lapsed->second, entry);
+}
+
+} // namespace Burdock
--- a/packages/platform/include/burdock/platform/factories.h
+++ b/packages/store/include/burdock/store/factories.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <burdock/platform/instancelistsource.h>
-#include <burdock/platform/store.h>
+#include <burdock/store/instancelistsource.h>
+#include <burdock/store/store.h>
 #include <burdock/wire/httpclient.h>
 
 #include <memory>
--- a/packages/platform/src/etcdstore.cpp
+++ b/packages/store/src/etcdstore.cpp
@@ -2,7 +2,7 @@
 
 #include "gatewayjson.h"
 
-#include <burdock/platform/factories.h>
+#include <burdock/store/factories.h>
 
 #include <algorithm>
 
--- a/packages/platform/src/httpinstancelist.cpp
+++ b/packages/store/src/httpinstancelist.cpp
@@ -1,6 +1,6 @@
 #include "httpinstancelist.h"
 
-#include <burdock/platform/factories.h>
+#include <burdock/store/factories.h>
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/packages/platform/src/httpinstancelist.h
+++ b/packages/store/src/httpinstancelist.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <burdock/platform/instancelistsource.h>
+#include <burdock/store/instancelistsource.h>
 #include <burdock/wire/httpclient.h>
 
 #include <random>
--- a/packages/platform/tests/contractbench.h
+++ b/packages/store/tests/contractbench.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <burdock/fakes/fakefleet.h>
-#include <burdock/platform/factories.h>
+#include <burdock/store/factories.h>
 #include <burdock/wire/factories.h>
 
 #include <nlohmann/json.hpp>
--- a/packages/values/include/burdock/values/manualruntime.h
+++ b/packages/values/include/burdock/values/manualruntime.h
@@ -14,6 +14,7 @@
 public:
     TimePoint now() const override;
     WallTime wallNow() const override;
+    Duration suspended() const override;
     TimerId schedule(Duration delay, std::function<void()> callback) override;
     void cancel(TimerId timer) override;
 
@@ -23,6 +24,9 @@
     /// Moves time forward without firing anything, as a frozen process sees it; due timers fire at the next advance.
     void freezeFor(Duration span);
 
+    /// Lets time pass that the monotonic clock does not count, as a suspended machine sees it.
+    void suspendFor(Duration span);
+
     /// How many timers wait.
     std::size_t pending() const;
 
@@ -34,6 +38,7 @@
     };
 
     TimePoint now_{std::chrono::hours(1)};
+    Duration suspended_{0};
     TimerId last_ = 0;
     using Entries = std::multimap<TimePoint, Entry>;
     Entries entries_;
--- a/packages/values/include/burdock/values/runtime.h
+++ b/packages/values/include/burdock/values/runtime.h
@@ -32,6 +32,12 @@
     /// The calendar time.
     virtual WallTime wallNow() const = 0;
 
+    /// For how long the machine was suspended so far: time that `now` does not count. Grows with each suspension.
+    virtual Duration suspended() const
+    {
+        return Duration{0};
+    }
+
     /// Calls `callback` once from the loop, `delay` from now; a delay of zero or less means the next turn.
     virtual TimerId schedule(Duration delay, std::function<void()> callback) = 0;
 
--- a/packages/values/src/manualruntime.cpp
+++ b/packages/values/src/manualruntime.cpp
@@ -16,6 +16,16 @@
     return WallTime(now_.time_since_epoch());
 }
 
+Duration ManualRuntime::suspended() const
+{
+    return suspended_;
+}
+
+void ManualRuntime::suspendFor(Duration span)
+{
+    suspended_ += span;
+}
+
 TimerId ManualRuntime::schedule(Duration delay, std::function<void()> callback)
 {
     const TimerId id = ++last_;
--- a/packages/wire/include/burdock/wire/eventloop.h
+++ b/packages/wire/include/burdock/wire/eventloop.h
@@ -21,6 +21,7 @@
 
     TimePoint now() const override;
     WallTime wallNow() const override;
+    Duration suspended() const override;
     TimerId schedule(Duration delay, std::function<void()> callback) override;
     void cancel(TimerId timer) override;
 
--- a/packages/wire/include/burdock/wire/httpclient.h
+++ b/packages/wire/include/burdock/wire/httpclient.h
@@ -18,18 +18,23 @@
 struct HttpRequest
 {
     Address address;
-    /// `GET` or `POST`.
+    /// A method of RFC 9110 but CONNECT, or PATCH.
     std::string method;
+    /// The request target: path and query.
     std::string path;
+    /// `host` may name another host than the address.
     std::map<std::string, std::string> headers;
     std::string body;
     /// After this the call fails with DeadlineExceeded and its connection is closed.
     Duration timeout{0};
     /// Where set, gets the body of a 200 answer piece by piece as it arrives; the response's body stays empty then.
     std::function<void(const std::string &)> onPiece;
+    /// Where set, tells whether a response answers this request. One that does not ends its connection, and the call fails with
+    /// ConnectionLost.
+    std::function<bool(const struct HttpResponse &)> accept;
 };
 
-/// A whole response. Header names are in lower case.
+/// A whole response. Header names are in lower case; the values of a repeated header are joined by commas.
 struct HttpResponse
 {
     int status = 0;
@@ -68,6 +73,9 @@
     /// Sets the limits of one address; open connections above them are closed as they fall idle.
     virtual void setLimits(const Address &address, const ConnectionLimits &limits) = 0;
 
+    /// Closes all connections that are not in use, to every address.
+    virtual void closeIdle() = 0;
+
     /// How many connections are open to the address.
     virtual std::uint32_t openConnections(const Address &address) const = 0;
 };
--- a/packages/wire/include/burdock/wire/httpserver.h
+++ b/packages/wire/include/burdock/wire/httpserver.h
@@ -13,10 +13,12 @@
 namespace Burdock
 {
 
-/// A request as it arrived. Header names are in lower case.
+/// A request as it arrived. Header names are in lower case; the values of a repeated header are joined by commas.
 struct HttpIncoming
 {
     std::string method;
+    /// The request target as the client wrote it: path and query.
+    std::string target;
     std::string path;
     std::map<std::string, std::string> query;
     std::map<std::string, std::string> headers;
@@ -29,6 +31,8 @@
     int status = 200;
     std::map<std::string, std::string> headers;
     std::string body;
+    /// Whether an answer without a content type is labelled as JSON.
+    bool labelled = true;
 };
 
 /// Answers one request, once, now or later, from the loop.
@@ -88,6 +92,12 @@
     /// The handler of all requests.
     virtual void setHandler(Handler handler) = 0;
 
+    /// Changes the limits; those on the size of a request hold for connections accepted from now on.
+    virtual void setLimits(const HttpServerLimits &limits) = 0;
+
+    /// From now on every answer carries `Connection: close`; idle connections stay open.
+    virtual void announceClose() = 0;
+
     /// From now on every answer carries `Connection: close`, and idle connections are closed.
     virtual void closeConnectionsAfterAnswers() = 0;
 
--- a/packages/wire/src/clientconnection.cpp
+++ b/packages/wire/src/clientconnection.cpp
@@ -4,12 +4,16 @@
 #include "internal/sockets.h"
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
+#include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <new>
+#include <optional>
+#include <string_view>
 #include <sys/socket.h>
 #include <utility>
 
@@ -22,12 +26,51 @@
 constexpr int OkStatus = 200;
 constexpr ev_ssize_t ResponseHeaderBytes = 65536;
 
+/// The part of a server's keep-alive time for which an idle connection is used; the rest covers the way there.
+constexpr int UsedKeepAlivePercent = 80;
+
 /// Calls have timers of their own; libevent's must not fire before them, also not on a watch that waits for hours.
 constexpr timeval LibraryTimeout{31536000, 0};
 
-evhttp_cmd_type commandOf(const std::string &method)
+struct Method
+{
+    std::string_view name;
+    evhttp_cmd_type command;
+};
+
+constexpr std::array<Method, 8> Methods{{
+    {"GET", EVHTTP_REQ_GET},
+    {"POST", EVHTTP_REQ_POST},
+    {"PUT", EVHTTP_REQ_PUT},
+    {"DELETE", EVHTTP_REQ_DELETE},
+    {"PATCH", EVHTTP_REQ_PATCH},
+    {"HEAD", EVHTTP_REQ_HEAD},
+    {"OPTIONS", EVHTTP_REQ_OPTIONS},
+    {"TRACE", EVHTTP_REQ_TRACE},
+}};
+
+/// Nothing for a method that the library cannot send.
+std::optional<evhttp_cmd_type> commandOf(const std::string &method)
+{
+    const auto *found = std::find_if(Methods.begin(), Methods.end(), [&method](const Method &known) { return known.name == method; });
+    return found == Methods.end() ? std::nullopt : std::optional(found->command);
+}
+
+/// The value of `timeout` in a Keep-Alive header, such as `timeout=5, max=100`; nothing where it names none.
+std::optional<Duration> keepAliveTimeout(const std::string &header)
 {
-    return method == "POST" ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
+    constexpr std::string_view Name = "timeout=";
+    const std::size_t found = header.find(Name);
+    if (found == std::string::npos) {
+        return std::nullopt;
+    }
+    int seconds = 0;
+    const char *begin = header.data() + found + Name.size();
+    const auto [end, error] = std::from_chars(begin, header.data() + header.size(), seconds);
+    if (error != std::errc() || seconds < 0) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
 }
 
 bool wellFormedPath(const std::string &path)
@@ -65,7 +108,8 @@
 } // namespace
 
 ClientConnection::ClientConnection(EventLoop &loop, const Address &address, Events events)
-    : address_(address)
+    : loop_(loop)
+    , address_(address)
     , events_(std::move(events))
     , stream_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE))
     , connection_(evhttp_connection_base_bufferevent_new(loop.base(), nullptr, stream_, address.host.c_str(), address.port))
@@ -94,10 +138,10 @@
     refusedPieces_.clear();
     evhttp_request *request = makeRequest();
     if (request == nullptr) {
-        return notRun(Errc::BadRequest, "the path or a header holds characters that HTTP does not allow");
+        return notRun(Errc::BadRequest, "the method, the path or a header is not one that HTTP allows");
     }
     evhttp_connection_set_max_body_size(connection_, static_cast<ev_ssize_t>(bodyLimit));
-    if (evhttp_make_request(connection_, request, commandOf(call_->request.method), call_->request.path.c_str()) != 0) {
+    if (evhttp_make_request(connection_, request, *commandOf(call_->request.method), call_->request.path.c_str()) != 0) {
         closed_ = true;
         return notRun(Errc::Unavailable, "cannot connect to " + address_.toString());
     }
@@ -108,7 +152,7 @@
 evhttp_request *ClientConnection::makeRequest()
 {
     const HttpRequest &wanted = call_->request;
-    if (!wellFormedPath(wanted.path)) {
+    if (!wellFormedPath(wanted.path) || !commandOf(wanted.method)) {
         return nullptr;
     }
     evhttp_request *request = evhttp_request_new(&ClientConnection::onResponse, this);
@@ -117,7 +161,13 @@
         evhttp_request_set_chunked_cb(request, &ClientConnection::onPiece);
     }
     evkeyvalq *headers = evhttp_request_get_output_headers(request);
-    bool valid = evhttp_add_header(headers, "Host", address_.toString().c_str()) == 0;
+    bool valid = true;
+    if (wanted.headers.count("host") == 0) {
+        valid = evhttp_add_header(headers, "Host", address_.toString().c_str()) == 0;
+    }
+    if (!wanted.body.empty()) {
+        valid = valid && evhttp_add_header(headers, "Content-Length", std::to_string(wanted.body.size()).c_str()) == 0;
+    }
     for (const auto &[name, value] : wanted.headers) {
         valid = valid && evhttp_add_header(headers, name.c_str(), value.c_str()) == 0;
     }
@@ -168,10 +218,19 @@
         return;
     }
     // Bytes after the response belong to no request: they must not become the answer to the next one.
-    if (evbuffer_get_length(bufferevent_get_input(self->stream_)) > 0) {
+    const bool extraBytes = evbuffer_get_length(bufferevent_get_input(self->stream_)) > 0;
+    // An answer that came before the whole request was sent: the rest must not be taken for the next request.
+    const bool unsent = evbuffer_get_length(bufferevent_get_output(self->stream_)) > 0;
+    if (extraBytes || unsent) {
         self->closed_ = true;
     }
-    self->finish(self->readResponse(request));
+    HttpResponse response = self->readResponse(request);
+    if (self->call_->request.accept && !self->call_->request.accept(response)) {
+        self->closed_ = true;
+        self->finish(mayHaveRun(Errc::ConnectionLost, "the response answers another request, " + self->address_.toString()));
+        return;
+    }
+    self->finish(std::move(response));
 }
 
 void ClientConnection::onPiece(evhttp_request *request, void *context)
@@ -211,14 +270,30 @@
     response.status = evhttp_request_get_response_code(request);
     const evkeyvalq *headers = evhttp_request_get_input_headers(request);
     for (const evkeyval *header = headers->tqh_first; header != nullptr; header = header->next.tqe_next) {
-        response.headers.insert_or_assign(lowerCase(header->key), header->value);
+        const auto [place, added] = response.headers.emplace(lowerCase(header->key), header->value);
+        if (!added) {
+            place->second.append(", ").append(header->value);
+        }
     }
+    noteKeepAlive(response);
     response.body = std::move(refusedPieces_);
     refusedPieces_.clear();
     response.body += takeAll(evhttp_request_get_input_buffer(request));
     return response;
 }
 
+void ClientConnection::noteKeepAlive(const HttpResponse &response)
+{
+    const auto header = response.headers.find("keep-alive");
+    const auto timeout = header == response.headers.end() ? std::nullopt : keepAliveTimeout(header->second);
+    usableUntil_ = timeout ? std::optional(loop_.now() + *timeout * UsedKeepAlivePercent / 100) : std::nullopt;
+}
+
+bool ClientConnection::outlived() const
+{
+    return usableUntil_ && loop_.now() >= *usableUntil_;
+}
+
 Failure ClientConnection::brokenFailure() const
 {
     const std::string what = std::string(describe(error_)) + ", " + address_.toString();
--- a/packages/wire/src/eventhttpserver.cpp
+++ b/packages/wire/src/eventhttpserver.cpp
@@ -52,6 +52,16 @@
         context_.handler = std::move(handler);
     }
 
+    void setLimits(const HttpServerLimits &limits) override
+    {
+        context_.limits = limits;
+    }
+
+    void announceClose() override
+    {
+        context_.closing = true;
+    }
+
     void closeConnectionsAfterAnswers() override
     {
         context_.closing = true;
--- a/packages/wire/src/eventloop.cpp
+++ b/packages/wire/src/eventloop.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <ctime>
 #include <event2/event.h>
 #include <event2/event_struct.h>
 #include <new>
@@ -21,6 +22,13 @@
     return {static_cast<time_t>(seconds.count()), static_cast<suseconds_t>((span - seconds).count())};
 }
 
+Duration timeOf(clockid_t clock)
+{
+    timespec time{};
+    clock_gettime(clock, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec));
+}
+
 event_base *newBase()
 {
     event_config *config = event_config_new();
@@ -114,6 +122,11 @@
     return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
 }
 
+Duration EventLoop::suspended() const
+{
+    return timeOf(CLOCK_BOOTTIME) - timeOf(CLOCK_MONOTONIC);
+}
+
 TimerId EventLoop::schedule(Duration delay, std::function<void()> callback)
 {
     auto timer = std::make_unique<Private::Timer>();
--- a/packages/wire/src/evhttpclient.cpp
+++ b/packages/wire/src/evhttpclient.cpp
@@ -84,6 +84,18 @@
         dispatch(peer);
     }
 
+    void closeIdle() override
+    {
+        for (const auto &[address, peer] : peers_) {
+            for (const auto &connection : peer->connections) {
+                if (!connection->busy()) {
+                    connection->retire();
+                }
+            }
+            reapLater(*peer);
+        }
+    }
+
     std::uint32_t openConnections(const Address &address) const override
     {
         const auto found = peers_.find(address);
@@ -145,7 +157,7 @@
                 continue;
             }
             // A request written now would be lost, and nobody could say that it did not run.
-            if (connection->endedByPeer()) {
+            if (connection->endedByPeer() || connection->outlived()) {
                 connection->retire();
                 reapLater(peer);
                 continue;
--- a/packages/wire/src/httprequestparser.cpp
+++ b/packages/wire/src/httprequestparser.cpp
@@ -114,6 +114,7 @@
         status_ = Status::TooLarge;
     } else if (whole) {
         headRead_ = true;
+        readTarget(input, length);
         parser_.reset(htparser_new());
         htparser_init(parser_.get(), htp_type_request);
         htparser_set_userdata(parser_.get(), this);
@@ -121,6 +122,18 @@
     }
 }
 
+void HttpRequestParser::readTarget(evbuffer *input, std::size_t length)
+{
+    const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length)));
+    const std::string_view head(bytes, length);
+    const std::string_view line = head.substr(0, head.find('\r'));
+    const std::size_t first = line.find(' ');
+    const std::size_t last = line.rfind(' ');
+    if (first != std::string_view::npos && first < last) {
+        incoming_.target = std::string(line.substr(first + 1, last - first - 1));
+    }
+}
+
 void HttpRequestParser::readBody(evbuffer *input)
 {
     run(input, evbuffer_get_contiguous_space(input));
@@ -197,7 +210,13 @@
         return self.stop(Status::Malformed);
     }
     self.contentLengths_ += self.headerName_ == "content-length" ? 1 : 0;
-    self.incoming_.headers.insert_or_assign(std::move(self.headerName_), trimmed({text, length}));
+    const auto [place, added] = self.incoming_.headers.emplace(self.headerName_, trimmed({text, length}));
+    if (!added && self.headerName_ == "host") {
+        return self.stop(Status::Malformed);
+    }
+    if (!added) {
+        place->second.append(", ").append(trimmed({text, length}));
+    }
     self.headerName_.clear();
     return 0;
 }
--- a/packages/wire/src/httptext.cpp
+++ b/packages/wire/src/httptext.cpp
@@ -69,10 +69,10 @@
     return text;
 }
 
-std::string answerHead(int status, const std::map<std::string, std::string> &headers, std::optional<std::size_t> bodyBytes, bool close)
+std::string answerHead(int status, const std::map<std::string, std::string> &headers, std::optional<std::size_t> bodyBytes, bool close, bool labelled)
 {
     std::string head = "HTTP/1.1 " + std::to_string(status) + " " + phraseOf(status) + "\r\n";
-    bool typed = false;
+    bool typed = !labelled;
     for (const auto &[name, value] : headers) {
         if (!breaksHead(name) && !breaksHead(value)) {
             head.append(name).append(": ").append(value).append("\r\n");
--- a/packages/wire/src/internal/clientconnection.h
+++ b/packages/wire/src/internal/clientconnection.h
@@ -4,6 +4,7 @@
 #include <burdock/wire/httpclient.h>
 
 #include <event2/http.h>
+#include <optional>
 
 struct bufferevent;
 struct evbuffer;
@@ -50,6 +51,9 @@
     /// On an unused connection: true where its end, or bytes that nobody asked for, wait to be read.
     bool endedByPeer() const;
 
+    /// On an unused connection: true where the server may be about to close it.
+    bool outlived() const;
+
     bool busy() const
     {
         return call_ != nullptr;
@@ -83,7 +87,9 @@
     void finish(Result<HttpResponse> result);
     Failure brokenFailure() const;
     HttpResponse readResponse(evhttp_request *request);
+    void noteKeepAlive(const HttpResponse &response);
 
+    EventLoop &loop_;
     const Address address_;
     Events events_;
     bufferevent *stream_;
@@ -91,6 +97,8 @@
     const HttpCall *call_ = nullptr;
     std::string refusedPieces_;
     evhttp_request_error error_ = EVREQ_HTTP_EOF;
+    /// Until when the server keeps the idle connection, where it says so.
+    std::optional<TimePoint> usableUntil_;
     bool written_ = false;
     bool closed_ = false;
 };
--- a/packages/wire/src/internal/httprequestparser.h
+++ b/packages/wire/src/internal/httprequestparser.h
@@ -66,6 +66,7 @@
     void restart();
     int stop(Status status);
     void readHead(evbuffer *input);
+    void readTarget(evbuffer *input, std::size_t length);
     void readBody(evbuffer *input);
     void run(evbuffer *input, std::size_t length);
     Status failure() const;
--- a/packages/wire/src/internal/serverconnection.h
+++ b/packages/wire/src/internal/serverconnection.h
@@ -27,7 +27,7 @@
     ServerContext &operator=(const ServerContext &) = delete;
 
     EventLoop &loop;
-    const HttpServerLimits limits;
+    HttpServerLimits limits;
     /// Shared with responders, which may outlive the server.
     std::shared_ptr<HttpServerCounters> counters = std::make_shared<HttpServerCounters>();
     HttpServer::Handler handler;
--- a/packages/wire/src/serverconnection.cpp
+++ b/packages/wire/src/serverconnection.cpp
@@ -144,7 +144,7 @@
 void ServerConnection::answer(const HttpOutgoing &answer)
 {
     lastAnswer_ = lastAnswer_ || context_.closing;
-    write(answerHead(answer.status, answer.headers, answer.body.size(), lastAnswer_));
+    write(answerHead(answer.status, answer.headers, answer.body.size(), lastAnswer_, answer.labelled));
     if (!headOnly_) {
         write(answer.body);
     }
