--- /dev/null
+++ b/packages/router/include/burdock/router/relaycodec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <burdock/store/store.h>
+#include <burdock/values/failure.h>
+
+#include <string>
+#include <vector>
+
+namespace Burdock
+{
+
+/// Changes of the store as CBOR, as one instance tells them to another. Values are bytes.
+std::string writeChanges(const std::vector<StoreEntry> &entries);
+
+/// The changes of a message; an error where it is none.
+Result<std::vector<StoreEntry>> readChanges(const std::string &bytes);
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/router/include/burdock/router/relayedstore.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <burdock/router/decisionlog.h>
+#include <burdock/routing/relaychoice.h>
+#include <burdock/store/store.h>
+#include <burdock/wire/httpclient.h>
+
+#include <map>
+#include <memory>
+
+namespace Burdock
+{
+
+/// A store whose watches go through another instance where there is one to ask; everything else goes to the store itself.
+///
+/// A watch turns to the store as soon as the relay does not answer in time, says that it knows nothing fresh, or no longer has
+/// the changes, and looks for a relay again from time to time.
+class RelayedStore final : public Store
+{
+public:
+    RelayedStore(Runtime &runtime, HttpClient &client, Store &store, RelayChoice &relays, DecisionLog &log);
+    ~RelayedStore() override;
+    RelayedStore(const RelayedStore &) = delete;
+    RelayedStore &operator=(const RelayedStore &) = delete;
+
+    void range(const std::string &key, bool prefix, std::int64_t limit, Callback<StoreRange> done) override;
+    void commit(StoreTransaction transaction, Callback<StoreCommit> done) override;
+    void grantLease(std::int64_t seconds, Callback<std::int64_t> done) override;
+    void keepLeaseAlive(std::int64_t lease, Callback<std::int64_t> done) override;
+    void revokeLease(std::int64_t lease, Callback<std::int64_t> done) override;
+    std::uint64_t watch(const std::string &key,
+                        bool prefix,
+                        std::int64_t fromRevision,
+                        std::function<void(const StoreEntry &)> changed,
+                        std::function<void(const Failure &)> ended) override;
+    void unwatch(std::uint64_t watch) override;
+
+    /// How many polls relays have answered.
+    std::uint64_t relayed() const
+    {
+        return relayed_;
+    }
+
+private:
+    struct Watch
+    {
+        std::string key;
+        bool prefix = true;
+        std::int64_t revision = 0;
+        std::function<void(const StoreEntry &)> changed;
+        std::function<void(const Failure &)> ended;
+        HttpCallId poll = 0;
+        std::uint64_t direct = 0;
+        TimerId timer = 0;
+    };
+
+    void begin(std::uint64_t id);
+    void poll(std::uint64_t id, const Address &relay);
+    void polled(std::uint64_t id, const Address &relay, const Result<HttpResponse> &response);
+    void watchStore(std::uint64_t id);
+    void lookForRelay(std::uint64_t id);
+    void relayFailed(std::uint64_t id, const Address &relay, const std::string &why);
+    /// False where the watch has ended meanwhile.
+    bool tell(std::uint64_t id, const StoreEntry &entry);
+    void release(const Watch &watch);
+
+    Runtime &runtime_;
+    HttpClient &client_;
+    Store &store_;
+    RelayChoice &relays_;
+    DecisionLog &log_;
+    std::uint64_t last_ = 0;
+    std::uint64_t relayed_ = 0;
+    std::map<std::uint64_t, Watch> watches_;
+};
+
+} // namespace Burdock
--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -3,6 +3,7 @@
 #include <burdock/router/clientdoor.h>
 #include <burdock/router/decisionlog.h>
 #include <burdock/router/dialect.h>
+#include <burdock/router/relayedstore.h>
 #include <burdock/router/httpbackends.h>
 #include <burdock/router/routermetrics.h>
 #include <burdock/router/routersettings.h>
@@ -39,7 +40,7 @@
     Result<void> listen(HttpServer &server, const char *what, const Address &address);
     void serveReadiness(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder);
     void serveDirectory(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder);
-    void serveMetrics(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder);
+    void servePeers(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder);
     void routesChanged(const std::shared_ptr<const RouteTable> &routes);
     void instancesChanged();
     void serverChanged(const ServerEntry &server, bool usable);
@@ -70,12 +71,15 @@
     RoutingContext context_;
     RequestDesk desk_;
     ClientDoor door_;
-    RoutingFeed feed_;
+    RelayChoice relays_;
+    RelayedStore store_;
     InstanceLease lease_;
+    RelayService relay_;
+    RoutingFeed feed_;
     std::unique_ptr<HttpServer> clients_;
     std::unique_ptr<HttpServer> readiness_;
     std::unique_ptr<HttpServer> directory_;
-    std::unique_ptr<HttpServer> metricsServer_;
+    std::unique_ptr<HttpServer> peers_;
     std::map<ServerId, ServerEntry> reachable_;
     Duration suspended_{0};
     TimerId tickTimer_ = 0;
--- a/packages/router/include/burdock/router/routersettings.h
+++ b/packages/router/include/burdock/router/routersettings.h
@@ -5,7 +5,6 @@
 #include <burdock/values/names.h>
 
 #include <map>
-#include <optional>
 #include <string>
 
 namespace Burdock
@@ -23,8 +22,8 @@
     Address clients;
     Address readiness;
     Address directory;
-    /// Where metrics are served; nothing where they are not.
-    std::optional<Address> metrics;
+    /// Where other instances ask for changes of the store, and where metrics are served.
+    Address peers;
     Address store;
     RepeatTerms repeats;
     /// The time between the signal to stop and the end of the process.
@@ -36,7 +35,7 @@
 
     auto fields() const
     {
-        return std::tie(id, region, dataCentre, regions, clients, readiness, directory, metrics, store, repeats, stopTime, entryLife, descriptors);
+        return std::tie(id, region, dataCentre, regions, clients, readiness, directory, peers, store, repeats, stopTime, entryLife, descriptors);
     }
 };
 
--- a/packages/router/include/burdock/router/routingfeed.h
+++ b/packages/router/include/burdock/router/routingfeed.h
@@ -2,6 +2,7 @@
 
 #include <burdock/router/decisionlog.h>
 #include <burdock/router/dialect.h>
+#include <burdock/router/relayservice.h>
 #include <burdock/routing/instancetable.h>
 #include <burdock/routing/routetable.h>
 #include <burdock/routing/servertable.h>
@@ -26,7 +27,7 @@
         std::function<void()> instances;
     };
 
-    RoutingFeed(Runtime &runtime, Store &store, const Dialect &dialect, ServerTable &servers, InstanceTable &instances, DecisionLog &log, Events events);
+    RoutingFeed(Runtime &runtime, Store &store, const Dialect &dialect, ServerTable &servers, InstanceTable &instances, RelayService &relay, DecisionLog &log, Events events);
     ~RoutingFeed();
     RoutingFeed(const RoutingFeed &) = delete;
     RoutingFeed &operator=(const RoutingFeed &) = delete;
@@ -46,7 +47,11 @@
     }
 
 private:
-    StoreFollower::Events eventsOf(const char *what);
+    using TakeAll = void (RoutingFeed::*)(const std::vector<StoreEntry> &);
+    using TakeOne = void (RoutingFeed::*)(const StoreEntry &);
+
+    StoreFollower::Events eventsOf(const char *what, const std::string &prefix, TakeAll all, TakeOne one);
+    void takeConfigs(const std::vector<StoreEntry> &entries);
     void takeConfig(const StoreEntry &entry);
     void takeServer(const StoreEntry &entry);
     void takeServers(const std::vector<StoreEntry> &entries);
@@ -60,6 +65,7 @@
     const Dialect &dialect_;
     ServerTable &servers_;
     InstanceTable &instances_;
+    RelayService &relay_;
     DecisionLog &log_;
     const Events events_;
     std::int64_t version_ = 0;
--- a/packages/router/src/instancecodec.cpp
+++ b/packages/router/src/instancecodec.cpp
@@ -11,6 +11,7 @@
 {
     return Json{{"id", record.id.text()},
                 {"address", record.address.toString()},
+                {"peers", record.peers.toString()},
                 {"region", record.region.text()},
                 {"dataCentre", record.dataCentre.text()},
                 {"ready", record.ready}}
@@ -22,11 +23,13 @@
     try {
         const Json read = Json::parse(value);
         const Result<Address> address = Address::parse(read.at("address").get<std::string>());
-        if (!address) {
-            return tl::make_unexpected(address.error());
+        const Result<Address> peers = Address::parse(read.at("peers").get<std::string>());
+        if (!address || !peers) {
+            return tl::make_unexpected((address ? peers : address).error());
         }
         return InstanceRecord{InstanceId(read.at("id").get<std::string>()),
                               *address,
+                              *peers,
                               Region(read.at("region").get<std::string>()),
                               DataCentre(read.at("dataCentre").get<std::string>()),
                               read.at("ready").get<bool>()};
--- /dev/null
+++ b/packages/router/src/relayedstore.cpp
@@ -0,0 +1,192 @@
+#include <burdock/router/relayedstore.h>
+
+#include <burdock/router/relaycodec.h>
+#include <burdock/router/relayservice.h>
+
+#include <cstdlib>
+#include <event2/http.h>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+constexpr int OkStatus = 200;
+constexpr int GoneStatus = 410;
+/// How long a poll waits at the relay, and how much longer its answer may take: a relay that stands still is noticed after both.
+constexpr Duration PollWait = std::chrono::milliseconds(1000);
+constexpr Duration PollSlack = std::chrono::milliseconds(300);
+/// How long a watch stays at the store before it looks for a relay again.
+constexpr Duration StoreSpell = std::chrono::seconds(2);
+
+std::string encoded(const std::string &text)
+{
+    const std::unique_ptr<char, void (*)(void *)> safe(evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0), &std::free);
+    return safe.get();
+}
+
+} // namespace
+
+RelayedStore::RelayedStore(Runtime &runtime, HttpClient &client, Store &store, RelayChoice &relays, DecisionLog &log)
+    : runtime_(runtime)
+    , client_(client)
+    , store_(store)
+    , relays_(relays)
+    , log_(log)
+{
+}
+
+RelayedStore::~RelayedStore()
+{
+    for (const auto &[id, watch] : watches_) {
+        release(watch);
+    }
+}
+
+void RelayedStore::range(const std::string &key, bool prefix, std::int64_t limit, Callback<StoreRange> done)
+{
+    store_.range(key, prefix, limit, std::move(done));
+}
+
+void RelayedStore::commit(StoreTransaction transaction, Callback<StoreCommit> done)
+{
+    store_.commit(std::move(transaction), std::move(done));
+}
+
+void RelayedStore::grantLease(std::int64_t seconds, Callback<std::int64_t> done)
+{
+    store_.grantLease(seconds, std::move(done));
+}
+
+void RelayedStore::keepLeaseAlive(std::int64_t lease, Callback<std::int64_t> done)
+{
+    store_.keepLeaseAlive(lease, std::move(done));
+}
+
+void RelayedStore::revokeLease(std::int64_t lease, Callback<std::int64_t> done)
+{
+    store_.revokeLease(lease, std::move(done));
+}
+
+std::uint64_t RelayedStore::watch(
+    const std::string &key, bool prefix, std::int64_t fromRevision, std::function<void(const StoreEntry &)> changed, std::function<void(const Failure &)> ended)
+{
+    const std::uint64_t id = ++last_;
+    watches_[id] = Watch{key, prefix, fromRevision, std::move(changed), std::move(ended), 0, 0, 0};
+    begin(id);
+    return id;
+}
+
+void RelayedStore::unwatch(std::uint64_t id)
+{
+    const auto node = watches_.extract(id);
+    if (!node.empty()) {
+        release(node.mapped());
+    }
+}
+
+void RelayedStore::release(const Watch &watch)
+{
+    runtime_.cancel(watch.timer);
+    client_.cancel(watch.poll);
+    if (watch.direct != 0) {
+        store_.unwatch(watch.direct);
+    }
+}
+
+void RelayedStore::begin(std::uint64_t id)
+{
+    const auto relay = relays_.relay(runtime_.now());
+    if (relay) {
+        poll(id, *relay);
+    } else {
+        watchStore(id);
+    }
+}
+
+void RelayedStore::poll(std::uint64_t id, const Address &relay)
+{
+    Watch &watch = watches_.at(id);
+    HttpRequest request;
+    request.address = relay;
+    request.method = "GET";
+    request.path = std::string(RelayService::Path) + "?prefix=" + encoded(watch.key) + "&after=" + std::to_string(watch.revision)
+        + "&waitMs=" + std::to_string(PollWait / std::chrono::milliseconds(1));
+    request.timeout = PollWait + PollSlack;
+    watch.poll = client_.send(std::move(request), [this, id, relay](const Result<HttpResponse> &response) { polled(id, relay, response); });
+}
+
+void RelayedStore::polled(std::uint64_t id, const Address &relay, const Result<HttpResponse> &response)
+{
+    const auto found = watches_.find(id);
+    if (found == watches_.end()) {
+        return;
+    }
+    found->second.poll = 0;
+    if (!response) {
+        return relayFailed(id, relay, response.error().message);
+    }
+    if (response->status != OkStatus) {
+        // A relay that began later than this watch's revision is sound, but of no use to it before the next listing.
+        return relayFailed(id, relay, response->status == GoneStatus ? "the changes are no longer kept" : "status " + std::to_string(response->status));
+    }
+    const Result<std::vector<StoreEntry>> entries = readChanges(response->body);
+    if (!entries) {
+        return relayFailed(id, relay, entries.error().message);
+    }
+    ++relayed_;
+    for (const StoreEntry &entry : *entries) {
+        if (!tell(id, entry)) {
+            return;
+        }
+    }
+    begin(id);
+}
+
+void RelayedStore::relayFailed(std::uint64_t id, const Address &relay, const std::string &why)
+{
+    relays_.failed(relay, runtime_.now());
+    log_.write(DecisionWeight::Change, "relay.failed", {{"relay", relay.toString()}, {"watch", watches_.at(id).key}, {"revision", watches_.at(id).revision}, {"reason", why}});
+    begin(id);
+}
+
+void RelayedStore::watchStore(std::uint64_t id)
+{
+    Watch &watch = watches_.at(id);
+    watch.direct = store_.watch(
+        watch.key, watch.prefix, watch.revision, [this, id](const StoreEntry &entry) { tell(id, entry); },
+        [this, id](const Failure &failure) {
+            auto node = watches_.extract(id);
+            if (!node.empty()) {
+                node.mapped().direct = 0;
+                release(node.mapped());
+                node.mapped().ended(failure);
+            }
+        });
+    watch.timer = runtime_.schedule(StoreSpell, [this, id] { lookForRelay(id); });
+}
+
+void RelayedStore::lookForRelay(std::uint64_t id)
+{
+    Watch &watch = watches_.at(id);
+    if (!relays_.relay(runtime_.now())) {
+        watch.timer = runtime_.schedule(StoreSpell, [this, id] { lookForRelay(id); });
+        return;
+    }
+    watch.timer = 0;
+    store_.unwatch(std::exchange(watch.direct, 0));
+    begin(id);
+}
+
+bool RelayedStore::tell(std::uint64_t id, const StoreEntry &entry)
+{
+    Watch &watch = watches_.at(id);
+    watch.revision = std::max(watch.revision, entry.modRevision);
+    const auto changed = watch.changed;
+    changed(entry);
+    return watches_.count(id) > 0;
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/router/src/relayservice.cpp
@@ -0,0 +1,148 @@
+#include <burdock/router/relayservice.h>
+
+#include <burdock/router/relaycodec.h>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+constexpr int OkStatus = 200;
+constexpr int BadRequestStatus = 400;
+constexpr int GoneStatus = 410;
+constexpr int UnavailableStatus = 503;
+
+/// Without a word from the store for this long nothing more is told. With the time of a poll it bounds how old an instance's
+/// knowledge may be; the platform's bounds leave three seconds. A renewal that comes once a second may be late by as much again.
+constexpr Duration StaleAfter = std::chrono::milliseconds(1800);
+/// The longest that a poll may wait.
+constexpr Duration LongestWait = std::chrono::seconds(5);
+
+std::string parameter(const HttpIncoming &incoming, const char *name)
+{
+    const auto found = incoming.query.find(name);
+    return found == incoming.query.end() ? std::string() : found->second;
+}
+
+std::optional<std::int64_t> numberOf(const std::string &text)
+{
+    std::int64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return error == std::errc() && end == text.data() + text.size() && number >= 0 ? std::optional(number) : std::nullopt;
+}
+
+HttpOutgoing bare(int status, std::string body = {})
+{
+    HttpOutgoing out;
+    out.status = status;
+    out.labelled = false;
+    out.body = std::move(body);
+    return out;
+}
+
+} // namespace
+
+RelayService::RelayService(Runtime &runtime, std::function<TimePoint()> confirmedAt)
+    : runtime_(runtime)
+    , confirmedAt_(std::move(confirmedAt))
+{
+}
+
+RelayService::~RelayService()
+{
+    for (const Poll &poll : polls_) {
+        runtime_.cancel(poll.timer);
+    }
+}
+
+bool RelayService::fresh() const
+{
+    return runtime_.now() - confirmedAt_() < StaleAfter;
+}
+
+void RelayService::listed(const std::string &prefix, std::int64_t revision)
+{
+    logs_[prefix].restart(revision);
+    answerWaiting(prefix);
+}
+
+void RelayService::changed(const std::string &prefix, const StoreEntry &entry)
+{
+    logs_[prefix].append(entry);
+    answerWaiting(prefix);
+}
+
+void RelayService::serve(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder)
+{
+    const auto after = numberOf(parameter(incoming, "after"));
+    const auto waitMs = numberOf(parameter(incoming, "waitMs"));
+    if (!after || !waitMs) {
+        responder->respond(bare(BadRequestStatus));
+        return;
+    }
+    Poll poll{parameter(incoming, "prefix"), *after, responder, 0};
+    if (answer(poll, false)) {
+        return;
+    }
+    const Duration wait = std::min<Duration>(std::chrono::milliseconds(*waitMs), LongestWait);
+    const auto place = polls_.insert(polls_.end(), std::move(poll));
+    place->timer = runtime_.schedule(wait, [this, place] {
+        answer(*place, true);
+        end(place);
+    });
+    responder->onGone([this, place] { end(place); });
+}
+
+bool RelayService::answer(const Poll &poll, bool ended)
+{
+    if (!fresh()) {
+        poll.responder->respond(bare(UnavailableStatus));
+        return true;
+    }
+    const auto changes = logs_[poll.prefix].since(poll.after);
+    if (!changes) {
+        poll.responder->respond(bare(GoneStatus));
+        return true;
+    }
+    if (changes->empty() && !ended) {
+        return false;
+    }
+    poll.responder->respond(bare(OkStatus, writeChanges(*changes)));
+    return true;
+}
+
+void RelayService::end(Polls::iterator poll)
+{
+    runtime_.cancel(poll->timer);
+    polls_.erase(poll);
+}
+
+void RelayService::answerWaiting(const std::string &prefix)
+{
+    for (auto poll = polls_.begin(); poll != polls_.end();) {
+        const auto next = std::next(poll);
+        if (poll->prefix == prefix && answer(*poll, false)) {
+            end(poll);
+        }
+        poll = next;
+    }
+}
+
+void RelayService::check()
+{
+    if (fresh()) {
+        return;
+    }
+    while (!polls_.empty()) {
+        answer(polls_.front(), true);
+        end(polls_.begin());
+    }
+}
+
+} // namespace Burdock
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -14,6 +14,7 @@
 
 /// The term of an instance's record: a lost instance is off the others' answers after that.
 constexpr std::chrono::seconds RecordTerm{3};
+constexpr const char *MetricsPath = "/metrics";
 /// How often suspension and readiness are looked at.
 constexpr Duration TickEvery = std::chrono::milliseconds(200);
 /// A jump of the suspended time above this means that the machine slept.
@@ -90,7 +91,7 @@
     , dialect_(dialect)
     , client_(client)
     , log_(log)
-    , self_{settings.id, settings.clients, settings.region, settings.dataCentre, false}
+    , self_{settings.id, settings.clients, settings.peers, settings.region, settings.dataCentre, false}
     , journal_(std::make_unique<Journal>(log))
     , servers_([this](const ServerEntry &server, bool usable) { serverChanged(server, usable); })
     , instances_(seed)
@@ -100,13 +101,8 @@
     , context_{loop, backends_, servers_, choice_, load_, budget_, counters_, *journal_}
     , desk_(context_, seed)
     , door_(loop, desk_, log, metrics_, dialect.headers())
-    , feed_(loop,
-            store,
-            dialect,
-            servers_,
-            instances_,
-            log,
-            {[this](const std::shared_ptr<const RouteTable> &routes) { routesChanged(routes); }, [this] { instancesChanged(); }})
+    , relays_(settings.id)
+    , store_(loop, client, store, relays_, log)
     , lease_(loop,
              store,
              dialect.instancesPrefix() + settings.id.text(),
@@ -116,16 +112,25 @@
                             failure != nullptr ? "store.lost" : "store.regained",
                             {{"dependency", "lease"}, {"reason", failure != nullptr ? failure->message : std::string()}});
              })
+    , relay_(loop, [this] { return lease_.confirmedAt(); })
+    , feed_(loop,
+            store_,
+            dialect,
+            servers_,
+            instances_,
+            relay_,
+            log,
+            {[this](const std::shared_ptr<const RouteTable> &routes) { routesChanged(routes); }, [this] { instancesChanged(); }})
     , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
     , readiness_(makeHttpServer(loop, smallLimits()))
     , directory_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
-    , metricsServer_(makeHttpServer(loop, smallLimits()))
+    , peers_(makeHttpServer(loop, smallLimits()))
     , suspended_(loop.suspended())
 {
     clients_->setHandler([this](HttpIncoming in, const std::shared_ptr<HttpResponder> &out) { door_.serve(std::move(in), out); });
     readiness_->setHandler([this](const HttpIncoming &in, const std::shared_ptr<HttpResponder> &out) { serveReadiness(in, out); });
     directory_->setHandler([this](const HttpIncoming &in, const std::shared_ptr<HttpResponder> &out) { serveDirectory(in, out); });
-    metricsServer_->setHandler([this](const HttpIncoming &in, const std::shared_ptr<HttpResponder> &out) { serveMetrics(in, out); });
+    peers_->setHandler([this](const HttpIncoming &in, const std::shared_ptr<HttpResponder> &out) { servePeers(in, out); });
     registerMetrics();
 }
 
@@ -146,20 +151,17 @@
 
 Result<void> Router::start()
 {
-    const std::vector<std::tuple<HttpServer *, const char *, std::optional<Address>>> listeners{{clients_.get(), "clients", settings_.clients},
+    const std::vector<std::tuple<HttpServer *, const char *, Address>> listeners{{clients_.get(), "clients", settings_.clients},
                                                                                                 {readiness_.get(), "readiness", settings_.readiness},
                                                                                                 {directory_.get(), "directory", settings_.directory},
-                                                                                                {metricsServer_.get(), "metrics", settings_.metrics}};
+                                                                                                {peers_.get(), "peers", settings_.peers}};
     for (const auto &[server, what, address] : listeners) {
-        if (address) {
-            const Result<void> bound = listen(*server, what, *address);
-            if (!bound) {
-                return bound;
-            }
+        const Result<void> bound = listen(*server, what, address);
+        if (!bound) {
+            return bound;
         }
     }
     feed_.start();
-    lease_.start(writeInstance(self_));
     tick();
     return {};
 }
@@ -186,7 +188,7 @@
         self_.ready = ready();
         log_.write(DecisionWeight::Change, "readiness.changed", {{"ready", self_.ready ? 1 : 0}, {"config", feed_.version()}});
         if (!leaving_) {
-            lease_.change(writeInstance(self_));
+            lease_.start(writeInstance(self_));
         }
     }
 }
@@ -201,6 +203,7 @@
         feed_.restart();
     }
     suspended_ = suspended;
+    relay_.check();
     announce();
     tickTimer_ = loop_.schedule(TickEvery, [this] { tick(); });
 }
@@ -230,9 +233,13 @@
     responder->respond(dialect_.directoryAnswer(addresses, settings_.entryLife));
 }
 
-void Router::serveMetrics(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder)
+void Router::servePeers(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder)
 {
-    responder->respond(incoming.path == "/metrics" ? plain(AnswerStatus::Ok, metrics_.text()) : plain(AnswerStatus::NotFound, "no such path\n"));
+    if (incoming.path == RelayService::Path) {
+        relay_.serve(incoming, responder);
+        return;
+    }
+    responder->respond(incoming.path == MetricsPath ? plain(AnswerStatus::Ok, metrics_.text()) : plain(AnswerStatus::NotFound, "no such path\n"));
 }
 
 void Router::routesChanged(const std::shared_ptr<const RouteTable> &routes)
@@ -250,6 +257,7 @@
     const std::size_t all = instances_.count(self_);
     choice_.setInstances(instances_.countIn(self_.region, self_), all);
     budget_.setInstances(all);
+    relays_.setInstances(instances_.recordsIn(self_.region));
     connectionsChanged();
 }
 
--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -15,39 +15,49 @@
 
 } // namespace
 
-RoutingFeed::RoutingFeed(
-    Runtime &runtime, Store &store, const Dialect &dialect, ServerTable &servers, InstanceTable &instances, DecisionLog &log, Events events)
+RoutingFeed::RoutingFeed(Runtime &runtime,
+                         Store &store,
+                         const Dialect &dialect,
+                         ServerTable &servers,
+                         InstanceTable &instances,
+                         RelayService &relay,
+                         DecisionLog &log,
+                         Events events)
     : runtime_(runtime)
     , dialect_(dialect)
     , servers_(servers)
     , instances_(instances)
+    , relay_(relay)
     , log_(log)
     , events_(std::move(events))
     , config_(runtime,
               store,
               dialect.configKey(),
-              {[this](const std::vector<StoreEntry> &entries) {
-                   for (const StoreEntry &entry : entries) {
-                       takeConfig(entry);
-                   }
-               },
-               [this](const StoreEntry &entry) { takeConfig(entry); },
-               [this](const Failure *failure) { reach("config", failure); }})
+              eventsOf("config", dialect.configKey(), &RoutingFeed::takeConfigs, &RoutingFeed::takeConfig))
     , serverEntries_(runtime,
                      store,
                      dialect.serversPrefix(),
-                     {[this](const std::vector<StoreEntry> &entries) { takeServers(entries); },
-                      [this](const StoreEntry &entry) { takeServer(entry); },
-                      [this](const Failure *failure) { reach("servers", failure); }})
+                     eventsOf("servers", dialect.serversPrefix(), &RoutingFeed::takeServers, &RoutingFeed::takeServer))
     , instanceRecords_(runtime,
                        store,
                        dialect.instancesPrefix(),
-                       {[this](const std::vector<StoreEntry> &entries) { takeInstances(entries); },
-                        [this](const StoreEntry &entry) { takeInstance(entry); },
-                        [this](const Failure *failure) { reach("instances", failure); }})
+                       eventsOf("instances", dialect.instancesPrefix(), &RoutingFeed::takeInstances, &RoutingFeed::takeInstance))
 {
 }
 
+StoreFollower::Events RoutingFeed::eventsOf(const char *what, const std::string &prefix, TakeAll all, TakeOne one)
+{
+    return {[this, prefix, all](const std::vector<StoreEntry> &entries, std::int64_t revision) {
+                (this->*all)(entries);
+                relay_.listed(prefix, revision);
+            },
+            [this, prefix, one](const StoreEntry &entry) {
+                (this->*one)(entry);
+                relay_.changed(prefix, entry);
+            },
+            [this, what](const Failure *failure) { reach(what, failure); }};
+}
+
 RoutingFeed::~RoutingFeed()
 {
     runtime_.cancel(believeTimer_);
@@ -103,6 +113,13 @@
     log_.write(DecisionWeight::Trouble, "entry.skipped", {{"kind", what}, {"key", key}, {"reason", why}});
 }
 
+void RoutingFeed::takeConfigs(const std::vector<StoreEntry> &entries)
+{
+    for (const StoreEntry &entry : entries) {
+        takeConfig(entry);
+    }
+}
+
 void RoutingFeed::takeConfig(const StoreEntry &entry)
 {
     if (entry.key != dialect_.configKey() || entry.deleted) {
--- a/packages/routing/include/burdock/routing/instancelease.h
+++ b/packages/routing/include/burdock/routing/instancelease.h
@@ -35,6 +35,12 @@
     /// Whether the store has confirmed the key within the lease's term.
     bool held() const;
 
+    /// When the request was sent that the store last confirmed.
+    TimePoint confirmedAt() const
+    {
+        return confirmedAt_;
+    }
+
 private:
     static const ChartTable<InstanceLease> &table();
 
@@ -59,7 +65,7 @@
     std::uint64_t turn_ = 0;
     TimerId timer_ = 0;
     TimePoint askedAt_{};
-    TimePoint heldUntil_{};
+    TimePoint confirmedAt_{};
     bool lost_ = false;
     ChartRun<InstanceLease> life_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -17,6 +17,8 @@
     InstanceId id;
     /// Where clients connect.
     Address address;
+    /// Where other instances ask for changes of the store.
+    Address peers;
     Region region;
     DataCentre dataCentre;
     /// Whether it takes new clients.
@@ -24,7 +26,7 @@
 
     auto fields() const
     {
-        return std::tie(id, address, region, dataCentre, ready);
+        return std::tie(id, address, peers, region, dataCentre, ready);
     }
 };
 
@@ -50,6 +52,9 @@
     std::size_t count(const InstanceRecord &self) const;
     std::size_t countIn(const Region &region, const InstanceRecord &self) const;
 
+    /// The records of a region.
+    std::vector<InstanceRecord> recordsIn(const Region &region) const;
+
 private:
     std::map<InstanceId, InstanceRecord> records_;
     std::set<InstanceId> lapsed_;
--- a/packages/routing/include/burdock/routing/storefollower.h
+++ b/packages/routing/include/burdock/routing/storefollower.h
@@ -20,7 +20,7 @@
     struct Events
     {
         /// All keys at one moment; replaces what was known.
-        std::function<void(const std::vector<StoreEntry> &)> listed;
+        std::function<void(const std::vector<StoreEntry> &, std::int64_t revision)> listed;
         /// One change after that.
         std::function<void(const StoreEntry &)> changed;
         /// The store was lost, with the failure, or reached again, with null.
--- /dev/null
+++ b/packages/routing/src/changelog.cpp
@@ -0,0 +1,50 @@
+#include <burdock/routing/changelog.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// Enough for a restart of every server of a large deployment; a configuration counts as one change.
+constexpr std::size_t MostEntries = 4096;
+/// Large values count by their size too, since the smallest instances have little memory.
+constexpr std::size_t MostBytes = std::size_t{4} << 20;
+
+} // namespace
+
+void ChangeLog::restart(std::int64_t revision)
+{
+    begun_ = true;
+    keptFrom_ = revision;
+    entries_.clear();
+}
+
+void ChangeLog::append(const StoreEntry &entry)
+{
+    entries_.push_back(entry);
+    std::size_t bytes = 0;
+    for (const StoreEntry &kept : entries_) {
+        bytes += kept.value.size();
+    }
+    while (entries_.size() > MostEntries || (bytes > MostBytes && entries_.size() > 1)) {
+        bytes -= entries_.front().value.size();
+        keptFrom_ = entries_.front().modRevision;
+        entries_.pop_front();
+    }
+}
+
+std::optional<std::vector<StoreEntry>> ChangeLog::since(std::int64_t revision) const
+{
+    if (!begun_ || revision < keptFrom_) {
+        return std::nullopt;
+    }
+    std::vector<StoreEntry> found;
+    std::copy_if(entries_.begin(), entries_.end(), std::back_inserter(found), [revision](const StoreEntry &entry) { return entry.modRevision > revision; });
+    return found;
+}
+
+} // namespace Burdock
--- a/packages/routing/src/instancelease.cpp
+++ b/packages/routing/src/instancelease.cpp
@@ -67,7 +67,7 @@
 
 bool InstanceLease::held() const
 {
-    return !life_.finished() && runtime_.now() < heldUntil_;
+    return !life_.finished() && runtime_.now() < confirmedAt_ + term_;
 }
 
 void InstanceLease::wait(Duration span)
@@ -89,7 +89,7 @@
 
 void InstanceLease::confirmed(const char *event)
 {
-    heldUntil_ = askedAt_ + term_;
+    confirmedAt_ = askedAt_;
     if (std::exchange(lost_, false)) {
         reach_(nullptr);
     }
@@ -163,7 +163,7 @@
 {
     ++turn_;
     runtime_.cancel(std::exchange(timer_, 0));
-    heldUntil_ = {};
+    confirmedAt_ = {};
     if (lease_ != 0) {
         // A lost reply does no harm: the lease ends by itself.
         store_.revokeLease(lease_, [](const Result<std::int64_t> &) {});
--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -79,6 +79,17 @@
     return records_.size() + (records_.count(self.id) > 0 ? 0 : 1);
 }
 
+std::vector<InstanceRecord> InstanceTable::recordsIn(const Region &region) const
+{
+    std::vector<InstanceRecord> found;
+    for (const auto &[id, record] : records_) {
+        if (record.region == region) {
+            found.push_back(record);
+        }
+    }
+    return found;
+}
+
 std::size_t InstanceTable::countIn(const Region &region, const InstanceRecord &self) const
 {
     std::size_t found = self.region == region ? 1 : 0;
--- /dev/null
+++ b/packages/routing/src/relaychoice.cpp
@@ -0,0 +1,70 @@
+#include <burdock/routing/relaychoice.h>
+
+#include <burdock/policy/rendezvous.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// Regions with fewer instances watch the store from each: a relay would spare next to nothing there.
+constexpr std::size_t LeastInstances = 4;
+/// How many of those before it an instance asks before it watches the store itself.
+constexpr std::size_t MostCandidates = 2;
+/// How long a relay is passed over after a failure.
+constexpr Duration AvoidTime = std::chrono::seconds(5);
+constexpr const char *OrderName = "store relay";
+
+std::pair<std::string, std::uint16_t> keyOf(const Address &address)
+{
+    return {address.host, address.port};
+}
+
+} // namespace
+
+RelayChoice::RelayChoice(InstanceId self)
+    : self_(std::move(self))
+{
+}
+
+void RelayChoice::setInstances(const std::vector<InstanceRecord> &inRegion)
+{
+    before_.clear();
+    if (inRegion.size() < LeastInstances) {
+        return;
+    }
+    std::vector<InstanceId> ids;
+    std::map<InstanceId, Address> peers;
+    for (const InstanceRecord &record : inRegion) {
+        ids.push_back(record.id);
+        peers[record.id] = record.peers;
+    }
+    for (const InstanceId &id : rendezvousOrder(OrderName, ids)) {
+        if (id == self_ || before_.size() == MostCandidates) {
+            break;
+        }
+        before_.push_back(peers.at(id));
+    }
+}
+
+std::optional<Address> RelayChoice::relay(TimePoint now) const
+{
+    for (const Address &address : before_) {
+        const auto avoided = avoidedUntil_.find(keyOf(address));
+        if (avoided == avoidedUntil_.end() || avoided->second <= now) {
+            return address;
+        }
+    }
+    return std::nullopt;
+}
+
+void RelayChoice::failed(const Address &address, TimePoint now)
+{
+    avoidedUntil_[keyOf(address)] = now + AvoidTime;
+}
+
+} // namespace Burdock
--- a/packages/routing/src/storefollower.cpp
+++ b/packages/routing/src/storefollower.cpp
@@ -12,7 +12,7 @@
 /// The pause after a failure: doubled with each failure in a row, up to the longest. Short, since what the store tells is owed
 /// within seconds, and long enough that an outage costs few calls.
 constexpr Duration FirstPause = std::chrono::milliseconds(100);
-constexpr Duration LongestPause = std::chrono::milliseconds(800);
+constexpr Duration LongestPause = std::chrono::milliseconds(1600);
 
 } // namespace
 
@@ -80,7 +80,7 @@
     if (range->revision >= revision_) {
         revision_ = range->revision;
         known_ = true;
-        events_.listed(range->entries);
+        events_.listed(range->entries, range->revision);
     }
     life_.handle("listed");
 }
