Hedge by the share hedged, and send clients to the large instances

Cause: on the grown deployments a request to 36 shards took an instance with 0.12 of a core 30 ms by itself, every instance knew next to nothing of the servers at two requests a second, and hedges went out at 82 ms (median) of a target of 150. Ruled out: refusals and a used-up repeat budget (4.7 in 100 sub-requests were repeated where 20 are allowed).

--- a/packages/router/include/burdock/router/routersettings.h
+++ b/packages/router/include/burdock/router/routersettings.h
@@ -30,12 +30,14 @@
     Duration stopTime = std::chrono::seconds(6);
     /// For how long clients keep the answer to which addresses to use.
     std::chrono::seconds entryLife{1};
+    /// How many processor cores the process has, in parts of one.
+    double cores = 1;
     /// How many descriptors the process may use.
     std::uint32_t descriptors = 1024;
 
     auto fields() const
     {
-        return std::tie(id, region, dataCentre, regions, clients, readiness, directory, peers, store, repeats, stopTime, entryLife, descriptors);
+        return std::tie(id, region, dataCentre, regions, clients, readiness, directory, peers, store, repeats, stopTime, entryLife, cores, descriptors);
     }
 };
 
--- a/packages/router/src/instancecodec.cpp
+++ b/packages/router/src/instancecodec.cpp
@@ -14,7 +14,9 @@
                 {"peers", record.peers.toString()},
                 {"region", record.region.text()},
                 {"dataCentre", record.dataCentre.text()},
-                {"ready", record.ready}}
+                {"ready", record.ready},
+                {"cores", record.cores},
+                {"crowded", record.crowded}}
         .dump();
 }
 
@@ -32,7 +34,9 @@
                               *peers,
                               Region(read.at("region").get<std::string>()),
                               DataCentre(read.at("dataCentre").get<std::string>()),
-                              read.at("ready").get<bool>()};
+                              read.at("ready").get<bool>(),
+                              read.at("cores").get<double>(),
+                              read.at("crowded").get<bool>()};
     } catch (const Json::exception &error) {
         return notRun(Errc::BadRequest, std::string("not an instance's record: ") + error.what());
     }
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -19,6 +19,8 @@
 constexpr Duration TickEvery = std::chrono::milliseconds(200);
 /// A jump of the suspended time above this means that the machine slept.
 constexpr Duration SuspensionNoticed = std::chrono::milliseconds(300);
+/// Instances that clients are not sent to get this much less of the slack in the repeat budget.
+constexpr std::size_t OutsiderPart = 5;
 /// The most addresses that an answer names.
 constexpr std::size_t MostAddresses = 64;
 /// After the signal to stop, new connections are taken for so many lives of an entry answer: some clients keep it thrice as long.
@@ -91,7 +93,7 @@
     , dialect_(dialect)
     , client_(client)
     , log_(log)
-    , self_{settings.id, settings.clients, settings.peers, settings.region, settings.dataCentre, false}
+    , self_{settings.id, settings.clients, settings.peers, settings.region, settings.dataCentre, false, settings.cores, false}
     , journal_(std::make_unique<Journal>(log))
     , servers_([this](const ServerEntry &server, bool usable) { serverChanged(server, usable); })
     , instances_(seed)
@@ -152,9 +154,9 @@
 Result<void> Router::start()
 {
     const std::vector<std::tuple<HttpServer *, const char *, Address>> listeners{{clients_.get(), "clients", settings_.clients},
-                                                                                                {readiness_.get(), "readiness", settings_.readiness},
-                                                                                                {directory_.get(), "directory", settings_.directory},
-                                                                                                {peers_.get(), "peers", settings_.peers}};
+                                                                                 {readiness_.get(), "readiness", settings_.readiness},
+                                                                                 {directory_.get(), "directory", settings_.directory},
+                                                                                 {peers_.get(), "peers", settings_.peers}};
     for (const auto &[server, what, address] : listeners) {
         const Result<void> bound = listen(*server, what, address);
         if (!bound) {
@@ -187,6 +189,7 @@
     if (self_.ready != ready()) {
         self_.ready = ready();
         log_.write(DecisionWeight::Change, "readiness.changed", {{"ready", self_.ready ? 1 : 0}, {"config", feed_.version()}});
+        instancesChanged();
         if (!leaving_) {
             lease_.start(writeInstance(self_));
         }
@@ -254,9 +257,10 @@
 
 void Router::instancesChanged()
 {
-    const std::size_t all = instances_.count(self_);
-    choice_.setInstances(instances_.countIn(self_.region, self_), all);
-    budget_.setInstances(all);
+    const std::vector<InstanceRecord> chosen = instances_.chosenIn(self_.region, self_);
+    const bool self = std::any_of(chosen.begin(), chosen.end(), [this](const InstanceRecord &record) { return record.id == self_.id; });
+    choice_.setInstances(chosen.size(), instances_.countChosen(self_), self);
+    budget_.setInstances(self ? instances_.countChosen(self_) : instances_.count(self_) * OutsiderPart);
     relays_.setInstances(instances_.recordsIn(self_.region));
     connectionsChanged();
 }
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -23,10 +23,14 @@
     DataCentre dataCentre;
     /// Whether it takes new clients.
     bool ready = false;
+    /// How many processor cores it has, in parts of one.
+    double cores = 1;
+    /// Whether it has little room left.
+    bool crowded = false;
 
     auto fields() const
     {
-        return std::tie(id, address, peers, region, dataCentre, ready);
+        return std::tie(id, address, peers, region, dataCentre, ready, cores, crowded);
     }
 };
 
@@ -44,18 +48,30 @@
     void replace(const std::vector<InstanceRecord> &records, bool storeDisturbed);
     void believeListing();
 
-    /// The addresses for a client of the region: the instances there that take clients, or all where there is none, in random
-    /// order, at most `most`. `self` stands for what this instance knows of itself.
+    /// The addresses for a client of the region: the chosen instances there, or all that take clients where there is none, in
+    /// random order, at most `most`. `self` stands for what this instance knows of itself.
     std::vector<Address> addressesFor(const Region &region, const InstanceRecord &self, std::size_t most);
 
-    /// How many instances there are, and how many of them in the region; `self` is counted once.
+    /// The instances of a region that its clients are sent to.
+    ///
+    /// Answers fleets of unlike instances: a request to many shards takes an instance with a small part of a core several times
+    /// as long, and the fewer instances ask a server, the more each of them knows of it and the more connections it may keep.
+    /// So clients go to the large instances while these are several and have room, and to all otherwise.
+    std::vector<InstanceRecord> chosenIn(const Region &region, const InstanceRecord &self) const;
+
+    /// How many instances are chosen in all regions together; at least 1.
+    std::size_t countChosen(const InstanceRecord &self) const;
+
+    /// How many instances there are; `self` is counted once.
     std::size_t count(const InstanceRecord &self) const;
-    std::size_t countIn(const Region &region, const InstanceRecord &self) const;
 
     /// The records of a region.
     std::vector<InstanceRecord> recordsIn(const Region &region) const;
 
 private:
+    /// The instances that take clients, in the region or, for null, in all.
+    std::vector<InstanceRecord> readyIn(const Region *region, const InstanceRecord &self) const;
+
     std::map<InstanceId, InstanceRecord> records_;
     std::set<InstanceId> lapsed_;
     std::mt19937_64 random_;
--- a/packages/routing/include/burdock/routing/serverchoice.h
+++ b/packages/routing/include/burdock/routing/serverchoice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/routing/hedgepace.h>
 #include <burdock/routing/latencybook.h>
 #include <burdock/routing/serverload.h>
 #include <burdock/routing/servertable.h>
@@ -15,8 +16,6 @@
 {
     ServerHandle server;
     Duration expected{0};
-    /// After this long without an answer it is late.
-    Duration lateAfter{0};
 };
 
 /// Chooses the server of a service whose answer is expected first.
@@ -30,8 +29,8 @@
 public:
     ServerChoice(const ServerTable &table, LatencyBook &latencies, ServerLoad &load, std::map<DataCentre, Region> regions, Region own, std::uint64_t seed);
 
-    /// How many instances of this region share the servers, and how many instances there are in all.
-    void setInstances(std::size_t inRegion, std::size_t all);
+    /// How many instances of this region send requests to the servers, and how many in all; and whether this is one of them.
+    void setInstances(std::size_t inRegion, std::size_t all, bool chosen);
 
     /// How many connections one server of each service accepts.
     void setConnections(const std::vector<RoutedService> &services);
@@ -39,6 +38,13 @@
     /// The best server outside `tried`; null where there is none that may get a request now.
     ChosenServer choose(const Route &route, const ServiceName &service, const std::vector<ServerId> &tried, TimePoint now);
 
+    /// After how long without an answer the server is late.
+    Duration lateAfter(const Route &route, const ChosenServer &chosen) const;
+
+    /// Another server was not needed, or was: moves the time after which a server is late.
+    void inTime(const Route &route);
+    void late(const Route &route);
+
     /// How many connections this instance may hold to one server of the service.
     std::uint32_t connectionShare(const ServiceName &service) const;
 
@@ -56,9 +62,11 @@
     ServerLoad &load_;
     const std::map<DataCentre, Region> regions_;
     const Region own_;
+    HedgePace pace_;
     std::mt19937_64 random_;
     std::size_t inRegion_ = 1;
     std::size_t all_ = 1;
+    bool chosen_ = true;
     std::unordered_map<ServiceName, std::uint32_t> connections_;
 };
 
--- a/packages/routing/include/burdock/routing/servicecall.h
+++ b/packages/routing/include/burdock/routing/servicecall.h
@@ -30,7 +30,8 @@
                 std::shared_ptr<const Route> route,
                 const ServiceName &service,
                 std::shared_ptr<const ClientRequest> request,
-                TimePoint deadline);
+                TimePoint deadline,
+                TimePoint goal);
     ~ServiceCall();
     ServiceCall(const ServiceCall &) = delete;
     ServiceCall &operator=(const ServiceCall &) = delete;
@@ -66,7 +67,7 @@
     };
 
     bool launch(const char *kind, const std::string &reason);
-    void armHedge(Duration lateAfter);
+    void armHedge(const ChosenServer &chosen);
     void hedge();
     void ended(std::uint64_t number, Result<BackendReply> reply);
     void learn(const Attempt &attempt, const Result<BackendReply> &reply);
@@ -80,6 +81,8 @@
     const ServiceName service_;
     const std::shared_ptr<const ClientRequest> request_;
     const TimePoint deadline_;
+    /// When an answer has to be there to be of full use.
+    const TimePoint goal_;
     Done done_;
     std::map<std::uint64_t, Attempt> attempts_;
     std::vector<ServerId> tried_;
--- a/packages/routing/src/gatherrun.cpp
+++ b/packages/routing/src/gatherrun.cpp
@@ -44,7 +44,7 @@
         leaveAt_ = terms_.request->arrived + route.target - margin;
         calls_.reserve(route.shards.size());
         for (const ServiceName &shard : route.shards) {
-            calls_.push_back(std::make_unique<ServiceCall>(context_, terms_.route, shard, terms_.request, terms_.deadline));
+            calls_.push_back(std::make_unique<ServiceCall>(context_, terms_.route, shard, terms_.request, terms_.deadline, leaveAt_));
         }
         for (const auto &call : calls_) {
             if (done_) {
--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -1,10 +1,21 @@
 #include <burdock/routing/instancetable.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace Burdock
 {
 
+namespace
+{
+
+/// An instance counts as large with this part of the cores of the largest in its region.
+constexpr double LargePart = 0.5;
+/// Clients are sent to the large instances alone only where they are as many as this: the others take over when they are lost.
+constexpr std::size_t LeastChosen = 3;
+
+} // namespace
+
 InstanceTable::InstanceTable(std::uint64_t seed)
     : random_(seed)
 {
@@ -49,17 +60,12 @@
     lapsed_.clear();
 }
 
-std::vector<Address> InstanceTable::addressesFor(const Region &region, const InstanceRecord &self, std::size_t most)
+std::vector<InstanceRecord> InstanceTable::readyIn(const Region *region, const InstanceRecord &self) const
 {
-    std::vector<Address> near;
-    std::vector<Address> all;
-    const auto consider = [&](const InstanceRecord &record) {
-        if (!record.ready) {
-            return;
-        }
-        all.push_back(record.address);
-        if (record.region == region) {
-            near.push_back(record.address);
+    std::vector<InstanceRecord> found;
+    const auto consider = [&found, region](const InstanceRecord &record) {
+        if (record.ready && (region == nullptr || record.region == *region)) {
+            found.push_back(record);
         }
     };
     consider(self);
@@ -68,10 +74,48 @@
             consider(record);
         }
     }
-    std::vector<Address> &chosen = near.empty() ? all : near;
+    return found;
+}
+
+std::vector<InstanceRecord> InstanceTable::chosenIn(const Region &region, const InstanceRecord &self) const
+{
+    const std::vector<InstanceRecord> ready = readyIn(&region, self);
+    double most = 0;
+    for (const InstanceRecord &record : ready) {
+        most = std::max(most, record.cores);
+    }
+    std::vector<InstanceRecord> large;
+    std::copy_if(ready.begin(), ready.end(), std::back_inserter(large), [most](const InstanceRecord &record) { return record.cores >= most * LargePart; });
+    const bool crowded = std::any_of(large.begin(), large.end(), [](const InstanceRecord &record) { return record.crowded; });
+    return large.size() < LeastChosen || crowded ? ready : large;
+}
+
+std::size_t InstanceTable::countChosen(const InstanceRecord &self) const
+{
+    std::set<Region> regions{self.region};
+    for (const auto &[id, record] : records_) {
+        regions.insert(record.region);
+    }
+    std::size_t sum = 0;
+    for (const Region &region : regions) {
+        sum += chosenIn(region, self).size();
+    }
+    return std::max<std::size_t>(sum, 1);
+}
+
+std::vector<Address> InstanceTable::addressesFor(const Region &region, const InstanceRecord &self, std::size_t most)
+{
+    std::vector<InstanceRecord> chosen = chosenIn(region, self);
+    if (chosen.empty()) {
+        chosen = readyIn(nullptr, self);
+    }
     std::shuffle(chosen.begin(), chosen.end(), random_);
     chosen.resize(std::min(chosen.size(), most));
-    return chosen;
+    std::vector<Address> addresses;
+    for (const InstanceRecord &record : chosen) {
+        addresses.push_back(record.address);
+    }
+    return addresses;
 }
 
 std::size_t InstanceTable::count(const InstanceRecord &self) const
@@ -90,13 +134,4 @@
     return found;
 }
 
-std::size_t InstanceTable::countIn(const Region &region, const InstanceRecord &self) const
-{
-    std::size_t found = self.region == region ? 1 : 0;
-    for (const auto &[id, record] : records_) {
-        found += id != self.id && record.region == region ? 1 : 0;
-    }
-    return found;
-}
-
 } // namespace Burdock
--- a/packages/routing/src/serverchoice.cpp
+++ b/packages/routing/src/serverchoice.cpp
@@ -9,10 +9,11 @@
 namespace
 {
 
-/// An answer is late once this multiple of the usual time near by has passed beyond the expectation. The work of one request
+/// A request is overdue once this multiple of the usual time near by has passed beyond the expectation. The work of one request
 /// spreads by a third, so about one answer in a hundred is later than that without cause.
-constexpr double LateMultiple = 1.4;
-constexpr Duration LateSlack = std::chrono::milliseconds(4);
+constexpr double OverdueMultiple = 1.4;
+/// Timers fire late and answers wait their turn in the loop.
+constexpr Duration LateSlack = std::chrono::milliseconds(2);
 /// The weight of an overdue request in the expectation of the next one: it may take as long again.
 constexpr double OverdueWeight = 2.0;
 /// What a failure costs: an attempt elsewhere, and its part of the repeat budget.
@@ -22,8 +23,9 @@
 constexpr double BusyGrowth = 2.0;
 /// Breaks ties between servers that look alike.
 constexpr double MostJitter = 0.05;
-/// The part of a server's connections that all instances together use; the rest covers instances that come and go.
-constexpr double UsedConnections = 0.9;
+/// The part of a server's connections that the instances with clients use; the rest covers instances that come and go, and those
+/// that clients are not sent to but may still know.
+constexpr double UsedConnections = 0.8;
 /// Where a service names no bound.
 constexpr std::uint32_t DefaultConnections = 8;
 
@@ -40,8 +42,9 @@
 {
 }
 
-void ServerChoice::setInstances(std::size_t inRegion, std::size_t all)
+void ServerChoice::setInstances(std::size_t inRegion, std::size_t all, bool chosen)
 {
+    chosen_ = chosen;
     inRegion_ = std::max<std::size_t>(inRegion, 1);
     all_ = std::max<std::size_t>(all, 1);
 }
@@ -56,6 +59,9 @@
 
 std::uint32_t ServerChoice::connectionShare(const ServiceName &service) const
 {
+    if (!chosen_) {
+        return 1;
+    }
     const auto known = connections_.find(service);
     const std::uint32_t bound = known == connections_.end() || known->second == 0 ? DefaultConnections : known->second;
     return std::max(1U, static_cast<std::uint32_t>(bound * UsedConnections / static_cast<double>(all_)));
@@ -75,7 +81,7 @@
     cost *= 1 + std::max(0.0, use - BusyFrom) * BusyGrowth;
     const Duration oldest = load_.oldest(server.id, now);
     const auto usual = static_cast<double>(latencies_.usual(route.name, route.target, Distance::SameRegion).count());
-    if (static_cast<double>(oldest.count()) > static_cast<double>(expected.count()) + usual * LateMultiple) {
+    if (static_cast<double>(oldest.count()) > static_cast<double>(expected.count()) + usual * OverdueMultiple) {
         cost += static_cast<double>(oldest.count()) * OverdueWeight;
     }
     cost += load_.failing(server.id, now) * FailureCostMicroseconds;
@@ -100,11 +106,26 @@
             least = cost;
         }
     }
-    const Duration usual = latencies_.usual(route.name, route.target, Distance::SameRegion);
-    best.lateAfter = best.expected + Duration(static_cast<Duration::rep>(static_cast<double>(usual.count()) * LateMultiple)) + LateSlack;
     return best;
 }
 
+Duration ServerChoice::lateAfter(const Route &route, const ChosenServer &chosen) const
+{
+    const Duration usual = latencies_.usual(route.name, route.target, Distance::SameRegion);
+    const double beyond = static_cast<double>(usual.count()) * (pace_.multiple(route.name) - 1);
+    return chosen.expected + Duration(static_cast<Duration::rep>(beyond)) + LateSlack;
+}
+
+void ServerChoice::inTime(const Route &route)
+{
+    pace_.inTime(route.name);
+}
+
+void ServerChoice::late(const Route &route)
+{
+    pace_.late(route.name);
+}
+
 void ServerChoice::sent(const ServerEntry &server, TimePoint now)
 {
     load_.sent(server.id, now);
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -1,5 +1,6 @@
 #include <burdock/routing/servicecall.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Burdock
@@ -12,18 +13,25 @@
 constexpr double ReservedForRetries = 0.3;
 /// Refused attempts beyond the route's attempts: each costs the servers nothing but an arrival.
 constexpr std::uint32_t MostRefusals = 2;
+/// A hedge goes out no earlier than this part of the expectation beyond it, however near the goal is.
+constexpr int EarliestPart = 8;
 /// With less time than this left, no further attempt can be answered.
 constexpr Duration LeastTime = std::chrono::milliseconds(10);
 
 } // namespace
 
-ServiceCall::ServiceCall(
-    RoutingContext &context, std::shared_ptr<const Route> route, const ServiceName &service, std::shared_ptr<const ClientRequest> request, TimePoint deadline)
+ServiceCall::ServiceCall(RoutingContext &context,
+                         std::shared_ptr<const Route> route,
+                         const ServiceName &service,
+                         std::shared_ptr<const ClientRequest> request,
+                         TimePoint deadline,
+                         TimePoint goal)
     : context_(context)
     , route_(std::move(route))
     , service_(service)
     , request_(std::move(request))
     , deadline_(deadline)
+    , goal_(goal)
 {
 }
 
@@ -71,7 +79,7 @@
     } else {
         context_.journal.note({kind, request_->id, service_.text(), chosen.server->id.text(), reason, now - request_->arrived});
     }
-    armHedge(chosen.lateAfter);
+    armHedge(chosen);
     return true;
 }
 
@@ -80,12 +88,20 @@
     return route_->repeatable && ran_ < route_->attempts && deadline_ - context_.runtime.now() > LeastTime;
 }
 
-void ServiceCall::armHedge(Duration lateAfter)
+void ServiceCall::armHedge(const ChosenServer &chosen)
 {
     context_.runtime.cancel(std::exchange(hedgeTimer_, 0));
-    if (mayRunAgain()) {
-        hedgeTimer_ = context_.runtime.schedule(lateAfter, [this] { hedge(); });
+    if (!mayRunAgain()) {
+        return;
+    }
+    const TimePoint now = context_.runtime.now();
+    const ChosenServer other = context_.choice.choose(*route_, service_, tried_, now);
+    if (!other.server) {
+        return;
     }
+    // Late enough that the first is late, and early enough that the second can still meet the goal.
+    const Duration latest = std::max(goal_ - now - other.expected, chosen.expected + chosen.expected / EarliestPart);
+    hedgeTimer_ = context_.runtime.schedule(std::min(context_.choice.lateAfter(*route_, chosen), latest), [this] { hedge(); });
 }
 
 void ServiceCall::hedge()
@@ -99,6 +115,7 @@
         return;
     }
     ++context_.counters.hedges;
+    context_.choice.late(*route_);
     launch("hedge", "late answer");
 }
 
@@ -112,6 +129,9 @@
     const TimePoint now = context_.runtime.now();
     if (good(reply)) {
         context_.choice.answered(*route_, *attempt.server, attempt.sentAt, now);
+        if (sends_ == 1) {
+            context_.choice.inTime(*route_);
+        }
     } else if (!reply && reply.error().verdict == Verdict::NotRun) {
         ++context_.counters.refusedByServers;
         context_.load.refused(attempt.server->id, attempt.sentAt, now);
