--- /dev/null
+++ b/packages/fakes/include/burdock/fakes/fakekeyvaluestore.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <burdock/fakes/fakeresponder.h>
+#include <burdock/fakes/storestate.h>
+
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+namespace Burdock
+{
+
+/// What a FakeKeyValueStore has counted; each call counts once.
+struct FakeKeyValueCounters
+{
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t renewals = 0;
+};
+
+/// The users' platform's store as its pages describe it, over a StoreState: ranges in pages, long polls, conditional writes, leases.
+class FakeKeyValueStore
+{
+public:
+    explicit FakeKeyValueStore(Runtime &runtime);
+    ~FakeKeyValueStore();
+    FakeKeyValueStore(const FakeKeyValueStore &) = delete;
+    FakeKeyValueStore &operator=(const FakeKeyValueStore &) = delete;
+
+    /// Answers one call.
+    void handle(const HttpIncoming &request, const std::shared_ptr<FakeResponder> &responder);
+
+    /// What the operator and the servers write, past the calls.
+    void put(const std::string &key, const std::string &value, std::int64_t lease = 0);
+    void remove(const std::string &key);
+
+    /// How many items a page of a range has at most.
+    void setPageSize(std::size_t items)
+    {
+        pageSize_ = items;
+    }
+
+    StoreState &state()
+    {
+        return state_;
+    }
+
+    const FakeKeyValueCounters &counters() const
+    {
+        return counters_;
+    }
+
+private:
+    struct Poll
+    {
+        std::string prefix;
+        std::int64_t after = 0;
+        std::shared_ptr<FakeResponder> responder;
+        TimerId timer = 0;
+    };
+
+    struct Reply
+    {
+        int status = 200;
+        std::string body;
+    };
+
+    Reply range(const HttpIncoming &request);
+    Reply item(const HttpIncoming &request);
+    Reply transact(const nlohmann::json &body);
+    Reply grant(const nlohmann::json &body);
+    Reply keep(std::int64_t lease);
+    Reply endLease(std::int64_t lease);
+    Reply serve(const HttpIncoming &request);
+    void watch(const HttpIncoming &request, const std::shared_ptr<FakeResponder> &responder);
+    bool answerPoll(const Poll &poll, bool ended);
+    void changed();
+
+    Runtime &runtime_;
+    StoreState state_;
+    FakeKeyValueCounters counters_;
+    std::size_t pageSize_ = 500;
+    std::list<Poll> polls_;
+    std::uint64_t listener_ = 0;
+};
+
+} // namespace Burdock
--- a/packages/fakes/src/fakehttpserver.cpp
+++ b/packages/fakes/src/fakehttpserver.cpp
@@ -67,13 +67,24 @@
     return 0;
 }
 
+int collectQuery(evhtp_kv_t *pair, void *target)
+{
+    auto &query = *static_cast<std::map<std::string, std::string> *>(target);
+    query[std::string(pair->key, pair->klen)] = std::string(pair->val == nullptr ? "" : pair->val, pair->vlen);
+    return 0;
+}
+
 HttpIncoming incomingOf(evhtp_request_t *request)
 {
     HttpIncoming incoming;
     incoming.method = methodName(request->method);
     incoming.path = request->uri->path->full;
+    incoming.target = incoming.path;
+    if (request->uri->query_raw != nullptr) {
+        incoming.target.append("?").append(reinterpret_cast<const char *>(request->uri->query_raw));
+    }
     if (request->uri->query != nullptr) {
-        evhtp_kvs_for_each(request->uri->query, &collect, &incoming.query);
+        evhtp_kvs_for_each(request->uri->query, &collectQuery, &incoming.query);
     }
     evhtp_kvs_for_each(request->headers_in, &collect, &incoming.headers);
     incoming.body.resize(evbuffer_get_length(request->buffer_in));
--- /dev/null
+++ b/packages/fakes/src/fakeplatform.cpp
@@ -0,0 +1,91 @@
+#include <burdock/fakes/fakeplatform.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Burdock
+{
+
+namespace
+{
+
+const std::string ServersPrefix = "servers/";
+constexpr std::uint32_t ServerConnections = 200;
+
+/// Connections that are cut and a port that is closed are the port's business; a hang needs nothing.
+std::unique_ptr<FakePort> makePort(Runtime &runtime, event_base *base, FakeHandler handler)
+{
+    return std::make_unique<FakePort>(runtime, base, std::move(handler));
+}
+
+} // namespace
+
+FakePlatform::FakePlatform(Runtime &runtime, event_base *base)
+    : runtime_(runtime)
+    , base_(base)
+    , store_(runtime)
+    , storePort_(makePort(runtime, base, [this](const HttpIncoming &request, const auto &responder) { store_.handle(request, responder); }))
+    , controlPort_(makePort(runtime, base, [this](const HttpIncoming &request, const auto &responder) { handlePlatformControl(*this, request, responder); }))
+{
+    constexpr std::uint32_t StoreConnections = 2000;
+    storePort_->server.setConnectionLimit(StoreConnections);
+    controlPort_->server.setConnectionLimit(ServerConnections);
+}
+
+FakePlatform::~FakePlatform() = default;
+
+Result<FakePlatform::Addresses> FakePlatform::listen(const Addresses &wanted)
+{
+    const auto store = storePort_->server.listen(wanted.store);
+    const auto control = controlPort_->server.listen(wanted.control);
+    if (!store || !control) {
+        return tl::make_unexpected((store ? control : store).error());
+    }
+    return Addresses{*store, *control};
+}
+
+Result<Address> FakePlatform::addServer(const FakeRoutedServerDeclaration &declaration, const std::string &zone)
+{
+    FakeRoutedPort &added = servers_[declaration.id];
+    added.zone = zone;
+    added.born = std::chrono::duration_cast<std::chrono::milliseconds>(runtime_.wallNow().time_since_epoch()).count();
+    added.server = std::make_unique<FakeRoutedServer>(runtime_, declaration, ++seed_);
+    added.port = makePort(runtime_, base_, [&added](const HttpIncoming &request, const auto &responder) { added.server->handle(request, responder); });
+    added.port->server.setConnectionLimit(ServerConnections);
+    const auto address = added.port->server.listen(Address{"127.0.0.1", 0});
+    if (!address) {
+        return address;
+    }
+    writeEntry(declaration.id);
+    return address;
+}
+
+void FakePlatform::writeEntry(const std::string &id)
+{
+    FakeRoutedPort &server = servers_.at(id);
+    const nlohmann::json entry{{"service", server.server->declaration().service},
+                               {"address", server.port->server.address().toString()},
+                               {"zone", server.zone},
+                               {"version", "v1"},
+                               {"slots", server.server->declaration().slots},
+                               {"state", server.state},
+                               {"coldRemainingMs", 0},
+                               {"sequence", ++server.sequence},
+                               {"born", server.born}};
+    store_.put(ServersPrefix + id, entry.dump());
+}
+
+void FakePlatform::setState(const std::string &id, const std::string &state)
+{
+    FakeRoutedPort &server = servers_.at(id);
+    if (server.state == "ready") {
+        server.arrivedBeforeLeaving = server.server->arrived();
+    }
+    server.state = state;
+    if (state == "removed") {
+        store_.remove(ServersPrefix + id);
+    } else {
+        writeEntry(id);
+    }
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/fakes/src/platformcontrol.cpp
@@ -0,0 +1,186 @@
+#include <burdock/fakes/fakeplatform.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace Burdock
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+std::vector<FakeRoutedPort *> selected(FakePlatform &platform, const Json &body)
+{
+    std::vector<FakeRoutedPort *> found;
+    if (!body.contains("ids")) {
+        for (auto &[id, server] : platform.servers()) {
+            found.push_back(&server);
+        }
+        return found;
+    }
+    for (const Json &id : body["ids"]) {
+        found.push_back(&platform.servers().at(id.get<std::string>()));
+    }
+    return found;
+}
+
+TransportFaults changed(const TransportFaults &faults, const Json &change)
+{
+    const auto next = changeFaults(faults, change);
+    if (!next) {
+        throw std::invalid_argument(next.error().message);
+    }
+    return *next;
+}
+
+FakeRoutedServerConduct conductOf(const Json &body)
+{
+    FakeRoutedServerConduct conduct;
+    conduct.paused = body.value("paused", false);
+    conduct.full = body.value("full", false);
+    conduct.failing = body.value("failing", 0.0);
+    conduct.slowFactor = body.value("slowFactor", 1.0);
+    conduct.replaced = body.value("replaced", false);
+    conduct.strayAnswers = body.value("strayAnswers", false);
+    return conduct;
+}
+
+/// `{"target":"store"}` or `{"target":"server","ids":[...]}` with `transport`, `conduct` or both.
+Json setFaults(FakePlatform &platform, const Json &body)
+{
+    if (body.at("target") == "store") {
+        FaultGate &gate = platform.storePort().gate;
+        gate.setFaults(changed(gate.faults(), body.at("transport")));
+        return Json::object();
+    }
+    for (FakeRoutedPort *server : selected(platform, body)) {
+        if (body.contains("transport")) {
+            server->port->gate.setFaults(changed(server->port->gate.faults(), body["transport"]));
+        }
+        if (body.contains("conduct")) {
+            server->server->setConduct(conductOf(body["conduct"]));
+        }
+    }
+    return Json::object();
+}
+
+/// The operator's configuration, as its page spells it.
+Json setConfig(FakePlatform &platform, const Json &body)
+{
+    platform.store().put("op/config", body.dump());
+    return {{"revision", platform.store().state().revision()}};
+}
+
+/// Any entry, also one that no server would write.
+Json setEntry(FakePlatform &platform, const Json &body)
+{
+    platform.store().put(body.at("key").get<std::string>(), body.at("value").get<std::string>());
+    return Json::object();
+}
+
+Json addServer(FakePlatform &platform, const Json &body)
+{
+    FakeRoutedServerDeclaration declaration;
+    declaration.id = body.at("id").get<std::string>();
+    declaration.service = body.at("service").get<std::string>();
+    declaration.slots = body.value("slots", declaration.slots);
+    declaration.queue = body.value("queue", declaration.queue);
+    declaration.work = std::chrono::milliseconds(body.value("workMs", 5));
+    declaration.records = body.value("records", std::size_t{0});
+    const auto address = platform.addServer(declaration, body.value("zone", std::string("zone-a")));
+    if (!address) {
+        throw std::invalid_argument(address.error().message);
+    }
+    return {{"address", address->toString()}};
+}
+
+Json setState(FakePlatform &platform, const Json &body)
+{
+    platform.setState(body.at("id").get<std::string>(), body.at("state").get<std::string>());
+    return Json::object();
+}
+
+Json compact(FakePlatform &platform, const Json &)
+{
+    platform.store().state().compact();
+    return Json::object();
+}
+
+Json storeStatus(FakePlatform &platform, const Json &)
+{
+    const FakeKeyValueCounters &counters = platform.store().counters();
+    return {{"reads", counters.reads},
+            {"writes", counters.writes},
+            {"watches", counters.watches},
+            {"renewals", counters.renewals},
+            {"revision", platform.store().state().revision()}};
+}
+
+/// How often each attempt ran, by service, over all servers.
+Json ran(FakePlatform &platform, const Json &)
+{
+    std::map<std::string, std::map<std::string, std::uint32_t>> attempts;
+    for (const auto &[id, server] : platform.servers()) {
+        for (const auto &[attempt, times] : server.server->ran()) {
+            attempts[attempt][server.server->declaration().service] += times;
+        }
+    }
+    return attempts;
+}
+
+Json servers(FakePlatform &platform, const Json &)
+{
+    Json list = Json::object();
+    for (const auto &[id, server] : platform.servers()) {
+        list[id] = {{"service", server.server->declaration().service},
+                    {"state", server.state},
+                    {"arrived", server.server->arrived()},
+                    {"arrivedSinceLeaving", server.state == "ready" ? 0 : server.server->arrived() - server.arrivedBeforeLeaving},
+                    {"mostConnections", server.port->server.mostConnections()},
+                    {"complaints", server.server->complaints()}};
+    }
+    return list;
+}
+
+struct Route
+{
+    const char *path;
+    bool reads;
+    Json (*serve)(FakePlatform &, const Json &);
+};
+
+const Route Routes[] = {
+    {"/fake/faults", false, &setFaults},
+    {"/fake/config", false, &setConfig},
+    {"/fake/entry", false, &setEntry},
+    {"/fake/server", false, &addServer},
+    {"/fake/state", false, &setState},
+    {"/fake/store/compact", false, &compact},
+    {"/fake/store", true, &storeStatus},
+    {"/fake/servers", true, &servers},
+    {"/fake/ran", true, &ran},
+};
+
+} // namespace
+
+void handlePlatformControl(FakePlatform &platform, const HttpIncoming &request, const std::shared_ptr<FakeResponder> &responder)
+{
+    const bool reads = request.method == "GET";
+    const auto *const route =
+        std::find_if(std::begin(Routes), std::end(Routes), [&](const Route &each) { return request.path == each.path && each.reads == reads; });
+    HttpOutgoing answer{404, {}, R"({"error":"no such control call"})", true};
+    if (route != std::end(Routes)) {
+        try {
+            answer.body = route->serve(platform, request.body.empty() ? Json::object() : Json::parse(request.body)).dump();
+            answer.status = 200;
+        } catch (const std::exception &error) {
+            answer.status = 400;
+            answer.body = Json{{"error", error.what()}}.dump();
+        }
+    }
+    responder->respond(std::move(answer));
+}
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/router/tests/backendreplytest.cpp
@@ -0,0 +1,84 @@
+#include <burdock/router/httpbackends.h>
+#include <burdock/router/instancecodec.h>
+#include <burdock/router/relaycodec.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Burdock;
+
+namespace
+{
+
+const HeaderNames Names{"x-id", "x-left", "x-sign", "x-target", "x-notrun", "x-server", "X-Parts", "X-Missing"};
+const ServerEntry Server{ServerId("p1"), ServiceName("parts"), Address{"10.0.0.1", 80}, DataCentre("a"), false, 4, Duration{0}, 1};
+
+struct ReplyCase
+{
+    std::string name;
+    HttpResponse response;
+    /// Nothing for an answer.
+    std::optional<Verdict> verdict;
+};
+
+} // namespace
+
+TEST_CASE("What a server's response means for whether the request ran", "[backends]")
+{
+    const std::vector<ReplyCase> cases{
+        {"a signed success", {200, {{"x-sign", "s"}}, "body"}, std::nullopt},
+        {"a success without a signature", {200, {}, "body"}, Verdict::MayHaveRun},
+        {"a success with an encoded body", {200, {{"x-sign", "s"}, {"content-encoding", "gzip"}}, "body"}, Verdict::MayHaveRun},
+        {"full, and it says so", {503, {{"x-notrun", "1"}}, ""}, Verdict::NotRun},
+        {"full, and it does not say so", {503, {}, ""}, std::nullopt},
+        {"another server has the address", {421, {{"x-server", "p9"}}, ""}, Verdict::NotRun},
+        {"a failure that ran", {500, {{"x-sign", "s"}}, ""}, std::nullopt},
+    };
+    for (const ReplyCase &each : cases) {
+        INFO(each.name);
+        const auto reply = HttpBackends::read(Names, Server, each.response);
+        REQUIRE(reply.has_value() == !each.verdict.has_value());
+        if (each.verdict) {
+            CHECK(reply.error().verdict == *each.verdict);
+        } else {
+            CHECK(reply->status == each.response.status);
+            CHECK(reply->body == each.response.body);
+        }
+    }
+    SECTION("a failure of the connection stays what it is")
+    {
+        const auto reply = HttpBackends::read(Names, Server, notRun(Errc::Unavailable, "refused"));
+        CHECK(reply.error().verdict == Verdict::NotRun);
+    }
+}
+
+TEST_CASE("Headers that concern one connection are dropped, also those that Connection names", "[backends]")
+{
+    std::map<std::string, std::string> headers{
+        {"connection", "close, X-Hop"}, {"x-hop", "1"}, {"keep-alive", "timeout=5"}, {"transfer-encoding", "chunked"}, {"x-kept", "1"}};
+    dropConnectionHeaders(headers);
+    CHECK(headers == std::map<std::string, std::string>{{"x-kept", "1"}});
+}
+
+TEST_CASE("An instance's record survives the way through the store", "[codec]")
+{
+    const InstanceRecord record{InstanceId("front-1"), Address{"10.0.0.1", 80}, Address{"10.0.0.1", 90}, Region("home"), DataCentre("a"), true, 0.25, true};
+    const auto read = readInstance(writeInstance(record));
+    REQUIRE(read);
+    CHECK(*read == record);
+    for (const char *bad : {"", "{}", "[1]", "{\"id\":1}", R"({"id":"x","address":"nowhere","peers":"1.2.3.4:5"})"}) {
+        INFO(bad);
+        CHECK_FALSE(readInstance(bad));
+    }
+}
+
+TEST_CASE("Changes survive the way from one instance to another, bytes included", "[codec][relay]")
+{
+    const std::vector<StoreEntry> entries{{"k", std::string("\x00\xff", 2), 12, 3, false}, {"gone", "", 13, 0, true}};
+    const auto read = readChanges(writeChanges(entries));
+    REQUIRE(read);
+    CHECK(*read == entries);
+    CHECK(readChanges(writeChanges({}))->empty());
+    for (const char *bad : {"", "x", "\x81\x01"}) {
+        CHECK_FALSE(readChanges(bad));
+    }
+}
--- /dev/null
+++ b/packages/router/tests/decisionlogtest.cpp
@@ -0,0 +1,86 @@
+#include <burdock/router/decisionlog.h>
+#include <burdock/values/manualruntime.h>
+
+#include <algorithm>
+#include <array>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <unistd.h>
+
+using namespace Burdock;
+using nlohmann::json;
+
+namespace
+{
+
+/// A pipe with a log at its end.
+struct Piped
+{
+    Piped()
+    {
+        REQUIRE(pipe(ends.data()) == 0);
+    }
+    ~Piped()
+    {
+        close(ends[0]);
+        close(ends[1]);
+    }
+
+    /// Reads what is there.
+    std::string read()
+    {
+        std::array<char, 65536> piece{};
+        const ssize_t count = ::read(ends[0], piece.data(), piece.size());
+        return std::string(piece.data(), static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    }
+
+    std::array<int, 2> ends{};
+    ManualRuntime runtime;
+};
+
+} // namespace
+
+TEST_CASE("A decision is one line of JSON, whatever its text holds", "[log]")
+{
+    Piped piped;
+    DecisionLog log(piped.runtime, piped.ends[1], "front-1");
+    log.write(DecisionWeight::Change, "config.inForce", {{"version", 7}, {"reason", "a \"quote\", a \\, a\nline and \x01\xff"}});
+    piped.runtime.advance(std::chrono::milliseconds(200));
+    const std::string text = piped.read();
+    REQUIRE(std::count(text.begin(), text.end(), '\n') == 1);
+    const json line = json::parse(text);
+    CHECK(line.at("event") == "config.inForce");
+    CHECK(line.at("instance") == "front-1");
+    CHECK(line.at("version") == 7);
+    CHECK(line.at("ms").is_number_integer());
+}
+
+TEST_CASE("A reader that does not read loses lines, routine ones first, and is told how many", "[log]")
+{
+    Piped piped;
+    DecisionLog log(piped.runtime, piped.ends[1], "front-1");
+    const std::string text(200, 'x');
+    const auto routine = [&] { log.write(DecisionWeight::Routine, "request.answered", {{"reason", text}}); };
+    for (int line = 0; line < 5000; ++line) {
+        routine();
+    }
+    const std::uint64_t dropped = log.dropped();
+    CHECK(dropped > 0);
+    log.write(DecisionWeight::Change, "store.lost", {});
+    CHECK(log.dropped() == dropped);
+    std::string all;
+    for (int turn = 0; turn < 100; ++turn) {
+        piped.runtime.advance(std::chrono::milliseconds(100));
+        all += piped.read();
+        if (all.find("log.dropped") != std::string::npos) {
+            break;
+        }
+    }
+    CHECK(all.find("store.lost") != std::string::npos);
+    CHECK(all.find("\"lines\":" + std::to_string(dropped)) != std::string::npos);
+    std::istringstream lines(all.substr(0, all.rfind('\n')));
+    for (std::string line; std::getline(lines, line);) {
+        CHECK_NOTHROW(json::parse(line));
+    }
+}
--- a/packages/routing/src/gatherrun.cpp
+++ b/packages/routing/src/gatherrun.cpp
@@ -68,8 +68,9 @@
 private:
     void ended(const CallOutcome &outcome)
     {
-        nothingRan_ = nothingRan_ && !outcome.reply && outcome.nothingRan;
-        const bool sound = outcome.reply && !outcome.reply->signature.empty();
+        nothingRan_ = nothingRan_ && outcome.nothingRan;
+        // A server signs its failures too.
+        const bool sound = outcome.reply && outcome.reply->succeeded() && !outcome.reply->signature.empty();
         // Two answers with one signature are one part.
         const bool twice = sound && std::find(signatures_.begin(), signatures_.end(), outcome.reply->signature) != signatures_.end();
         if (sound && !twice) {
@@ -99,7 +100,7 @@
             answer(gathered());
         } else if (!enough(signatures_.size() + pending) || pending == 0) {
             const bool past = context_.runtime.now() >= terms_.deadline;
-            const bool ran = !nothingRan_ || pending > 0;
+            const bool ran = !nothingRan_ || underWay() > 0;
             answer(failureAnswer(lastFailure_, !ran, past, terms_.retryAfter));
         }
     }
--- /dev/null
+++ b/packages/routing/tests/routingbench.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include <burdock/routing/requestdesk.h>
+#include <burdock/values/manualruntime.h>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Burdock
+{
+
+/// Servers that answer when the test says so.
+class HeldBackends final : public BackendRequests
+{
+public:
+    struct Sent
+    {
+        BackendRequestId id = 0;
+        ServerHandle server;
+        std::shared_ptr<const ClientRequest> request;
+        TimePoint deadline;
+        Callback done;
+    };
+
+    BackendRequestId send(const ServerHandle &server, const std::shared_ptr<const ClientRequest> &request, TimePoint deadline, Callback done) override
+    {
+        ++all;
+        open.push_back({++last_, server, request, deadline, std::move(done)});
+        return last_;
+    }
+
+    void cancel(BackendRequestId id) override
+    {
+        const auto named = [id](const Sent &sent) { return sent.id == id; };
+        const auto found = std::find_if(open.begin(), open.end(), named);
+        if (found != open.end()) {
+            cancelled.push_back(found->server->id.text());
+            open.erase(found);
+        }
+    }
+
+    /// Ends the request that has been under way longest, or the first one at the server.
+    void answer(Result<BackendReply> reply, const std::string &server = {})
+    {
+        const auto at = std::find_if(open.begin(), open.end(), [&](const Sent &sent) { return server.empty() || sent.server->id.text() == server; });
+        const Sent sent = *at;
+        open.erase(at);
+        sent.done(std::move(reply));
+    }
+
+    bool openAt(const std::string &server) const
+    {
+        return std::any_of(open.begin(), open.end(), [&](const Sent &sent) { return sent.server->id.text() == server; });
+    }
+
+    std::vector<Sent> open;
+    std::vector<std::string> cancelled;
+    std::size_t all = 0;
+
+private:
+    BackendRequestId last_ = 0;
+};
+
+/// A success with a body; the signature is the body's own unless another is given.
+inline BackendReply success(const std::string &body, const std::string &signature = {})
+{
+    return {200, signature.empty() ? "sig-" + body : signature, {}, body};
+}
+
+inline Result<BackendReply> refusedByServer()
+{
+    return notRun(Errc::Overloaded, "the server did not run it");
+}
+
+inline Result<BackendReply> lostAtServer()
+{
+    return mayHaveRun(Errc::ConnectionLost, "the connection closed");
+}
+
+class RecordingJournal final : public RoutingJournal
+{
+public:
+    void note(const RoutingEvent &event) override
+    {
+        decisions.emplace_back(event.decision);
+    }
+
+    std::vector<std::string> decisions;
+};
+
+/// A desk with its servers, on a clock that stands still.
+struct RoutingBench
+{
+    static constexpr const char *Near = "near";
+    static constexpr const char *Far = "far";
+
+    RoutingBench()
+    {
+        choice.setConnections(
+            {{ServiceName("parts"), 100}, {ServiceName("a"), 100}, {ServiceName("b"), 100}, {ServiceName("c"), 100}, {ServiceName("d"), 100}});
+    }
+
+    /// Lists a server; `zone` is Near or Far.
+    void list(const std::string &id, const std::string &service, const std::string &zone = Near)
+    {
+        servers.put({ServerId(id), ServiceName(service), Address{"10.0.0.1", ++port}, DataCentre(zone), false, 4, Duration{0}, 1});
+    }
+
+    static Route route(const std::string &service)
+    {
+        Route made;
+        made.name = "r-" + service;
+        made.host = "shop.example";
+        made.prefix = "/" + service + "/";
+        made.repeatable = true;
+        made.timeout = std::chrono::seconds(2);
+        made.target = std::chrono::milliseconds(200);
+        made.attempts = 2;
+        made.services = {{ServiceName(service), 1}};
+        return made;
+    }
+
+    /// A route over shards, each with one near server that is called after its shard.
+    Route shards(const std::vector<std::string> &names, double leastShare)
+    {
+        Route made = route("all");
+        made.services.clear();
+        made.leastShare = leastShare;
+        made.resultLimit = 2;
+        for (const std::string &name : names) {
+            list(name + "1", name);
+            made.shards.emplace_back(name);
+        }
+        return made;
+    }
+
+    void use(std::vector<Route> routes)
+    {
+        RoutingConfig config;
+        config.version = ++version;
+        config.routes = std::move(routes);
+        desk.setRoutes(std::make_shared<const RouteTable>(std::make_shared<const RoutingConfig>(std::move(config))));
+    }
+
+    DeskId ask(const std::string &service, std::optional<Duration> patience = std::nullopt)
+    {
+        ClientRequest request;
+        request.id = "attempt";
+        request.method = "GET";
+        request.target = "/" + service + "/x";
+        request.headers["host"] = "shop.example";
+        request.arrived = runtime.now();
+        request.patience = patience;
+        answer.reset();
+        return desk.serve(std::move(request), [this](const Route *, ClientAnswer given) {
+            CHECK_FALSE(answer);
+            answer = std::move(given);
+        });
+    }
+
+    ManualRuntime runtime;
+    HeldBackends backends;
+    std::vector<std::string> gone;
+    ServerTable servers{[](const ServerEntry &, bool) {}};
+    LatencyBook latencies;
+    ServerLoad load;
+    ServerChoice choice{servers, latencies, load, {{DataCentre(Near), Region("home")}, {DataCentre(Far), Region("away")}}, Region("home"), 7};
+    RepeatBudget budget{RepeatTerms{0.2, std::chrono::seconds(10), 50}};
+    RoutingCounters counters;
+    RecordingJournal journal;
+    RoutingContext context{runtime, backends, servers, choice, load, budget, counters, journal};
+    RequestDesk desk{context, 7};
+    std::optional<ClientAnswer> answer;
+    std::int64_t version = 0;
+    std::uint16_t port = 8000;
+};
+
+} // namespace Burdock
--- /dev/null
+++ b/packages/routing/tests/tablestest.cpp
@@ -0,0 +1,329 @@
+#include <burdock/routing/changelog.h>
+#include <burdock/routing/instancetable.h>
+#include <burdock/routing/relaychoice.h>
+#include <burdock/routing/repeatbudget.h>
+#include <burdock/routing/routetable.h>
+#include <burdock/routing/servertable.h>
+#include <burdock/routing/weightedsplit.h>
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace Burdock;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+Route routeOf(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    Route route;
+    route.name = name;
+    route.host = host;
+    route.prefix = prefix;
+    return route;
+}
+
+ServerEntry serverOf(const std::string &id, std::uint16_t port, std::int64_t born = 1)
+{
+    return {ServerId(id), ServiceName("parts"), Address{"10.0.0.1", port}, DataCentre("a"), false, 4, Duration{0}, born};
+}
+
+InstanceRecord instanceOf(const std::string &id, const std::string &region, double cores = 1, bool ready = true)
+{
+    const auto port = static_cast<std::uint16_t>(9000 + id.back());
+    return {InstanceId(id), Address{"10.0.0.1", port}, Address{"10.0.0.2", port}, Region(region), DataCentre(region), ready, cores, false};
+}
+
+} // namespace
+
+TEST_CASE("The longest prefix of the host's routes wins", "[routes]")
+{
+    RoutingConfig config;
+    config.routes = {routeOf("all", "shop.example", "/"),
+                     routeOf("parts", "shop.example", "/parts/"),
+                     routeOf("belts", "shop.example", "/parts/belts/"),
+                     routeOf("other", "other.example", "/parts/belts/x/")};
+    const RouteTable table(std::make_shared<const RoutingConfig>(config));
+    CHECK(table.find("shop.example", "/parts/belts/7")->name == "belts");
+    CHECK(table.find("shop.example", "/parts/7")->name == "parts");
+    CHECK(table.find("shop.example", "/partsbin")->name == "all");
+    CHECK(table.find("SHOP.example:8080", "/parts/7")->name == "parts");
+    CHECK(table.find("other.example", "/parts/7") == nullptr);
+    CHECK(table.find("nobody.example", "/") == nullptr);
+    CHECK_FALSE(table.knowsHost("nobody.example"));
+}
+
+TEST_CASE("Servers that leave get nothing more", "[servers]")
+{
+    std::vector<std::string> changes;
+    ServerTable table([&changes](const ServerEntry &server, bool usable) { changes.push_back(server.id.text() + (usable ? "+" : "-")); });
+    const ServiceName parts("parts");
+    table.put(serverOf("p1", 1));
+    table.put(serverOf("p2", 2));
+    REQUIRE(table.servers(parts).size() == 2);
+    SECTION("one that reports draining")
+    {
+        ServerEntry draining = serverOf("p1", 1);
+        draining.draining = true;
+        table.put(draining);
+        CHECK(table.servers(parts).size() == 1);
+        CHECK_FALSE(table.usable(serverOf("p1", 1)));
+        CHECK(changes.back() == "p1-");
+        SECTION("also where its entry then lapses while the store is away")
+        {
+            table.remove(ServerId("p2"), true);
+            table.remove(ServerId("p1"), true);
+            REQUIRE(table.servers(parts).size() == 1);
+            CHECK(table.servers(parts).front()->id.text() == "p2");
+        }
+    }
+    SECTION("one whose entry is removed")
+    {
+        table.remove(ServerId("p1"), false);
+        CHECK(table.servers(parts).size() == 1);
+        table.remove(ServerId("p2"), false);
+        CHECK(table.servers(parts).empty());
+    }
+    SECTION("entries that lapse while the store is away are of use until the listing is believed again")
+    {
+        table.remove(ServerId("p1"), true);
+        REQUIRE(table.servers(parts).size() == 1);
+        CHECK(table.servers(parts).front()->id.text() == "p2");
+        table.remove(ServerId("p2"), true);
+        CHECK(table.servers(parts).size() == 2);
+        CHECK(table.usable(serverOf("p1", 1)));
+        table.believeListing();
+        CHECK(table.servers(parts).empty());
+    }
+    SECTION("a whole listing replaces what was known")
+    {
+        table.replace({serverOf("p2", 2), serverOf("p3", 3)}, false);
+        CHECK(table.servers(parts).size() == 2);
+        CHECK_FALSE(table.usable(serverOf("p1", 1)));
+    }
+    SECTION("the same id with another birth is another life")
+    {
+        CHECK(table.usable(serverOf("p1", 1, 1)));
+        table.put(serverOf("p1", 1, 2));
+        CHECK_FALSE(table.usable(serverOf("p1", 1, 1)));
+        CHECK(table.servers(parts).size() == 2);
+    }
+    SECTION("a heartbeat that says nothing new changes nothing")
+    {
+        const std::size_t before = changes.size();
+        table.put(serverOf("p1", 1));
+        CHECK(changes.size() == before);
+    }
+}
+
+TEST_CASE("Repeats keep to the ratio and the slack in every window", "[budget]")
+{
+    RepeatBudget budget(RepeatTerms{0.2, seconds(10), 40});
+    const ServiceName parts("parts");
+    TimePoint now{seconds(1000)};
+    SECTION("instances share the slack")
+    {
+        budget.setInstances(4);
+        int taken = 0;
+        while (budget.take(parts, now, 0)) {
+            ++taken;
+        }
+        CHECK(taken > 0);
+        CHECK(taken * 4 <= 40);
+    }
+    SECTION("each instance keeps to the ratio of its own requests")
+    {
+        budget.setInstances(1000);
+        std::deque<TimePoint> repeats;
+        for (int request = 0; request < 5000; ++request) {
+            now += milliseconds(5);
+            budget.firstSent(parts, now);
+            while (budget.take(parts, now, 0)) {
+                repeats.push_back(now);
+            }
+            while (!repeats.empty() && repeats.front() <= now - seconds(10)) {
+                repeats.pop_front();
+            }
+            REQUIRE(static_cast<double>(repeats.size()) <= 0.2 * 2000 + 1);
+        }
+        CHECK(repeats.size() > 200);
+    }
+    SECTION("a reserve is left alone")
+    {
+        int hedges = 0;
+        while (budget.take(parts, now, 0.5)) {
+            ++hedges;
+        }
+        CHECK(budget.take(parts, now, 0));
+    }
+    SECTION("one service's storm takes nothing from another")
+    {
+        while (budget.take(parts, now, 0)) { }
+        CHECK(budget.take(ServiceName("archive"), now, 0));
+    }
+}
+
+TEST_CASE("A split deals its requests out by weight, evenly over short spans", "[split]")
+{
+    WeightedSplit split;
+    Route route;
+    route.name = "r";
+    route.services = {{ServiceName("old"), 3}, {ServiceName("new"), 1}};
+    std::map<std::string, int> counts;
+    for (int request = 0; request < 40; ++request) {
+        ++counts[split.next(route).text()];
+        CHECK(std::abs(counts["old"] - 0.75 * (request + 1)) <= 1);
+    }
+    route.services = {{ServiceName("old"), 1}, {ServiceName("new"), 1}};
+    counts.clear();
+    for (int request = 0; request < 10; ++request) {
+        ++counts[split.next(route).text()];
+    }
+    CHECK(counts["new"] == 5);
+    route.services = {{ServiceName("only"), 1}};
+    CHECK(split.next(route).text() == "only");
+}
+
+TEST_CASE("Clients are sent to the ready instances of their region", "[instances]")
+{
+    InstanceTable table(3);
+    const InstanceRecord self = instanceOf("a1", "home");
+    table.put(self);
+    table.put(instanceOf("a2", "home"));
+    table.put(instanceOf("a3", "home", 1, false));
+    table.put(instanceOf("b1", "away"));
+    CHECK(table.addressesFor(Region("home"), self, 64).size() == 2);
+    CHECK(table.addressesFor(Region("away"), self, 64) == std::vector<Address>{instanceOf("b1", "away").address});
+    CHECK(table.addressesFor(Region("nowhere"), self, 64).size() == 3);
+    CHECK(table.addressesFor(Region("home"), self, 1).size() == 1);
+    CHECK(table.count(self) == 4);
+    SECTION("this instance knows best whether it is ready itself")
+    {
+        InstanceRecord leaving = self;
+        leaving.ready = false;
+        CHECK(table.addressesFor(Region("home"), leaving, 64) == std::vector<Address>{instanceOf("a2", "home").address});
+    }
+    SECTION("records that lapse while the store is away stay until the listing is believed again")
+    {
+        table.remove(InstanceId("a2"), true);
+        CHECK(table.addressesFor(Region("home"), self, 64).size() == 2);
+        table.believeListing();
+        CHECK(table.addressesFor(Region("home"), self, 64).size() == 1);
+    }
+    SECTION("a record that is back in time is not forgotten")
+    {
+        table.remove(InstanceId("a2"), true);
+        table.put(instanceOf("a2", "home"));
+        table.believeListing();
+        CHECK(table.addressesFor(Region("home"), self, 64).size() == 2);
+    }
+    SECTION("a whole listing replaces what was known")
+    {
+        table.replace({self}, false);
+        CHECK(table.count(self) == 1);
+    }
+}
+
+TEST_CASE("Clients are sent to the large instances while these are several and have room", "[instances][unlike]")
+{
+    InstanceTable table(3);
+    const InstanceRecord self = instanceOf("a1", "home", 0.5);
+    table.put(self);
+    table.put(instanceOf("a2", "home", 0.5));
+    table.put(instanceOf("a3", "home", 0.5));
+    for (const char *id : {"a4", "a5", "a6"}) {
+        table.put(instanceOf(id, "home", 0.12));
+    }
+    CHECK(table.chosenIn(Region("home"), self).size() == 3);
+    CHECK(table.countChosen(self) == 3);
+    SECTION("one of them is crowded")
+    {
+        InstanceRecord crowded = instanceOf("a2", "home", 0.5);
+        crowded.crowded = true;
+        table.put(crowded);
+        CHECK(table.chosenIn(Region("home"), self).size() == 6);
+    }
+    SECTION("too few of them are left")
+    {
+        table.remove(InstanceId("a2"), false);
+        CHECK(table.chosenIn(Region("home"), self).size() == 5);
+    }
+}
+
+TEST_CASE("Changes are kept for those who ask, up to a bound", "[relay]")
+{
+    ChangeLog log;
+    CHECK_FALSE(log.since(5));
+    log.restart(10);
+    CHECK_FALSE(log.since(9));
+    REQUIRE(log.since(10));
+    CHECK(log.since(10)->empty());
+    log.append({"k", "v", 12, 0, false});
+    log.append({"k", "", 15, 0, true});
+    REQUIRE(log.since(10)->size() == 2);
+    REQUIRE(log.since(12)->size() == 1);
+    CHECK(log.since(12)->front().deleted);
+    SECTION("beyond the bound the oldest go, and that is told")
+    {
+        for (std::int64_t revision = 20; revision < 10000; ++revision) {
+            log.append({"k", "v", revision, 0, false});
+        }
+        CHECK_FALSE(log.since(15));
+        CHECK(log.since(9990));
+    }
+    SECTION("large values count by their size")
+    {
+        for (std::int64_t revision = 20; revision < 40; ++revision) {
+            log.append({"k", std::string(1 << 20, 'x'), revision, 0, false});
+        }
+        CHECK_FALSE(log.since(20));
+        CHECK(log.since(38)->size() == 1);
+    }
+}
+
+TEST_CASE("In a region of several instances all but one ask another for changes, in one order", "[relay]")
+{
+    std::vector<InstanceRecord> region;
+    for (const char *id : {"a1", "a2", "a3", "a4", "a5"}) {
+        region.push_back(instanceOf(id, "home"));
+    }
+    const TimePoint now{seconds(100)};
+    int direct = 0;
+    std::map<std::uint16_t, int> asked;
+    for (const InstanceRecord &record : region) {
+        RelayChoice choice(record.id);
+        choice.setInstances(region);
+        const auto relay = choice.relay(now);
+        direct += relay ? 0 : 1;
+        if (relay) {
+            CHECK(*relay != record.peers);
+            ++asked[relay->port];
+        }
+    }
+    CHECK(direct == 1);
+    CHECK(asked.size() == 1);
+    SECTION("a relay that fails is passed over for a while")
+    {
+        RelayChoice choice(InstanceId("outsider"));
+        choice.setInstances(region);
+        const auto first = choice.relay(now);
+        choice.failed(*first, now);
+        const auto second = choice.relay(now);
+        REQUIRE(second);
+        CHECK(*second != *first);
+        choice.failed(*second, now);
+        CHECK_FALSE(choice.relay(now));
+        CHECK(choice.relay(now + seconds(6)) == first);
+    }
+    SECTION("few instances watch the store themselves")
+    {
+        region.resize(3);
+        for (const InstanceRecord &record : region) {
+            RelayChoice choice(record.id);
+            choice.setInstances(region);
+            CHECK_FALSE(choice.relay(now));
+        }
+    }
+}
--- a/packages/wire/include/burdock/wire/httpclient.h
+++ b/packages/wire/include/burdock/wire/httpclient.h
@@ -31,7 +31,7 @@
     std::function<void(const std::string &)> onPiece;
     /// Where set, tells whether a response answers this request. One that does not ends its connection, and the call fails with
     /// ConnectionLost.
-    std::function<bool(const struct HttpResponse &)> accept;
+    std::function<bool(const struct HttpResponse &)> accept{};
 };
 
 /// A whole response. Header names are in lower case; the values of a repeated header are joined by commas.
--- a/packages/wire/include/burdock/wire/httpserver.h
+++ b/packages/wire/include/burdock/wire/httpserver.h
@@ -17,12 +17,12 @@
 struct HttpIncoming
 {
     std::string method;
-    /// The request target as the client wrote it: path and query.
-    std::string target;
     std::string path;
     std::map<std::string, std::string> query;
     std::map<std::string, std::string> headers;
     std::string body;
+    /// The request target as the client wrote it: path and query.
+    std::string target{};
 };
 
 /// What goes back to the client.
--- a/packages/wire/tests/httpclientfaulttest.cpp
+++ b/packages/wire/tests/httpclientfaulttest.cpp
@@ -28,7 +28,7 @@
 
     HttpRequest request(Duration timeout = Patience) const
     {
-        return {server.address(), "POST", "/search", {}, "body", timeout, nullptr, nullptr};
+        return {server.address(), "POST", "/search", {}, "body", timeout, nullptr};
     }
 
     Result<HttpResponse> call(HttpRequest wanted)
--- a/packages/wire/tests/httptest.cpp
+++ b/packages/wire/tests/httptest.cpp
@@ -20,7 +20,7 @@
 
     HttpRequest post(const std::string &path, const std::string &body) const
     {
-        return {address, "POST", path, {{"X-Caller", "tester"}, {"X-Empty", ""}}, body, Patience, nullptr, nullptr};
+        return {address, "POST", path, {{"X-Caller", "tester"}, {"X-Empty", ""}}, body, Patience, nullptr};
     }
 
     Result<HttpResponse> call(HttpRequest request)
--- /dev/null
+++ b/tests/router/routerprocesstest.cpp
@@ -0,0 +1,355 @@
+#include "routertestbed.h"
+
+#include <burdock/fakes/fakeroutedserver.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <csignal>
+
+using namespace Burdock;
+using nlohmann::json;
+
+namespace
+{
+
+const std::vector<std::string> Shards{"s1", "s2", "s3"};
+constexpr int PartRecords = 3;
+
+/// Three shards of two servers, one plain service of two, and one instance.
+struct Deployment
+{
+    explicit Deployment(int instances = 1)
+    {
+        for (const std::string &shard : Shards) {
+            bed.addServer(shard + "-a", shard, PartRecords);
+            bed.addServer(shard + "-b", shard, PartRecords);
+        }
+        bed.addServer("one-a", "one");
+        bed.addServer("one-b", "one");
+        bed.control("POST", "/fake/config", RouterTestbed::config(1, Shards));
+        for (int number = 1; number <= instances; ++number) {
+            bed.startInstance("i" + std::to_string(number));
+        }
+        for (int number = 1; number <= instances; ++number) {
+            REQUIRE(bed.ready("i" + std::to_string(number)));
+        }
+    }
+
+    int status(const std::string &target, const std::string &attempt, const std::string &method = "GET")
+    {
+        const auto answer = bed.ask("i1", target, attempt, method);
+        return answer ? answer->status : 0;
+    }
+
+    std::uint32_t timesRun(const std::string &attempt)
+    {
+        std::uint32_t sum = 0;
+        const json ran = bed.control("GET", "/fake/ran");
+        if (ran.contains(attempt)) {
+            for (const auto &[service, times] : ran[attempt].items()) {
+                sum += times.get<std::uint32_t>();
+            }
+        }
+        return sum;
+    }
+
+    RouterTestbed bed;
+};
+
+std::string greatest(const std::string &target, std::size_t limit)
+{
+    std::vector<std::string> records;
+    for (const std::string &shard : Shards) {
+        for (const std::string &record : shardRecords(shard, target, PartRecords)) {
+            records.push_back(record);
+        }
+    }
+    std::sort(records.rbegin(), records.rend());
+    std::string body;
+    for (std::size_t place = 0; place < limit; ++place) {
+        body += records[place];
+    }
+    return body;
+}
+
+} // namespace
+
+TEST_CASE("A request goes to one server of its service and comes back whole", "[router]")
+{
+    Deployment deployment;
+    const auto answer = deployment.bed.call(deployment.bed.clients("i1"),
+                                            "POST",
+                                            "/one/x?belt=7&size=a%20b",
+                                            {{"host", "shop.example"}, {"Attempt-Id", "t1"}, {"Timeout-Remaining", "3000"}},
+                                            "the body");
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+    CHECK(answer->body == "one POST /one/x?belt=7&size=a%20b the body");
+    CHECK(answer->headers.at("attempt-id") == "t1");
+    CHECK(answer->headers.at("response-stamp").find("one/") == 0);
+    CHECK(deployment.timesRun("t1") == 1);
+    const json servers = deployment.bed.control("GET", "/fake/servers");
+    for (const auto &[id, server] : servers.items()) {
+        INFO(id);
+        CHECK(server.at("complaints").empty());
+    }
+}
+
+TEST_CASE("A request to all shards is answered with the greatest records of all parts", "[router]")
+{
+    Deployment deployment;
+    const auto answer = deployment.bed.ask("i1", "/all/x", "t1");
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+    CHECK(answer->body == greatest("/all/x", 4));
+    CHECK(answer->headers.count("missing-parts") == 0);
+    CHECK(std::count(answer->headers.at("part-stamps").begin(), answer->headers.at("part-stamps").end(), ',') == 2);
+    SECTION("also where one server of a shard stands still")
+    {
+        deployment.bed.control("POST", "/fake/faults", {{"target", "server"}, {"ids", {"s1-a"}}, {"conduct", {{"paused", true}}}});
+        for (int number = 0; number < 20; ++number) {
+            const auto late = deployment.bed.ask("i1", "/all/x", "p" + std::to_string(number));
+            REQUIRE(late);
+            CHECK(late->status == 200);
+            CHECK(late->body == greatest("/all/x", 4));
+        }
+    }
+    SECTION("and says which share it speaks for where a shard is gone")
+    {
+        deployment.bed.control("POST", "/fake/state", {{"id", "s1-a"}, {"state", "removed"}});
+        deployment.bed.control("POST", "/fake/state", {{"id", "s1-b"}, {"state", "removed"}});
+        REQUIRE(deployment.bed.eventually([&] {
+            const auto partial = deployment.bed.ask("i1", "/all/x", "partial");
+            return partial && partial->headers.count("missing-parts") > 0 && partial->headers.at("missing-parts") == "1";
+        }));
+    }
+}
+
+TEST_CASE("Bad requests get a clear status and reach no server", "[router][bad]")
+{
+    Deployment deployment;
+    SECTION("no such route")
+    {
+        CHECK(deployment.status("/none/x", "t1") == 404);
+    }
+    SECTION("no such host")
+    {
+        const auto answer = deployment.bed.call(deployment.bed.clients("i1"), "GET", "/one/x", {{"host", "other.example"}, {"Attempt-Id", "t1"}});
+        REQUIRE(answer);
+        CHECK(answer->status == 404);
+    }
+    SECTION("a body over the limit")
+    {
+        const auto answer =
+            deployment.bed.call(deployment.bed.clients("i1"), "POST", "/one/x", {{"host", "shop.example"}, {"Attempt-Id", "t1"}}, std::string(300000, 'x'));
+        if (answer) {
+            CHECK(answer->status == 413);
+        }
+    }
+    CHECK(deployment.timesRun("t1") == 0);
+}
+
+TEST_CASE("A request that may run once is not sent again after its answer was lost", "[router][once]")
+{
+    Deployment deployment;
+    deployment.bed.control("POST", "/fake/faults", {{"target", "server"}, {"ids", {"one-a", "one-b"}}, {"transport", {{"delivery", "dropped"}}}});
+    CHECK(deployment.status("/once/invoice", "t1", "POST") == 502);
+    CHECK(deployment.timesRun("t1") == 1);
+    SECTION("and goes elsewhere where a server says that it did not run it")
+    {
+        deployment.bed.control("POST", "/fake/faults", {{"target", "server"}, {"ids", {"one-a", "one-b"}}, {"transport", {{"delivery", "whole"}}}});
+        deployment.bed.control("POST", "/fake/faults", {{"target", "server"}, {"ids", {"one-a"}}, {"conduct", {{"full", true}}}});
+        for (int number = 0; number < 10; ++number) {
+            const std::string attempt = "full" + std::to_string(number);
+            CHECK(deployment.status("/once/invoice", attempt, "POST") == 200);
+            CHECK(deployment.timesRun(attempt) == 1);
+        }
+    }
+    SECTION("a refusal says that nothing ran, and when to come back")
+    {
+        deployment.bed.control(
+            "POST", "/fake/faults", {{"target", "server"}, {"ids", {"one-a", "one-b"}}, {"transport", {{"delivery", "whole"}}}, {"conduct", {{"full", true}}}});
+        const auto answer = deployment.bed.ask("i1", "/once/invoice", "t2", "POST");
+        REQUIRE(answer);
+        CHECK(answer->status == 503);
+        CHECK(std::stod(answer->headers.at("retry-after")) > 0);
+        CHECK(deployment.timesRun("t2") == 0);
+    }
+}
+
+TEST_CASE("A stray answer is never given to another request", "[router][stray]")
+{
+    Deployment deployment;
+    deployment.bed.control("POST", "/fake/faults", {{"target", "server"}, {"conduct", {{"strayAnswers", true}}}});
+    for (int number = 0; number < 30; ++number) {
+        const std::string attempt = "t" + std::to_string(number);
+        const std::string target = "/one/" + std::to_string(number);
+        const auto answer = deployment.bed.ask("i1", target, attempt);
+        REQUIRE(answer);
+        CHECK(answer->status == 200);
+        CHECK(answer->body == "one GET " + target + " ");
+        CHECK(answer->headers.at("attempt-id") == attempt);
+    }
+}
+
+TEST_CASE("A server that reports draining gets nothing more", "[router][drain]")
+{
+    Deployment deployment;
+    for (int number = 0; number < 10; ++number) {
+        CHECK(deployment.status("/one/x", "before" + std::to_string(number)) == 200);
+    }
+    SECTION("it says so")
+    {
+        deployment.bed.control("POST", "/fake/state", {{"id", "one-a"}, {"state", "draining"}});
+    }
+    SECTION("its entry is removed")
+    {
+        deployment.bed.control("POST", "/fake/state", {{"id", "one-a"}, {"state", "removed"}});
+    }
+    REQUIRE(deployment.bed.eventually([&] {
+        return deployment.bed.log("i1").find("\"server\":\"one-a\",\"service\":\"one\"") != std::string::npos
+            && deployment.bed.log("i1").rfind("\"usable\":0") != std::string::npos;
+    }));
+    const auto since = [&] { return deployment.bed.control("GET", "/fake/servers").at("one-a").at("arrivedSinceLeaving").get<int>(); };
+    const int before = since();
+    for (int number = 0; number < 20; ++number) {
+        CHECK(deployment.status("/one/x", "after" + std::to_string(number)) == 200);
+    }
+    CHECK(since() == before);
+}
+
+TEST_CASE("A new configuration is in force soon and never goes back", "[router][config]")
+{
+    Deployment deployment;
+    json config = RouterTestbed::config(5, Shards);
+    config["routes"][0]["prefix"] = "/moved/";
+    deployment.bed.control("POST", "/fake/config", config);
+    REQUIRE(deployment.bed.eventually([&] { return deployment.status("/moved/x", "t1") == 200; }));
+    CHECK(deployment.status("/one/x", "t2") == 404);
+    deployment.bed.control("POST", "/fake/config", RouterTestbed::config(3, Shards));
+    deployment.bed.eventually([] { return false; }, std::chrono::milliseconds(500));
+    CHECK(deployment.status("/moved/x", "t3") == 200);
+    SECTION("also across lost history")
+    {
+        deployment.bed.control("POST", "/fake/store/compact");
+        config["version"] = 9;
+        config["routes"][0]["prefix"] = "/again/";
+        deployment.bed.control("POST", "/fake/config", config);
+        REQUIRE(deployment.bed.eventually([&] { return deployment.status("/again/x", "t4") == 200; }));
+    }
+    SECTION("one that cannot be read changes nothing")
+    {
+        deployment.bed.control("POST", "/fake/entry", {{"key", "op/config"}, {"value", "{\"version\":99"}});
+        REQUIRE(deployment.bed.eventually([&] { return deployment.bed.log("i1").find("entry.skipped") != std::string::npos; }));
+        CHECK(deployment.status("/moved/x", "t5") == 200);
+    }
+}
+
+TEST_CASE("Entries of other writers name no server and harm none", "[router][forged]")
+{
+    Deployment deployment;
+    const std::vector<std::string> values{"",
+                                          "\x01\xff",
+                                          "[]",
+                                          "{\"service\":\"one\"}",
+                                          "{\"service\":7,\"address\":{},\"zone\":\"z\",\"slots\":\"x\",\"state\":\"ready\"}",
+                                          R"({"service":"one","address":"nowhere","zone":"z","slots":1,"state":"ready"})"};
+    for (std::size_t number = 0; number < values.size(); ++number) {
+        // The control port takes JSON text, so bytes that are none go as their characters.
+        const std::string value = number == 1 ? "\\x01\\xff" : values[number];
+        deployment.bed.control("POST", "/fake/entry", {{"key", "servers/forged" + std::to_string(number)}, {"value", value}});
+    }
+    deployment.bed.eventually([&] { return deployment.bed.log("i1").find("servers/forged5") != std::string::npos; });
+    for (int number = 0; number < 20; ++number) {
+        CHECK(deployment.status("/one/x", "t" + std::to_string(number)) == 200);
+    }
+}
+
+TEST_CASE("Service goes on while the store is away", "[router][store]")
+{
+    Deployment deployment(2);
+    SECTION("it refuses connections")
+    {
+        deployment.bed.control("POST", "/fake/faults", {{"target", "store"}, {"transport", {{"outage", "refuse"}}}});
+    }
+    SECTION("it hangs")
+    {
+        deployment.bed.control("POST", "/fake/faults", {{"target", "store"}, {"transport", {{"outage", "hang"}}}});
+    }
+    for (int number = 0; number < 20; ++number) {
+        CHECK(deployment.status("/all/x", "t" + std::to_string(number)) == 200);
+        deployment.bed.eventually([] { return false; }, std::chrono::milliseconds(50));
+    }
+    CHECK(deployment.bed.readyNow("i1"));
+    deployment.bed.control("POST", "/fake/faults", {{"target", "store"}, {"transport", {{"outage", "none"}}}});
+    deployment.bed.control("POST", "/fake/config", RouterTestbed::config(8, {"s1", "s2"}));
+    REQUIRE(deployment.bed.eventually([&] { return deployment.bed.log("i1").find("\"version\":8") != std::string::npos; }));
+}
+
+TEST_CASE("An instance that knows no configuration refuses and says when to come back", "[router][start]")
+{
+    RouterTestbed bed;
+    bed.startInstance("i1");
+    REQUIRE(bed.eventually([&] { return bed.ask("i1", "/one/x", "t1").has_value(); }));
+    const auto answer = bed.ask("i1", "/one/x", "t2");
+    REQUIRE(answer);
+    CHECK(answer->status == 503);
+    CHECK(answer->headers.count("retry-after") == 1);
+    CHECK_FALSE(bed.readyNow("i1"));
+}
+
+TEST_CASE("Clients are told which instances to use", "[router][directory]")
+{
+    Deployment deployment(2);
+    const auto addresses = [&](const std::string &instance) {
+        const auto answer =
+            deployment.bed.call(deployment.bed.directory(instance), "GET", "/burdocklanding/resolve?name=shop.example&region=region-a&zone=zone-a");
+        return answer && answer->status == 200 ? json::parse(answer->body).at("addrs").get<std::vector<std::string>>() : std::vector<std::string>();
+    };
+    REQUIRE(deployment.bed.eventually([&] { return addresses("i1").size() == 2 && addresses("i2").size() == 2; }));
+    SECTION("one that is killed is off the answers when its record lapses")
+    {
+        deployment.bed.process("i2").signal(SIGKILL);
+        CHECK(deployment.bed.eventually([&] { return addresses("i1") == std::vector<std::string>{deployment.bed.clients("i1").toString()}; }));
+    }
+    SECTION("one that leaves is off them at once, its own included")
+    {
+        deployment.bed.process("i2").signal(SIGTERM);
+        CHECK(deployment.bed.eventually([&] { return addresses("i2") == std::vector<std::string>{deployment.bed.clients("i1").toString()}; },
+                                        std::chrono::seconds(2)));
+        CHECK(deployment.bed.eventually([&] { return addresses("i1").size() == 1; }, std::chrono::seconds(2)));
+    }
+}
+
+TEST_CASE("A stop cuts no request", "[router][stop]")
+{
+    Deployment deployment;
+    deployment.bed.control("POST", "/fake/faults", {{"target", "server"}, {"ids", {"one-a", "one-b"}}, {"conduct", {{"slowFactor", 200.0}}}});
+    HttpRequest request;
+    request.address = deployment.bed.clients("i1");
+    request.method = "GET";
+    request.path = "/one/x";
+    request.headers = {{"host", "shop.example"}, {"Attempt-Id", "t1"}, {"Timeout-Remaining", "3000"}};
+    request.timeout = std::chrono::seconds(5);
+    int status = 0;
+    deployment.bed.client().send(std::move(request), [&status](const Result<HttpResponse> &answer) { status = answer ? answer->status : -1; });
+    deployment.bed.eventually([] { return false; }, std::chrono::milliseconds(100));
+    deployment.bed.process("i1").signal(SIGTERM);
+    deployment.bed.eventually([&] { return !deployment.bed.readyNow("i1"); }, std::chrono::seconds(1));
+    CHECK_FALSE(deployment.bed.readyNow("i1"));
+    deployment.bed.eventually([&status] { return status != 0; });
+    CHECK(status == 200);
+    CHECK(deployment.bed.process("i1").wait() == 0);
+    CHECK(deployment.bed.log("i1").find("\"event\":\"stopped\",\"unanswered\":0") != std::string::npos);
+}
+
+TEST_CASE("Metrics tell of requests by route and outcome", "[router][metrics]")
+{
+    Deployment deployment;
+    CHECK(deployment.status("/one/x", "t1") == 200);
+    CHECK(deployment.status("/none/x", "t2") == 404);
+    const auto metrics = deployment.bed.call(deployment.bed.peers("i1"), "GET", "/metrics");
+    REQUIRE(metrics);
+    CHECK(metrics->body.find("burdock_request_seconds_count{route=\"r-one\",outcome=\"passed\"} 1") != std::string::npos);
+    CHECK(metrics->body.find("burdock_config_version 1") != std::string::npos);
+}
--- a/tests/testbed/childprocess.cpp
+++ b/tests/testbed/childprocess.cpp
@@ -18,7 +18,7 @@
 constexpr int SignalExitBase = 128;
 } // namespace
 
-ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments)
+ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &outputPath)
 {
     std::array<int, 2> ends{};
     if (pipe2(ends.data(), O_CLOEXEC) != 0) {
@@ -26,7 +26,12 @@
     }
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    if (outputPath.empty()) {
+        posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    } else {
+        constexpr mode_t OwnerOnly = 0600;
+        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, outputPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, OwnerOnly);
+    }
     std::vector<char *> argv{const_cast<char *>(program.c_str())};
     for (const std::string &argument : arguments) {
         argv.push_back(const_cast<char *>(argument.c_str()));
--- a/tests/testbed/childprocess.h
+++ b/tests/testbed/childprocess.h
@@ -12,7 +12,8 @@
 {
 public:
     /// Starts a program with its arguments. Standard output is read by readLine, standard error goes to the test's.
-    ChildProcess(const std::string &program, const std::vector<std::string> &arguments);
+    /// With `outputPath` it is appended to that file instead.
+    ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &outputPath = {});
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
