--- a/packages/fakes/include/burdock/fakes/fakeplatform.h
+++ b/packages/fakes/include/burdock/fakes/fakeplatform.h
@@ -22,6 +22,10 @@
     std::int64_t sequence = 0;
     /// Arrivals when it began to leave, and how many came since.
     std::uint64_t arrivedBeforeLeaving = 0;
+    /// When it began to leave.
+    TimePoint leftAt{};
+    /// The address that its entry names; its own port's where empty.
+    std::string advertised;
 };
 
 /// The users' platform in one process: its store, its servers, and a port that tests steer both by.
@@ -45,6 +49,17 @@
     /// Starts a server on a free port and writes its entry.
     Result<Address> addServer(const FakeRoutedServerDeclaration &declaration, const std::string &zone);
 
+    /// Lets the entry of a server name another address, such as that of a proxy before it.
+    void advertise(const std::string &id, const std::string &address);
+
+    /// Requests beyond the first of each attempt at a service, and all first ones, in each second since the start.
+    struct ServiceSeconds
+    {
+        std::vector<std::uint32_t> first;
+        std::vector<std::uint32_t> repeats;
+    };
+    std::map<std::string, ServiceSeconds> arrivalsBySecond() const;
+
     /// Writes the entry of a server anew, with another state; `removed` takes the entry away.
     void setState(const std::string &id, const std::string &state);
 
@@ -67,6 +82,7 @@
     void writeEntry(const std::string &id);
 
     Runtime &runtime_;
+    const TimePoint started_;
     event_base *base_;
     FakeKeyValueStore store_;
     std::unique_ptr<FakePort> storePort_;
--- a/packages/fakes/include/burdock/fakes/fakeroutedserver.h
+++ b/packages/fakes/include/burdock/fakes/fakeroutedserver.h
@@ -77,6 +77,17 @@
         return arrived_;
     }
 
+    /// When each request arrived and for which attempt; the latest ones, up to a bound.
+    struct Arrival
+    {
+        TimePoint at;
+        std::string attempt;
+    };
+    const std::deque<Arrival> &arrivals() const
+    {
+        return arrivals_;
+    }
+
     /// Requests that broke the protocol, such as a target server or a time left that is missing.
     const std::vector<std::string> &complaints() const
     {
@@ -107,6 +118,7 @@
     std::set<JobPtr> running_;
     std::map<std::string, std::uint32_t> ran_;
     std::uint64_t arrived_ = 0;
+    std::deque<Arrival> arrivals_;
     std::uint64_t answers_ = 0;
     std::vector<std::string> complaints_;
 };
--- a/packages/fakes/src/fakeplatform.cpp
+++ b/packages/fakes/src/fakeplatform.cpp
@@ -1,6 +1,8 @@
 #include <burdock/fakes/fakeplatform.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace Burdock
 {
@@ -21,6 +23,7 @@
 
 FakePlatform::FakePlatform(Runtime &runtime, event_base *base)
     : runtime_(runtime)
+    , started_(runtime.now())
     , base_(base)
     , store_(runtime)
     , storePort_(makePort(runtime, base, [this](const HttpIncoming &request, const auto &responder) { store_.handle(request, responder); }))
@@ -59,11 +62,45 @@
     return address;
 }
 
+void FakePlatform::advertise(const std::string &id, const std::string &address)
+{
+    servers_.at(id).advertised = address;
+    writeEntry(id);
+}
+
+std::map<std::string, FakePlatform::ServiceSeconds> FakePlatform::arrivalsBySecond() const
+{
+    struct Arrival
+    {
+        TimePoint at;
+        const std::string *attempt;
+    };
+    std::map<std::string, std::vector<Arrival>> services;
+    for (const auto &[id, server] : servers_) {
+        for (const FakeRoutedServer::Arrival &arrival : server.server->arrivals()) {
+            services[server.server->declaration().service].push_back({arrival.at, &arrival.attempt});
+        }
+    }
+    std::map<std::string, ServiceSeconds> counts;
+    for (auto &[service, arrivals] : services) {
+        std::sort(arrivals.begin(), arrivals.end(), [](const Arrival &a, const Arrival &b) { return a.at < b.at; });
+        std::set<std::string> seen;
+        ServiceSeconds &seconds = counts[service];
+        for (const Arrival &arrival : arrivals) {
+            const auto second = static_cast<std::size_t>((arrival.at - started_) / std::chrono::seconds(1));
+            seconds.first.resize(std::max(seconds.first.size(), second + 1));
+            seconds.repeats.resize(seconds.first.size());
+            ++(seen.insert(*arrival.attempt).second ? seconds.first : seconds.repeats)[second];
+        }
+    }
+    return counts;
+}
+
 void FakePlatform::writeEntry(const std::string &id)
 {
     FakeRoutedPort &server = servers_.at(id);
     const nlohmann::json entry{{"service", server.server->declaration().service},
-                               {"address", server.port->server.address().toString()},
+                               {"address", server.advertised.empty() ? server.port->server.address().toString() : server.advertised},
                                {"zone", server.zone},
                                {"version", "v1"},
                                {"slots", server.server->declaration().slots},
@@ -79,6 +116,7 @@
     FakeRoutedPort &server = servers_.at(id);
     if (server.state == "ready") {
         server.arrivedBeforeLeaving = server.server->arrived();
+        server.leftAt = runtime_.now();
     }
     server.state = state;
     if (state == "removed") {
--- a/packages/fakes/src/fakeroutedserver.cpp
+++ b/packages/fakes/src/fakeroutedserver.cpp
@@ -17,6 +17,7 @@
 constexpr int ErrorStatus = 500;
 constexpr int UnavailableStatus = 503;
 constexpr std::size_t MostComplaints = 20;
+constexpr std::size_t MostArrivals = 200000;
 constexpr double WorkSpread = 0.3;
 
 std::string headerOf(const HttpIncoming &request, const char *name)
@@ -64,6 +65,10 @@
     if ((target.empty() || attempt.empty() || headerOf(request, "timeout-remaining").empty()) && complaints_.size() < MostComplaints) {
         complaints_.push_back("a request without id, target or time left: " + request.method + " " + request.path);
     }
+    arrivals_.push_back({runtime_.now(), attempt});
+    if (arrivals_.size() > MostArrivals) {
+        arrivals_.pop_front();
+    }
     if (conduct_.replaced || (!target.empty() && target != declaration_.id)) {
         return refuse(MisdirectedStatus);
     }
--- a/packages/fakes/src/platformcontrol.cpp
+++ b/packages/fakes/src/platformcontrol.cpp
@@ -96,6 +96,31 @@
     return {{"address", address->toString()}};
 }
 
+Json advertise(FakePlatform &platform, const Json &body)
+{
+    platform.advertise(body.at("id").get<std::string>(), body.at("address").get<std::string>());
+    return Json::object();
+}
+
+Json arrivals(FakePlatform &platform, const Json &)
+{
+    Json all = Json::object();
+    for (const auto &[service, seconds] : platform.arrivalsBySecond()) {
+        all[service] = {{"first", seconds.first}, {"repeats", seconds.repeats}};
+    }
+    return all;
+}
+
+/// How long after a server began to leave its last request came, in milliseconds; 0 where none came.
+std::int64_t lastAfterLeaving(const FakeRoutedPort &server)
+{
+    const auto &arrivals = server.server->arrivals();
+    if (server.state == "ready" || arrivals.empty() || arrivals.back().at < server.leftAt) {
+        return 0;
+    }
+    return (arrivals.back().at - server.leftAt) / std::chrono::milliseconds(1);
+}
+
 Json setState(FakePlatform &platform, const Json &body)
 {
     platform.setState(body.at("id").get<std::string>(), body.at("state").get<std::string>());
@@ -138,6 +163,7 @@
                     {"state", server.state},
                     {"arrived", server.server->arrived()},
                     {"arrivedSinceLeaving", server.state == "ready" ? 0 : server.server->arrived() - server.arrivedBeforeLeaving},
+                    {"lastAfterLeavingMs", lastAfterLeaving(server)},
                     {"mostConnections", server.port->server.mostConnections()},
                     {"complaints", server.server->complaints()}};
     }
@@ -156,6 +182,8 @@
     {"/fake/config", false, &setConfig},
     {"/fake/entry", false, &setEntry},
     {"/fake/server", false, &addServer},
+    {"/fake/advertise", false, &advertise},
+    {"/fake/arrivals", true, &arrivals},
     {"/fake/state", false, &setState},
     {"/fake/store/compact", false, &compact},
     {"/fake/store", true, &storeStatus},
--- /dev/null
+++ b/soak/src/soakworld.cpp
@@ -0,0 +1,102 @@
+#include "soakworld.h"
+
+#include <algorithm>
+
+namespace Burdock
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr int ServersPerShard = 3;
+constexpr int PlainServers = 4;
+const std::vector<std::string> FirstShards{"a1", "a2", "a3", "a4", "a5"};
+const std::vector<std::string> SecondShards{"b1", "b2", "b3", "b4"};
+constexpr std::array<const char *, 3> Letters{"a", "b", "c"};
+
+} // namespace
+
+SoakWorld::SoakWorld(int instances)
+{
+    for (const auto *shards : {&FirstShards, &SecondShards}) {
+        for (const std::string &shard : *shards) {
+            for (int number = 0; number < ServersPerShard; ++number) {
+                addServer(shard + "-" + std::to_string(number), shard);
+            }
+        }
+    }
+    for (int number = 0; number < PlainServers; ++number) {
+        addServer("one-" + std::to_string(number), "one");
+    }
+    const Json listed = bed_.control("POST", "/fake/server", {{"id", "one-proxied"}, {"service", "one"}});
+    servers_.emplace_back("one-proxied");
+    services_["one-proxied"] = "one";
+    serverProxy_ = std::make_unique<LoopbackProxy>(bed_.loop(), *Address::parse(listed.at("address").get<std::string>()));
+    bed_.control("POST", "/fake/advertise", {{"id", "one-proxied"}, {"address", serverProxy_->address().toString()}});
+    sendConfig(false);
+    for (int number = 0; number < instances; ++number) {
+        instances_.push_back("i" + std::to_string(number));
+        storeProxies_[instances_.back()] = std::make_unique<LoopbackProxy>(bed_.loop(), bed_.store());
+        start(instances_.back());
+    }
+}
+
+void SoakWorld::addServer(const std::string &id, const std::string &service)
+{
+    bed_.addServer(id, service, service == "one" ? 0 : PartRecords);
+    servers_.push_back(id);
+    services_[id] = service;
+}
+
+std::string SoakWorld::replaceServer(const std::string &id)
+{
+    const std::string next = services_.at(id) + "-r" + std::to_string(++replacements_);
+    addServer(next, services_.at(id));
+    servers_.erase(std::remove(servers_.begin(), servers_.end(), id), servers_.end());
+    return next;
+}
+
+void SoakWorld::sendConfig(bool reshard)
+{
+    secondSet_ = secondSet_ != reshard;
+    const std::vector<std::string> &shards = secondSet_ ? SecondShards : FirstShards;
+    // Versions rise in uneven steps.
+    version_ += 1 + version_ % 3;
+    Json config = RouterTestbed::config(version_, shards);
+    Json versioned = config["routes"][0];
+    versioned["name"] = "r-version";
+    versioned["prefix"] = "/v" + std::to_string(version_) + "/";
+    config["routes"].push_back(versioned);
+    for (Json &route : config["routes"]) {
+        if (route.contains("fanoutServices")) {
+            route["minShardShare"] = LeastShare;
+            route["resultLimit"] = ResultLimit;
+        }
+    }
+    bed_.control("POST", "/fake/config", config);
+    shardSets_.emplace_back(shards.begin(), shards.end());
+    disturb("config");
+}
+
+void SoakWorld::start(const std::string &instance)
+{
+    ++lives_[instance];
+    const auto place = static_cast<std::size_t>(std::find(instances_.begin(), instances_.end(), instance) - instances_.begin());
+    bed_.startInstance(instance, Letters[place % Letters.size()], storeProxies_.at(instance)->address().toString());
+    disturb(instance);
+}
+
+void SoakWorld::disturb(const std::string &what)
+{
+    disturbed_[what] = bed_.loop().now();
+}
+
+bool SoakWorld::undisturbed(const std::string &what, Duration span) const
+{
+    const auto found = disturbed_.find(what);
+    return found == disturbed_.end() || bed_.loop().now() - found->second > span;
+}
+
+} // namespace Burdock
--- a/tests/testbed/routertestbed.cpp
+++ b/tests/testbed/routertestbed.cpp
@@ -42,6 +42,7 @@
 
 RouterTestbed::RouterTestbed()
     : client_(makeHttpClient(loop_, Connections))
+    , controlClient_(makeHttpClient(controlLoop_, Connections))
     , folder_(makeFolder())
     , platform_(std::make_unique<ChildProcess>(BURDOCK_FAKE_PLATFORM, std::vector<std::string>{}))
 {
@@ -65,7 +66,13 @@
 
 Json RouterTestbed::control(const std::string &method, const std::string &path, const Json &body)
 {
-    const auto response = call(control_, method, path, {}, method == "GET" ? std::string() : body.dump());
+    HttpRequest request;
+    request.address = control_;
+    request.method = method;
+    request.path = path;
+    request.body = method == "GET" ? std::string() : body.dump();
+    request.timeout = Patience;
+    const auto response = wait(controlLoop_, *controlClient_, std::move(request));
     if (!response || response->status != 200) {
         throw std::runtime_error("control call " + path + ": " + (response ? response->body : response.error().message));
     }
@@ -135,13 +142,19 @@
     request.headers = headers;
     request.body = body;
     request.timeout = timeout;
+    return wait(loop_, *client_, std::move(request));
+}
+
+Result<HttpResponse> RouterTestbed::wait(EventLoop &loop, HttpClient &client, HttpRequest request)
+{
+    const Duration timeout = request.timeout;
     Result<HttpResponse> result = notRun(Errc::DeadlineExceeded, "no answer");
     bool done = false;
-    client_->send(std::move(request), [&](Result<HttpResponse> response) {
+    client.send(std::move(request), [&](Result<HttpResponse> response) {
         result = std::move(response);
         done = true;
     });
-    loop_.runUntil([&done] { return done; }, timeout + Patience);
+    loop.runUntil([&done] { return done; }, timeout + Patience);
     return result;
 }
 
--- a/tests/testbed/routertestbed.h
+++ b/tests/testbed/routertestbed.h
@@ -70,6 +70,10 @@
     {
         return loop_;
     }
+    const EventLoop &loop() const
+    {
+        return loop_;
+    }
     HttpClient &client()
     {
         return *client_;
@@ -83,11 +87,15 @@
     static nlohmann::json config(std::int64_t version, const std::vector<std::string> &shards);
 
 private:
+    static Result<HttpResponse> wait(EventLoop &loop, HttpClient &client, HttpRequest request);
     std::string host(const std::string &id) const;
     std::string writeSettings(const std::string &id, const std::string &letter, const std::string &storeAddress);
 
     EventLoop loop_;
     std::unique_ptr<HttpClient> client_;
+    /// Control calls have a loop of their own, so that callbacks of the other may make them.
+    EventLoop controlLoop_;
+    std::unique_ptr<HttpClient> controlClient_;
     std::filesystem::path folder_;
     std::unique_ptr<ChildProcess> platform_;
     Address store_;
