--- a/packages/routing/include/burdock/routing/serverchoice.h
+++ b/packages/routing/include/burdock/routing/serverchoice.h
@@ -54,7 +54,12 @@
     void sent(const ServerEntry &server, TimePoint now);
     void answered(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now);
 
+    /// A request was given up without an answer. Where it had waited longer than an answer should take, the server is known to be
+    /// at least that slow; otherwise it says nothing.
+    void givenUp(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now);
+
 private:
+    bool overdue(const Route &route, Duration age, Duration expected) const;
     double cost(const Route &route, const ServerEntry &server, Duration expected, TimePoint now);
 
     const ServerTable &table_;
--- a/packages/routing/src/serverchoice.cpp
+++ b/packages/routing/src/serverchoice.cpp
@@ -73,6 +73,12 @@
     return region != regions_.end() && region->second == own_ ? Distance::SameRegion : Distance::OtherRegion;
 }
 
+bool ServerChoice::overdue(const Route &route, Duration age, Duration expected) const
+{
+    const auto usual = static_cast<double>(latencies_.usual(route.name, route.target, Distance::SameRegion).count());
+    return static_cast<double>(age.count()) > static_cast<double>(expected.count()) + usual * OverdueMultiple;
+}
+
 double ServerChoice::cost(const Route &route, const ServerEntry &server, Duration expected, TimePoint now)
 {
     auto cost = static_cast<double>(expected.count());
@@ -80,8 +86,7 @@
     const double use = load_.underWay(server.id) * sharers / std::max(1U, server.slots);
     cost *= 1 + std::max(0.0, use - BusyFrom) * BusyGrowth;
     const Duration oldest = load_.oldest(server.id, now);
-    const auto usual = static_cast<double>(latencies_.usual(route.name, route.target, Distance::SameRegion).count());
-    if (static_cast<double>(oldest.count()) > static_cast<double>(expected.count()) + usual * OverdueMultiple) {
+    if (overdue(route, oldest, expected)) {
         cost += static_cast<double>(oldest.count()) * OverdueWeight;
     }
     cost += load_.failing(server.id, now) * FailureCostMicroseconds;
@@ -131,6 +136,17 @@
     load_.sent(server.id, now);
 }
 
+void ServerChoice::givenUp(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now)
+{
+    const Duration waited = now - sentAt;
+    if (!overdue(route, waited, latencies_.expected(route.name, route.target, server.id, distance(server), now))) {
+        load_.givenUp(server.id, sentAt);
+        return;
+    }
+    load_.failed(server.id, sentAt, now);
+    latencies_.answered(route.name, route.target, server.id, distance(server), waited, now);
+}
+
 void ServerChoice::answered(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now)
 {
     load_.answered(server.id, sentAt, now);
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -40,7 +40,7 @@
     context_.runtime.cancel(hedgeTimer_);
     for (const auto &[number, attempt] : attempts_) {
         context_.backends.cancel(attempt.id);
-        context_.load.givenUp(attempt.server->id, attempt.sentAt);
+        context_.choice.givenUp(*route_, *attempt.server, attempt.sentAt, context_.runtime.now());
     }
 }
 
--- a/packages/routing/tests/choicetest.cpp
+++ b/packages/routing/tests/choicetest.cpp
@@ -87,6 +87,38 @@
     CHECK(grey < 60);
 }
 
+TEST_CASE("A server that never answers is passed over also after its requests were given up", "[choice][hang]")
+{
+    RoutingBench bench;
+    bench.list("near1", "parts");
+    bench.list("far1", "parts", RoutingBench::Far);
+    const Route route = RoutingBench::route("parts");
+    play(bench, 50, {{"near1", milliseconds(20)}, {"far1", milliseconds(50)}});
+    int toHanging = 0;
+    for (int request = 0; request < 40; ++request) {
+        const ChosenServer chosen = bench.choice.choose(route, ServiceName("parts"), {}, bench.runtime.now());
+        const TimePoint sentAt = bench.runtime.now();
+        bench.choice.sent(*chosen.server, sentAt);
+        if (chosen.server->id.text() == "near1") {
+            ++toHanging;
+            bench.runtime.advance(milliseconds(350));
+            bench.choice.givenUp(route, *chosen.server, sentAt, bench.runtime.now());
+        } else {
+            bench.runtime.advance(milliseconds(50));
+            bench.choice.answered(route, *chosen.server, sentAt, bench.runtime.now());
+        }
+    }
+    CHECK(toHanging < 10);
+    SECTION("one that is given up early is not blamed")
+    {
+        const double before = bench.load.failing(ServerId("far1"), bench.runtime.now());
+        const ChosenServer chosen = bench.choice.choose(route, ServiceName("parts"), {}, bench.runtime.now());
+        bench.choice.sent(*chosen.server, bench.runtime.now());
+        bench.choice.givenUp(route, *chosen.server, bench.runtime.now(), bench.runtime.now());
+        CHECK(bench.load.failing(ServerId("far1"), bench.runtime.now()) <= before);
+    }
+}
+
 TEST_CASE("A server that refuses rests for a while, longer with each refusal in a row", "[choice][load]")
 {
     ServerLoad load;
