Take listings from relays, and find relays right after the start

Cause: at a cold start records appeared only with the first configuration, so every instance watched the store while all servers registered (11 polls an instance); a relay's word counted as stale after its record was written again, since the time of the grant was taken for the time of the answer; and an asker behind the relay's listing left the relay instead of listing again.

--- a/packages/fakes/src/fakeplatform.cpp
+++ b/packages/fakes/src/fakeplatform.cpp
@@ -54,7 +54,7 @@
     added.server = std::make_unique<FakeRoutedServer>(runtime_, declaration, ++seed_);
     added.port = makePort(runtime_, base_, [&added](const HttpIncoming &request, const auto &responder) { added.server->handle(request, responder); });
     added.port->server.setConnectionLimit(ServerConnections);
-    const auto address = added.port->server.listen(Address{"127.0.0.1", 0});
+    auto address = added.port->server.listen(Address{"127.0.0.1", 0});
     if (!address) {
         return address;
     }
--- a/packages/router/include/burdock/router/relayedstore.h
+++ b/packages/router/include/burdock/router/relayedstore.h
@@ -11,14 +11,17 @@
 namespace Burdock
 {
 
-/// A store whose watches go through another instance where there is one to ask; everything else goes to the store itself.
+/// A store whose listings and watches come from another instance where there is one to ask; everything else goes to the store.
 ///
-/// A watch turns to the store as soon as the relay does not answer in time, says that it knows nothing fresh, or no longer has
-/// the changes, and looks for a relay again from time to time.
+/// A watch turns to the store as soon as the relay does not answer in time or says that it knows nothing fresh, and looks for a
+/// relay again from time to time. Where the relay no longer has the changes the watch ends, as at a store that has lost its history,
+/// and a listing follows. Right after the start a watch waits a moment before it goes to the store: the
+/// records of instances that start together are there by then, and with them the relays.
 class RelayedStore final : public Store
 {
 public:
-    RelayedStore(Runtime &runtime, HttpClient &client, Store &store, RelayChoice &relays, DecisionLog &log);
+    /// `relaysFrom`: the prefix under which instances tell where they can be asked.
+    RelayedStore(Runtime &runtime, HttpClient &client, Store &store, RelayChoice &relays, std::string relaysFrom, DecisionLog &log);
     ~RelayedStore() override;
     RelayedStore(const RelayedStore &) = delete;
     RelayedStore &operator=(const RelayedStore &) = delete;
@@ -54,7 +57,10 @@
         TimerId timer = 0;
     };
 
+    void askRange(const Address &relay, const std::string &prefix, Callback<StoreRange> done);
     void begin(std::uint64_t id);
+    /// When a watch may go to the store.
+    TimePoint mayWatch(const std::string &key) const;
     void poll(std::uint64_t id, const Address &relay);
     void polled(std::uint64_t id, const Address &relay, const Result<HttpResponse> &response);
     void watchStore(std::uint64_t id);
@@ -68,10 +74,13 @@
     HttpClient &client_;
     Store &store_;
     RelayChoice &relays_;
+    const std::string relaysFrom_;
+    const TimePoint started_;
     DecisionLog &log_;
     std::uint64_t last_ = 0;
     std::uint64_t relayed_ = 0;
     std::map<std::uint64_t, Watch> watches_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace Burdock
--- a/packages/router/include/burdock/router/relayservice.h
+++ b/packages/router/include/burdock/router/relayservice.h
@@ -25,16 +25,17 @@
     RelayService &operator=(const RelayService &) = delete;
 
     /// What this instance learns itself: all keys under a prefix, or one change.
-    void listed(const std::string &prefix, std::int64_t revision);
+    void listed(const std::string &prefix, const std::vector<StoreEntry> &entries, std::int64_t revision);
     void changed(const std::string &prefix, const StoreEntry &entry);
 
-    /// Answers a poll, now or when there is something to tell.
+    /// Answers a question for all keys, or a poll for changes, now or when there is something to tell.
     void serve(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder);
 
     /// Ends the polls that wait if the store has been silent for too long.
     void check();
 
-    static constexpr const char *Path = "/changes";
+    static constexpr const char *ChangesPath = "/changes";
+    static constexpr const char *EntriesPath = "/entries";
 
 private:
     struct Poll
@@ -46,7 +47,17 @@
     };
     using Polls = std::list<Poll>;
 
+    /// All keys under a prefix as this instance knows them.
+    struct Known
+    {
+        ChangeLog log;
+        std::map<std::string, StoreEntry> entries;
+        std::int64_t revision = 0;
+        bool begun = false;
+    };
+
     bool fresh() const;
+    void serveEntries(const HttpIncoming &incoming, HttpResponder &responder) const;
     /// True where the poll was answered; with `ended` also by an empty answer.
     bool answer(const Poll &poll, bool ended);
     void answerWaiting(const std::string &prefix);
@@ -54,7 +65,7 @@
 
     Runtime &runtime_;
     const std::function<TimePoint()> confirmedAt_;
-    std::map<std::string, ChangeLog> logs_;
+    std::map<std::string, Known> known_;
     Polls polls_;
 };
 
--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -3,8 +3,8 @@
 #include <burdock/router/clientdoor.h>
 #include <burdock/router/decisionlog.h>
 #include <burdock/router/dialect.h>
-#include <burdock/router/relayedstore.h>
 #include <burdock/router/httpbackends.h>
+#include <burdock/router/relayedstore.h>
 #include <burdock/router/routermetrics.h>
 #include <burdock/router/routersettings.h>
 #include <burdock/router/routingfeed.h>
@@ -28,6 +28,9 @@
     /// Listens and begins to learn; a failure names the address that cannot be used.
     Result<void> start();
 
+    /// Adds a value of the program to the metrics and to the line that tells the state from time to time.
+    void watchValue(std::string name, std::string kind, std::string help, std::function<double()> read);
+
     /// Takes in settings that have changed. Addresses stay as they were at the start.
     void reload(const RouterSettings &settings);
 
@@ -46,6 +49,7 @@
     void serverChanged(const ServerEntry &server, bool usable);
     void connectionsChanged();
     void tick();
+    void tellState();
     bool ready() const;
     void announce();
     void leaveLate();
@@ -83,6 +87,7 @@
     std::map<ServerId, ServerEntry> reachable_;
     Duration suspended_{0};
     TimerId tickTimer_ = 0;
+    TimerId stateTimer_ = 0;
     bool announced_ = false;
     bool leaving_ = false;
     TimePoint leavingSince_{};
--- a/packages/router/include/burdock/router/routermetrics.h
+++ b/packages/router/include/burdock/router/routermetrics.h
@@ -29,6 +29,9 @@
     /// Names a value that is read whenever the text is written. `kind` is `counter` or `gauge`.
     void watch(std::string name, std::string kind, std::string help, std::function<double()> read);
 
+    /// Calls `tell` with each named value as it is now.
+    void forEachWatched(const std::function<void(const std::string &, double)> &tell) const;
+
     /// The whole as Prometheus text, version 0.0.4.
     std::string text() const;
 
--- a/packages/router/src/relaycodec.cpp
+++ b/packages/router/src/relaycodec.cpp
@@ -7,29 +7,73 @@
 
 using Json = nlohmann::json;
 
-std::string writeChanges(const std::vector<StoreEntry> &entries)
+namespace
+{
+
+Json entriesJson(const std::vector<StoreEntry> &entries)
 {
     Json list = Json::array();
     for (const StoreEntry &entry : entries) {
         list.push_back({entry.key, Json::binary({entry.value.begin(), entry.value.end()}), entry.modRevision, entry.lease, entry.deleted});
     }
+    return list;
+}
+
+std::vector<StoreEntry> entriesOf(const Json &list)
+{
+    std::vector<StoreEntry> entries;
+    entries.reserve(list.size());
+    for (const Json &read : list) {
+        const auto &value = read.at(1).get_binary();
+        entries.push_back({read.at(0).get<std::string>(),
+                           std::string(value.begin(), value.end()),
+                           read.at(2).get<std::int64_t>(),
+                           read.at(3).get<std::int64_t>(),
+                           read.at(4).get<bool>()});
+    }
+    return entries;
+}
+
+std::string bytesOf(const Json &message)
+{
     std::string bytes;
-    Json::to_cbor(list, bytes);
+    Json::to_cbor(message, bytes);
     return bytes;
 }
 
+tl::unexpected<Failure> malformed(const Json::exception &error)
+{
+    return notRun(Errc::ConnectionLost, std::string("the relay's answer is malformed: ") + error.what());
+}
+
+} // namespace
+
+std::string writeChanges(const std::vector<StoreEntry> &entries)
+{
+    return bytesOf(entriesJson(entries));
+}
+
 Result<std::vector<StoreEntry>> readChanges(const std::string &bytes)
 {
     try {
-        std::vector<StoreEntry> entries;
-        for (const Json &read : Json::from_cbor(bytes)) {
-            const auto &value = read.at(1).get_binary();
-            entries.push_back(
-                {read.at(0).get<std::string>(), std::string(value.begin(), value.end()), read.at(2).get<std::int64_t>(), read.at(3).get<std::int64_t>(), read.at(4).get<bool>()});
-        }
-        return entries;
+        return entriesOf(Json::from_cbor(bytes));
+    } catch (const Json::exception &error) {
+        return malformed(error);
+    }
+}
+
+std::string writeRange(const StoreRange &range)
+{
+    return bytesOf(Json::array({range.revision, entriesJson(range.entries)}));
+}
+
+Result<StoreRange> readRange(const std::string &bytes)
+{
+    try {
+        const Json message = Json::from_cbor(bytes);
+        return StoreRange{entriesOf(message.at(1)), message.at(0).get<std::int64_t>()};
     } catch (const Json::exception &error) {
-        return notRun(Errc::ConnectionLost, std::string("the relay's answer is malformed: ") + error.what());
+        return malformed(error);
     }
 }
 
--- a/packages/router/src/relayedstore.cpp
+++ b/packages/router/src/relayedstore.cpp
@@ -18,6 +18,11 @@
 /// How long a poll waits at the relay, and how much longer its answer may take: a relay that stands still is noticed after both.
 constexpr Duration PollWait = std::chrono::milliseconds(1000);
 constexpr Duration PollSlack = std::chrono::milliseconds(300);
+/// How long a listing by a relay may take.
+constexpr Duration RangeTimeout = std::chrono::milliseconds(500);
+/// How long after the start watches go to the store: first the one that tells of relays.
+constexpr Duration FirstRelayWatch = std::chrono::milliseconds(400);
+constexpr Duration FirstWatch = std::chrono::milliseconds(1000);
 /// How long a watch stays at the store before it looks for a relay again.
 constexpr Duration StoreSpell = std::chrono::seconds(2);
 
@@ -29,17 +34,20 @@
 
 } // namespace
 
-RelayedStore::RelayedStore(Runtime &runtime, HttpClient &client, Store &store, RelayChoice &relays, DecisionLog &log)
+RelayedStore::RelayedStore(Runtime &runtime, HttpClient &client, Store &store, RelayChoice &relays, std::string relaysFrom, DecisionLog &log)
     : runtime_(runtime)
     , client_(client)
     , store_(store)
     , relays_(relays)
+    , relaysFrom_(std::move(relaysFrom))
+    , started_(runtime.now())
     , log_(log)
 {
 }
 
 RelayedStore::~RelayedStore()
 {
+    *alive_ = false;
     for (const auto &[id, watch] : watches_) {
         release(watch);
     }
@@ -47,7 +55,32 @@
 
 void RelayedStore::range(const std::string &key, bool prefix, std::int64_t limit, Callback<StoreRange> done)
 {
-    store_.range(key, prefix, limit, std::move(done));
+    const auto relay = prefix && limit == 0 ? relays_.relay(runtime_.now()) : std::nullopt;
+    if (relay) {
+        askRange(*relay, key, std::move(done));
+    } else {
+        store_.range(key, prefix, limit, std::move(done));
+    }
+}
+
+void RelayedStore::askRange(const Address &relay, const std::string &prefix, Callback<StoreRange> done)
+{
+    HttpRequest request;
+    request.address = relay;
+    request.method = "GET";
+    request.path = std::string(RelayService::EntriesPath) + "?prefix=" + encoded(prefix);
+    request.timeout = RangeTimeout;
+    client_.send(std::move(request), [this, relay, prefix, done = std::move(done), alive = alive_](const Result<HttpResponse> &response) {
+        if (!*alive) {
+            return;
+        }
+        auto range = response && response->status == OkStatus ? readRange(response->body) : notRun(Errc::Unavailable, "the relay knows nothing fresh");
+        if (range) {
+            return done(std::move(range));
+        }
+        relays_.failed(relay, runtime_.now());
+        store_.range(prefix, true, 0, done);
+    });
 }
 
 void RelayedStore::commit(StoreTransaction transaction, Callback<StoreCommit> done)
@@ -99,20 +132,31 @@
 void RelayedStore::begin(std::uint64_t id)
 {
     const auto relay = relays_.relay(runtime_.now());
+    const Duration early = mayWatch(watches_.at(id).key) - runtime_.now();
     if (relay) {
         poll(id, *relay);
+    } else if (early > Duration{0}) {
+        watches_.at(id).timer = runtime_.schedule(early, [this, id] {
+            watches_.at(id).timer = 0;
+            begin(id);
+        });
     } else {
         watchStore(id);
     }
 }
 
+TimePoint RelayedStore::mayWatch(const std::string &key) const
+{
+    return started_ + (key == relaysFrom_ ? FirstRelayWatch : FirstWatch);
+}
+
 void RelayedStore::poll(std::uint64_t id, const Address &relay)
 {
     Watch &watch = watches_.at(id);
     HttpRequest request;
     request.address = relay;
     request.method = "GET";
-    request.path = std::string(RelayService::Path) + "?prefix=" + encoded(watch.key) + "&after=" + std::to_string(watch.revision)
+    request.path = std::string(RelayService::ChangesPath) + "?prefix=" + encoded(watch.key) + "&after=" + std::to_string(watch.revision)
         + "&waitMs=" + std::to_string(PollWait / std::chrono::milliseconds(1));
     request.timeout = PollWait + PollSlack;
     watch.poll = client_.send(std::move(request), [this, id, relay](const Result<HttpResponse> &response) { polled(id, relay, response); });
@@ -128,9 +172,14 @@
     if (!response) {
         return relayFailed(id, relay, response.error().message);
     }
+    if (response->status == GoneStatus) {
+        // The relay is sound, but began later than this watch's revision: a new listing brings both together.
+        auto node = watches_.extract(found);
+        node.mapped().ended(Failure{Errc::WrongVersion, Verdict::NotRun, "the relay no longer has the changes", Duration{0}});
+        return;
+    }
     if (response->status != OkStatus) {
-        // A relay that began later than this watch's revision is sound, but of no use to it before the next listing.
-        return relayFailed(id, relay, response->status == GoneStatus ? "the changes are no longer kept" : "status " + std::to_string(response->status));
+        return relayFailed(id, relay, "status " + std::to_string(response->status));
     }
     const Result<std::vector<StoreEntry>> entries = readChanges(response->body);
     if (!entries) {
@@ -148,7 +197,9 @@
 void RelayedStore::relayFailed(std::uint64_t id, const Address &relay, const std::string &why)
 {
     relays_.failed(relay, runtime_.now());
-    log_.write(DecisionWeight::Change, "relay.failed", {{"relay", relay.toString()}, {"watch", watches_.at(id).key}, {"revision", watches_.at(id).revision}, {"reason", why}});
+    log_.write(DecisionWeight::Change,
+               "relay.failed",
+               {{"relay", relay.toString()}, {"watch", watches_.at(id).key}, {"revision", watches_.at(id).revision}, {"reason", why}});
     begin(id);
 }
 
@@ -156,7 +207,10 @@
 {
     Watch &watch = watches_.at(id);
     watch.direct = store_.watch(
-        watch.key, watch.prefix, watch.revision, [this, id](const StoreEntry &entry) { tell(id, entry); },
+        watch.key,
+        watch.prefix,
+        watch.revision,
+        [this, id](const StoreEntry &entry) { tell(id, entry); },
         [this, id](const Failure &failure) {
             auto node = watches_.extract(id);
             if (!node.empty()) {
--- a/packages/router/src/relayservice.cpp
+++ b/packages/router/src/relayservice.cpp
@@ -66,20 +66,52 @@
     return runtime_.now() - confirmedAt_() < StaleAfter;
 }
 
-void RelayService::listed(const std::string &prefix, std::int64_t revision)
+void RelayService::listed(const std::string &prefix, const std::vector<StoreEntry> &entries, std::int64_t revision)
 {
-    logs_[prefix].restart(revision);
+    Known &known = known_[prefix];
+    known.log.restart(revision);
+    known.revision = revision;
+    known.begun = true;
+    known.entries.clear();
+    for (const StoreEntry &entry : entries) {
+        known.entries[entry.key] = entry;
+    }
     answerWaiting(prefix);
 }
 
 void RelayService::changed(const std::string &prefix, const StoreEntry &entry)
 {
-    logs_[prefix].append(entry);
+    Known &known = known_[prefix];
+    known.log.append(entry);
+    known.revision = std::max(known.revision, entry.modRevision);
+    if (entry.deleted) {
+        known.entries.erase(entry.key);
+    } else {
+        known.entries[entry.key] = entry;
+    }
     answerWaiting(prefix);
 }
 
+void RelayService::serveEntries(const HttpIncoming &incoming, HttpResponder &responder) const
+{
+    const auto known = known_.find(parameter(incoming, "prefix"));
+    if (!fresh() || known == known_.end() || !known->second.begun) {
+        responder.respond(bare(UnavailableStatus));
+        return;
+    }
+    StoreRange range;
+    range.revision = known->second.revision;
+    for (const auto &[key, entry] : known->second.entries) {
+        range.entries.push_back(entry);
+    }
+    responder.respond(bare(OkStatus, writeRange(range)));
+}
+
 void RelayService::serve(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder)
 {
+    if (incoming.path == EntriesPath) {
+        return serveEntries(incoming, *responder);
+    }
     const auto after = numberOf(parameter(incoming, "after"));
     const auto waitMs = numberOf(parameter(incoming, "waitMs"));
     if (!after || !waitMs) {
@@ -105,7 +137,7 @@
         poll.responder->respond(bare(UnavailableStatus));
         return true;
     }
-    const auto changes = logs_[poll.prefix].since(poll.after);
+    const auto changes = known_[poll.prefix].log.since(poll.after);
     if (!changes) {
         poll.responder->respond(bare(GoneStatus));
         return true;
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -17,6 +17,8 @@
 constexpr const char *MetricsPath = "/metrics";
 /// How often suspension and readiness are looked at.
 constexpr Duration TickEvery = std::chrono::milliseconds(200);
+/// How often counters and gauges are logged, for those who have only logs.
+constexpr Duration StateEvery = std::chrono::seconds(15);
 /// A jump of the suspended time above this means that the machine slept.
 constexpr Duration SuspensionNoticed = std::chrono::milliseconds(300);
 /// Instances that clients are not sent to get this much less of the slack in the repeat budget.
@@ -104,7 +106,7 @@
     , desk_(context_, seed)
     , door_(loop, desk_, log, metrics_, dialect.headers())
     , relays_(settings.id)
-    , store_(loop, client, store, relays_, log)
+    , store_(loop, client, store, relays_, dialect.instancesPrefix(), log)
     , lease_(loop,
              store,
              dialect.instancesPrefix() + settings.id.text(),
@@ -139,6 +141,7 @@
 Router::~Router()
 {
     loop_.cancel(tickTimer_);
+    loop_.cancel(stateTimer_);
 }
 
 Result<void> Router::listen(HttpServer &server, const char *what, const Address &address)
@@ -158,13 +161,16 @@
                                                                                  {directory_.get(), "directory", settings_.directory},
                                                                                  {peers_.get(), "peers", settings_.peers}};
     for (const auto &[server, what, address] : listeners) {
-        const Result<void> bound = listen(*server, what, address);
+        Result<void> bound = listen(*server, what, address);
         if (!bound) {
             return bound;
         }
     }
+    // Also before it is ready: others may ask it for changes, and it them.
+    lease_.start(writeInstance(self_));
     feed_.start();
     tick();
+    stateTimer_ = loop_.schedule(StateEvery, [this] { tellState(); });
     return {};
 }
 
@@ -191,7 +197,7 @@
         log_.write(DecisionWeight::Change, "readiness.changed", {{"ready", self_.ready ? 1 : 0}, {"config", feed_.version()}});
         instancesChanged();
         if (!leaving_) {
-            lease_.start(writeInstance(self_));
+            lease_.change(writeInstance(self_));
         }
     }
 }
@@ -211,6 +217,21 @@
     tickTimer_ = loop_.schedule(TickEvery, [this] { tick(); });
 }
 
+void Router::tellState()
+{
+    metrics_.forEachWatched([this](const std::string &name, double value) {
+        if (value != 0) {
+            log_.write(DecisionWeight::Routine, "state", {{"value", name}, {"is", static_cast<std::int64_t>(value)}});
+        }
+    });
+    stateTimer_ = loop_.schedule(StateEvery, [this] { tellState(); });
+}
+
+void Router::watchValue(std::string name, std::string kind, std::string help, std::function<double()> read)
+{
+    metrics_.watch(std::move(name), std::move(kind), std::move(help), std::move(read));
+}
+
 void Router::serveReadiness(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder)
 {
     if (incoming.path != dialect_.readinessPath()) {
@@ -238,7 +259,7 @@
 
 void Router::servePeers(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder)
 {
-    if (incoming.path == RelayService::Path) {
+    if (incoming.path == RelayService::ChangesPath || incoming.path == RelayService::EntriesPath) {
         relay_.serve(incoming, responder);
         return;
     }
--- a/packages/router/src/routermetrics.cpp
+++ b/packages/router/src/routermetrics.cpp
@@ -40,6 +40,13 @@
     watched_.push_back(Watched{std::move(name), std::move(kind), std::move(help), std::move(read)});
 }
 
+void RouterMetrics::forEachWatched(const std::function<void(const std::string &, double)> &tell) const
+{
+    for (const Watched &watched : watched_) {
+        tell(watched.name, watched.read());
+    }
+}
+
 std::string RouterMetrics::text() const
 {
     std::ostringstream out;
--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -30,18 +30,10 @@
     , relay_(relay)
     , log_(log)
     , events_(std::move(events))
-    , config_(runtime,
-              store,
-              dialect.configKey(),
-              eventsOf("config", dialect.configKey(), &RoutingFeed::takeConfigs, &RoutingFeed::takeConfig))
-    , serverEntries_(runtime,
-                     store,
-                     dialect.serversPrefix(),
-                     eventsOf("servers", dialect.serversPrefix(), &RoutingFeed::takeServers, &RoutingFeed::takeServer))
-    , instanceRecords_(runtime,
-                       store,
-                       dialect.instancesPrefix(),
-                       eventsOf("instances", dialect.instancesPrefix(), &RoutingFeed::takeInstances, &RoutingFeed::takeInstance))
+    , config_(runtime, store, dialect.configKey(), eventsOf("config", dialect.configKey(), &RoutingFeed::takeConfigs, &RoutingFeed::takeConfig))
+    , serverEntries_(runtime, store, dialect.serversPrefix(), eventsOf("servers", dialect.serversPrefix(), &RoutingFeed::takeServers, &RoutingFeed::takeServer))
+    , instanceRecords_(
+          runtime, store, dialect.instancesPrefix(), eventsOf("instances", dialect.instancesPrefix(), &RoutingFeed::takeInstances, &RoutingFeed::takeInstance))
 {
 }
 
@@ -49,7 +41,7 @@
 {
     return {[this, prefix, all](const std::vector<StoreEntry> &entries, std::int64_t revision) {
                 (this->*all)(entries);
-                relay_.listed(prefix, revision);
+                relay_.listed(prefix, entries, revision);
             },
             [this, prefix, one](const StoreEntry &entry) {
                 (this->*one)(entry);
--- a/packages/routing/include/burdock/routing/instancelease.h
+++ b/packages/routing/include/burdock/routing/instancelease.h
@@ -53,7 +53,7 @@
     void revoke();
     void wait(Duration span);
     void failed(const Failure &failure);
-    void confirmed(const char *event);
+    void confirmed(TimePoint asked, const char *event);
 
     Runtime &runtime_;
     Store &store_;
@@ -64,7 +64,9 @@
     std::int64_t lease_ = 0;
     std::uint64_t turn_ = 0;
     TimerId timer_ = 0;
-    TimePoint askedAt_{};
+    /// When the lease that is held was asked for.
+    TimePoint grantedAt_{};
+    TimePoint heldUntil_{};
     TimePoint confirmedAt_{};
     bool lost_ = false;
     ChartRun<InstanceLease> life_;
--- a/packages/routing/src/instancelease.cpp
+++ b/packages/routing/src/instancelease.cpp
@@ -1,5 +1,6 @@
 #include <burdock/routing/instancelease.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Burdock
@@ -67,7 +68,7 @@
 
 bool InstanceLease::held() const
 {
-    return !life_.finished() && runtime_.now() < confirmedAt_ + term_;
+    return !life_.finished() && runtime_.now() < heldUntil_;
 }
 
 void InstanceLease::wait(Duration span)
@@ -87,9 +88,9 @@
     life_.handle(failure.code == Errc::NotFound ? "gone" : "broken");
 }
 
-void InstanceLease::confirmed(const char *event)
+void InstanceLease::confirmed(TimePoint asked, const char *event)
 {
-    confirmedAt_ = askedAt_;
+    confirmedAt_ = asked;
     if (std::exchange(lost_, false)) {
         reach_(nullptr);
     }
@@ -99,7 +100,7 @@
 void InstanceLease::grant()
 {
     const std::uint64_t turn = ++turn_;
-    askedAt_ = runtime_.now();
+    grantedAt_ = runtime_.now();
     store_.grantLease(term_.count(), [this, turn, alive = alive_](Result<std::int64_t> lease) {
         if (!*alive || turn != turn_) {
             return;
@@ -115,16 +116,18 @@
 void InstanceLease::write()
 {
     const std::uint64_t turn = ++turn_;
+    const TimePoint asked = runtime_.now();
     StoreTransaction transaction;
     transaction.writes.push_back(StoreWrite{key_, value_, lease_});
-    store_.commit(std::move(transaction), [this, turn, alive = alive_](const Result<StoreCommit> &commit) {
+    store_.commit(std::move(transaction), [this, turn, asked, alive = alive_](const Result<StoreCommit> &commit) {
         if (!*alive || turn != turn_) {
             return;
         }
         if (!commit) {
             return failed(commit.error());
         }
-        confirmed("written");
+        heldUntil_ = std::max(heldUntil_, grantedAt_ + term_);
+        confirmed(asked, "written");
     });
 }
 
@@ -139,8 +142,8 @@
         if (!kept) {
             return failed(kept.error());
         }
-        askedAt_ = asked;
-        confirmed("renewed");
+        heldUntil_ = asked + term_;
+        confirmed(asked, "renewed");
     });
 }
 
@@ -164,6 +167,7 @@
     ++turn_;
     runtime_.cancel(std::exchange(timer_, 0));
     confirmedAt_ = {};
+    heldUntil_ = {};
     if (lease_ != 0) {
         // A lost reply does no harm: the lease ends by itself.
         store_.revokeLease(lease_, [](const Result<std::int64_t> &) {});
--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -112,6 +112,7 @@
     std::shuffle(chosen.begin(), chosen.end(), random_);
     chosen.resize(std::min(chosen.size(), most));
     std::vector<Address> addresses;
+    addresses.reserve(chosen.size());
     for (const InstanceRecord &record : chosen) {
         addresses.push_back(record.address);
     }
--- a/packages/routing/tests/storefollowertest.cpp
+++ b/packages/routing/tests/storefollowertest.cpp
@@ -154,6 +154,14 @@
     bench.runtime.advance(milliseconds(1100));
     REQUIRE(bench.store.keeps.size() == 1);
     CHECK(bench.store.kept == std::vector<std::int64_t>{77});
+    SECTION("a record that is written again tells that the store answers, but renews no lease")
+    {
+        bench.lease.change("crowded");
+        bench.store.reply(bench.store.commits, Result<StoreCommit>(StoreCommit{true, 6, {}}));
+        CHECK(bench.lease.confirmedAt() == bench.runtime.now());
+        bench.runtime.advance(milliseconds(2000));
+        CHECK_FALSE(bench.lease.held());
+    }
     SECTION("a renewal holds from when it was sent")
     {
         bench.runtime.advance(milliseconds(500));
--- a/soak/src/main.cpp
+++ b/soak/src/main.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 
 using namespace Burdock;
 
@@ -85,7 +86,9 @@
 void keepLogs(SoakWorld &world, const std::string &folder, std::uint64_t seed)
 {
     for (const std::string &instance : world.instances()) {
-        std::ofstream(folder + "/soak-" + std::to_string(seed) + "-" + instance + ".log") << world.bed().log(instance);
+        std::ostringstream path;
+        path << folder << "/soak-" << seed << '-' << instance << ".log";
+        std::ofstream(path.str()) << world.bed().log(instance);
     }
 }
 
--- a/soak/src/soakworld.cpp
+++ b/soak/src/soakworld.cpp
@@ -52,7 +52,7 @@
 
 std::string SoakWorld::replaceServer(const std::string &id)
 {
-    const std::string next = services_.at(id) + "-r" + std::to_string(++replacements_);
+    std::string next = services_.at(id) + "-r" + std::to_string(++replacements_);
     addServer(next, services_.at(id));
     servers_.erase(std::remove(servers_.begin(), servers_.end(), id), servers_.end());
     return next;
