--- a/packages/daemon/include/burdock/daemon/holderservice.h
+++ b/packages/daemon/include/burdock/daemon/holderservice.h
@@ -3,8 +3,10 @@
 #include <burdock/policy/holder.h>
 #include <burdock/wire/peerlinks.h>
 
+#include <functional>
 #include <map>
 #include <set>
+#include <vector>
 
 namespace Burdock
 {
@@ -13,7 +15,8 @@
 class HolderService
 {
 public:
-    HolderService(PeerLinks &links, Holder &holder);
+    /// `peers`: all other instances that are alive.
+    HolderService(PeerLinks &links, Holder &holder, std::function<std::vector<InstanceId>()> peers);
 
     /// A peer asks for one of our servers. While refusing, it gets NotRun at once.
     void submit(const InstanceId &from, const SubRequest &request);
@@ -27,7 +30,8 @@
     /// A peer wants all reports, now and as they change.
     void subscribe(const InstanceId &peer);
 
-    /// A report of one of our servers changed.
+    /// A report of one of our servers changed. That a server is leaving goes to all instances, also those that never asked here:
+    /// any of them may be its holder next, and would give it work until it hears for itself.
     void publish(const ServerReport &report);
 
     /// The link to a peer is lost: nobody waits for its sub-requests any more.
@@ -39,8 +43,11 @@
 private:
     PeerLinks &links_;
     Holder &holder_;
+    const std::function<std::vector<InstanceId>()> peers_;
     bool refusing_ = false;
     std::set<InstanceId> subscribers_;
+    /// Servers of which it was told that they are leaving.
+    std::set<ServerId> leaving_;
     std::map<InstanceId, std::set<SubRequestId>> work_;
 };
 
--- a/packages/daemon/include/burdock/daemon/instance.h
+++ b/packages/daemon/include/burdock/daemon/instance.h
@@ -65,6 +65,8 @@
     void updateLive();
     void install(ConfigurationPtr configuration);
     std::vector<InstanceId> liveIds() const;
+    /// The live instances but this one.
+    std::vector<InstanceId> peerIds() const;
     bool sweeps(const CommandName &command) const;
     void limitConnections();
     void followConfiguration(const ConfigStatus &status);
--- a/packages/daemon/src/holderservice.cpp
+++ b/packages/daemon/src/holderservice.cpp
@@ -1,11 +1,14 @@
 #include <burdock/daemon/holderservice.h>
 
+#include <utility>
+
 namespace Burdock
 {
 
-HolderService::HolderService(PeerLinks &links, Holder &holder)
+HolderService::HolderService(PeerLinks &links, Holder &holder, std::function<std::vector<InstanceId>()> peers)
     : links_(links)
     , holder_(holder)
+    , peers_(std::move(peers))
 {
 }
 
@@ -52,7 +55,19 @@
 
 void HolderService::publish(const ServerReport &report)
 {
-    for (const InstanceId &peer : subscribers_) {
+    const bool wasLeaving = leaving_.count(report.server) > 0;
+    std::set<InstanceId> told = subscribers_;
+    if (report.draining != wasLeaving) {
+        for (const InstanceId &peer : peers_()) {
+            told.insert(peer);
+        }
+    }
+    if (report.draining) {
+        leaving_.insert(report.server);
+    } else {
+        leaving_.erase(report.server);
+    }
+    for (const InstanceId &peer : told) {
         links_.send(peer, report);
     }
 }
--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -1,5 +1,6 @@
 #include <burdock/daemon/instance.h>
 
+#include <algorithm>
 #include <burdock/daemon/instancemetrics.h>
 #include <burdock/daemon/log.h>
 #include <burdock/policy/configwatchers.h>
@@ -42,7 +43,7 @@
     , lives_(loop, BackendLifeSettings{}, [this](const ServerId &server, BackendState state) { backendChanged(server, state); })
     , backends_(loop, *client_, [this](const ServerId &server) { return directory_.serverAddress(server); })
     , holder_(loop, backends_)
-    , holderService_(*links_, holder_)
+    , holderService_(*links_, holder_, [this] { return peerIds(); })
     , router_(loop, *links_, holder_, settings_.id, incarnation, [this](const ServerId &server) { return directory_.holders(server); })
     , tactics_(loop, std::random_device{}())
     , ids_(settings_.id, incarnation)
@@ -294,6 +295,13 @@
     return ConfigNeighbours{peers, [this] { return isConfigWatcher(self_, membership_->live()); }};
 }
 
+std::vector<InstanceId> Instance::peerIds() const
+{
+    std::vector<InstanceId> ids = liveIds();
+    ids.erase(std::remove(ids.begin(), ids.end(), self_.id), ids.end());
+    return ids;
+}
+
 std::vector<InstanceId> Instance::liveIds() const
 {
     std::vector<InstanceId> ids;
--- a/packages/router/include/burdock/router/httpbackends.h
+++ b/packages/router/include/burdock/router/httpbackends.h
@@ -17,7 +17,7 @@
     void cancel(BackendRequestId id) override;
 
     /// What a server's response means: its answer, or why there is none and whether the request may have run.
-    static Result<BackendReply> read(const HeaderNames &names, const ServerEntry &server, Result<HttpResponse> response);
+    static Result<ServerReply> read(const HeaderNames &names, const ServerEntry &server, Result<HttpResponse> response);
 
 private:
     Runtime &runtime_;
--- a/packages/router/src/httpbackends.cpp
+++ b/packages/router/src/httpbackends.cpp
@@ -87,7 +87,7 @@
     client_.cancel(id);
 }
 
-Result<BackendReply> HttpBackends::read(const HeaderNames &names, const ServerEntry &server, Result<HttpResponse> response)
+Result<ServerReply> HttpBackends::read(const HeaderNames &names, const ServerEntry &server, Result<HttpResponse> response)
 {
     if (!response) {
         return tl::make_unexpected(response.error());
@@ -98,7 +98,7 @@
     if (response->headers.count(names.notRun) > 0) {
         return notRun(Errc::Overloaded, "the server did not run it, status " + std::to_string(response->status));
     }
-    BackendReply reply;
+    ServerReply reply;
     reply.status = response->status;
     reply.signature = valueOf(response->headers, names.signature);
     if (response->headers.count("content-encoding") > 0) {
--- a/packages/routing/include/burdock/routing/backendrequests.h
+++ b/packages/routing/include/burdock/routing/backendrequests.h
@@ -28,7 +28,7 @@
 };
 
 /// A server's whole answer.
-struct BackendReply
+struct ServerReply
 {
     int status = 0;
     /// The server's signature of this answer; empty where it gave none.
@@ -56,7 +56,7 @@
 public:
     virtual ~BackendRequests() = default;
 
-    using Callback = std::function<void(Result<BackendReply>)>;
+    using Callback = std::function<void(Result<ServerReply>)>;
 
     /// Sends the request, with what is left until the deadline as the server's time.
     virtual BackendRequestId send(const ServerHandle &server, const std::shared_ptr<const ClientRequest> &request, TimePoint deadline, Callback done) = 0;
--- a/packages/routing/include/burdock/routing/requestdesk.h
+++ b/packages/routing/include/burdock/routing/requestdesk.h
@@ -48,9 +48,12 @@
     void finish(DeskId id);
     std::unique_ptr<RequestRun> makeRun(const RunTerms &terms);
     Duration retryAfter(const Route &route);
+    /// The span, or up to half as much again, so that clients do not all come back at once.
+    Duration spread(Duration span);
 
     RoutingContext &context_;
     std::mt19937_64 random_;
+    const TimePoint started_;
     std::shared_ptr<const RouteTable> routes_;
     WeightedSplit split_;
     DeskId last_ = 0;
--- a/packages/routing/include/burdock/routing/servicecall.h
+++ b/packages/routing/include/burdock/routing/servicecall.h
@@ -12,7 +12,7 @@
 /// How a call of a service ended.
 struct CallOutcome
 {
-    Result<BackendReply> reply;
+    Result<ServerReply> reply;
     /// True where every attempt is known not to have run.
     bool nothingRan = true;
     std::uint32_t sends = 0;
@@ -69,12 +69,12 @@
     bool launch(const char *kind, const std::string &reason);
     void armHedge(const ChosenServer &chosen);
     void hedge();
-    void ended(std::uint64_t number, Result<BackendReply> reply);
-    void learn(const Attempt &attempt, const Result<BackendReply> &reply);
-    bool good(const Result<BackendReply> &reply) const;
+    void ended(std::uint64_t number, Result<ServerReply> reply);
+    void learn(const Attempt &attempt, const Result<ServerReply> &reply);
+    bool good(const Result<ServerReply> &reply) const;
     bool retry(const std::string &reason);
     bool mayRunAgain() const;
-    void settle(Result<BackendReply> reply);
+    void settle(Result<ServerReply> reply);
 
     RoutingContext &context_;
     const std::shared_ptr<const Route> route_;
--- a/packages/routing/src/clientanswer.cpp
+++ b/packages/routing/src/clientanswer.cpp
@@ -1,5 +1,6 @@
 #include <burdock/routing/clientanswer.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Burdock
@@ -18,7 +19,7 @@
 ClientAnswer failureAnswer(const Failure &failure, bool nothingRan, bool pastDeadline, Duration retryAfter)
 {
     if (nothingRan && !pastDeadline) {
-        return refusal(AnswerStatus::Unavailable, failure.message, retryAfter);
+        return refusal(AnswerStatus::Unavailable, failure.message, std::max(retryAfter, failure.retryAfter));
     }
     ClientAnswer answer;
     answer.kind = ClientAnswer::Kind::Failed;
--- a/packages/routing/src/requestdesk.cpp
+++ b/packages/routing/src/requestdesk.cpp
@@ -16,8 +16,9 @@
 constexpr Duration FirstReturn = std::chrono::milliseconds(150);
 constexpr Duration ReturnPerPriority = std::chrono::milliseconds(200);
 constexpr double ReturnSpread = 0.5;
-/// When an instance without a configuration is worth another try.
-constexpr Duration StartingReturn = std::chrono::milliseconds(500);
+/// When an instance without a configuration is worth another try: it lacks one for about as long again as it has lacked it.
+constexpr Duration EarliestStartingReturn = std::chrono::milliseconds(400);
+constexpr Duration LatestStartingReturn = std::chrono::milliseconds(2500);
 
 std::string_view pathOf(const std::string &target)
 {
@@ -29,6 +30,7 @@
 RequestDesk::RequestDesk(RoutingContext &context, std::uint64_t seed)
     : context_(context)
     , random_(seed)
+    , started_(context.runtime.now())
 {
 }
 
@@ -46,9 +48,13 @@
 
 Duration RequestDesk::retryAfter(const Route &route)
 {
-    const double spread = 1 + ReturnSpread * std::uniform_real_distribution<double>()(random_);
-    const Duration base = FirstReturn + ReturnPerPriority * std::max<std::int64_t>(route.priority, 0);
-    return Duration(static_cast<Duration::rep>(static_cast<double>(base.count()) * spread));
+    return spread(FirstReturn + ReturnPerPriority * std::max<std::int64_t>(route.priority, 0));
+}
+
+Duration RequestDesk::spread(Duration span)
+{
+    const double factor = 1 + ReturnSpread * std::uniform_real_distribution<double>()(random_);
+    return Duration(static_cast<Duration::rep>(static_cast<double>(span.count()) * factor));
 }
 
 std::unique_ptr<RequestRun> RequestDesk::makeRun(const RunTerms &terms)
@@ -63,7 +69,8 @@
 {
     const DeskId id = ++last_;
     if (!routes_) {
-        answered(nullptr, refusal(AnswerStatus::Unavailable, "no configuration is known yet", StartingReturn));
+        const Duration lacking = std::clamp(context_.runtime.now() - started_, EarliestStartingReturn, LatestStartingReturn);
+        answered(nullptr, refusal(AnswerStatus::Unavailable, "no configuration is known yet", spread(lacking)));
         return id;
     }
     const auto host = request.headers.find("host");
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t MostRefusals = 2;
 /// A hedge goes out no earlier than this part of the expectation beyond it, however near the goal is.
 constexpr int EarliestPart = 8;
+/// When a service without a listed server is worth another try: entries that lapsed are back within two seconds of the store's return.
+constexpr Duration ListingReturn = std::chrono::milliseconds(1200);
 /// With less time than this left, no further attempt can be answered.
 constexpr Duration LeastTime = std::chrono::milliseconds(10);
 
@@ -49,7 +51,9 @@
     done_ = std::move(done);
     context_.budget.firstSent(service_, context_.runtime.now());
     if (!launch("send", {})) {
-        settle(notRun(Errc::Unavailable, "no server of the service can take a request"));
+        const bool listed = !context_.servers.servers(service_).empty();
+        settle(listed ? notRun(Errc::Overloaded, "no server of the service can take a request now")
+                      : notRun(Errc::Unavailable, "no server of the service is listed", ListingReturn));
     }
 }
 
@@ -72,7 +76,7 @@
     tried_.push_back(chosen.server->id);
     Attempt attempt{0, chosen.server, now, !first && !attempts_.empty()};
     context_.choice.sent(*chosen.server, now);
-    attempt.id = context_.backends.send(chosen.server, request_, deadline_, [this, number](Result<BackendReply> reply) { ended(number, std::move(reply)); });
+    attempt.id = context_.backends.send(chosen.server, request_, deadline_, [this, number](Result<ServerReply> reply) { ended(number, std::move(reply)); });
     attempts_.emplace(number, std::move(attempt));
     if (first) {
         ++context_.counters.firstSends;
@@ -119,12 +123,12 @@
     launch("hedge", "late answer");
 }
 
-bool ServiceCall::good(const Result<BackendReply> &reply) const
+bool ServiceCall::good(const Result<ServerReply> &reply) const
 {
     return reply && reply->succeeded();
 }
 
-void ServiceCall::learn(const Attempt &attempt, const Result<BackendReply> &reply)
+void ServiceCall::learn(const Attempt &attempt, const Result<ServerReply> &reply)
 {
     const TimePoint now = context_.runtime.now();
     if (good(reply)) {
@@ -141,7 +145,7 @@
     }
 }
 
-void ServiceCall::ended(std::uint64_t number, Result<BackendReply> reply)
+void ServiceCall::ended(std::uint64_t number, Result<ServerReply> reply)
 {
     const auto node = attempts_.extract(number);
     learn(node.mapped(), reply);
@@ -179,7 +183,7 @@
     return launch("retry", reason);
 }
 
-void ServiceCall::settle(Result<BackendReply> reply)
+void ServiceCall::settle(Result<ServerReply> reply)
 {
     context_.runtime.cancel(std::exchange(hedgeTimer_, 0));
     const Done done = std::exchange(done_, nullptr);
--- a/packages/routing/tests/forwardtest.cpp
+++ b/packages/routing/tests/forwardtest.cpp
@@ -23,7 +23,7 @@
     }
     SECTION("a failure of the only server")
     {
-        bench.backends.answer(BackendReply{500, "sig", {}, "broken"});
+        bench.backends.answer(ServerReply{500, "sig", {}, "broken"});
         CHECK(bench.answer->status == 500);
         CHECK(bench.answer->body == "broken");
     }
@@ -150,6 +150,17 @@
         CHECK(bench.answer->status == AnswerStatus::Unavailable);
         CHECK(bench.answer->retryAfter > Duration{0});
     }
+    SECTION("the longer it lacks one, the later it is worth another try")
+    {
+        bench.ask("parts");
+        const Duration first = bench.answer->retryAfter;
+        bench.runtime.advance(seconds(2));
+        bench.ask("parts");
+        CHECK(bench.answer->retryAfter > 2 * first);
+        bench.runtime.advance(seconds(60));
+        bench.ask("parts");
+        CHECK(bench.answer->retryAfter < seconds(4));
+    }
     SECTION("no route matches")
     {
         bench.use({RoutingBench::route("parts")});
@@ -162,14 +173,21 @@
         bench.ask("parts");
         CHECK(bench.answer->status == AnswerStatus::Unavailable);
         CHECK(bench.answer->kind == ClientAnswer::Kind::Refused);
+        // Entries that lapsed may take two seconds to come back.
+        CHECK(bench.answer->retryAfter > seconds(1));
     }
     SECTION("less urgent requests are told to come back later than urgent ones")
     {
+        bench.list("p1", "parts");
+        bench.list("s1", "scans");
+        bench.choice.setConnections({{ServiceName("parts"), 1}, {ServiceName("scans"), 1}});
         Route urgent = RoutingBench::route("parts");
         Route idle = RoutingBench::route("scans");
         idle.priority = 3;
         bench.use({urgent, idle});
         bench.ask("parts");
+        bench.ask("scans");
+        bench.ask("parts");
         const Duration first = bench.answer->retryAfter;
         bench.ask("scans");
         CHECK(bench.answer->retryAfter > first);
--- a/packages/routing/tests/gathertest.cpp
+++ b/packages/routing/tests/gathertest.cpp
@@ -104,7 +104,7 @@
     }
     SECTION("a server's failure is no part, though it is signed")
     {
-        bench.backends.answer(BackendReply{500, "signed", {}, record('z')}, "a1");
+        bench.backends.answer(ServerReply{500, "signed", {}, record('z')}, "a1");
         for (const char *server : {"b1", "c1", "d1"}) {
             bench.backends.answer(success(record(server[0])), server);
         }
--- a/packages/routing/tests/routingbench.h
+++ b/packages/routing/tests/routingbench.h
@@ -42,7 +42,7 @@
     }
 
     /// Ends the request that has been under way longest, or the first one at the server.
-    void answer(Result<BackendReply> reply, const std::string &server = {})
+    void answer(Result<ServerReply> reply, const std::string &server = {})
     {
         const auto at = std::find_if(open.begin(), open.end(), [&](const Sent &sent) { return server.empty() || sent.server->id.text() == server; });
         const Sent sent = *at;
@@ -64,17 +64,17 @@
 };
 
 /// A success with a body; the signature is the body's own unless another is given.
-inline BackendReply success(const std::string &body, const std::string &signature = {})
+inline ServerReply success(const std::string &body, const std::string &signature = {})
 {
     return {200, signature.empty() ? "sig-" + body : signature, {}, body};
 }
 
-inline Result<BackendReply> refusedByServer()
+inline Result<ServerReply> refusedByServer()
 {
     return notRun(Errc::Overloaded, "the server did not run it");
 }
 
-inline Result<BackendReply> lostAtServer()
+inline Result<ServerReply> lostAtServer()
 {
     return mayHaveRun(Errc::ConnectionLost, "the connection closed");
 }
