--- a/soak/src/main.cpp
+++ b/soak/src/main.cpp
@@ -31,6 +31,7 @@
                                     {"seconds", "N", "20", "For how long a seed brings about faults."},
                                     {"instances", "N", "6", "How many instances."},
                                     {"rate", "N", "120", "Requests a second."},
+                                    {"only", "KIND", "", "Brings about this kind of fault alone, such as 'server leaves'."},
                                     {"untimed", "", "", "Leaves out the promises that name a time, for machines that are busy."},
                                     {"report", "FOLDER", "", "Writes a page for each seed there."},
                                     {"logs", "FOLDER", "", "Keeps the instances' logs of a seed that fails there."},
@@ -47,6 +48,7 @@
     int instances = 6;
     int rate = 120;
     bool timed = true;
+    std::string only;
     std::string report;
     std::string logs;
 };
@@ -78,6 +80,10 @@
     options.minutes = std::chrono::minutes(minutes);
     options.seconds = std::chrono::seconds(seconds);
     options.timed = !values.on("untimed");
+    options.only = values.text("only");
+    if (!options.only.empty() && !SoakFaults::knows(options.only)) {
+        return notRun(Errc::BadRequest, "--only: there is no kind of fault '" + options.only + "'");
+    }
     options.report = values.text("report");
     options.logs = values.text("logs");
     return options;
@@ -102,7 +108,7 @@
     }
     SoakChecks checks(world, options.timed);
     SoakLoad load(world, checks, seed, options.rate);
-    SoakFaults faults(world, load, checks, seed);
+    SoakFaults faults(world, load, checks, seed, options.only);
     load.start();
     faults.start();
     const auto runFor = [&](Duration span) {
--- a/soak/src/soakchecks.cpp
+++ b/soak/src/soakchecks.cpp
@@ -179,10 +179,12 @@
 
 void SoakChecks::checkLeft(const std::string &server)
 {
-    const bool calm = world_.undisturbed("store", 3 * StabilityWindow)
-        && std::all_of(world_.instances().begin(), world_.instances().end(), [this](const std::string &instance) {
-                          return world_.undisturbed(instance, 3 * StabilityWindow);
-                      });
+    constexpr Duration LookedAtAfter = std::chrono::seconds(6);
+    const Duration span = LookedAtAfter + StabilityWindow;
+    const bool calm =
+        world_.undisturbed("store", span) && std::all_of(world_.instances().begin(), world_.instances().end(), [this, span](const std::string &instance) {
+            return world_.undisturbed(instance, span);
+        });
     const Json status = world_.bed().control("GET", "/fake/servers").at(server);
     if (timed_ && calm && status.at("lastAfterLeavingMs").get<std::int64_t>() > DrainBoundMs) {
         violation("no work for a leaving server", server + " got a request " + status.at("lastAfterLeavingMs").dump() + " ms after it began to leave");
--- a/soak/src/soakfaults.cpp
+++ b/soak/src/soakfaults.cpp
@@ -54,11 +54,12 @@
     return all;
 }
 
-SoakFaults::SoakFaults(SoakWorld &world, SoakLoad &load, SoakChecks &checks, std::uint64_t seed)
+SoakFaults::SoakFaults(SoakWorld &world, SoakLoad &load, SoakChecks &checks, std::uint64_t seed, std::string only)
     : world_(world)
     , load_(load)
     , checks_(checks)
     , random_(seed)
+    , only_(std::move(only))
     , started_(world.bed().loop().now())
 {
 }
@@ -68,6 +69,11 @@
     end();
 }
 
+bool SoakFaults::knows(const std::string &kind)
+{
+    return std::any_of(kinds().begin(), kinds().end(), [&kind](const Kind &each) { return each.name == kind; });
+}
+
 void SoakFaults::start()
 {
     next();
@@ -75,7 +81,8 @@
 
 void SoakFaults::next()
 {
-    const Kind &kind = kinds()[random_() % kinds().size()];
+    const auto named = std::find_if(kinds().begin(), kinds().end(), [this](const Kind &each) { return each.name == only_; });
+    const Kind &kind = named != kinds().end() ? *named : kinds()[random_() % kinds().size()];
     const double at = std::chrono::duration<double>(world_.bed().loop().now() - started_).count();
     played_.push_back({kind.name, at, at});
     (this->*kind.begin)();
--- a/soak/src/soakfaults.h
+++ b/soak/src/soakfaults.h
@@ -22,7 +22,11 @@
 class SoakFaults
 {
 public:
-    SoakFaults(SoakWorld &world, SoakLoad &load, SoakChecks &checks, std::uint64_t seed);
+    /// `only`: the one kind of fault to bring about; all kinds where it is empty.
+    SoakFaults(SoakWorld &world, SoakLoad &load, SoakChecks &checks, std::uint64_t seed, std::string only);
+
+    /// Whether there is a kind of fault of that name.
+    static bool knows(const std::string &kind);
     ~SoakFaults();
     SoakFaults(const SoakFaults &) = delete;
     SoakFaults &operator=(const SoakFaults &) = delete;
@@ -90,6 +94,7 @@
     SoakLoad &load_;
     SoakChecks &checks_;
     std::mt19937_64 random_;
+    const std::string only_;
     const TimePoint started_;
     TimerId timer_ = 0;
     bool ended_ = false;
