--- a/packages/router/src/relayedstore.cpp
+++ b/packages/router/src/relayedstore.cpp
@@ -2,9 +2,8 @@
 
 #include <burdock/router/relaycodec.h>
 #include <burdock/router/relayservice.h>
+#include <burdock/wire/percentencoding.h>
 
-#include <cstdlib>
-#include <event2/http.h>
 #include <utility>
 
 namespace Burdock
@@ -26,12 +25,6 @@
 /// How long a watch stays at the store before it looks for a relay again.
 constexpr Duration StoreSpell = std::chrono::seconds(2);
 
-std::string encoded(const std::string &text)
-{
-    const std::unique_ptr<char, void (*)(void *)> safe(evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0), &std::free);
-    return safe.get();
-}
-
 } // namespace
 
 RelayedStore::RelayedStore(Runtime &runtime, HttpClient &client, Store &store, RelayChoice &relays, std::string relaysFrom, DecisionLog &log)
@@ -68,7 +61,7 @@
     HttpRequest request;
     request.address = relay;
     request.method = "GET";
-    request.path = std::string(RelayService::EntriesPath) + "?prefix=" + encoded(prefix);
+    request.path = std::string(RelayService::EntriesPath) + "?prefix=" + percentEncoded(prefix);
     request.timeout = RangeTimeout;
     client_.send(std::move(request), [this, relay, prefix, done = std::move(done), alive = alive_](const Result<HttpResponse> &response) {
         if (!*alive) {
@@ -156,7 +149,7 @@
     HttpRequest request;
     request.address = relay;
     request.method = "GET";
-    request.path = std::string(RelayService::ChangesPath) + "?prefix=" + encoded(watch.key) + "&after=" + std::to_string(watch.revision)
+    request.path = std::string(RelayService::ChangesPath) + "?prefix=" + percentEncoded(watch.key) + "&after=" + std::to_string(watch.revision)
         + "&waitMs=" + std::to_string(PollWait / std::chrono::milliseconds(1));
     request.timeout = PollWait + PollSlack;
     watch.poll = client_.send(std::move(request), [this, id, relay](const Result<HttpResponse> &response) { polled(id, relay, response); });
--- a/packages/routing/include/burdock/routing/routetable.h
+++ b/packages/routing/include/burdock/routing/routetable.h
@@ -18,9 +18,6 @@
     /// The route; null where none matches. Shares the life of the configuration. A port in `host` is ignored.
     std::shared_ptr<const Route> find(std::string_view host, std::string_view path) const;
 
-    /// Whether any route has the host.
-    bool knowsHost(std::string_view host) const;
-
     const RoutingConfig &config() const
     {
         return *config_;
--- a/packages/routing/src/routetable.cpp
+++ b/packages/routing/src/routetable.cpp
@@ -45,9 +45,4 @@
     return nullptr;
 }
 
-bool RouteTable::knowsHost(std::string_view host) const
-{
-    return hosts_.count(hostName(host)) > 0;
-}
-
 } // namespace Burdock
--- a/packages/routing/tests/tablestest.cpp
+++ b/packages/routing/tests/tablestest.cpp
@@ -52,7 +52,6 @@
     CHECK(table.find("SHOP.example:8080", "/parts/7")->name == "parts");
     CHECK(table.find("other.example", "/parts/7") == nullptr);
     CHECK(table.find("nobody.example", "/") == nullptr);
-    CHECK_FALSE(table.knowsHost("nobody.example"));
 }
 
 TEST_CASE("Servers that leave get nothing more", "[servers]")
