--- a/packages/router/include/burdock/router/routingfeed.h
+++ b/packages/router/include/burdock/router/routingfeed.h
@@ -27,7 +27,14 @@
         std::function<void()> instances;
     };
 
-    RoutingFeed(Runtime &runtime, Store &store, const Dialect &dialect, ServerTable &servers, InstanceTable &instances, RelayService &relay, DecisionLog &log, Events events);
+    RoutingFeed(Runtime &runtime,
+                Store &store,
+                const Dialect &dialect,
+                ServerTable &servers,
+                InstanceTable &instances,
+                RelayService &relay,
+                DecisionLog &log,
+                Events events);
     ~RoutingFeed();
     RoutingFeed(const RoutingFeed &) = delete;
     RoutingFeed &operator=(const RoutingFeed &) = delete;
