Write a relay's answer once for all that ask the same

A relay copied and encoded the changes anew for each of the instances that wait, a configuration of some ten kB each time, and the log summed all its values at each change. Now answers are kept until the next change, and the sum is kept up. Ruled out: the store (its acknowledgement takes 171 ms at 300).

--- a/packages/router/include/burdock/router/relayservice.h
+++ b/packages/router/include/burdock/router/relayservice.h
@@ -54,10 +54,15 @@
         std::map<std::string, StoreEntry> entries;
         std::int64_t revision = 0;
         bool begun = false;
+        /// Answers as they were last written, for the others that ask the same: all keys, and the changes after a revision.
+        std::string listing;
+        std::map<std::int64_t, std::string> changes;
+
+        void forgetAnswers();
     };
 
     bool fresh() const;
-    void serveEntries(const HttpIncoming &incoming, HttpResponder &responder) const;
+    void serveEntries(const HttpIncoming &incoming, HttpResponder &responder);
     /// True where the poll was answered; with `ended` also by an empty answer.
     bool answer(const Poll &poll, bool ended);
     void answerWaiting(const std::string &prefix);
--- a/packages/router/src/relayservice.cpp
+++ b/packages/router/src/relayservice.cpp
@@ -66,9 +66,16 @@
     return runtime_.now() - confirmedAt_() < StaleAfter;
 }
 
+void RelayService::Known::forgetAnswers()
+{
+    listing.clear();
+    changes.clear();
+}
+
 void RelayService::listed(const std::string &prefix, const std::vector<StoreEntry> &entries, std::int64_t revision)
 {
     Known &known = known_[prefix];
+    known.forgetAnswers();
     known.log.restart(revision);
     known.revision = revision;
     known.begun = true;
@@ -82,6 +89,7 @@
 void RelayService::changed(const std::string &prefix, const StoreEntry &entry)
 {
     Known &known = known_[prefix];
+    known.forgetAnswers();
     known.log.append(entry);
     known.revision = std::max(known.revision, entry.modRevision);
     if (entry.deleted) {
@@ -92,19 +100,23 @@
     answerWaiting(prefix);
 }
 
-void RelayService::serveEntries(const HttpIncoming &incoming, HttpResponder &responder) const
+void RelayService::serveEntries(const HttpIncoming &incoming, HttpResponder &responder)
 {
     const auto known = known_.find(parameter(incoming, "prefix"));
     if (!fresh() || known == known_.end() || !known->second.begun) {
         responder.respond(bare(UnavailableStatus));
         return;
     }
-    StoreRange range;
-    range.revision = known->second.revision;
-    for (const auto &[key, entry] : known->second.entries) {
-        range.entries.push_back(entry);
+    std::string &listing = known->second.listing;
+    if (listing.empty()) {
+        StoreRange range;
+        range.revision = known->second.revision;
+        for (const auto &[key, entry] : known->second.entries) {
+            range.entries.push_back(entry);
+        }
+        listing = writeRange(range);
     }
-    responder.respond(bare(OkStatus, writeRange(range)));
+    responder.respond(bare(OkStatus, listing));
 }
 
 void RelayService::serve(const HttpIncoming &incoming, const std::shared_ptr<HttpResponder> &responder)
@@ -137,15 +149,24 @@
         poll.responder->respond(bare(UnavailableStatus));
         return true;
     }
-    const auto changes = known_[poll.prefix].log.since(poll.after);
+    Known &known = known_[poll.prefix];
+    const auto written = known.changes.find(poll.after);
+    if (written != known.changes.end()) {
+        poll.responder->respond(bare(OkStatus, written->second));
+        return true;
+    }
+    const auto changes = known.log.since(poll.after);
     if (!changes) {
         poll.responder->respond(bare(GoneStatus));
         return true;
     }
-    if (changes->empty() && !ended) {
-        return false;
+    if (changes->empty()) {
+        if (ended) {
+            poll.responder->respond(bare(OkStatus, writeChanges(*changes)));
+        }
+        return ended;
     }
-    poll.responder->respond(bare(OkStatus, writeChanges(*changes)));
+    poll.responder->respond(bare(OkStatus, known.changes.emplace(poll.after, writeChanges(*changes)).first->second));
     return true;
 }
 
--- a/packages/routing/include/burdock/routing/changelog.h
+++ b/packages/routing/include/burdock/routing/changelog.h
@@ -28,6 +28,8 @@
     /// Changes up to this revision are not kept.
     std::int64_t keptFrom_ = 0;
     std::deque<StoreEntry> entries_;
+    /// The size of all values that are kept.
+    std::size_t bytes_ = 0;
 };
 
 } // namespace Burdock
--- a/packages/routing/src/changelog.cpp
+++ b/packages/routing/src/changelog.cpp
@@ -21,17 +21,15 @@
     begun_ = true;
     keptFrom_ = revision;
     entries_.clear();
+    bytes_ = 0;
 }
 
 void ChangeLog::append(const StoreEntry &entry)
 {
     entries_.push_back(entry);
-    std::size_t bytes = 0;
-    for (const StoreEntry &kept : entries_) {
-        bytes += kept.value.size();
-    }
-    while (entries_.size() > MostEntries || (bytes > MostBytes && entries_.size() > 1)) {
-        bytes -= entries_.front().value.size();
+    bytes_ += entry.value.size();
+    while (entries_.size() > MostEntries || (bytes_ > MostBytes && entries_.size() > 1)) {
+        bytes_ -= entries_.front().value.size();
         keptFrom_ = entries_.front().modRevision;
         entries_.pop_front();
     }
