Keep the repeat budget over restarts, leave out crowded instances, judge a reborn server anew

Cause: an instance that restarts has forgotten what it spent and takes its whole part of the slack again; and just after a restart of all, few records say ready, so each divides the slack by too few. Now an instance earns 85 of 100 parts of its slack over its first window, and divides by all that would be chosen if all were ready. Tests: tablestest 'killed again and again within a window', 'they count as senders before they are ready'.

Besides: the delay of the loop is measured and told, and crowded instances get no new clients while they are at most a third (they were never told to be crowded before); a server's new life under its id no longer inherits rests and failures; a server that has just started counts as slower until its own answers are measured.

--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -9,6 +9,7 @@
 #include <burdock/router/routersettings.h>
 #include <burdock/router/routingfeed.h>
 #include <burdock/routing/instancelease.h>
+#include <burdock/routing/loopdelay.h>
 #include <burdock/wire/eventloop.h>
 
 #include <memory>
@@ -85,10 +86,11 @@
     std::unique_ptr<HttpServer> directory_;
     std::unique_ptr<HttpServer> peers_;
     std::map<ServerId, ServerEntry> reachable_;
+    LoopDelay delay_;
+    TimePoint tickDue_{};
     Duration suspended_{0};
     TimerId tickTimer_ = 0;
     TimerId stateTimer_ = 0;
-    bool announced_ = false;
     bool leaving_ = false;
     TimePoint leavingSince_{};
     std::function<void()> left_;
--- a/packages/router/include/burdock/router/routingfeed.h
+++ b/packages/router/include/burdock/router/routingfeed.h
@@ -24,6 +24,7 @@
     struct Events
     {
         std::function<void(std::shared_ptr<const RouteTable>)> routes;
+        std::function<void()> serversListed;
         std::function<void()> instances;
     };
 
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -100,7 +100,7 @@
     , servers_([this](const ServerEntry &server, bool usable) { serverChanged(server, usable); })
     , instances_(seed)
     , choice_(servers_, latencies_, load_, settings.regions, settings.region, seed)
-    , budget_(settings.repeats)
+    , budget_(settings.repeats, loop.now())
     , backends_(loop, client, dialect.headers())
     , context_{loop, backends_, servers_, choice_, load_, budget_, counters_, *journal_}
     , desk_(context_, seed)
@@ -124,7 +124,7 @@
             instances_,
             relay_,
             log,
-            {[this](const std::shared_ptr<const RouteTable> &routes) { routesChanged(routes); }, [this] { instancesChanged(); }})
+            {[this](const std::shared_ptr<const RouteTable> &routes) { routesChanged(routes); }, [this] { announce(); }, [this] { instancesChanged(); }})
     , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
     , readiness_(makeHttpServer(loop, smallLimits()))
     , directory_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
@@ -169,6 +169,7 @@
     // Also before it is ready: others may ask it for changes, and it them.
     lease_.start(writeInstance(self_));
     feed_.start();
+    tickDue_ = loop_.now();
     tick();
     stateTimer_ = loop_.schedule(StateEvery, [this] { tellState(); });
     return {};
@@ -192,18 +193,24 @@
 
 void Router::announce()
 {
-    if (self_.ready != ready()) {
-        self_.ready = ready();
-        log_.write(DecisionWeight::Change, "readiness.changed", {{"ready", self_.ready ? 1 : 0}, {"config", feed_.version()}});
-        instancesChanged();
-        if (!leaving_) {
-            lease_.change(writeInstance(self_));
-        }
+    const bool same = self_.ready == ready() && self_.crowded == delay_.crowded();
+    if (same) {
+        return;
+    }
+    self_.ready = ready();
+    self_.crowded = delay_.crowded();
+    log_.write(DecisionWeight::Change,
+               "readiness.changed",
+               {{"ready", self_.ready ? 1 : 0}, {"crowded", self_.crowded ? 1 : 0}, {"loopDelayUs", delay_.smoothed().count()}, {"config", feed_.version()}});
+    instancesChanged();
+    if (!leaving_) {
+        lease_.change(writeInstance(self_));
     }
 }
 
 void Router::tick()
 {
+    delay_.ran(tickDue_, loop_.now());
     const Duration suspended = loop_.suspended();
     if (suspended - suspended_ > SuspensionNoticed) {
         log_.write(DecisionWeight::Change, "machine.woke", {{"suspendedMs", (suspended - suspended_).count() / 1000}});
@@ -214,6 +221,7 @@
     suspended_ = suspended;
     relay_.check();
     announce();
+    tickDue_ = loop_.now() + TickEvery;
     tickTimer_ = loop_.schedule(TickEvery, [this] { tick(); });
 }
 
@@ -281,7 +289,8 @@
     const std::vector<InstanceRecord> chosen = instances_.chosenIn(self_.region, self_);
     const bool self = std::any_of(chosen.begin(), chosen.end(), [this](const InstanceRecord &record) { return record.id == self_.id; });
     choice_.setInstances(chosen.size(), instances_.countChosen(self_), self);
-    budget_.setInstances(self ? instances_.countChosen(self_) : instances_.count(self_) * OutsiderPart);
+    const Senders senders = instances_.senders(self_);
+    budget_.setInstances(senders.self ? senders.count : instances_.count(self_) * OutsiderPart);
     relays_.setInstances(instances_.recordsIn(self_.region));
     connectionsChanged();
 }
@@ -306,12 +315,13 @@
                 {"born", server.born}});
     if (usable) {
         reachable_[server.id] = server;
+        choice_.listed(server, loop_.now());
         const std::uint32_t share = choice_.connectionShare(server.service);
         client_.setLimits(server.address, ConnectionLimits{share, share, 0});
         return;
     }
     reachable_.erase(server.id);
-    latencies_.forget(server.id);
+    choice_.left(server.id);
     const bool reused = std::any_of(reachable_.begin(), reachable_.end(), [&server](const auto &other) { return other.second.address == server.address; });
     if (!reused) {
         client_.setLimits(server.address, ConnectionLimits{1, 0, 0});
@@ -366,6 +376,9 @@
     counter("burdock_repeats_denied_total", "Hedges and retries that the budget did not allow.", &counters_.repeatsDenied);
     counter("burdock_refused_by_servers_total", "Requests that a server did not run.", &counters_.refusedByServers);
     counter("burdock_failed_at_servers_total", "Requests that failed and may have run.", &counters_.failedAtServers);
+    metrics_.watch("burdock_loop_delay_microseconds", "gauge", "How late the loop gets to its work, smoothed over a second.", [this] {
+        return static_cast<double>(delay_.smoothed().count());
+    });
     metrics_.watch("burdock_requests_waiting", "gauge", "Requests that wait for their answer.", [this] { return static_cast<double>(desk_.waiting()); });
     metrics_.watch("burdock_config_version", "gauge", "Version of the routes in force.", [this] { return static_cast<double>(feed_.version()); });
     metrics_.watch("burdock_servers_listed", "gauge", "Servers with an entry.", [this] { return static_cast<double>(servers_.size()); });
--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -166,6 +166,7 @@
     log_.write(DecisionWeight::Change,
                "servers.listed",
                {{"entries", static_cast<std::int64_t>(entries.size())}, {"servers", static_cast<std::int64_t>(servers_.size())}});
+    events_.serversListed();
 }
 
 void RoutingFeed::takeInstance(const StoreEntry &entry)
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -25,7 +25,7 @@
     bool ready = false;
     /// How many processor cores it has, in parts of one.
     double cores = 1;
-    /// Whether it has little room left.
+    /// Whether its loop is late, so that it wants fewer clients.
     bool crowded = false;
 
     auto fields() const
@@ -34,6 +34,18 @@
     }
 };
 
+/// The instances that clients are sent to, and whether this one is among them.
+struct Senders
+{
+    std::size_t count = 0;
+    bool self = false;
+
+    auto fields() const
+    {
+        return std::tie(count, self);
+    }
+};
+
 /// The instances that are alive, as the store tells, and the answer to which of them a client uses.
 ///
 /// Records that lapse while the store is out of reach are kept as they were until `believeListing`: their instances are more
@@ -56,12 +68,17 @@
     ///
     /// Answers fleets of unlike instances: a request to many shards takes an instance with a small part of a core several times
     /// as long, and the fewer instances ask a server, the more each of them knows of it and the more connections it may keep.
-    /// So clients go to the large instances while these are several and have room, and to all otherwise.
+    /// So clients go to the large instances while these are several and have room. A few crowded ones are left out; where many are
+    /// crowded there is more work than the large ones bear, and clients go to all.
     std::vector<InstanceRecord> chosenIn(const Region &region, const InstanceRecord &self) const;
 
     /// How many instances are chosen in all regions together; at least 1.
     std::size_t countChosen(const InstanceRecord &self) const;
 
+    /// The instances that may send many requests to servers, as far as the records tell: those that are chosen, or those that would
+    /// be if all were ready, whichever are more. Just after a restart of many, few are ready and all are about to send.
+    Senders senders(const InstanceRecord &self) const;
+
     /// How many instances there are; `self` is counted once.
     std::size_t count(const InstanceRecord &self) const;
 
--- a/packages/routing/include/burdock/routing/latencybook.h
+++ b/packages/routing/include/burdock/routing/latencybook.h
@@ -31,6 +31,9 @@
     /// What an answer of the server is expected to take.
     Duration expected(const std::string &route, Duration target, const ServerId &server, Distance distance, TimePoint now) const;
 
+    /// Whether an answer of the server on the route was measured.
+    bool measured(const std::string &route, const ServerId &server) const;
+
     /// What an answer of any server at the distance is expected to take.
     Duration usual(const std::string &route, Duration target, Distance distance) const;
 
--- a/packages/routing/include/burdock/routing/repeatbudget.h
+++ b/packages/routing/include/burdock/routing/repeatbudget.h
@@ -26,11 +26,12 @@
 /// Whether a request may be sent to one more server of its service.
 ///
 /// Each instance keeps to the ratio for its own requests and to its part of the slack, so the sum over all instances keeps to
-/// the terms without a word between them.
+/// the terms without a word between them. An instance does not know what it spent before it was restarted: it earns most of
+/// its part of the slack over its first window, so that instances that are killed again and again keep to the terms too.
 class RepeatBudget
 {
 public:
-    explicit RepeatBudget(const RepeatTerms &terms);
+    RepeatBudget(const RepeatTerms &terms, TimePoint started);
 
     void setTerms(const RepeatTerms &terms);
 
@@ -59,6 +60,7 @@
     Usage::Slice &sliceOf(const ServiceName &service, TimePoint now);
 
     RepeatTerms terms_;
+    const TimePoint started_;
     std::size_t instances_ = 1;
     std::unordered_map<ServiceName, Usage> usage_;
 };
--- a/packages/routing/include/burdock/routing/serverchoice.h
+++ b/packages/routing/include/burdock/routing/serverchoice.h
@@ -32,6 +32,12 @@
     /// How many instances of this region send requests to the servers, and how many in all; and whether this is one of them.
     void setInstances(std::size_t inRegion, std::size_t all, bool chosen);
 
+    /// A server may get requests from now on, in a new life or again; what was known of its earlier life is forgotten.
+    void listed(const ServerEntry &server, TimePoint now);
+
+    /// A server is gone or leaves.
+    void left(const ServerId &server);
+
     /// How many connections one server of each service accepts.
     void setConnections(const std::vector<RoutedService> &services);
 
@@ -59,6 +65,7 @@
     void givenUp(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now);
 
 private:
+    Duration expectedOf(const Route &route, const ServerEntry &server, TimePoint now) const;
     bool overdue(const Route &route, Duration age, Duration expected) const;
     double cost(const Route &route, const ServerEntry &server, Duration expected, TimePoint now);
 
--- a/packages/routing/include/burdock/routing/serverload.h
+++ b/packages/routing/include/burdock/routing/serverload.h
@@ -37,6 +37,13 @@
     /// Until when it is left alone after refusals and connection failures.
     TimePoint restsUntil(const ServerId &server) const;
 
+    /// The server is slow until then, since it has just started.
+    void warmsUp(const ServerId &server, TimePoint until);
+
+    /// Until when it is slow after its start.
+    TimePoint coldUntil(const ServerId &server) const;
+
+    /// Forgets a server that is gone or begins another life.
     void forget(const ServerId &server);
 
 private:
@@ -47,6 +54,7 @@
         TimePoint failingAt{};
         std::uint32_t refusalsInARow = 0;
         TimePoint restsUntil{};
+        TimePoint coldUntil{};
     };
 
     void ended(Server &server, TimePoint sentAt, double failure, TimePoint now);
--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -13,6 +13,43 @@
 constexpr double LargePart = 0.5;
 /// Clients are sent to the large instances alone only where they are as many as this: the others take over when they are lost.
 constexpr std::size_t LeastChosen = 3;
+/// Crowded instances are left out while they are at most one in so many; beyond that the others would be crowded next.
+constexpr std::size_t CrowdedOneIn = 3;
+
+/// The records for which `wanted` holds.
+template<class Wanted>
+std::vector<InstanceRecord> only(const std::vector<InstanceRecord> &records, Wanted wanted)
+{
+    std::vector<InstanceRecord> found;
+    std::copy_if(records.begin(), records.end(), std::back_inserter(found), wanted);
+    return found;
+}
+
+bool includes(const std::vector<InstanceRecord> &records, const InstanceId &id)
+{
+    return std::any_of(records.begin(), records.end(), [&id](const InstanceRecord &record) { return record.id == id; });
+}
+
+std::vector<InstanceRecord> readyOf(const std::vector<InstanceRecord> &records)
+{
+    return only(records, [](const InstanceRecord &record) { return record.ready; });
+}
+
+/// Those of one region's instances that its clients are sent to; all of `ready` take clients.
+std::vector<InstanceRecord> chosenOf(const std::vector<InstanceRecord> &ready)
+{
+    double most = 0;
+    for (const InstanceRecord &record : ready) {
+        most = std::max(most, record.cores);
+    }
+    const auto large = only(ready, [most](const InstanceRecord &record) { return record.cores >= most * LargePart; });
+    const auto hasRoom = [](const InstanceRecord &record) { return !record.crowded; };
+    const auto roomy = only(large, hasRoom);
+    if ((large.size() - roomy.size()) * CrowdedOneIn > large.size()) {
+        return ready;
+    }
+    return roomy.size() < LeastChosen ? only(ready, hasRoom) : roomy;
+}
 
 } // namespace
 
@@ -79,15 +116,7 @@
 
 std::vector<InstanceRecord> InstanceTable::chosenIn(const Region &region, const InstanceRecord &self) const
 {
-    const std::vector<InstanceRecord> ready = readyIn(&region, self);
-    double most = 0;
-    for (const InstanceRecord &record : ready) {
-        most = std::max(most, record.cores);
-    }
-    std::vector<InstanceRecord> large;
-    std::copy_if(ready.begin(), ready.end(), std::back_inserter(large), [most](const InstanceRecord &record) { return record.cores >= most * LargePart; });
-    const bool crowded = std::any_of(large.begin(), large.end(), [](const InstanceRecord &record) { return record.crowded; });
-    return large.size() < LeastChosen || crowded ? ready : large;
+    return chosenOf(readyIn(&region, self));
 }
 
 std::size_t InstanceTable::countChosen(const InstanceRecord &self) const
@@ -103,6 +132,26 @@
     return std::max<std::size_t>(sum, 1);
 }
 
+Senders InstanceTable::senders(const InstanceRecord &self) const
+{
+    std::map<Region, std::vector<InstanceRecord>> known;
+    known[self.region].push_back(self);
+    for (const auto &[id, record] : records_) {
+        if (id != self.id) {
+            known[record.region].push_back(record);
+        }
+    }
+    Senders chosen;
+    Senders allReady;
+    for (const auto &[region, records] : known) {
+        const auto now = chosenOf(readyOf(records));
+        const auto then = chosenOf(records);
+        chosen = {chosen.count + now.size(), chosen.self || includes(now, self.id)};
+        allReady = {allReady.count + then.size(), allReady.self || includes(then, self.id)};
+    }
+    return {std::max({chosen.count, allReady.count, std::size_t{1}}), chosen.self || allReady.self};
+}
+
 std::vector<Address> InstanceTable::addressesFor(const Region &region, const InstanceRecord &self, std::size_t most)
 {
     std::vector<InstanceRecord> chosen = chosenIn(region, self);
--- a/packages/routing/src/latencybook.cpp
+++ b/packages/routing/src/latencybook.cpp
@@ -74,6 +74,12 @@
     return Duration(static_cast<Duration::rep>(estimate));
 }
 
+bool LatencyBook::measured(const std::string &route, const ServerId &server) const
+{
+    const auto times = routes_.find(route);
+    return times != routes_.end() && times->second.servers.count(server) > 0;
+}
+
 Duration LatencyBook::usual(const std::string &route, Duration target, Distance distance) const
 {
     const auto times = routes_.find(route);
--- /dev/null
+++ b/packages/routing/src/loopdelay.cpp
@@ -0,0 +1,39 @@
+#include <burdock/routing/loopdelay.h>
+
+#include <algorithm>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// The weight of one sample; with a sample each 200 ms most of an earlier state is forgotten after a second.
+constexpr double SampleWeight = 0.25;
+/// A sample counts for at most this, so that one suspension is forgotten within two seconds.
+constexpr Duration MostSample = std::chrono::milliseconds(200);
+/// A request to many shards takes several turns of the loop; from the first of these an answer within 100 ms, the shortest target
+/// in use, is in doubt. The second is what an instance with room shows.
+constexpr Duration CrowdedFrom = std::chrono::milliseconds(20);
+constexpr Duration RoomyBelow = std::chrono::milliseconds(6);
+
+} // namespace
+
+void LoopDelay::ran(TimePoint due, TimePoint now)
+{
+    const Duration sample = std::clamp(now - due, Duration{0}, MostSample);
+    microseconds_ += SampleWeight * (static_cast<double>(sample.count()) - microseconds_);
+    crowded_ = smoothed() >= (crowded_ ? RoomyBelow : CrowdedFrom);
+}
+
+Duration LoopDelay::smoothed() const
+{
+    return Duration(static_cast<Duration::rep>(microseconds_));
+}
+
+bool LoopDelay::crowded() const
+{
+    return crowded_;
+}
+
+} // namespace Burdock
--- a/packages/routing/src/repeatbudget.cpp
+++ b/packages/routing/src/repeatbudget.cpp
@@ -10,14 +10,18 @@
 
 /// Slices of the window; repeats are counted over one slice more, so that no placing of the window holds more.
 constexpr std::int64_t SlicesPerWindow = 20;
-/// The parts of the ratio and of the slack that are used; the rest covers instances that restart and count anew.
+/// The parts of the ratio and of the slack that are used; the rest covers instances that do not know of each other yet.
 constexpr double UsedRatio = 0.85;
 constexpr double UsedSlack = 0.6;
+/// The part of an instance's slack that it has from its start, so that its first answers need not do without hedges; the rest it
+/// earns. Five lives within one window stay below the whole slack.
+constexpr double FirstSlack = 0.15;
 
 } // namespace
 
-RepeatBudget::RepeatBudget(const RepeatTerms &terms)
+RepeatBudget::RepeatBudget(const RepeatTerms &terms, TimePoint started)
     : terms_(terms)
+    , started_(started)
 {
 }
 
@@ -62,7 +66,10 @@
         requests += past.requests;
         repeats += past.repeats;
     }
-    const double allowed = terms_.ratio * UsedRatio * requests + terms_.slack * UsedSlack / static_cast<double>(instances_);
+    const double lived = std::min(1.0, static_cast<double>((now - started_).count()) / static_cast<double>(terms_.window.count()));
+    const double earned = FirstSlack + (1 - FirstSlack) * lived;
+    const double slack = terms_.slack * UsedSlack * earned / static_cast<double>(instances_);
+    const double allowed = terms_.ratio * UsedRatio * requests + slack;
     if (repeats + 1 > allowed * (1 - reserve)) {
         return false;
     }
--- a/packages/routing/src/serverchoice.cpp
+++ b/packages/routing/src/serverchoice.cpp
@@ -21,6 +21,8 @@
 /// The use of a server's slots from which requests wait, and how fast the wait grows beyond.
 constexpr double BusyFrom = 0.7;
 constexpr double BusyGrowth = 2.0;
+/// How much longer the first answer of a server that has just started is taken to need; its own answers tell more.
+constexpr double ColdFactor = 1.5;
 /// Breaks ties between servers that look alike.
 constexpr double MostJitter = 0.05;
 /// The part of a server's connections that the instances with clients use; the rest covers instances that come and go, and those
@@ -49,6 +51,20 @@
     all_ = std::max<std::size_t>(all, 1);
 }
 
+void ServerChoice::listed(const ServerEntry &server, TimePoint now)
+{
+    left(server.id);
+    if (server.coldFor > Duration{0}) {
+        load_.warmsUp(server.id, now + server.coldFor);
+    }
+}
+
+void ServerChoice::left(const ServerId &server)
+{
+    latencies_.forget(server);
+    load_.forget(server);
+}
+
 void ServerChoice::setConnections(const std::vector<RoutedService> &services)
 {
     connections_.clear();
@@ -73,6 +89,13 @@
     return region != regions_.end() && region->second == own_ ? Distance::SameRegion : Distance::OtherRegion;
 }
 
+Duration ServerChoice::expectedOf(const Route &route, const ServerEntry &server, TimePoint now) const
+{
+    const Duration expected = latencies_.expected(route.name, route.target, server.id, distance(server), now);
+    const bool cold = load_.coldUntil(server.id) > now && !latencies_.measured(route.name, server.id);
+    return cold ? Duration(static_cast<Duration::rep>(static_cast<double>(expected.count()) * ColdFactor)) : expected;
+}
+
 bool ServerChoice::overdue(const Route &route, Duration age, Duration expected) const
 {
     const auto usual = static_cast<double>(latencies_.usual(route.name, route.target, Distance::SameRegion).count());
@@ -103,7 +126,7 @@
         if (wasTried || load_.restsUntil(server->id) > now || load_.underWay(server->id) >= share) {
             continue;
         }
-        const Duration expected = latencies_.expected(route.name, route.target, server->id, distance(*server), now);
+        const Duration expected = expectedOf(route, *server, now);
         const double cost = this->cost(route, *server, expected, now);
         if (!best.server || cost < least) {
             best.server = server;
@@ -139,7 +162,7 @@
 void ServerChoice::givenUp(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now)
 {
     const Duration waited = now - sentAt;
-    if (!overdue(route, waited, latencies_.expected(route.name, route.target, server.id, distance(server), now))) {
+    if (!overdue(route, waited, expectedOf(route, server, now))) {
         load_.givenUp(server.id, sentAt);
         return;
     }
--- a/packages/routing/src/serverload.cpp
+++ b/packages/routing/src/serverload.cpp
@@ -96,6 +96,17 @@
     return known == servers_.end() ? TimePoint{} : known->second.restsUntil;
 }
 
+void ServerLoad::warmsUp(const ServerId &server, TimePoint until)
+{
+    servers_[server].coldUntil = until;
+}
+
+TimePoint ServerLoad::coldUntil(const ServerId &server) const
+{
+    const auto known = servers_.find(server);
+    return known == servers_.end() ? TimePoint{} : known->second.coldUntil;
+}
+
 void ServerLoad::forget(const ServerId &server)
 {
     servers_.erase(server);
--- a/packages/routing/tests/choicetest.cpp
+++ b/packages/routing/tests/choicetest.cpp
@@ -64,6 +64,51 @@
     CHECK(bench.choice.choose(route, ServiceName("parts"), {}, bench.runtime.now()).server->id.text() == "far1");
 }
 
+TEST_CASE("A server that begins another life under its id is not judged by the earlier one", "[choice][life]")
+{
+    RoutingBench bench;
+    bench.list("near1", "parts");
+    const Route route = RoutingBench::route("parts");
+    const auto rested = [&] { return bench.choice.choose(route, ServiceName("parts"), {}, bench.runtime.now()).server == nullptr; };
+    bench.load.sent(ServerId("near1"), bench.runtime.now());
+    bench.load.refused(ServerId("near1"), bench.runtime.now(), bench.runtime.now());
+    REQUIRE(rested());
+    ServerEntry reborn = *bench.servers.servers(ServiceName("parts")).front();
+    reborn.born = 2;
+    bench.servers.put(reborn);
+    CHECK_FALSE(rested());
+    CHECK(bench.load.failing(ServerId("near1"), bench.runtime.now()) == 0);
+}
+
+TEST_CASE("A server that has just started is passed over until its own answers are measured or it is warm", "[choice][cold]")
+{
+    RoutingBench bench;
+    bench.list("near1", "parts");
+    const Route route = RoutingBench::route("parts");
+    const auto chosen = [&] { return bench.choice.choose(route, ServiceName("parts"), {}, bench.runtime.now()); };
+    play(bench, 50, {{"near1", milliseconds(20)}});
+    ServerEntry cold = *chosen().server;
+    cold.id = ServerId("near2");
+    cold.address.port = 9000;
+    cold.coldFor = seconds(3);
+    bench.servers.put(cold);
+    CHECK(chosen().server->id.text() == "near1");
+    SECTION("the first server is busy: the cold one is of use, and waited for longer")
+    {
+        for (int request = 0; request < 8; ++request) {
+            bench.choice.sent(*bench.servers.servers(ServiceName("parts")).front(), bench.runtime.now());
+        }
+        REQUIRE(chosen().server->id.text() == "near2");
+        CHECK(chosen().expected >= milliseconds(29));
+    }
+    SECTION("it is warm after the time that it told")
+    {
+        bench.runtime.advance(seconds(4));
+        const auto counts = play(bench, 20, {{"near1", milliseconds(20)}, {"near2", milliseconds(5)}});
+        CHECK(counts.at("near2") > 10);
+    }
+}
+
 TEST_CASE("A server that fails part of its requests is passed over, though it is quick", "[choice][grey]")
 {
     RoutingBench bench;
--- a/packages/routing/tests/routingbench.h
+++ b/packages/routing/tests/routingbench.h
@@ -163,11 +163,17 @@
     ManualRuntime runtime;
     HeldBackends backends;
     std::vector<std::string> gone;
-    ServerTable servers{[](const ServerEntry &, bool) {}};
+    ServerTable servers{[this](const ServerEntry &server, bool usable) {
+        if (usable) {
+            choice.listed(server, runtime.now());
+        } else {
+            choice.left(server.id);
+        }
+    }};
     LatencyBook latencies;
     ServerLoad load;
     ServerChoice choice{servers, latencies, load, {{DataCentre(Near), Region("home")}, {DataCentre(Far), Region("away")}}, Region("home"), 7};
-    RepeatBudget budget{RepeatTerms{0.2, std::chrono::seconds(10), 50}};
+    RepeatBudget budget{RepeatTerms{0.2, std::chrono::seconds(10), 50}, TimePoint{} - std::chrono::minutes(1)};
     RoutingCounters counters;
     RecordingJournal journal;
     RoutingContext context{runtime, backends, servers, choice, load, budget, counters, journal};
--- a/packages/routing/tests/tablestest.cpp
+++ b/packages/routing/tests/tablestest.cpp
@@ -6,6 +6,7 @@
 #include <burdock/routing/servertable.h>
 #include <burdock/routing/weightedsplit.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 
@@ -119,7 +120,8 @@
 
 TEST_CASE("Repeats keep to the ratio and the slack in every window", "[budget]")
 {
-    RepeatBudget budget(RepeatTerms{0.2, seconds(10), 40});
+    const RepeatTerms terms{0.2, seconds(10), 40};
+    RepeatBudget budget(terms, TimePoint{});
     const ServiceName parts("parts");
     TimePoint now{seconds(1000)};
     SECTION("instances share the slack")
@@ -149,6 +151,31 @@
         }
         CHECK(repeats.size() > 200);
     }
+    SECTION("an instance that has just started has some for its first answers")
+    {
+        RepeatBudget anew(terms, now);
+        anew.setInstances(3);
+        anew.firstSent(parts, now);
+        CHECK(anew.take(parts, now, 0));
+    }
+    SECTION("an instance that is killed again and again within a window keeps to it over all its lives")
+    {
+        int requests = 0;
+        int repeats = 0;
+        for (int life = 0; life < 5; ++life) {
+            RepeatBudget anew(terms, now);
+            for (int request = 0; request < 40; ++request) {
+                now += milliseconds(50);
+                ++requests;
+                anew.firstSent(parts, now);
+                while (anew.take(parts, now, 0)) {
+                    ++repeats;
+                }
+            }
+        }
+        CHECK(repeats > 0.1 * requests);
+        CHECK(repeats <= 0.2 * requests + 40);
+    }
     SECTION("a reserve is left alone")
     {
         int hedges = 0;
@@ -237,11 +264,53 @@
     }
     CHECK(table.chosenIn(Region("home"), self).size() == 3);
     CHECK(table.countChosen(self) == 3);
-    SECTION("one of them is crowded")
-    {
-        InstanceRecord crowded = instanceOf("a2", "home", 0.5);
+    const auto crowd = [&table](const char *id) {
+        InstanceRecord crowded = instanceOf(id, "home", 0.5);
         crowded.crowded = true;
         table.put(crowded);
+    };
+    const auto chosen = [&table, &self](const char *id) {
+        const auto all = table.chosenIn(Region("home"), self);
+        return std::any_of(all.begin(), all.end(), [id](const InstanceRecord &record) { return record.id.text() == id; });
+    };
+    SECTION("the others have just restarted: they count as senders before they are ready")
+    {
+        for (const char *id : {"a2", "a3"}) {
+            InstanceRecord starting = instanceOf(id, "home", 0.5);
+            starting.ready = false;
+            table.put(starting);
+        }
+        for (const char *id : {"a4", "a5", "a6"}) {
+            table.remove(InstanceId(id), false);
+        }
+        CHECK(table.countChosen(self) == 1);
+        CHECK((table.senders(self) == Senders{3, true}));
+        InstanceRecord starting = self;
+        starting.ready = false;
+        CHECK((table.senders(starting) == Senders{3, true}));
+    }
+    SECTION("a small one sends little while there are large ones")
+    {
+        CHECK((table.senders(instanceOf("a4", "home", 0.12)) == Senders{3, false}));
+    }
+    SECTION("one of them is crowded: it is left out, and the small ones help")
+    {
+        crowd("a2");
+        CHECK(table.chosenIn(Region("home"), self).size() == 5);
+        CHECK_FALSE(chosen("a2"));
+    }
+    SECTION("one of many is crowded: the other large ones suffice")
+    {
+        table.put(instanceOf("a7", "home", 0.5));
+        crowd("a2");
+        CHECK(table.chosenIn(Region("home"), self).size() == 3);
+        CHECK_FALSE(chosen("a2"));
+        CHECK_FALSE(chosen("a4"));
+    }
+    SECTION("most of them are crowded: clients go to all")
+    {
+        crowd("a2");
+        crowd("a3");
         CHECK(table.chosenIn(Region("home"), self).size() == 6);
     }
     SECTION("too few of them are left")
