Let the soak find answers of others and repeats without a bound

With the match by the client's id taken out nothing showed, since stray bytes behind an answer are also caught at the connection; with the repeat budget taken out neither, since one failing server stays below the slack. Two kinds of fault more: a server gives an earlier answer where the next is due, and a whole service fails for 5 to 9 s.

The test of stray answers through real processes has the late one as a section.

--- a/packages/fakes/include/burdock/fakes/fakeresponder.h
+++ b/packages/fakes/include/burdock/fakes/fakeresponder.h
@@ -18,6 +18,9 @@
     /// Sends the answer; ignored where the client is gone or an answer was sent.
     virtual void respond(HttpOutgoing answer, Delivery delivery = Delivery::Whole) = 0;
 
+    /// Sends an answer that belongs to another request, ahead of the one that is due.
+    virtual void precede(const HttpOutgoing &stray) = 0;
+
     /// Sends a piece of a chunked answer; `finish` ends it.
     virtual void sendChunk(const std::string &piece) = 0;
     virtual void finish() = 0;
--- a/packages/fakes/include/burdock/fakes/fakeroutedserver.h
+++ b/packages/fakes/include/burdock/fakes/fakeroutedserver.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -44,6 +45,8 @@
     bool replaced = false;
     /// Answers the request before once more after each answer.
     bool strayAnswers = false;
+    /// Gives the answer of an earlier request first, where the answer of the next one is due.
+    bool lateAnswers = false;
 };
 
 /// A server as the users' pages describe it: slots and a queue, refusals that say so, the server that is meant, signatures.
@@ -113,6 +116,8 @@
     Runtime &runtime_;
     const FakeRoutedServerDeclaration declaration_;
     FakeRoutedServerConduct conduct_;
+    /// The last answer.
+    std::optional<HttpOutgoing> earlier_;
     std::mt19937_64 random_;
     std::deque<JobPtr> queue_;
     std::set<JobPtr> running_;
--- a/packages/fakes/src/fakehttpserver.cpp
+++ b/packages/fakes/src/fakehttpserver.cpp
@@ -132,6 +132,13 @@
         }
     }
 
+    void precede(const HttpOutgoing &stray) override
+    {
+        if (request_ != nullptr && !answered_) {
+            write(rawAnswer(stray));
+        }
+    }
+
     void sendChunk(const std::string &piece) override
     {
         if (request_ == nullptr || (answered_ && !chunked_)) {
--- a/packages/fakes/src/fakeroutedserver.cpp
+++ b/packages/fakes/src/fakeroutedserver.cpp
@@ -136,6 +136,10 @@
     out.labelled = false;
     running_.erase(job);
     job->gone = true;
+    if (conduct_.lateAnswers && earlier_) {
+        job->responder->precede(*earlier_);
+    }
+    earlier_ = out;
     job->responder->respond(std::move(out), conduct_.strayAnswers ? Delivery::Doubled : Delivery::Whole);
     startNext();
 }
--- a/packages/fakes/src/faultgate.cpp
+++ b/packages/fakes/src/faultgate.cpp
@@ -27,6 +27,11 @@
         }
     }
 
+    void precede(const HttpOutgoing &stray) override
+    {
+        gate_.whenThawed([self = shared_from_this(), stray] { self->inner_->precede(stray); });
+    }
+
     void sendChunk(const std::string &piece) override
     {
         gate_.whenThawed([self = shared_from_this(), piece] { self->inner_->sendChunk(piece); });
--- a/packages/fakes/src/platformcontrol.cpp
+++ b/packages/fakes/src/platformcontrol.cpp
@@ -44,6 +44,7 @@
     conduct.slowFactor = body.value("slowFactor", 1.0);
     conduct.replaced = body.value("replaced", false);
     conduct.strayAnswers = body.value("strayAnswers", false);
+    conduct.lateAnswers = body.value("lateAnswers", false);
     return conduct;
 }
 
--- a/packages/fakes/tests/recordingresponder.h
+++ b/packages/fakes/tests/recordingresponder.h
@@ -25,6 +25,11 @@
         delivery = how;
     }
 
+    void precede(const HttpOutgoing &stray) override
+    {
+        strays.push_back(stray);
+    }
+
     void sendChunk(const std::string &piece) override
     {
         chunks.push_back(piece);
@@ -57,6 +62,7 @@
 
     std::optional<HttpOutgoing> answer;
     Delivery delivery = Delivery::Whole;
+    std::vector<HttpOutgoing> strays;
     std::vector<std::string> chunks;
     bool finished = false;
     std::function<void()> gone;
--- a/soak/src/soakfaults.cpp
+++ b/soak/src/soakfaults.cpp
@@ -44,6 +44,8 @@
                                        {"server fails", &SoakFaults::failServer},
                                        {"server slow", &SoakFaults::slowServer},
                                        {"stray answers", &SoakFaults::strayAnswers},
+                                       {"answers of others", &SoakFaults::lateAnswers},
+                                       {"service fails", &SoakFaults::failService},
                                        {"answers lost", &SoakFaults::loseAnswers},
                                        {"answers cut", &SoakFaults::truncateAnswers},
                                        {"server crash", &SoakFaults::killServerPort},
@@ -339,6 +341,35 @@
     serverFault({{"conduct", {{"strayAnswers", true}}}}, {{"conduct", Json::object()}});
 }
 
+void SoakFaults::lateAnswers()
+{
+    serverFault({{"conduct", {{"lateAnswers", true}}}}, {{"conduct", Json::object()}});
+}
+
+/// Long enough that repeats without a bound would exceed the ratio and the slack of a window.
+void SoakFaults::failService()
+{
+    const std::string service = world_.serviceOf(world_.servers()[random_() % world_.servers().size()]);
+    std::vector<std::string> ids;
+    for (const std::string &server : world_.servers()) {
+        if (world_.serviceOf(server) == service && busyServers_.insert(server).second) {
+            ids.push_back(server);
+        }
+    }
+    const Json servers{{"target", "server"}, {"ids", ids}};
+    Json fault = servers;
+    fault["conduct"] = {{"failing", 0.8}};
+    world_.bed().control("POST", "/fake/faults", fault);
+    lasting(between(5000, 9000), [this, ids, servers] {
+        Json repair = servers;
+        repair["conduct"] = Json::object();
+        world_.bed().control("POST", "/fake/faults", repair);
+        for (const std::string &server : ids) {
+            busyServers_.erase(server);
+        }
+    });
+}
+
 void SoakFaults::loseAnswers()
 {
     serverFault({{"transport", {{"delivery", "dropped"}, {"every", 2}}}}, {{"transport", {{"delivery", "whole"}, {"every", 1}}}});
--- a/soak/src/soakfaults.h
+++ b/soak/src/soakfaults.h
@@ -82,6 +82,8 @@
     void failServer();
     void slowServer();
     void strayAnswers();
+    void lateAnswers();
+    void failService();
     void loseAnswers();
     void truncateAnswers();
     void killServerPort();
--- a/soak/src/soakworld.h
+++ b/soak/src/soakworld.h
@@ -27,6 +27,10 @@
     {
         return servers_;
     }
+    const std::string &serviceOf(const std::string &server) const
+    {
+        return services_.at(server);
+    }
 
     /// The shards of each configuration that was ever sent, and the version sent last.
     const std::vector<std::set<std::string>> &shardSets() const
--- a/tests/router/routerprocesstest.cpp
+++ b/tests/router/routerprocesstest.cpp
@@ -180,7 +180,14 @@
 TEST_CASE("A stray answer is never given to another request", "[router][stray]")
 {
     Deployment deployment;
-    deployment.bed.control("POST", "/fake/faults", {{"target", "server"}, {"conduct", {{"strayAnswers", true}}}});
+    SECTION("that follows its answer")
+    {
+        deployment.bed.control("POST", "/fake/faults", {{"target", "server"}, {"conduct", {{"strayAnswers", true}}}});
+    }
+    SECTION("that comes where the next answer is due")
+    {
+        deployment.bed.control("POST", "/fake/faults", {{"target", "server"}, {"ids", {"one-a"}}, {"conduct", {{"lateAnswers", true}}}});
+    }
     for (int number = 0; number < 30; ++number) {
         const std::string attempt = "t" + std::to_string(number);
         const std::string target = "/one/" + std::to_string(number);
