Tell changes of instances' records together, and let crowding hold

Cause: each change of one instance's record made every instance copy all records several times and set the limits of every server anew, and a late loop was told as crowded, which is such a change itself: the more instances, the more they told each other. Now records are looked at in place, changes are told together every 100 ms, and a state of crowding holds for five seconds, about as long as clients keep an answer. Test: loopdelaytest 'a state holds for five seconds'.

--- a/packages/router/include/burdock/router/routingfeed.h
+++ b/packages/router/include/burdock/router/routingfeed.h
@@ -81,6 +81,7 @@
     int lost_ = 0;
     TimePoint disturbedUntil_{};
     TimerId believeTimer_ = 0;
+    TimerId tellTimer_ = 0;
     StoreFollower config_;
     StoreFollower serverEntries_;
     StoreFollower instanceRecords_;
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -286,9 +286,8 @@
 
 void Router::instancesChanged()
 {
-    const std::vector<InstanceRecord> chosen = instances_.chosenIn(self_.region, self_);
-    const bool self = std::any_of(chosen.begin(), chosen.end(), [this](const InstanceRecord &record) { return record.id == self_.id; });
-    choice_.setInstances(chosen.size(), instances_.countChosen(self_), self);
+    const Senders chosen = instances_.chosen(self_);
+    choice_.setInstances(instances_.chosenIn(self_.region, self_).size(), chosen.count, chosen.self);
     const Senders senders = instances_.senders(self_);
     budget_.setInstances(senders.self ? senders.count : instances_.count(self_) * OutsiderPart);
     relays_.setInstances(instances_.recordsIn(self_.region));
--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -12,6 +12,8 @@
 
 /// How long after the store's return entries that lapsed meanwhile may still come back; the platform promises about two seconds.
 constexpr Duration ReturnOfEntries = std::chrono::milliseconds(2200);
+/// Changes of instances' records are told of together: when all restart, each instance hears of as many as there are.
+constexpr Duration TellInstancesAfter = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -53,6 +55,7 @@
 RoutingFeed::~RoutingFeed()
 {
     runtime_.cancel(believeTimer_);
+    runtime_.cancel(tellTimer_);
 }
 
 void RoutingFeed::start()
@@ -181,7 +184,12 @@
     } else {
         instances_.remove(id, disturbed());
     }
-    events_.instances();
+    if (tellTimer_ == 0) {
+        tellTimer_ = runtime_.schedule(TellInstancesAfter, [this] {
+            tellTimer_ = 0;
+            events_.instances();
+        });
+    }
 }
 
 void RoutingFeed::takeInstances(const std::vector<StoreEntry> &entries)
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -53,6 +53,9 @@
 class InstanceTable
 {
 public:
+    /// Records of the table, valid until its next change; one of them may be the caller's own.
+    using Records = std::vector<const InstanceRecord *>;
+
     explicit InstanceTable(std::uint64_t seed);
 
     void put(const InstanceRecord &record);
@@ -70,10 +73,10 @@
     /// as long, and the fewer instances ask a server, the more each of them knows of it and the more connections it may keep.
     /// So clients go to the large instances while these are several and have room. A few crowded ones are left out; where many are
     /// crowded there is more work than the large ones bear, and clients go to all.
-    std::vector<InstanceRecord> chosenIn(const Region &region, const InstanceRecord &self) const;
+    Records chosenIn(const Region &region, const InstanceRecord &self) const;
 
-    /// How many instances are chosen in all regions together; at least 1.
-    std::size_t countChosen(const InstanceRecord &self) const;
+    /// The instances that are chosen in all regions together, at least one.
+    Senders chosen(const InstanceRecord &self) const;
 
     /// The instances that may send many requests to servers, as far as the records tell: those that are chosen, or those that would
     /// be if all were ready, whichever are more. Just after a restart of many, few are ready and all are about to send.
@@ -86,8 +89,8 @@
     std::vector<InstanceRecord> recordsIn(const Region &region) const;
 
 private:
-    /// The instances that take clients, in the region or, for null, in all.
-    std::vector<InstanceRecord> readyIn(const Region *region, const InstanceRecord &self) const;
+    Records all(const InstanceRecord &self) const;
+    std::map<Region, Records> byRegion(const InstanceRecord &self) const;
 
     std::map<InstanceId, InstanceRecord> records_;
     std::set<InstanceId> lapsed_;
--- a/packages/routing/include/burdock/routing/loopdelay.h
+++ b/packages/routing/include/burdock/routing/loopdelay.h
@@ -8,7 +8,8 @@
 /// How late this instance gets to its work, from how late its regular timer fires, and whether that leaves room for more.
 ///
 /// Answers instances whose processor is short, slowed or suspended: others are asked to send clients elsewhere before answers
-/// are late. Hysteresis keeps the state from changing with every burst.
+/// are late. Hysteresis and a time for which a state holds keep it from changing with every burst: each change is told to all
+/// instances, which takes time of theirs.
 class LoopDelay
 {
 public:
@@ -24,6 +25,7 @@
 private:
     double microseconds_ = 0;
     bool crowded_ = false;
+    TimePoint holdsUntil_{};
 };
 
 } // namespace Burdock
--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -16,35 +16,37 @@
 /// Crowded instances are left out while they are at most one in so many; beyond that the others would be crowded next.
 constexpr std::size_t CrowdedOneIn = 3;
 
+using Records = InstanceTable::Records;
+
 /// The records for which `wanted` holds.
 template<class Wanted>
-std::vector<InstanceRecord> only(const std::vector<InstanceRecord> &records, Wanted wanted)
+Records only(const Records &records, Wanted wanted)
 {
-    std::vector<InstanceRecord> found;
+    Records found;
     std::copy_if(records.begin(), records.end(), std::back_inserter(found), wanted);
     return found;
 }
 
-bool includes(const std::vector<InstanceRecord> &records, const InstanceId &id)
+bool includes(const Records &records, const InstanceId &id)
 {
-    return std::any_of(records.begin(), records.end(), [&id](const InstanceRecord &record) { return record.id == id; });
+    return std::any_of(records.begin(), records.end(), [&id](const InstanceRecord *record) { return record->id == id; });
 }
 
-std::vector<InstanceRecord> readyOf(const std::vector<InstanceRecord> &records)
+Records readyOf(const Records &records)
 {
-    return only(records, [](const InstanceRecord &record) { return record.ready; });
+    return only(records, [](const InstanceRecord *record) { return record->ready; });
 }
 
 /// Those of one region's instances that its clients are sent to; all of `ready` take clients.
-std::vector<InstanceRecord> chosenOf(const std::vector<InstanceRecord> &ready)
+Records chosenOf(const Records &ready)
 {
     double most = 0;
-    for (const InstanceRecord &record : ready) {
-        most = std::max(most, record.cores);
+    for (const InstanceRecord *record : ready) {
+        most = std::max(most, record->cores);
     }
-    const auto large = only(ready, [most](const InstanceRecord &record) { return record.cores >= most * LargePart; });
-    const auto hasRoom = [](const InstanceRecord &record) { return !record.crowded; };
-    const auto roomy = only(large, hasRoom);
+    const Records large = only(ready, [most](const InstanceRecord *record) { return record->cores >= most * LargePart; });
+    const auto hasRoom = [](const InstanceRecord *record) { return !record->crowded; };
+    const Records roomy = only(large, hasRoom);
     if ((large.size() - roomy.size()) * CrowdedOneIn > large.size()) {
         return ready;
     }
@@ -97,73 +99,64 @@
     lapsed_.clear();
 }
 
-std::vector<InstanceRecord> InstanceTable::readyIn(const Region *region, const InstanceRecord &self) const
+InstanceTable::Records InstanceTable::all(const InstanceRecord &self) const
 {
-    std::vector<InstanceRecord> found;
-    const auto consider = [&found, region](const InstanceRecord &record) {
-        if (record.ready && (region == nullptr || record.region == *region)) {
-            found.push_back(record);
-        }
-    };
-    consider(self);
+    Records found{&self};
     for (const auto &[id, record] : records_) {
         if (id != self.id) {
-            consider(record);
+            found.push_back(&record);
         }
     }
     return found;
 }
 
-std::vector<InstanceRecord> InstanceTable::chosenIn(const Region &region, const InstanceRecord &self) const
+std::map<Region, InstanceTable::Records> InstanceTable::byRegion(const InstanceRecord &self) const
 {
-    return chosenOf(readyIn(&region, self));
+    std::map<Region, Records> regions;
+    for (const InstanceRecord *record : all(self)) {
+        regions[record->region].push_back(record);
+    }
+    return regions;
 }
 
-std::size_t InstanceTable::countChosen(const InstanceRecord &self) const
+InstanceTable::Records InstanceTable::chosenIn(const Region &region, const InstanceRecord &self) const
 {
-    std::set<Region> regions{self.region};
-    for (const auto &[id, record] : records_) {
-        regions.insert(record.region);
-    }
-    std::size_t sum = 0;
-    for (const Region &region : regions) {
-        sum += chosenIn(region, self).size();
+    return chosenOf(only(all(self), [&region](const InstanceRecord *record) { return record->ready && record->region == region; }));
+}
+
+Senders InstanceTable::chosen(const InstanceRecord &self) const
+{
+    Senders chosen;
+    for (const auto &[region, records] : byRegion(self)) {
+        const Records here = chosenOf(readyOf(records));
+        chosen = {chosen.count + here.size(), chosen.self || includes(here, self.id)};
     }
-    return std::max<std::size_t>(sum, 1);
+    return {std::max<std::size_t>(chosen.count, 1), chosen.self};
 }
 
 Senders InstanceTable::senders(const InstanceRecord &self) const
 {
-    std::map<Region, std::vector<InstanceRecord>> known;
-    known[self.region].push_back(self);
-    for (const auto &[id, record] : records_) {
-        if (id != self.id) {
-            known[record.region].push_back(record);
-        }
-    }
-    Senders chosen;
     Senders allReady;
-    for (const auto &[region, records] : known) {
-        const auto now = chosenOf(readyOf(records));
-        const auto then = chosenOf(records);
-        chosen = {chosen.count + now.size(), chosen.self || includes(now, self.id)};
-        allReady = {allReady.count + then.size(), allReady.self || includes(then, self.id)};
+    for (const auto &[region, records] : byRegion(self)) {
+        const Records here = chosenOf(records);
+        allReady = {allReady.count + here.size(), allReady.self || includes(here, self.id)};
     }
-    return {std::max({chosen.count, allReady.count, std::size_t{1}}), chosen.self || allReady.self};
+    const Senders now = chosen(self);
+    return {std::max(now.count, allReady.count), now.self || allReady.self};
 }
 
 std::vector<Address> InstanceTable::addressesFor(const Region &region, const InstanceRecord &self, std::size_t most)
 {
-    std::vector<InstanceRecord> chosen = chosenIn(region, self);
+    Records chosen = chosenIn(region, self);
     if (chosen.empty()) {
-        chosen = readyIn(nullptr, self);
+        chosen = readyOf(all(self));
     }
     std::shuffle(chosen.begin(), chosen.end(), random_);
     chosen.resize(std::min(chosen.size(), most));
     std::vector<Address> addresses;
     addresses.reserve(chosen.size());
-    for (const InstanceRecord &record : chosen) {
-        addresses.push_back(record.address);
+    for (const InstanceRecord *record : chosen) {
+        addresses.push_back(record->address);
     }
     return addresses;
 }
--- a/packages/routing/src/loopdelay.cpp
+++ b/packages/routing/src/loopdelay.cpp
@@ -16,6 +16,8 @@
 /// in use, is in doubt. The second is what an instance with room shows.
 constexpr Duration CrowdedFrom = std::chrono::milliseconds(20);
 constexpr Duration RoomyBelow = std::chrono::milliseconds(6);
+/// For how long a state holds: about as long as clients keep an answer that names the instances.
+constexpr Duration StateHolds = std::chrono::seconds(5);
 
 } // namespace
 
@@ -23,7 +25,11 @@
 {
     const Duration sample = std::clamp(now - due, Duration{0}, MostSample);
     microseconds_ += SampleWeight * (static_cast<double>(sample.count()) - microseconds_);
-    crowded_ = smoothed() >= (crowded_ ? RoomyBelow : CrowdedFrom);
+    const bool late = smoothed() >= (crowded_ ? RoomyBelow : CrowdedFrom);
+    if (late != crowded_ && now >= holdsUntil_) {
+        crowded_ = late;
+        holdsUntil_ = now + StateHolds;
+    }
 }
 
 Duration LoopDelay::smoothed() const
