--- a/packages/router/include/burdock/router/routingfeed.h
+++ b/packages/router/include/burdock/router/routingfeed.h
@@ -21,6 +21,8 @@
 class RoutingFeed
 {
 public:
+    /// What is told of news: another version of the routes, a whole listing of servers, and other instances, the changes of about a
+    /// tenth of a second together.
     struct Events
     {
         std::function<void(std::shared_ptr<const RouteTable>)> routes;
