Bound repeats by a token bucket for each service that dies with the process

Traced with all logs on: of 488 repeats to the service in the broken window, the first lives sent 210 in the three seconds before they were killed, on the strength of requests before the window, and the next two lives earned 278 anew. The number of instances that each believed in was right; no repeat was hidden below the budget's sight (492 logged repeats, 494 seen by the servers).

Ruled out: a wrong number of instances; restarts alone earning slack; connection-level resends.

Change: policy's TokenBucket, now with explicit capacity and start, serves both programs.

--- a/packages/policy/include/burdock/policy/budgetedtactics.h
+++ b/packages/policy/include/burdock/policy/budgetedtactics.h
@@ -57,6 +57,7 @@
     Runtime &runtime_;
     ReplicaChoice replicas_;
     HedgeDelay hedges_;
+    const TacticsSettings settings_;
     TokenBucket hedgeBudget_;
     TokenBucket retryBudget_;
     TacticsCounters counters_;
--- a/packages/policy/include/burdock/policy/tokenbucket.h
+++ b/packages/policy/include/burdock/policy/tokenbucket.h
@@ -1,29 +1,30 @@
 #pragma once
 
-#include <cstdint>
-
 namespace Burdock
 {
 
-/// A budget for extra attempts: each first attempt adds a fraction of a token, each extra attempt takes one.
+/// A budget for extra attempts: tokens are added as work arrives or as time passes, and each extra attempt takes one.
 ///
-/// Extra attempts are thereby limited to this fraction of the first attempts, at any rate, plus one full bucket.
+/// Over any span, the extra attempts are limited to the tokens added in it plus one full bucket.
 class TokenBucket
 {
 public:
-    /// Adds `tokensPerAttempt` for each first attempt and holds at most `capacity` tokens. The bucket starts full.
-    TokenBucket(double tokensPerAttempt, double capacity);
+    /// Holds at most `capacity` tokens, and `tokens` at the start.
+    TokenBucket(double capacity, double tokens);
+
+    /// Adds tokens up to the capacity.
+    void add(double tokens);
 
-    /// Adds the tokens for one first attempt.
-    void refill();
+    /// Changes the capacity; tokens above it are lost.
+    void setCapacity(double capacity);
 
-    /// Takes a token; false if there is less than one.
-    bool tryAcquire();
+    /// Takes a token and leaves at least `reserve`; false if there are too few.
+    bool tryAcquire(double reserve = 0);
 
     double tokens() const;
+    double capacity() const;
 
 private:
-    double tokensPerAttempt_;
     double capacity_;
     double tokens_;
 };
--- a/packages/policy/src/budgetedtactics.cpp
+++ b/packages/policy/src/budgetedtactics.cpp
@@ -27,8 +27,9 @@
     : runtime_(runtime)
     , replicas_(runtime, seed, settings.maxEjectedFraction)
     , hedges_(settings.hedgeQuantile)
-    , hedgeBudget_(settings.hedgeFraction, settings.burst)
-    , retryBudget_(settings.retryFraction, settings.burst)
+    , settings_(settings)
+    , hedgeBudget_(settings.burst, settings.burst)
+    , retryBudget_(settings.burst, settings.burst)
 {
 }
 
@@ -45,8 +46,8 @@
 void BudgetedTactics::onFirstAttempt()
 {
     ++counters_.firstAttempts;
-    hedgeBudget_.refill();
-    retryBudget_.refill();
+    hedgeBudget_.add(settings_.hedgeFraction);
+    retryBudget_.add(settings_.retryFraction);
 }
 
 bool BudgetedTactics::tryAcquireHedge()
--- a/packages/policy/src/tokenbucket.cpp
+++ b/packages/policy/src/tokenbucket.cpp
@@ -5,21 +5,26 @@
 namespace Burdock
 {
 
-TokenBucket::TokenBucket(double tokensPerAttempt, double capacity)
-    : tokensPerAttempt_(tokensPerAttempt)
-    , capacity_(capacity)
-    , tokens_(capacity)
+TokenBucket::TokenBucket(double capacity, double tokens)
+    : capacity_(capacity)
+    , tokens_(std::min(tokens, capacity))
 {
 }
 
-void TokenBucket::refill()
+void TokenBucket::add(double tokens)
 {
-    tokens_ = std::min(tokens_ + tokensPerAttempt_, capacity_);
+    tokens_ = std::min(tokens_ + tokens, capacity_);
 }
 
-bool TokenBucket::tryAcquire()
+void TokenBucket::setCapacity(double capacity)
 {
-    if (tokens_ < 1) {
+    capacity_ = capacity;
+    tokens_ = std::min(tokens_, capacity);
+}
+
+bool TokenBucket::tryAcquire(double reserve)
+{
+    if (tokens_ < 1 + reserve) {
         return false;
     }
     tokens_ -= 1;
@@ -31,4 +36,9 @@
     return tokens_;
 }
 
+double TokenBucket::capacity() const
+{
+    return capacity_;
+}
+
 } // namespace Burdock
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -293,7 +293,7 @@
     const Senders chosen = instances_.chosen(self_);
     choice_.setInstances(instances_.chosenIn(self_.region, self_).size(), chosen.count, chosen.self);
     const Senders senders = instances_.senders(self_);
-    budget_.setInstances(senders.self ? senders.count : instances_.count(self_) * OutsiderBudgetDivisor);
+    budget_.setInstances(senders.self ? senders.count : instances_.count(self_) * OutsiderBudgetDivisor, loop_.now());
     relays_.setInstances(instances_.recordsIn(self_.region));
     updateConnectionLimits();
 }
--- a/packages/routing/include/burdock/routing/repeatbudget.h
+++ b/packages/routing/include/burdock/routing/repeatbudget.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <burdock/policy/tokenbucket.h>
 #include <burdock/routing/routingconfig.h>
 
 #include <deque>
 #include <unordered_map>
+#include <utility>
 
 namespace Burdock
 {
@@ -25,9 +27,10 @@
 
 /// Decides whether a request may be sent to another server of its service.
 ///
-/// Each instance applies the ratio to its own requests and uses its fraction of the slack, so the sum over all instances stays
-/// within the terms without coordination. An instance does not know what it used before a restart. It accrues most of its
-/// slack over its first window, so that instances that are killed repeatedly also stay within the terms.
+/// Load: servers that fail or stall while instances are killed and restarted. An instance does not know what it used before a
+/// restart, so nothing may be spent on the strength of the past: each service has a token bucket that starts nearly empty, gains
+/// tokens with the instance's own requests and its fraction of the slack, and loses them with the process. The sum over all
+/// instances and lives then stays within the terms for any position of the window; docs/notes/repeatbudget.md has the derivation.
 class RepeatBudget
 {
 public:
@@ -35,8 +38,9 @@
 
     void setTerms(const RepeatTerms &terms);
 
-    /// Sets the number of instances that share the slack.
-    void setInstances(std::size_t instances);
+    /// Sets the number of instances that share the slack. A smaller number takes effect only after a window without a larger
+    /// one, since instances that disappear briefly keep spending.
+    void setInstances(std::size_t instances, TimePoint now);
 
     /// Counts the first attempt of a request to the service.
     void onFirstSend(const ServiceName &service, TimePoint now);
@@ -45,24 +49,33 @@
     bool tryAcquire(const ServiceName &service, TimePoint now, double reserve);
 
 private:
-    /// Counts per slice of the window.
-    struct Usage
+    /// The bucket of a service, and its requests in the last window, which determine the capacity.
+    struct Account
     {
         struct Slice
         {
             std::int64_t index = 0;
             std::uint32_t requests = 0;
-            std::uint32_t repeats = 0;
         };
+        TokenBucket bucket{0, 0};
         std::deque<Slice> slices;
+        std::uint64_t requests = 0;
+        TimePoint updated{};
     };
 
-    Usage::Slice &sliceOf(const ServiceName &service, TimePoint now);
+    void forgetOldCounts(TimePoint now);
+    Account &accountOf(const ServiceName &service, TimePoint now);
+    void advance(Account &account, TimePoint now) const;
+    /// Moves the account to `now`, which lies in the slice after its last update at most.
+    void step(Account &account, TimePoint now) const;
+    double slackShare() const;
+    std::int64_t sliceAt(TimePoint time) const;
 
     RepeatTerms terms_;
     const TimePoint started_;
-    std::size_t instances_ = 1;
-    std::unordered_map<ServiceName, Usage> usage_;
+    /// The numbers of instances of the last window that no later number exceeds, largest first.
+    std::deque<std::pair<TimePoint, std::size_t>> instances_;
+    std::unordered_map<ServiceName, Account> accounts_;
 };
 
 } // namespace Burdock
--- a/packages/routing/src/repeatbudget.cpp
+++ b/packages/routing/src/repeatbudget.cpp
@@ -8,15 +8,20 @@
 namespace
 {
 
-/// The number of slices of the window. Repeats are counted over one more slice, so that the limit holds for any position of the
-/// window.
+/// The number of slices of the window in which requests are counted.
 constexpr std::int64_t SlicesPerWindow = 20;
-/// The fractions of the ratio and of the slack that are used; the rest covers instances that do not know of each other yet.
-constexpr double UsedRatioFraction = 0.85;
-constexpr double UsedSlackFraction = 0.6;
-/// The fraction of its slack that an instance has from its start, so that its first requests can be hedged; the rest accrues over
-/// the first window. Five restarts within one window stay below the whole slack.
-constexpr double InitialSlackFraction = 0.15;
+/// The fractions of the ratio that become tokens at once and that become capacity for one window. Their sum stays below 1: the
+/// rest covers requests that are counted here a little later than they were sent.
+constexpr double TokenRatioFraction = 0.8;
+constexpr double CapacityRatioFraction = 0.15;
+/// The fractions of the slack that accrue per window and that become capacity. The rest covers instances that disagree on how
+/// many they are, and those that clients are not directed to.
+constexpr double TokenSlackFraction = 0.35;
+constexpr double CapacitySlackFraction = 0.25;
+/// The fraction of its slack that an instance has from its start, so that its first requests can be hedged.
+constexpr double InitialSlackFraction = 0.1;
+/// No slack accrues in the first time of a life, when instances that restart together may not know each other yet.
+constexpr Duration SettlingTime = std::chrono::seconds(2);
 
 } // namespace
 
@@ -30,52 +35,98 @@
 {
     if (terms.window != terms_.window) {
         // Slices of different lengths cannot be compared, so counting restarts.
-        usage_.clear();
+        accounts_.clear();
     }
     terms_ = terms;
 }
 
-void RepeatBudget::setInstances(std::size_t instances)
+void RepeatBudget::setInstances(std::size_t instances, TimePoint now)
 {
-    instances_ = std::max<std::size_t>(instances, 1);
+    const std::size_t count = std::max<std::size_t>(instances, 1);
+    while (!instances_.empty() && instances_.back().second < count) {
+        instances_.pop_back();
+    }
+    if (instances_.empty() || instances_.back().second != count) {
+        instances_.emplace_back(now, count);
+    }
+    forgetOldCounts(now);
+}
+
+void RepeatBudget::forgetOldCounts(TimePoint now)
+{
+    // A number is in force until the next one was set, so it expires a window after that.
+    while (instances_.size() > 1 && instances_[1].first + terms_.window <= now) {
+        instances_.pop_front();
+    }
+}
+
+double RepeatBudget::slackShare() const
+{
+    return terms_.slack / static_cast<double>(instances_.empty() ? 1 : instances_.front().second);
+}
+
+std::int64_t RepeatBudget::sliceAt(TimePoint time) const
+{
+    return time.time_since_epoch() / (terms_.window / SlicesPerWindow);
 }
 
-RepeatBudget::Usage::Slice &RepeatBudget::sliceOf(const ServiceName &service, TimePoint now)
+void RepeatBudget::step(Account &account, TimePoint now) const
 {
-    const std::int64_t index = now.time_since_epoch() / (terms_.window / SlicesPerWindow);
-    auto &slices = usage_[service].slices;
-    while (!slices.empty() && slices.front().index < index - SlicesPerWindow) {
-        slices.pop_front();
+    const TimePoint accruesFrom = std::max(account.updated, started_ + SettlingTime);
+    if (now > accruesFrom) {
+        const double windows = static_cast<double>((now - accruesFrom).count()) / static_cast<double>(terms_.window.count());
+        account.bucket.add(slackShare() * TokenSlackFraction * windows);
     }
-    if (slices.empty() || slices.back().index != index) {
-        slices.push_back({index, 0, 0});
+    account.updated = std::max(account.updated, now);
+    while (!account.slices.empty() && account.slices.front().index <= sliceAt(now) - SlicesPerWindow) {
+        account.requests -= account.slices.front().requests;
+        account.slices.pop_front();
     }
-    return slices.back();
+    account.bucket.setCapacity(slackShare() * CapacitySlackFraction + terms_.ratio * CapacityRatioFraction * static_cast<double>(account.requests));
 }
 
-void RepeatBudget::onFirstSend(const ServiceName &service, TimePoint now)
+void RepeatBudget::advance(Account &account, TimePoint now) const
 {
-    ++sliceOf(service, now).requests;
+    // Slice by slice, so that tokens above the capacity of an earlier moment are lost even if requests have come since.
+    const Duration slice = terms_.window / SlicesPerWindow;
+    account.updated = std::max(account.updated, now - terms_.window);
+    while (now - account.updated > slice) {
+        step(account, account.updated + slice);
+    }
+    step(account, now);
 }
 
-bool RepeatBudget::tryAcquire(const ServiceName &service, TimePoint now, double reserve)
+RepeatBudget::Account &RepeatBudget::accountOf(const ServiceName &service, TimePoint now)
 {
-    Usage::Slice &slice = sliceOf(service, now);
-    double requests = 0;
-    double repeats = 0;
-    for (const Usage::Slice &past : usage_[service].slices) {
-        requests += past.requests;
-        repeats += past.repeats;
+    forgetOldCounts(now);
+    const auto [found, added] = accounts_.try_emplace(service);
+    Account &account = found->second;
+    if (added) {
+        account.updated = started_;
+        const double initial = instances_.empty() ? 0 : slackShare() * InitialSlackFraction;
+        account.bucket = TokenBucket(slackShare() * CapacitySlackFraction, initial);
     }
-    const double uptimeFraction = std::min(1.0, static_cast<double>((now - started_).count()) / static_cast<double>(terms_.window.count()));
-    const double earned = InitialSlackFraction + (1 - InitialSlackFraction) * uptimeFraction;
-    const double slack = terms_.slack * UsedSlackFraction * earned / static_cast<double>(instances_);
-    const double allowed = terms_.ratio * UsedRatioFraction * requests + slack;
-    if (repeats + 1 > allowed * (1 - reserve)) {
-        return false;
+    advance(account, now);
+    return account;
+}
+
+void RepeatBudget::onFirstSend(const ServiceName &service, TimePoint now)
+{
+    Account &account = accountOf(service, now);
+    const std::int64_t index = sliceAt(now);
+    if (account.slices.empty() || account.slices.back().index != index) {
+        account.slices.push_back({index, 0});
     }
-    ++slice.repeats;
-    return true;
+    ++account.slices.back().requests;
+    ++account.requests;
+    step(account, now);
+    account.bucket.add(terms_.ratio * TokenRatioFraction);
+}
+
+bool RepeatBudget::tryAcquire(const ServiceName &service, TimePoint now, double reserve)
+{
+    TokenBucket &bucket = accountOf(service, now).bucket;
+    return bucket.tryAcquire(bucket.capacity() * reserve);
 }
 
 } // namespace Burdock
--- a/packages/routing/tests/tablestest.cpp
+++ b/packages/routing/tests/tablestest.cpp
@@ -126,7 +126,7 @@
     TimePoint now{seconds(1000)};
     SECTION("instances share the slack")
     {
-        budget.setInstances(4);
+        budget.setInstances(4, now);
         int taken = 0;
         while (budget.tryAcquire(parts, now, 0)) {
             ++taken;
@@ -136,7 +136,7 @@
     }
     SECTION("each instance stays within the ratio of its own requests")
     {
-        budget.setInstances(1000);
+        budget.setInstances(1000, now);
         std::deque<TimePoint> repeats;
         for (int request = 0; request < 5000; ++request) {
             now += milliseconds(5);
@@ -154,7 +154,7 @@
     SECTION("an instance that has just started has some repeats for its first requests")
     {
         RepeatBudget fresh(terms, now);
-        fresh.setInstances(3);
+        fresh.setInstances(3, now);
         fresh.onFirstSend(parts, now);
         CHECK(fresh.tryAcquire(parts, now, 0));
     }
