Spread the store's changes through a tree of bounded fan-out; leases by role

Cause: on the large deployment the price of calls to the store was larger than all that is earned. In a region of 98 instances all polled one machine, each wrote its record twice, each change went to each poller, the relay fell behind, and all fell on the store together.

Change: RelayChoice derives a tree (ten children each, largest instances first) from the list; alternates lie on the parent's level; further down the store is used only after two to four seconds without a relay. Relays state the age of their data, which adds up along the chain, and combine changes within 100 ms. InstanceLease takes its term by InstanceRole: three seconds for instances that clients or relays need, twenty for the others, which also write their record once. Listings of a first start wait for the records. One log line for a batch of changed instances. Peers' connections left idle are closed after ten seconds; a poll for a prefix that the relay does not follow is refused and leaves no state.

Ruled out: a shared answer limit of relays (refusals came from the connection limit); processor time of relays (a root uses 0.02 cores).

--- a/packages/router/include/burdock/router/relayedstore.h
+++ b/packages/router/include/burdock/router/relayedstore.h
@@ -14,15 +14,23 @@
 /// A store whose listings and watches are served by another instance, the relay, if one is available; all other calls go to the
 /// store.
 ///
-/// A watch switches to the store if no relay answers in time with fresh data, and periodically looks for a relay again. If the
-/// relay no longer has the changes, the watch ends as it does at a store that has compacted its history, and the caller lists
-/// again. Just after the start, a watch is delayed before it uses the store, so that instances that start together have written
-/// their records and can be used as relays.
+/// A watch switches to the store if no relay answers in time with fresh data, as far as `RelayChoice` allows, and periodically
+/// looks for a relay again. If the relay no longer has the changes, the watch ends as it does at a store that has compacted its
+/// history, and the caller lists again. Just after the start, a watch is delayed before it uses the store, so that instances that
+/// start together have written their records and can be used as relays; when the whole system starts for the first time, so are
+/// listings.
 class RelayedStore final : public Store
 {
 public:
-    /// `instancesPrefix` is the prefix of the instances' records, which contain the relays' addresses.
-    RelayedStore(Runtime &runtime, HttpClient &client, Store &store, RelayChoice &relays, std::string instancesPrefix, DecisionLog &log);
+    /// `instancesPrefix` is the prefix of the instances' records, which contain the relays' addresses. Listings wait for
+    /// `listingDelay` after the start.
+    RelayedStore(Runtime &runtime,
+                 HttpClient &client,
+                 Store &store,
+                 RelayChoice &relays,
+                 std::string instancesPrefix,
+                 DecisionLog &log,
+                 Duration listingDelay = Duration{0});
     ~RelayedStore() override;
     RelayedStore(const RelayedStore &) = delete;
     RelayedStore &operator=(const RelayedStore &) = delete;
@@ -39,6 +47,10 @@
                         std::function<void(const Failure &)> ended) override;
     void unwatch(std::uint64_t watch) override;
 
+    /// Returns the time up to which all watched data are known to be complete. `storeConfirmedAt` is when the store last answered
+    /// this instance, which counts for the watches at the store.
+    TimePoint confirmedAt(TimePoint storeConfirmedAt) const;
+
     /// Returns the number of polls that relays have answered.
     std::uint64_t answeredPolls() const
     {
@@ -58,8 +70,19 @@
         TimerId timer = 0;
     };
 
+    /// What a key's watch last learned of the completeness of its data.
+    struct Confirmation
+    {
+        bool atStore = false;
+        TimePoint at{};
+    };
+
+    /// Reads a listing from a relay, or from the store once that is allowed.
+    void startListing(const std::string &prefix, Callback<StoreRange> done);
     void requestRange(const Address &relay, const std::string &prefix, Callback<StoreRange> done);
+    TimePoint earliestStoreListing(const std::string &key) const;
     void startWatch(std::uint64_t id);
+    void restartWatchLater(std::uint64_t id, Duration delay);
     /// Returns the earliest time at which a watch of the key may use the store.
     TimePoint earliestStoreWatch(const std::string &key) const;
     void poll(std::uint64_t id, const Address &relay);
@@ -67,6 +90,7 @@
     void watchStore(std::uint64_t id);
     void trySwitchToRelay(std::uint64_t id);
     void onRelayFailed(std::uint64_t id, const Address &relay, const std::string &reason);
+    void logRelayFailure(const Address &relay, const std::string &key, std::int64_t revision, const std::string &reason);
     /// Passes a change to the watch; returns false if the callback ended the watch.
     bool deliver(std::uint64_t id, const StoreEntry &entry);
     void cancelCalls(const Watch &watch);
@@ -77,10 +101,12 @@
     RelayChoice &relays_;
     const std::string instancesPrefix_;
     const TimePoint startedAt_;
+    const Duration listingDelay_;
     DecisionLog &log_;
     std::uint64_t lastId_ = 0;
     std::uint64_t answeredPolls_ = 0;
     std::map<std::uint64_t, Watch> watches_;
+    std::map<std::string, Confirmation> confirmations_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/packages/router/include/burdock/router/relayservice.h
+++ b/packages/router/include/burdock/router/relayservice.h
@@ -13,13 +13,16 @@
 
 /// Serves the store's keys and changes, as this instance knows them, to other instances.
 ///
-/// If the store has not answered this instance for too long, requests are answered with status 503 and waiting polls are ended,
-/// so that the callers use the store directly.
+/// If the data are too old, requests are answered with status 503 and waiting polls are ended, so that the callers use another
+/// relay or the store. Each response states the age of the data, which adds up along a chain of relays. Changes that follow each
+/// other closely are answered together.
 class RelayService
 {
 public:
-    /// `confirmedAt` returns the time at which the store last answered a request of this instance.
-    RelayService(Runtime &runtime, std::function<TimePoint()> confirmedAt);
+    /// `confirmedAt` returns the time up to which this instance's data are known to be complete, and `depth` the number of relays
+    /// between this instance and the store.
+    RelayService(
+        Runtime &runtime, std::function<TimePoint()> confirmedAt, std::function<int()> depth = [] { return 0; });
     ~RelayService();
     RelayService(const RelayService &) = delete;
     RelayService &operator=(const RelayService &) = delete;
@@ -31,11 +34,13 @@
     /// Answers a request for all keys, or a poll for changes: at once if there are any, else when one arrives or the wait is over.
     void serve(const HttpServerRequest &incoming, const std::shared_ptr<HttpResponder> &responder);
 
-    /// Ends the waiting polls if the store has not answered for too long.
+    /// Ends the waiting polls if the data are too old.
     void endStalePolls();
 
     static constexpr const char *ChangesPath = "/changes";
     static constexpr const char *EntriesPath = "/entries";
+    /// The header with the age of the data in milliseconds.
+    static constexpr const char *AgeHeader = "relay-age-ms";
 
 private:
     struct Poll
@@ -54,6 +59,9 @@
         std::map<std::string, StoreEntry> entries;
         std::int64_t revision = 0;
         bool hasListing = false;
+        /// When polls were last answered with changes, and the timer of the next time.
+        TimePoint answeredAt{};
+        TimerId answerTimer = 0;
         /// Encoded responses, reused for identical requests: all keys, and the changes after a revision.
         std::string cachedListing;
         std::map<std::int64_t, std::string> cachedChanges;
@@ -62,6 +70,9 @@
     };
 
     bool isFresh() const;
+    HttpServerResponse makeResponse(int status, std::string body = {}) const;
+    /// Answers the waiting polls, or schedules that if some were answered just before.
+    void announceChanges(const std::string &prefix);
     void serveEntries(const HttpServerRequest &incoming, HttpResponder &responder);
     /// Answers the poll if there are changes or an error, or with an empty response if `timedOut`; returns whether it was answered.
     bool tryAnswer(const Poll &poll, bool timedOut);
@@ -70,6 +81,7 @@
 
     Runtime &runtime_;
     const std::function<TimePoint()> confirmedAt_;
+    const std::function<int()> depth_;
     std::map<std::string, PrefixState> prefixes_;
     Polls polls_;
 };
--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -9,6 +9,7 @@
 #include <burdock/router/routersettings.h>
 #include <burdock/router/routingfeed.h>
 #include <burdock/routing/instancelease.h>
+#include <burdock/routing/instancerole.h>
 #include <burdock/routing/loopdelay.h>
 #include <burdock/wire/eventloop.h>
 
@@ -54,6 +55,10 @@
     void logState();
     bool isReady() const;
     void updateReadiness();
+    /// Writes the record for the first time.
+    void publishRecord();
+    /// Sets the lease and the record by what the other instances need this one for.
+    void updateRole();
     void closeListeners();
     void stopIfIdle();
     void registerMetrics();
@@ -92,6 +97,10 @@
     Duration suspended_{0};
     TimerId tickTimer_ = 0;
     TimerId stateTimer_ = 0;
+    TimerId publishTimer_ = 0;
+    bool recordPublished_ = false;
+    InstanceRole role_ = InstanceRole::Standby;
+    const TimePoint startedAt_;
     bool leaving_ = false;
     TimePoint leavingSince_{};
     std::function<void()> onStopped_;
--- a/packages/router/include/burdock/router/routingfeed.h
+++ b/packages/router/include/burdock/router/routingfeed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/router/changesummary.h>
 #include <burdock/router/decisionlog.h>
 #include <burdock/router/dialect.h>
 #include <burdock/router/relayservice.h>
@@ -50,6 +51,18 @@
     /// Whether the routes and the servers have been read.
     bool hasRoutesAndServers() const;
 
+    /// Whether changes of servers come from a listing, which is logged as a whole.
+    bool isListingServers() const
+    {
+        return listingServers_;
+    }
+
+    /// Whether the other instances' records have been read.
+    bool hasInstances() const
+    {
+        return instanceRecords_.hasListing();
+    }
+
     /// Returns the version of the routes, or zero before the first ones are read.
     std::int64_t version() const
     {
@@ -61,6 +74,8 @@
     using ChangeHandler = void (RoutingFeed::*)(const StoreEntry &);
 
     StoreFollower::Events makeEvents(const char *dependency, const std::string &prefix, ListingHandler onListing, ChangeHandler onChange);
+    /// Starts following the routes and the servers, which may come from a relay once the instances are known.
+    void startOthers();
     void applyConfigs(const std::vector<StoreEntry> &entries);
     void applyConfig(const StoreEntry &entry);
     void applyServer(const StoreEntry &entry);
@@ -84,6 +99,11 @@
     TimePoint disturbedUntil_{};
     TimerId dropLapsedTimer_ = 0;
     TimerId instancesTimer_ = 0;
+    TimerId startTimer_ = 0;
+    bool othersStarted_ = false;
+    bool listingServers_ = false;
+    /// The changes of instances' records since they were last logged.
+    ChangeSummary instanceChanges_;
     StoreFollower config_;
     StoreFollower serverEntries_;
     StoreFollower instanceRecords_;
--- a/packages/router/src/relayedstore.cpp
+++ b/packages/router/src/relayedstore.cpp
@@ -4,6 +4,9 @@
 #include <burdock/router/relayservice.h>
 #include <burdock/wire/percentencoding.h>
 
+#include <algorithm>
+#include <charconv>
+#include <optional>
 #include <utility>
 
 namespace Burdock
@@ -14,6 +17,7 @@
 
 constexpr int OkStatus = 200;
 constexpr int GoneStatus = 410;
+constexpr int UnavailableStatus = 503;
 /// The time that a poll waits at the relay, and the additional time until it times out: a hung relay is detected after the sum.
 constexpr Duration PollWait = std::chrono::milliseconds(1000);
 constexpr Duration PollTimeoutMargin = std::chrono::milliseconds(300);
@@ -23,18 +27,38 @@
 /// relays' addresses, is allowed first.
 constexpr Duration InstancesWatchDelay = std::chrono::milliseconds(400);
 constexpr Duration StoreWatchDelay = std::chrono::milliseconds(1000);
+/// When the whole system starts, other listings wait this long after that of the instances, which gives the relays.
+constexpr Duration OtherListingsDelay = std::chrono::milliseconds(600);
 /// The interval at which a watch at the store looks for a relay.
 constexpr Duration RelayRetryInterval = std::chrono::seconds(2);
+/// The interval at which an instance without a relay that may not use the store yet tries again.
+constexpr Duration UnavailableRetryInterval = std::chrono::milliseconds(150);
+
+/// Returns the age of the relay's data, or nothing if the response does not state it.
+std::optional<Duration> ageOf(const HttpResponse &response)
+{
+    const auto header = response.headers.find(RelayService::AgeHeader);
+    if (header == response.headers.end()) {
+        return std::nullopt;
+    }
+    std::int64_t age = 0;
+    const std::string &text = header->second;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), age);
+    const bool valid = error == std::errc() && end == text.data() + text.size() && age >= 0;
+    return valid ? std::optional<Duration>(std::chrono::milliseconds(age)) : std::nullopt;
+}
 
 } // namespace
 
-RelayedStore::RelayedStore(Runtime &runtime, HttpClient &client, Store &store, RelayChoice &relays, std::string instancesPrefix, DecisionLog &log)
+RelayedStore::RelayedStore(
+    Runtime &runtime, HttpClient &client, Store &store, RelayChoice &relays, std::string instancesPrefix, DecisionLog &log, Duration listingDelay)
     : runtime_(runtime)
     , client_(client)
     , store_(store)
     , relays_(relays)
     , instancesPrefix_(std::move(instancesPrefix))
     , startedAt_(runtime.now())
+    , listingDelay_(listingDelay)
     , log_(log)
 {
 }
@@ -49,14 +73,39 @@
 
 void RelayedStore::range(const std::string &key, bool prefix, std::int64_t limit, Callback<StoreRange> done)
 {
-    const auto relay = prefix && limit == 0 ? relays_.relay(runtime_.now()) : std::nullopt;
-    if (relay) {
-        requestRange(*relay, key, std::move(done));
+    if (prefix && limit == 0) {
+        startListing(key, std::move(done));
     } else {
         store_.range(key, prefix, limit, std::move(done));
     }
 }
 
+TimePoint RelayedStore::earliestStoreListing(const std::string &key) const
+{
+    if (listingDelay_ == Duration{0}) {
+        return startedAt_;
+    }
+    return startedAt_ + listingDelay_ + (key == instancesPrefix_ ? Duration{0} : OtherListingsDelay);
+}
+
+void RelayedStore::startListing(const std::string &prefix, Callback<StoreRange> done)
+{
+    const TimePoint now = runtime_.now();
+    const auto relay = relays_.relay(now);
+    if (relay) {
+        return requestRange(*relay, prefix, std::move(done));
+    }
+    const TimePoint earliest = earliestStoreListing(prefix);
+    if (now >= earliest && relays_.mayUseStore(now)) {
+        return store_.range(prefix, true, 0, std::move(done));
+    }
+    runtime_.schedule(std::max(UnavailableRetryInterval, earliest - now), [this, prefix, done = std::move(done), alive = alive_] {
+        if (*alive) {
+            startListing(prefix, done);
+        }
+    });
+}
+
 void RelayedStore::requestRange(const Address &relay, const std::string &prefix, Callback<StoreRange> done)
 {
     HttpRequest request;
@@ -70,10 +119,20 @@
         }
         auto range = response && response->status == OkStatus ? readRange(response->body) : notRun(Errc::Unavailable, "the relay knows nothing fresh");
         if (range) {
+            relays_.onAnswered();
             return done(std::move(range));
         }
-        relays_.onFailed(relay, runtime_.now());
-        store_.range(prefix, true, 0, done);
+        logRelayFailure(relay, prefix, 0, response ? range.error().message : response.error().message);
+        if (response && response->status == UnavailableStatus) {
+            relays_.onStale(relay, runtime_.now());
+        } else {
+            relays_.onFailed(relay, runtime_.now());
+        }
+        if (relays_.mayUseStore(runtime_.now())) {
+            store_.range(prefix, true, 0, done);
+        } else {
+            startListing(prefix, done);
+        }
     });
 }
 
@@ -123,17 +182,25 @@
     }
 }
 
+void RelayedStore::restartWatchLater(std::uint64_t id, Duration delay)
+{
+    watches_.at(id).timer = runtime_.schedule(delay, [this, id] {
+        watches_.at(id).timer = 0;
+        startWatch(id);
+    });
+}
+
 void RelayedStore::startWatch(std::uint64_t id)
 {
-    const auto relay = relays_.relay(runtime_.now());
-    const Duration delay = earliestStoreWatch(watches_.at(id).key) - runtime_.now();
+    const TimePoint now = runtime_.now();
+    const auto relay = relays_.relay(now);
+    const Duration delay = earliestStoreWatch(watches_.at(id).key) - now;
     if (relay) {
         poll(id, *relay);
     } else if (delay > Duration{0}) {
-        watches_.at(id).timer = runtime_.schedule(delay, [this, id] {
-            watches_.at(id).timer = 0;
-            startWatch(id);
-        });
+        restartWatchLater(id, delay);
+    } else if (!relays_.mayUseStore(now)) {
+        restartWatchLater(id, UnavailableRetryInterval);
     } else {
         watchStore(id);
     }
@@ -141,7 +208,7 @@
 
 TimePoint RelayedStore::earliestStoreWatch(const std::string &key) const
 {
-    return startedAt_ + (key == instancesPrefix_ ? InstancesWatchDelay : StoreWatchDelay);
+    return std::max(startedAt_ + (key == instancesPrefix_ ? InstancesWatchDelay : StoreWatchDelay), earliestStoreListing(key));
 }
 
 void RelayedStore::poll(std::uint64_t id, const Address &relay)
@@ -172,6 +239,11 @@
         node.mapped().ended(Failure{Errc::WrongVersion, Verdict::NotRun, "the relay no longer has the changes", Duration{0}});
         return;
     }
+    if (response->status == UnavailableStatus) {
+        relays_.onStale(relay, runtime_.now());
+        logRelayFailure(relay, found->second.key, found->second.revision, "the relay has no fresh data");
+        return startWatch(id);
+    }
     if (response->status != OkStatus) {
         return onRelayFailed(id, relay, "status " + std::to_string(response->status));
     }
@@ -180,6 +252,10 @@
         return onRelayFailed(id, relay, entries.error().message);
     }
     ++answeredPolls_;
+    relays_.onAnswered();
+    if (const auto age = ageOf(*response)) {
+        confirmations_[found->second.key] = {false, runtime_.now() - *age};
+    }
     for (const StoreEntry &entry : *entries) {
         if (!deliver(id, entry)) {
             return;
@@ -191,15 +267,19 @@
 void RelayedStore::onRelayFailed(std::uint64_t id, const Address &relay, const std::string &reason)
 {
     relays_.onFailed(relay, runtime_.now());
-    log_.write(DecisionPriority::Change,
-               "relay.failed",
-               {{"relay", relay.toString()}, {"watch", watches_.at(id).key}, {"revision", watches_.at(id).revision}, {"reason", reason}});
+    logRelayFailure(relay, watches_.at(id).key, watches_.at(id).revision, reason);
     startWatch(id);
 }
 
+void RelayedStore::logRelayFailure(const Address &relay, const std::string &key, std::int64_t revision, const std::string &reason)
+{
+    log_.write(DecisionPriority::Change, "relay.failed", {{"relay", relay.toString()}, {"watch", key}, {"revision", revision}, {"reason", reason}});
+}
+
 void RelayedStore::watchStore(std::uint64_t id)
 {
     Watch &watch = watches_.at(id);
+    confirmations_[watch.key].atStore = true;
     watch.storeWatch = store_.watch(
         watch.key,
         watch.prefix,
@@ -216,6 +296,18 @@
     watch.timer = runtime_.schedule(RelayRetryInterval, [this, id] { trySwitchToRelay(id); });
 }
 
+TimePoint RelayedStore::confirmedAt(TimePoint storeConfirmedAt) const
+{
+    if (confirmations_.empty()) {
+        return TimePoint{};
+    }
+    TimePoint earliest = TimePoint::max();
+    for (const auto &[key, confirmation] : confirmations_) {
+        earliest = std::min(earliest, confirmation.atStore ? storeConfirmedAt : confirmation.at);
+    }
+    return earliest;
+}
+
 void RelayedStore::trySwitchToRelay(std::uint64_t id)
 {
     Watch &watch = watches_.at(id);
--- a/packages/router/src/relayservice.cpp
+++ b/packages/router/src/relayservice.cpp
@@ -18,10 +18,14 @@
 constexpr int GoneStatus = 410;
 constexpr int UnavailableStatus = 503;
 
-/// If the store has not answered for this long, no data is served. Together with the duration of a poll this limits the age of an
-/// instance's data, for which the platform's bounds allow three seconds. The lease is renewed once a second, and a renewal may be
-/// late by nearly another second.
-constexpr Duration MaxStoreSilence = std::chrono::milliseconds(1800);
+/// Data older than this are not served by an instance that watches the store. Its lease is renewed once a second, and a renewal
+/// may be late by nearly another second. Together with the duration of a poll this limits the age of an instance's data.
+constexpr Duration MaxAge = std::chrono::milliseconds(1800);
+/// Each relay in between adds the duration of a poll and its transfer.
+constexpr Duration MaxAgePerRelay = std::chrono::milliseconds(1200);
+/// The minimum time between answers with changes under one prefix: when all instances restart, changes come one by one, and each
+/// answer costs every child a poll.
+constexpr Duration AnswerInterval = std::chrono::milliseconds(100);
 /// Longer waits requested by a poll are reduced to this.
 constexpr Duration MaxPollWait = std::chrono::seconds(5);
 
@@ -38,20 +42,12 @@
     return error == std::errc() && end == text.data() + text.size() && number >= 0 ? std::optional(number) : std::nullopt;
 }
 
-HttpServerResponse makeResponse(int status, std::string body = {})
-{
-    HttpServerResponse out;
-    out.status = status;
-    out.jsonByDefault = false;
-    out.body = std::move(body);
-    return out;
-}
-
 } // namespace
 
-RelayService::RelayService(Runtime &runtime, std::function<TimePoint()> confirmedAt)
+RelayService::RelayService(Runtime &runtime, std::function<TimePoint()> confirmedAt, std::function<int()> depth)
     : runtime_(runtime)
     , confirmedAt_(std::move(confirmedAt))
+    , depth_(std::move(depth))
 {
 }
 
@@ -60,11 +56,24 @@
     for (const Poll &poll : polls_) {
         runtime_.cancel(poll.timer);
     }
+    for (const auto &[prefix, state] : prefixes_) {
+        runtime_.cancel(state.answerTimer);
+    }
 }
 
 bool RelayService::isFresh() const
 {
-    return runtime_.now() - confirmedAt_() < MaxStoreSilence;
+    return runtime_.now() - confirmedAt_() < MaxAge + MaxAgePerRelay * depth_();
+}
+
+HttpServerResponse RelayService::makeResponse(int status, std::string body) const
+{
+    HttpServerResponse out;
+    out.status = status;
+    out.jsonByDefault = false;
+    out.headers[AgeHeader] = std::to_string((runtime_.now() - confirmedAt_()) / std::chrono::milliseconds(1));
+    out.body = std::move(body);
+    return out;
 }
 
 void RelayService::PrefixState::clearCachedResponses()
@@ -84,7 +93,7 @@
     for (const StoreEntry &entry : entries) {
         state.entries[entry.key] = entry;
     }
-    answerPolls(prefix);
+    announceChanges(prefix);
 }
 
 void RelayService::onChanged(const std::string &prefix, const StoreEntry &entry)
@@ -98,7 +107,23 @@
     } else {
         state.entries[entry.key] = entry;
     }
-    answerPolls(prefix);
+    announceChanges(prefix);
+}
+
+void RelayService::announceChanges(const std::string &prefix)
+{
+    PrefixState &state = prefixes_[prefix];
+    if (state.answerTimer != 0) {
+        return;
+    }
+    const Duration wait = state.answeredAt + AnswerInterval - runtime_.now();
+    if (wait <= Duration{0}) {
+        return answerPolls(prefix);
+    }
+    state.answerTimer = runtime_.schedule(wait, [this, prefix] {
+        prefixes_[prefix].answerTimer = 0;
+        answerPolls(prefix);
+    });
 }
 
 void RelayService::serveEntries(const HttpServerRequest &incoming, HttpResponder &responder)
@@ -132,7 +157,9 @@
         return;
     }
     Poll poll{parameter(incoming, "prefix"), *after, responder, 0};
-    if (tryAnswer(poll, false)) {
+    const auto state = prefixes_.find(poll.prefix);
+    const bool answerLater = state != prefixes_.end() && state->second.answerTimer != 0;
+    if (!answerLater && tryAnswer(poll, false)) {
         return;
     }
     const Duration wait = std::min<Duration>(std::chrono::milliseconds(*waitMs), MaxPollWait);
@@ -150,9 +177,15 @@
         poll.responder->respond(makeResponse(UnavailableStatus));
         return true;
     }
-    PrefixState &state = prefixes_[poll.prefix];
+    const auto found = prefixes_.find(poll.prefix);
+    if (found == prefixes_.end() || !found->second.hasListing) {
+        poll.responder->respond(makeResponse(UnavailableStatus));
+        return true;
+    }
+    PrefixState &state = found->second;
     const auto cached = state.cachedChanges.find(poll.after);
     if (cached != state.cachedChanges.end()) {
+        state.answeredAt = runtime_.now();
         poll.responder->respond(makeResponse(OkStatus, cached->second));
         return true;
     }
@@ -167,6 +200,7 @@
         }
         return timedOut;
     }
+    state.answeredAt = runtime_.now();
     poll.responder->respond(makeResponse(OkStatus, state.cachedChanges.emplace(poll.after, writeChanges(*cachedChanges)).first->second));
     return true;
 }
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -12,8 +12,13 @@
 namespace
 {
 
-/// The lease time of an instance's record. After this time the directory no longer lists a failed instance.
-constexpr std::chrono::seconds RecordTtl{3};
+/// When the whole system starts, listings wait for this time and up to as much again, by the instance's id, until the records
+/// are written. Roles are decided once the listings have spread.
+constexpr Duration FirstListingDelay = std::chrono::milliseconds(900);
+constexpr std::size_t FirstListingSteps = 10;
+constexpr Duration FirstSettlingTime = std::chrono::seconds(4);
+/// An instance that restarts writes its record once it is ready, or after this time.
+constexpr Duration RecordDelay = std::chrono::milliseconds(400);
 constexpr const char *MetricsPath = "/metrics";
 /// The interval of the checks for suspension and readiness.
 constexpr Duration TickInterval = std::chrono::milliseconds(200);
@@ -35,6 +40,8 @@
 /// The fraction of the file descriptors for clients' connections; the rest is for servers and the store.
 constexpr double ClientDescriptorFraction = 0.6;
 constexpr std::uint32_t MaxInternalConnections = 200;
+/// An instance that used this one as a relay and has gone back to its own leaves its connections behind.
+constexpr Duration InternalIdleTime = std::chrono::seconds(10);
 
 HttpServerLimits clientLimits(const ClientLimits &limits, std::uint32_t descriptors)
 {
@@ -51,9 +58,20 @@
 {
     HttpServerLimits out;
     out.connections = MaxInternalConnections;
+    out.idleTime = InternalIdleTime;
     return out;
 }
 
+/// Instances that start together list the others at slightly different times.
+Duration firstListingDelay(const RouterSettings &settings)
+{
+    if (!settings.firstStart) {
+        return Duration{0};
+    }
+    const auto step = static_cast<int>(std::hash<std::string>()(settings.id.text()) % FirstListingSteps);
+    return FirstListingDelay + FirstListingDelay * step / static_cast<int>(FirstListingSteps);
+}
+
 HttpServerResponse textResponse(int status, const std::string &text)
 {
     HttpServerResponse out;
@@ -107,17 +125,18 @@
     , coordinator_(context_, seed)
     , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
     , relays_(settings.id)
-    , store_(loop, client, store, relays_, dialect.instancesPrefix(), log)
+    , store_(loop, client, store, relays_, dialect.instancesPrefix(), log, firstListingDelay(settings))
     , lease_(loop,
              store,
              dialect.instancesPrefix() + settings.id.text(),
-             RecordTtl,
+             recordTerms(InstanceRole::Standby).term,
              [this](const Failure *failure) {
                  log_.write(DecisionPriority::Change,
                             failure != nullptr ? "store.lost" : "store.regained",
                             {{"dependency", "lease"}, {"reason", failure != nullptr ? failure->message : std::string()}});
              })
-    , relay_(loop, [this] { return lease_.confirmedAt(); })
+    , relay_(
+          loop, [this] { return store_.confirmedAt(lease_.confirmedAt()); }, [this] { return relays_.depth(); })
     , feed_(loop,
             store_,
             dialect,
@@ -133,6 +152,7 @@
     , directory_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
     , peers_(makeHttpServer(loop, internalLimits()))
     , suspended_(loop.suspended())
+    , startedAt_(loop.now())
 {
     clients_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { clientEndpoint_.serve(std::move(in), out); });
     readiness_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveReadiness(in, out); });
@@ -145,6 +165,7 @@
 {
     loop_.cancel(tickTimer_);
     loop_.cancel(stateTimer_);
+    loop_.cancel(publishTimer_);
 }
 
 Result<void> Router::listen(HttpServer &server, const char *what, const Address &address)
@@ -169,9 +190,16 @@
             return bound;
         }
     }
-    // The record is written before the instance is ready, so that instances can use each other as relays.
-    lease_.start(writeInstance(self_));
     feed_.start();
+    if (settings_.firstStart) {
+        // The records are needed before any instance is ready, so that instances can use each other as relays.
+        publishRecord();
+    } else {
+        publishTimer_ = loop_.schedule(RecordDelay, [this] {
+            publishTimer_ = 0;
+            publishRecord();
+        });
+    }
     tickDue_ = loop_.now();
     tick();
     stateTimer_ = loop_.schedule(StateLogInterval, [this] { logState(); });
@@ -207,7 +235,39 @@
         "readiness.changed",
         {{"ready", self_.ready ? 1 : 0}, {"crowded", self_.crowded ? 1 : 0}, {"loopDelayUs", loopDelay_.smoothed().count()}, {"config", feed_.version()}});
     onInstancesChanged();
-    if (!leaving_) {
+    if (self_.ready) {
+        publishRecord();
+    }
+}
+
+void Router::publishRecord()
+{
+    if (leaving_ || std::exchange(recordPublished_, true)) {
+        return;
+    }
+    loop_.cancel(std::exchange(publishTimer_, 0));
+    const RecordTerms terms = recordTerms(role_);
+    lease_.setTerm(terms.term, terms.renewalInterval);
+    lease_.start(writeInstance(self_));
+}
+
+void Router::updateRole()
+{
+    const bool settled = !settings_.firstStart || loop_.now() - startedAt_ >= FirstSettlingTime;
+    const InstanceRole role = instanceRole(role_, instances_.wouldBeChosen(self_), relays_.hasChildren(), settled && feed_.hasInstances());
+    if (role_ != role) {
+        role_ = role;
+        log_.write(DecisionPriority::Change,
+                   "role.changed",
+                   {{"role", "active"}, {"depth", relays_.depth()}, {"instances", static_cast<std::int64_t>(instances_.count(self_))}});
+    }
+    if (!recordPublished_ || leaving_) {
+        return;
+    }
+    const RecordTerms terms = recordTerms(role_);
+    lease_.setTerm(terms.term, terms.renewalInterval);
+    if (role_ == InstanceRole::Active) {
+        // The others use the readiness of active instances only, so a standby instance does not write its record again.
         lease_.change(writeInstance(self_));
     }
 }
@@ -225,6 +285,7 @@
     suspended_ = suspended;
     relay_.endStalePolls();
     updateReadiness();
+    updateRole();
     tickDue_ = loop_.now() + TickInterval;
     tickTimer_ = loop_.schedule(TickInterval, [this] { tick(); });
 }
@@ -296,6 +357,7 @@
     budget_.setInstances(senders.self ? senders.count : instances_.count(self_) * OutsiderBudgetDivisor, loop_.now());
     relays_.setInstances(instances_.recordsIn(self_.region));
     updateConnectionLimits();
+    updateRole();
 }
 
 void Router::updateConnectionLimits()
@@ -308,14 +370,16 @@
 
 void Router::onServerChanged(const ServerEntry &server, bool usable)
 {
-    log_.write(DecisionPriority::Change,
-               "server.changed",
-               {{"server", server.id.text()},
-                {"service", server.service.text()},
-                {"address", server.address.toString()},
-                {"usable", usable ? 1 : 0},
-                {"draining", server.draining ? 1 : 0},
-                {"born", server.born}});
+    if (!feed_.isListingServers()) {
+        log_.write(DecisionPriority::Change,
+                   "server.changed",
+                   {{"server", server.id.text()},
+                    {"service", server.service.text()},
+                    {"address", server.address.toString()},
+                    {"usable", usable ? 1 : 0},
+                    {"draining", server.draining ? 1 : 0},
+                    {"born", server.born}});
+    }
     if (usable) {
         usableServers_[server.id] = server;
         choice_.onListed(server, loop_.now());
@@ -342,7 +406,9 @@
     leavingSince_ = loop_.now();
     log_.write(DecisionPriority::Change, "leaving", {{"waiting", static_cast<std::int64_t>(coordinator_.pendingRequests())}});
     updateReadiness();
-    lease_.withdraw();
+    if (recordPublished_) {
+        lease_.withdraw();
+    }
     clients_->announceClose();
     directory_->announceClose();
     const Duration closingDelay = std::min<Duration>(settings_.directoryTtl * TtlsBeforeClosing, settings_.stopTime / 2);
--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -16,6 +16,9 @@
 /// Changes of the instances' records are combined for this time: when all instances restart, each receives a change for every
 /// instance.
 constexpr Duration InstancesBatchDelay = std::chrono::milliseconds(100);
+/// The routes and the servers are followed once the instances are known, or after this time: in a large region they then come
+/// from a relay.
+constexpr Duration OthersStartDelay = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -61,17 +64,32 @@
 {
     runtime_.cancel(dropLapsedTimer_);
     runtime_.cancel(instancesTimer_);
+    runtime_.cancel(startTimer_);
 }
 
 void RoutingFeed::start()
 {
+    instanceRecords_.start();
+    startTimer_ = runtime_.schedule(OthersStartDelay, [this] {
+        startTimer_ = 0;
+        startOthers();
+    });
+}
+
+void RoutingFeed::startOthers()
+{
+    if (std::exchange(othersStarted_, true)) {
+        return;
+    }
+    runtime_.cancel(std::exchange(startTimer_, 0));
     config_.start();
     serverEntries_.start();
-    instanceRecords_.start();
 }
 
 void RoutingFeed::restart()
 {
+    othersStarted_ = true;
+    runtime_.cancel(std::exchange(startTimer_, 0));
     config_.restart();
     serverEntries_.restart();
     instanceRecords_.restart();
@@ -170,7 +188,9 @@
             logSkipped("server", entry.key, server.error().message);
         }
     }
+    listingServers_ = true;
     servers_.replace(read, isDisturbed());
+    listingServers_ = false;
     log_.write(DecisionPriority::Change,
                "servers.listed",
                {{"entries", static_cast<std::int64_t>(entries.size())}, {"servers", static_cast<std::int64_t>(servers_.size())}});
@@ -181,9 +201,7 @@
 {
     const InstanceId id(entry.key.substr(dialect_.instancesPrefix().size()));
     const Result<InstanceRecord> record = entry.deleted ? notRun(Errc::NotFound, "the record was removed") : readInstance(entry.value);
-    log_.write(DecisionPriority::Change,
-               "instance.changed",
-               {{"id", id.text()}, {"listed", record ? 1 : 0}, {"ready", record && record->ready ? 1 : 0}, {"revision", entry.modRevision}});
+    instanceChanges_.add(id.text(), record && record->ready, entry.modRevision);
     if (record) {
         instances_.put(*record);
     } else {
@@ -192,6 +210,7 @@
     if (instancesTimer_ == 0) {
         instancesTimer_ = runtime_.schedule(InstancesBatchDelay, [this] {
             instancesTimer_ = 0;
+            instanceChanges_.write(log_, "instances.changed");
             events_.onInstances();
         });
     }
@@ -211,6 +230,7 @@
     instances_.replace(read, isDisturbed());
     log_.write(DecisionPriority::Change, "instances.listed", {{"instances", static_cast<std::int64_t>(read.size())}});
     events_.onInstances();
+    startOthers();
 }
 
 } // namespace Burdock
--- a/packages/routing/include/burdock/routing/instancelease.h
+++ b/packages/routing/include/burdock/routing/instancelease.h
@@ -26,6 +26,10 @@
 
     void start(std::string value);
 
+    /// Changes the term of the lease and the interval of its renewals. A lease that is held is replaced by one of the new term,
+    /// since the store cannot change it.
+    void setTerm(std::chrono::seconds term, Duration renewalInterval);
+
     /// Replaces the value of the key.
     void change(std::string value);
 
@@ -48,7 +52,6 @@
     void write();
     void renew();
     void scheduleRenewal();
-    void scheduleRenewalRetry();
     void pause();
     void revoke();
     void startTimer(Duration span);
@@ -58,10 +61,14 @@
     Runtime &runtime_;
     Store &store_;
     const std::string key_;
-    const std::chrono::seconds term_;
+    std::chrono::seconds term_;
+    Duration renewalInterval_;
+    /// The delay after the next failed call; grows with consecutive failures.
+    Duration retryDelay_;
     const ReachabilityHandler onReachability_;
     std::string value_;
     std::int64_t lease_ = 0;
+    std::chrono::seconds leaseTerm_{0};
     std::uint64_t generation_ = 0;
     TimerId timer_ = 0;
     /// When the current lease was requested.
--- a/packages/routing/src/instancelease.cpp
+++ b/packages/routing/src/instancelease.cpp
@@ -11,8 +11,10 @@
 
 /// Renewals within one lease term; several, so that one lost renewal does not expire the lease.
 constexpr int RenewalsPerTerm = 3;
-/// The delay after a failed call.
-constexpr Duration RetryDelay = std::chrono::milliseconds(300);
+/// The delay after a failed call. It doubles with each consecutive failure, up to a third of the interval of renewals, so that
+/// instances whose records matter little call a store that is away less often.
+constexpr Duration InitialRetryDelay = std::chrono::milliseconds(300);
+constexpr int RetriesPerInterval = 3;
 
 } // namespace
 
@@ -23,7 +25,7 @@
                                                   {"write", &InstanceLease::write},
                                                   {"renew", &InstanceLease::renew},
                                                   {"scheduleRenewal", &InstanceLease::scheduleRenewal},
-                                                  {"scheduleRenewalRetry", &InstanceLease::scheduleRenewalRetry},
+                                                  {"scheduleRenewalRetry", &InstanceLease::pause},
                                                   {"pause", &InstanceLease::pause},
                                                   {"revoke", &InstanceLease::revoke}});
     return table;
@@ -34,6 +36,8 @@
     , store_(store)
     , key_(std::move(key))
     , term_(term)
+    , renewalInterval_(Duration(term) / RenewalsPerTerm)
+    , retryDelay_(InitialRetryDelay)
     , onReachability_(std::move(onReachability))
     , chartRun_(table(), *this)
 {
@@ -51,6 +55,14 @@
     chartRun_.handle("begin");
 }
 
+void InstanceLease::setTerm(std::chrono::seconds term, Duration renewalInterval)
+{
+    renewalInterval_ = renewalInterval;
+    if (std::exchange(term_, term) != term && !chartRun_.isFinished()) {
+        chartRun_.handle("termChanged");
+    }
+}
+
 void InstanceLease::change(std::string value)
 {
     if (value_ != value) {
@@ -91,6 +103,7 @@
 void InstanceLease::onConfirmed(TimePoint sentAt, const char *event)
 {
     confirmedAt_ = sentAt;
+    retryDelay_ = InitialRetryDelay;
     if (std::exchange(unreachable_, false)) {
         onReachability_(nullptr);
     }
@@ -101,7 +114,8 @@
 {
     const std::uint64_t generation = ++generation_;
     leaseRequestedAt_ = runtime_.now();
-    store_.grantLease(term_.count(), [this, generation, alive = alive_](Result<std::int64_t> lease) {
+    leaseTerm_ = term_;
+    store_.grantLease(leaseTerm_.count(), [this, generation, alive = alive_](Result<std::int64_t> lease) {
         if (!*alive || generation != generation_) {
             return;
         }
@@ -126,8 +140,12 @@
         if (!commit) {
             return onFailed(commit.error());
         }
-        heldUntil_ = std::max(heldUntil_, leaseRequestedAt_ + term_);
+        heldUntil_ = std::max(heldUntil_, leaseRequestedAt_ + leaseTerm_);
         onConfirmed(sentAt, "written");
+        if (leaseTerm_ != term_ && !chartRun_.isFinished()) {
+            // The term changed while this lease was requested.
+            chartRun_.handle("termChanged");
+        }
     });
 }
 
@@ -142,24 +160,20 @@
         if (!renewal) {
             return onFailed(renewal.error());
         }
-        heldUntil_ = sentAt + term_;
+        heldUntil_ = sentAt + leaseTerm_;
         onConfirmed(sentAt, "renewed");
     });
 }
 
 void InstanceLease::scheduleRenewal()
 {
-    startTimer(Duration(term_) / RenewalsPerTerm);
-}
-
-void InstanceLease::scheduleRenewalRetry()
-{
-    startTimer(RetryDelay);
+    startTimer(renewalInterval_);
 }
 
 void InstanceLease::pause()
 {
-    startTimer(RetryDelay);
+    startTimer(retryDelay_);
+    retryDelay_ = std::max(InitialRetryDelay, std::min(2 * retryDelay_, renewalInterval_ / RetriesPerInterval));
 }
 
 void InstanceLease::revoke()
--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -145,6 +145,11 @@
     return {std::max(now.count, allReady.count), now.self || allReady.self};
 }
 
+bool InstanceTable::wouldBeChosen(const InstanceRecord &self) const
+{
+    return includes(chosenOf(filter(all(self), [&self](const InstanceRecord *record) { return record->region == self.region; })), self.id);
+}
+
 std::vector<Address> InstanceTable::addressesFor(const Region &region, const InstanceRecord &self, std::size_t maxCount)
 {
     Records chosen = chosenIn(region, self);
