Never fire a timer before its delay is over

Cause: libevent counts a timer from the time it cached when the loop's iteration began. A timer that was scheduled late in a long callback fired early by as much. GatherRun's answer timer is scheduled after 90 sub-requests were sent, three to five milliseconds into the callback: it fired, found that the answer was not due, and was gone, so the answer left only when the next part arrived. Hedges were sent early by the same amount.

Change: the loop's cached time is updated before a timer is added.

--- a/packages/values/include/burdock/values/runtime.h
+++ b/packages/values/include/burdock/values/runtime.h
@@ -38,7 +38,7 @@
         return Duration{0};
     }
 
-    /// Calls `callback` once from the loop, `delay` from now; a delay of zero or less means the next iteration.
+    /// Calls `callback` once from the loop, `delay` from now and never earlier; a delay of zero or less means the next iteration.
     virtual TimerId schedule(Duration delay, std::function<void()> callback) = 0;
 
     /// Cancels a scheduled call. Unknown or already fired timers are ignored.
--- a/packages/wire/src/eventloop.cpp
+++ b/packages/wire/src/eventloop.cpp
@@ -135,6 +135,9 @@
     timer->callback = std::move(callback);
     evtimer_assign(&timer->handle, d_->base_, &Private::onTimer, timer.get());
     const timeval wait = toTimeval(std::max(delay, Duration{0}));
+    // libevent counts from its cached time, which stands still during a callback: without this, timers fire early by as much as
+    // the callback has run so far.
+    event_base_update_cache_time(d_->base_);
     evtimer_add(&timer->handle, &wait);
     const TimerId id = timer->id;
     d_->timers_.emplace(id, std::move(timer));
