Let a gathered answer leave by the time that has passed for its client

Cause: the answer left 20 ms before the target, counted from the request's arrival. A client that opened a connection first had used 15 ms of its 100 ms by then (it states 785 of 800 ms left), so half of the urgent lookups came late by a few milliseconds.

Change: ClientAge estimates per route how long a client has waited from the time it states; GatherRun subtracts it from the target while the target can still be reached. Load: lookups with a target of a few round trips.

--- a/packages/routing/include/burdock/routing/requestcoordinator.h
+++ b/packages/routing/include/burdock/routing/requestcoordinator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/routing/clientage.h>
 #include <burdock/routing/requestrun.h>
 #include <burdock/routing/routetable.h>
 #include <burdock/routing/weightedsplit.h>
@@ -56,6 +57,7 @@
     const TimePoint started_;
     std::shared_ptr<const RouteTable> routes_;
     WeightedSplit split_;
+    ClientAge clientAge_;
     ServedRequestId lastId_ = 0;
     std::size_t pending_ = 0;
     std::unordered_map<ServedRequestId, Entry> entries_;
--- a/packages/routing/include/burdock/routing/requestrun.h
+++ b/packages/routing/include/burdock/routing/requestrun.h
@@ -33,6 +33,8 @@
     TimePoint deadline;
     /// The retry delay that a refusal suggests to the client.
     Duration retryAfter{0};
+    /// How long the client had already waited when the request arrived.
+    Duration clientAge{0};
 };
 
 /// Creates a run that forwards the request to one service and returns its response unchanged.
--- a/packages/routing/src/gatherrun.cpp
+++ b/packages/routing/src/gatherrun.cpp
@@ -10,10 +10,13 @@
 namespace
 {
 
-/// An answer is sent this long before the target time, to cover the round trip to the client, its new connection and queueing here.
+/// An answer is sent this long before the target time, to cover the way to the client and back, and queueing here.
 constexpr Duration AnswerMargin = std::chrono::milliseconds(20);
 /// For short target times the margin is at most the target time divided by this.
 constexpr int MaxMarginDivisor = 4;
+/// The part of the target time that may have passed for the client already. After more than that, an answer in time is out of
+/// reach, and a complete one is worth more than an early one.
+constexpr double MaxAgeFraction = 0.75;
 
 /// One request to all shards of a route.
 ///
@@ -41,7 +44,8 @@
         done_ = std::move(done);
         const Route &route = *terms_.route;
         const Duration margin = std::min(AnswerMargin, route.target / MaxMarginDivisor);
-        answerAt_ = terms_.request->arrived + route.target - margin;
+        const bool reachable = static_cast<double>(terms_.clientAge.count()) < static_cast<double>(route.target.count()) * MaxAgeFraction;
+        answerAt_ = terms_.request->arrived + route.target - margin - (reachable ? terms_.clientAge : Duration{0});
         calls_.reserve(route.shards.size());
         for (const ServiceName &shard : route.shards) {
             calls_.push_back(std::make_unique<ServiceCall>(context_, terms_.route, shard, terms_.request, terms_.deadline, answerAt_));
--- a/packages/routing/src/requestcoordinator.cpp
+++ b/packages/routing/src/requestcoordinator.cpp
@@ -81,8 +81,9 @@
         return id;
     }
     const Duration effectiveTimeout = std::min(request.clientTimeout.value_or(route->timeout), route->timeout);
+    const Duration clientAge = request.clientTimeout ? clientAge_.onRequest(route->name, *request.clientTimeout) : Duration{0};
     const auto shared = std::make_shared<const ClientRequest>(std::move(request));
-    const RunTerms terms{route, shared, shared->arrived + effectiveTimeout, retryAfter(*route)};
+    const RunTerms terms{route, shared, shared->arrived + effectiveTimeout, retryAfter(*route), clientAge};
     Entry &entry = entries_[id];
     entry.run = makeRun(terms);
     ++pending_;
--- a/packages/routing/tests/gathertest.cpp
+++ b/packages/routing/tests/gathertest.cpp
@@ -182,3 +182,40 @@
     REQUIRE(fixture.answer);
     CHECK(fixture.answer->missing == 0);
 }
+
+TEST_CASE("An answer to a client that has waited already leaves earlier, so that it is in time for the client", "[gather][age]")
+{
+    RoutingFixture fixture;
+    fixture.setRoutes({fixture.shardRoute({"a", "b", "c", "d"}, 0.75)});
+    const auto answerAll = [&fixture] {
+        for (const char letter : {'a', 'b', 'c', 'd'}) {
+            fixture.backends.answer(success(record(letter)), std::string(1, letter) + "1");
+        }
+    };
+    for (int request = 0; request < 10; ++request) {
+        fixture.sendRequest("all", milliseconds(800));
+        answerAll();
+        fixture.runtime.advance(milliseconds(500));
+    }
+    const auto answeredAfter = [&fixture](Duration timeLeft) {
+        fixture.sendRequest("all", timeLeft);
+        for (const char *server : {"a1", "b1", "c1"}) {
+            fixture.backends.answer(success(record(server[0])), server);
+        }
+        const TimePoint sent = fixture.runtime.now();
+        while (!fixture.answer) {
+            fixture.runtime.advance(milliseconds(1));
+        }
+        CHECK(fixture.answer->missing == 1);
+        return std::chrono::duration_cast<milliseconds>(fixture.runtime.now() - sent).count();
+    };
+    const auto onTime = answeredAfter(milliseconds(800));
+    SECTION("a client that opened a connection first")
+    {
+        CHECK(answeredAfter(milliseconds(775)) == onTime - 25);
+    }
+    SECTION("a client for which the target is out of reach gets the usual time")
+    {
+        CHECK(answeredAfter(milliseconds(620)) == onTime);
+    }
+}
