Bound what an HTTP client reads of a response that never ends

Cause: servers in trouble may send bytes that are no answer without end. Tests of twelve shapes, each sent until the caller closes, showed one that was read without limit: the line with the size of a chunk, or its extension, for which libevent has no limit; at 25 MB/s a call of 15 s would have taken the process down.

Change: the connection stops reading at the body limit plus the size of a head of unparsed bytes; the call times out, counts as failed and closes the connection. Servers' responses are limited to 4 MB, so that several endless ones on several connections fit into the smallest instances. All HTTP readers of ours (servers, peers, the store) use this client.

--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -40,6 +40,9 @@
 /// The fraction of the file descriptors for clients' connections; the rest is for servers and the store.
 constexpr double ClientDescriptorFraction = 0.6;
 constexpr std::uint32_t MaxInternalConnections = 200;
+/// The maximum size of a server's response. Several servers may send bytes without end at the same time, each on several connections,
+/// and the smallest instances have 160 MB.
+constexpr std::size_t MaxServerResponseBytes = std::size_t{4} << 20;
 /// An instance that used this one as a relay and has gone back to its own leaves its connections behind.
 constexpr Duration InternalIdleTime = std::chrono::seconds(10);
 
@@ -364,7 +367,7 @@
 {
     for (const auto &[id, server] : usableServers_) {
         const std::uint32_t share = choice_.connectionShare(server.service);
-        client_.setLimits(server.address, ConnectionLimits{share, share, 0});
+        client_.setLimits(server.address, ConnectionLimits{share, share, MaxServerResponseBytes});
     }
 }
 
@@ -384,7 +387,7 @@
         usableServers_[server.id] = server;
         choice_.onListed(server, loop_.now());
         const std::uint32_t share = choice_.connectionShare(server.service);
-        client_.setLimits(server.address, ConnectionLimits{share, share, 0});
+        client_.setLimits(server.address, ConnectionLimits{share, share, MaxServerResponseBytes});
         return;
     }
     usableServers_.erase(server.id);
--- a/packages/wire/src/clientconnection.cpp
+++ b/packages/wire/src/clientconnection.cpp
@@ -9,6 +9,7 @@
 #include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <new>
@@ -141,6 +142,8 @@
         return notRun(Errc::BadRequest, "the method, the path or a header is not one that HTTP allows");
     }
     evhttp_connection_set_max_body_size(connection_, static_cast<ev_ssize_t>(bodyLimit));
+    // libevent does not limit the line with the size of a chunk. Reading stops at this many unparsed bytes, and the call times out.
+    bufferevent_setwatermark(stream_, EV_READ, 0, bodyLimit + ResponseHeaderBytes);
     if (evhttp_make_request(connection_, request, *commandOf(call_->request.method), call_->request.path.c_str()) != 0) {
         closed_ = true;
         return notRun(Errc::Unavailable, "cannot connect to " + address_.toString());
--- a/packages/wire/tests/httpclientfaulttest.cpp
+++ b/packages/wire/tests/httpclientfaulttest.cpp
@@ -122,6 +122,67 @@
     }
 }
 
+TEST_CASE("bytes without end are no response: the call fails, and little of them is read", "[http][client][endless]")
+{
+    const std::string block(16384, 'x');
+    std::string continues;
+    for (int number = 0; number < 500; ++number) {
+        continues += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    const auto [what, start, endless] = GENERATE_COPY(table<std::string, std::string, std::string>({
+        {"a status line", "HTTP/1.1 200 ", block},
+        {"bytes that are no head", "", std::string(block.size(), '\0')},
+        {"a header", "HTTP/1.1 200 OK\r\nX-Long: ", block},
+        {"headers", "HTTP/1.1 200 OK\r\n", "X-Many: 1\r\n"},
+        {"interim responses", "", continues},
+        {"a body with a length", "HTTP/1.1 200 OK\r\nContent-Length: 900000000\r\n\r\n", block},
+        {"a body that ends with the connection", "HTTP/1.1 200 OK\r\n\r\n", block},
+        {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+        {"a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n", block},
+        {"the size of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", std::string(block.size(), '0')},
+        {"the extension of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", block},
+        {"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Many: 1\r\n"},
+    }));
+    INFO(what << " without end");
+    Client f([start = start, endless = endless](RawSocket &socket) {
+        if (receivedWholeRequest(socket)) {
+            socket.received.clear();
+            socket.send(start);
+            socket.sendEndlessly(endless);
+        }
+    });
+    const TimePoint sent = f.loop.now();
+    const Result<HttpResponse> answer = f.call(f.request(400ms));
+    REQUIRE_FALSE(answer.has_value());
+    CHECK(answer.error().verdict == Verdict::MayHaveRun);
+    CHECK(f.loop.now() - sent < 2s);
+    REQUIRE(f.until([&] { return f.server.sockets.front()->closedByPeer; }));
+    // What is not read waits in the sockets' buffers, of a few megabytes on loopback.
+    const bool isRead = what == "interim responses";
+    CHECK((isRead || f.server.sockets.front()->sentEndlessly < 8U << 20));
+    CHECK(f.client->openConnections(f.server.address()) == 0);
+}
+
+TEST_CASE("bytes without end after a whole response do not reach the next call", "[http][client][endless]")
+{
+    int answered = 0;
+    Client f([&answered](RawSocket &socket) {
+        if (receivedWholeRequest(socket)) {
+            socket.received.clear();
+            socket.send(Ok);
+            if (++answered == 1) {
+                socket.sendEndlessly(std::string(16384, 'x'));
+            }
+        }
+    });
+    CHECK(f.call(f.request()).has_value());
+    const Result<HttpResponse> next = f.call(f.request());
+    REQUIRE(next.has_value());
+    CHECK(next->body == "ok");
+    REQUIRE(f.until([&] { return f.server.sockets.front()->closedByPeer; }));
+    CHECK(f.server.sockets.front()->sentEndlessly < 8U << 20);
+}
+
 TEST_CASE("a response sent in packets of one byte is read completely", "[http][client]")
 {
     const std::string reply = GENERATE(std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"),
--- a/packages/wire/tests/rawsocket.h
+++ b/packages/wire/tests/rawsocket.h
@@ -60,6 +60,17 @@
         bufferevent_write(stream_, bytes.data(), bytes.size());
     }
 
+    /// Sends the bytes again and again, as fast as the peer takes them, until the peer closes the connection.
+    void sendEndlessly(const std::string &bytes)
+    {
+        endless_ = bytes;
+        bufferevent_setcb(stream_, &RawSocket::onRead, &RawSocket::onDrained, &RawSocket::onEvent, this);
+        bufferevent_trigger(stream_, EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+    }
+
+    /// The bytes that were handed to the kernel by `sendEndlessly`.
+    std::size_t sentEndlessly = 0;
+
     void stopReading()
     {
         bufferevent_disable(stream_, EV_READ);
@@ -108,6 +119,15 @@
         }
     }
 
+    static void onDrained(bufferevent *stream, void *context)
+    {
+        auto *self = static_cast<RawSocket *>(context);
+        if (!self->closedByPeer && !self->endless_.empty()) {
+            self->sentEndlessly += self->endless_.size();
+            bufferevent_write(stream, self->endless_.data(), self->endless_.size());
+        }
+    }
+
     static void onEvent(bufferevent *, short events, void *context)
     {
         auto *self = static_cast<RawSocket *>(context);
@@ -115,6 +135,7 @@
     }
 
     bufferevent *stream_;
+    std::string endless_;
 };
 
 /// A listening port whose connections are RawSockets.
