--- a/packages/router/src/relaycodec.cpp
+++ b/packages/router/src/relaycodec.cpp
@@ -1,6 +1,6 @@
 #include <burdock/router/relaycodec.h>
 
-#include <nlohmann/json.hpp>
+#include <burdock/wire/cbor.h>
 
 namespace Burdock
 {
@@ -41,9 +41,19 @@
     return bytes;
 }
 
-tl::unexpected<Failure> malformed(const Json::exception &error)
+/// Parses a relay's answer and reads it with `read`.
+template<class T, class Read>
+Result<T> readAnswer(const std::string &bytes, Read read)
 {
-    return notRun(Errc::ConnectionLost, std::string("the relay's answer is malformed: ") + error.what());
+    const Result<Json> message = parseCbor(bytes);
+    if (!message) {
+        return notRun(Errc::ConnectionLost, "the relay's answer is malformed: " + message.error().message);
+    }
+    try {
+        return read(*message);
+    } catch (const Json::exception &error) {
+        return notRun(Errc::ConnectionLost, std::string("the relay's answer is malformed: ") + error.what());
+    }
 }
 
 } // namespace
@@ -55,11 +65,7 @@
 
 Result<std::vector<StoreEntry>> readChanges(const std::string &bytes)
 {
-    try {
-        return entriesOf(Json::from_cbor(bytes));
-    } catch (const Json::exception &error) {
-        return malformed(error);
-    }
+    return readAnswer<std::vector<StoreEntry>>(bytes, [](const Json &message) { return entriesOf(message); });
 }
 
 std::string writeRange(const StoreRange &range)
@@ -69,12 +75,7 @@
 
 Result<StoreRange> readRange(const std::string &bytes)
 {
-    try {
-        const Json message = Json::from_cbor(bytes);
-        return StoreRange{entriesOf(message.at(1)), message.at(0).get<std::int64_t>()};
-    } catch (const Json::exception &error) {
-        return malformed(error);
-    }
+    return readAnswer<StoreRange>(bytes, [](const Json &message) { return StoreRange{entriesOf(message.at(1)), message.at(0).get<std::int64_t>()}; });
 }
 
 } // namespace Burdock
