Know that the store is back from its answer, not only from a change

Traced on front-kanto-b-1: after an outage of the store it logged store.regained for the servers and the routes, but never for the instances' records, which no longer change after the start. A follower took the store for reachable only when a change came; until all three followers did, servers that left were kept as lapsed and used when their service had no other. It was there before: with an outage and no later change of the configuration, the state lasted until the end.

Change: Store tells that it answered for a watch; a follower counts that as reachable.

--- a/packages/router/include/burdock/router/relayedstore.h
+++ b/packages/router/include/burdock/router/relayedstore.h
@@ -45,6 +45,7 @@
                         std::int64_t fromRevision,
                         std::function<void(const StoreEntry &)> changed,
                         std::function<void(const Failure &)> ended) override;
+    void setAnswerHandler(std::uint64_t watch, std::function<void()> onAnswered) override;
     void unwatch(std::uint64_t watch) override;
 
     /// Returns the time up to which all watched data are known to be complete. `storeConfirmedAt` is when the store last answered
@@ -65,6 +66,7 @@
         std::int64_t revision = 0;
         std::function<void(const StoreEntry &)> changed;
         std::function<void(const Failure &)> ended;
+        std::function<void()> answered;
         HttpCallId poll = 0;
         std::uint64_t storeWatch = 0;
         TimerId timer = 0;
@@ -91,6 +93,8 @@
     void trySwitchToRelay(std::uint64_t id);
     void onRelayFailed(std::uint64_t id, const Address &relay, const std::string &reason);
     void logRelayFailure(const Address &relay, const std::string &key, std::int64_t revision, const std::string &reason);
+    /// Tells the watch that the store or a relay has answered; returns false if the callback ended the watch.
+    bool announceAnswer(std::uint64_t id);
     /// Passes a change to the watch; returns false if the callback ended the watch.
     bool deliver(std::uint64_t id, const StoreEntry &entry);
     void cancelCalls(const Watch &watch);
--- a/packages/router/src/relayedstore.cpp
+++ b/packages/router/src/relayedstore.cpp
@@ -160,11 +160,28 @@
     const std::string &key, bool prefix, std::int64_t fromRevision, std::function<void(const StoreEntry &)> changed, std::function<void(const Failure &)> ended)
 {
     const std::uint64_t id = ++lastId_;
-    watches_[id] = Watch{key, prefix, fromRevision, std::move(changed), std::move(ended), 0, 0, 0};
+    watches_[id] = Watch{key, prefix, fromRevision, std::move(changed), std::move(ended), nullptr, 0, 0, 0};
     startWatch(id);
     return id;
 }
 
+void RelayedStore::setAnswerHandler(std::uint64_t id, std::function<void()> onAnswered)
+{
+    const auto found = watches_.find(id);
+    if (found != watches_.end()) {
+        found->second.answered = std::move(onAnswered);
+    }
+}
+
+bool RelayedStore::announceAnswer(std::uint64_t id)
+{
+    const auto answered = watches_.at(id).answered;
+    if (answered) {
+        answered();
+    }
+    return watches_.count(id) > 0;
+}
+
 void RelayedStore::unwatch(std::uint64_t id)
 {
     const auto node = watches_.extract(id);
@@ -256,6 +273,9 @@
     if (const auto age = ageOf(*response)) {
         confirmations_[found->second.key] = {false, runtime_.now() - *age};
     }
+    if (!announceAnswer(id)) {
+        return;
+    }
     for (const StoreEntry &entry : *entries) {
         if (!deliver(id, entry)) {
             return;
@@ -293,6 +313,7 @@
                 node.mapped().ended(failure);
             }
         });
+    store_.setAnswerHandler(watch.storeWatch, [this, id] { announceAnswer(id); });
     watch.timer = runtime_.schedule(RelayRetryInterval, [this, id] { trySwitchToRelay(id); });
 }
 
--- a/packages/router/tests/relaytest.cpp
+++ b/packages/router/tests/relaytest.cpp
@@ -376,3 +376,47 @@
     fixture.runtime.advance(seconds(10));
     CHECK(fixture.client.calls.empty());
 }
+
+TEST_CASE("A watch tells that a relay answers, also without a change", "[relay]")
+{
+    RelayedStoreFixture fixture;
+    int answers = 0;
+    fixture.runtime.advance(seconds(2));
+    const std::uint64_t watch = fixture.store.watch(
+        "servers/", true, 10, [](const StoreEntry &) {}, [](const Failure &) {});
+    fixture.store.setAnswerHandler(watch, [&answers] { ++answers; });
+    fixture.client.answer(HttpResponse{503, {}, ""});
+    CHECK(answers == 0);
+    fixture.client.answer(HttpResponse{200, {}, writeChanges({})});
+    CHECK(answers == 1);
+}
+
+TEST_CASE("The age of relayed data adds up, and data that are too old for their depth are not served", "[relay][age]")
+{
+    RelayedStoreFixture fixture;
+    fixture.runtime.advance(seconds(2));
+    fixture.store.watch(
+        "servers/", true, 10, [](const StoreEntry &) {}, [](const Failure &) {});
+    CHECK(fixture.store.confirmedAt(fixture.runtime.now()) == TimePoint{});
+    fixture.client.answer(HttpResponse{200, {{RelayService::AgeHeader, "700"}}, writeChanges({})});
+    const TimePoint confirmed = fixture.runtime.now() - milliseconds(700);
+    CHECK(fixture.store.confirmedAt(fixture.runtime.now()) == confirmed);
+
+    RelayService service(
+        fixture.runtime, [&fixture] { return fixture.store.confirmedAt({}); }, [] { return 1; });
+    service.onListed("servers/", {}, 10);
+    const auto poll = [&service] {
+        HttpServerRequest incoming;
+        incoming.query = {{"prefix", "servers/"}, {"after", "10"}, {"waitMs", "0"}};
+        const auto answer = std::make_shared<RecordedResponder>();
+        service.serve(incoming, answer);
+        return answer;
+    };
+    const auto fresh = poll();
+    fixture.runtime.advance(Duration{0});
+    CHECK(fresh->status == 200);
+    fixture.runtime.advance(milliseconds(2500));
+    const auto stale = poll();
+    fixture.runtime.advance(Duration{0});
+    CHECK(stale->status == 503);
+}
--- a/packages/routing/src/storefollower.cpp
+++ b/packages/routing/src/storefollower.cpp
@@ -104,6 +104,13 @@
         }
     };
     watch_ = store_.watch(prefix_, true, revision_, changed, ended);
+    if (watch_ != 0) {
+        store_.setAnswerHandler(watch_, [this, generation, alive = alive_] {
+            if (*alive && generation == generation_) {
+                onReachable();
+            }
+        });
+    }
 }
 
 void StoreFollower::onWatchEnded(const Failure &failure)
--- a/packages/routing/tests/manualstore.h
+++ b/packages/routing/tests/manualstore.h
@@ -20,6 +20,7 @@
         std::int64_t from = 0;
         std::function<void(const StoreEntry &)> changed;
         std::function<void(const Failure &)> ended;
+        std::function<void()> answered{};
     };
 
     void range(const std::string &, bool, std::int64_t, Callback<StoreRange> done) override
@@ -50,6 +51,10 @@
         watches[++last_] = {key, from, std::move(changed), std::move(ended)};
         return last_;
     }
+    void setAnswerHandler(std::uint64_t watch, std::function<void()> onAnswered) override
+    {
+        watches.at(watch).answered = std::move(onAnswered);
+    }
     void unwatch(std::uint64_t watch) override
     {
         watches.erase(watch);
--- a/packages/routing/tests/storefollowertest.cpp
+++ b/packages/routing/tests/storefollowertest.cpp
@@ -102,6 +102,20 @@
     }
 }
 
+TEST_CASE("A follower knows that the store is back when it answers, also without a change", "[follower]")
+{
+    // Otherwise the entries that lapsed during the outage would be kept, and used, until the next change.
+    FollowerFixture fixture;
+    fixture.begin();
+    fixture.store.endWatch(Errc::Unavailable);
+    CHECK(fixture.events == std::vector<std::string>{"lost"});
+    fixture.runtime.advance(seconds(1));
+    REQUIRE(fixture.store.watches.size() == 1);
+    CHECK(fixture.events == std::vector<std::string>{"lost"});
+    fixture.store.watches.begin()->second.answered();
+    CHECK(fixture.events == std::vector<std::string>{"lost", "regained"});
+}
+
 TEST_CASE("A follower lists all keys again if the history was compacted", "[follower]")
 {
     FollowerFixture fixture;
--- a/packages/store/include/burdock/store/store.h
+++ b/packages/store/include/burdock/store/store.h
@@ -115,6 +115,13 @@
                                 std::int64_t fromRevision,
                                 std::function<void(const StoreEntry &)> onChanged,
                                 std::function<void(const Failure &)> onEnded) = 0;
+
+    /// Sets a function that is called when the store answers for a watch, also without a change: under a key that hardly
+    /// changes nothing else tells that the store can be reached again. A store that cannot tell never calls it.
+    virtual void setAnswerHandler(std::uint64_t /*watch*/, std::function<void()> /*onAnswered*/)
+    {
+    }
+
     virtual void unwatch(std::uint64_t watch) = 0;
 };
 
