--- a/packages/router/include/burdock/router/relayedstore.h
+++ b/packages/router/include/burdock/router/relayedstore.h
@@ -45,7 +45,7 @@
                         std::int64_t fromRevision,
                         std::function<void(const StoreEntry &)> changed,
                         std::function<void(const Failure &)> ended) override;
-    void setAnswerHandler(std::uint64_t watch, std::function<void()> onAnswered) override;
+    void setAnswerHandler(std::uint64_t watch, const std::function<void()> &onAnswered) override;
     void unwatch(std::uint64_t watch) override;
 
     /// Returns the time up to which all watched data are known to be complete. `storeConfirmedAt` is when the store last answered
--- a/packages/router/src/relayedstore.cpp
+++ b/packages/router/src/relayedstore.cpp
@@ -165,11 +165,11 @@
     return id;
 }
 
-void RelayedStore::setAnswerHandler(std::uint64_t id, std::function<void()> onAnswered)
+void RelayedStore::setAnswerHandler(std::uint64_t id, const std::function<void()> &onAnswered)
 {
     const auto found = watches_.find(id);
     if (found != watches_.end()) {
-        found->second.answered = std::move(onAnswered);
+        found->second.answered = onAnswered;
     }
 }
 
--- a/packages/routing/tests/manualstore.h
+++ b/packages/routing/tests/manualstore.h
@@ -51,9 +51,9 @@
         watches[++last_] = {key, from, std::move(changed), std::move(ended)};
         return last_;
     }
-    void setAnswerHandler(std::uint64_t watch, std::function<void()> onAnswered) override
+    void setAnswerHandler(std::uint64_t watch, const std::function<void()> &onAnswered) override
     {
-        watches.at(watch).answered = std::move(onAnswered);
+        watches.at(watch).answered = onAnswered;
     }
     void unwatch(std::uint64_t watch) override
     {
--- a/packages/store/include/burdock/store/store.h
+++ b/packages/store/include/burdock/store/store.h
@@ -118,7 +118,7 @@
 
     /// Sets a function that is called when the store answers for a watch, also without a change: under a key that hardly
     /// changes nothing else tells that the store can be reached again. A store that cannot tell never calls it.
-    virtual void setAnswerHandler(std::uint64_t /*watch*/, std::function<void()> /*onAnswered*/)
+    virtual void setAnswerHandler(std::uint64_t /*watch*/, const std::function<void()> & /*onAnswered*/)
     {
     }
 
