Keep every instance that others may turn to fresh enough to serve them

Change: all instances of a level that has one below it count as relays, and so does the first child of a root, which takes over from it.

--- a/packages/routing/include/burdock/routing/relaychoice.h
+++ b/packages/routing/include/burdock/routing/relaychoice.h
@@ -49,7 +49,7 @@
         return depth_;
     }
 
-    /// Whether other instances use this one as their relay.
+    /// Whether other instances use this one as their relay, or would if another one failed.
     bool hasChildren() const
     {
         return hasChildren_;
--- a/packages/routing/src/relaychoice.cpp
+++ b/packages/routing/src/relaychoice.cpp
@@ -109,7 +109,9 @@
     const auto self = std::find_if(order.begin(), order.end(), [this](const InstanceRecord &record) { return record.id == self_; });
     const auto position = static_cast<std::size_t>(self - order.begin());
     depth_ = levelOf(position).depth;
-    hasChildren_ = position * FanOut + 1 < order.size();
+    // The others of a level take over the children of one that fails, and the first child of the root those of the root, so all of
+    // them must have fresh data.
+    hasChildren_ = levelOf(position).end < order.size() || (position == 1 && order.size() > 2);
     for (const std::size_t relay : relayPositions(position)) {
         // The last level is not full, and an instance without a record of its own comes last.
         if (relay < position) {
--- a/packages/routing/tests/relaychoicetest.cpp
+++ b/packages/routing/tests/relaychoicetest.cpp
@@ -114,6 +114,21 @@
     }
 }
 
+TEST_CASE("Each instance that another one may turn to knows that it is needed as a relay", "[relay]")
+{
+    // Otherwise it renews its lease rarely, takes its own data for stale and serves nobody.
+    const std::size_t size = GENERATE(11U, 27U, 98U, 333U);
+    RegionOfInstances region(size);
+    for (std::size_t number = 0; number < size; ++number) {
+        RelayChoice &choice = region.choice(number);
+        for (std::size_t relay = region.relayOf(number, Now); relay != number; relay = region.relayOf(number, Now)) {
+            INFO("instance " << number << " of " << size << " may turn to " << relay);
+            CHECK(region.choice(relay).hasChildren());
+            choice.onFailed(region.record(relay).peers, Now);
+        }
+    }
+}
+
 TEST_CASE("The instances of a failed relay divide among others of its level, and few use the store", "[relay]")
 {
     RegionOfInstances region(1000);
