Log what an instance knows of a server's limit and what it sends there

What on-call engineers saw: nothing; the logs did not mention limits or count requests by server, so three hypotheses could not be told apart. HttpBackends reads the limit from every response of a server, also from refusals and failures; ServerLimits counts the sends and reports them.

--- a/packages/router/include/burdock/router/headernames.h
+++ b/packages/router/include/burdock/router/headernames.h
@@ -24,6 +24,8 @@
     std::string partSignatures;
     /// The number of shards missing from a gathered answer.
     std::string missingParts;
+    /// In a server's response: the requests per second that it takes from all instances together.
+    std::string serverLimit;
 };
 
 } // namespace Burdock
--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -50,6 +50,7 @@
     void onRoutesChanged(const std::shared_ptr<const RouteTable> &routes);
     void onInstancesChanged();
     void onServerChanged(const ServerEntry &server, bool usable);
+    void logLimit(const LimitReport &report);
     void updateConnectionLimits();
     void tick();
     void logState();
@@ -76,6 +77,7 @@
     InstanceTable instances_;
     LatencyTracker latencies_;
     ServerLoad load_;
+    ServerLimits limits_;
     ServerChoice choice_;
     RepeatBudget budget_;
     HttpBackends backends_;
--- a/packages/router/src/httpbackends.cpp
+++ b/packages/router/src/httpbackends.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace Burdock
@@ -55,10 +57,12 @@
     }
 }
 
-HttpBackends::HttpBackends(Runtime &runtime, HttpClient &client, HeaderNames names)
+HttpBackends::HttpBackends(Runtime &runtime, HttpClient &client, HeaderNames names, LimitHandler onLimit, DecisionLog &log)
     : runtime_(runtime)
     , client_(client)
     , names_(std::move(names))
+    , onLimit_(std::move(onLimit))
+    , log_(log)
 {
 }
 
@@ -79,6 +83,9 @@
         return echoed == response.headers.end() || echoed->second == request->id;
     };
     return client_.send(std::move(out), [this, server, done = std::move(done)](Result<HttpResponse> response) {
+        if (response) {
+            noteLimit(*server, *response);
+        }
         done(interpretResponse(names_, *server, std::move(response)));
     });
 }
@@ -88,6 +95,33 @@
     client_.cancel(id);
 }
 
+Result<std::optional<double>> HttpBackends::readLimit(const HeaderNames &names, const HttpResponse &response)
+{
+    const std::string text = valueOf(response.headers, names.serverLimit);
+    if (text.empty()) {
+        return std::optional<double>();
+    }
+    double limit = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), limit);
+    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(limit) || limit < 0) {
+        return notRun(Errc::BadRequest, "the limit '" + text + "' is no number from zero up");
+    }
+    return std::optional<double>(limit);
+}
+
+void HttpBackends::noteLimit(const ServerEntry &server, const HttpResponse &response)
+{
+    if (response.status == MisdirectedRequest) {
+        return;
+    }
+    const auto limit = readLimit(names_, response);
+    if (!limit) {
+        log_.write(DecisionPriority::Problem, "limit.skipped", {{"server", server.id.text()}, {"reason", limit.error().message}});
+        return;
+    }
+    onLimit_(server, *limit);
+}
+
 Result<ServerReply> HttpBackends::interpretResponse(const HeaderNames &names, const ServerEntry &server, Result<HttpResponse> response)
 {
     if (!response) {
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -121,9 +121,15 @@
     , journal_(std::make_unique<Journal>(log))
     , servers_([this](const ServerEntry &server, bool usable) { onServerChanged(server, usable); })
     , instances_(seed)
-    , choice_(servers_, latencies_, load_, settings.regions, settings.region, seed)
+    , limits_([this](const LimitReport &report) { logLimit(report); })
+    , choice_(servers_, latencies_, load_, limits_, settings.regions, settings.region, seed)
     , budget_(settings.repeats, loop.now())
-    , backends_(loop, client, dialect.headers())
+    , backends_(
+          loop,
+          client,
+          dialect.headers(),
+          [this](const ServerEntry &server, std::optional<double> limit) { limits_.onAnswer(server, limit, loop_.now()); },
+          log)
     , context_{loop, backends_, servers_, choice_, load_, budget_, counters_, *journal_}
     , coordinator_(context_, seed)
     , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
@@ -399,6 +405,20 @@
     }
 }
 
+void Router::logLimit(const LimitReport &report)
+{
+    constexpr double Thousandths = 1000;
+    log_.write(DecisionPriority::Change,
+               "server.limit",
+               {{"server", report.server.text()},
+                {"service", report.service.text()},
+                {"outcome", report.limit ? "limited" : "ended"},
+                {"limitPerThousandSeconds", static_cast<std::int64_t>(report.limit.value_or(0) * Thousandths)},
+                {"spanMs", report.span.count() / 1000},
+                {"sends", static_cast<std::int64_t>(report.sends)},
+                {"repeats", static_cast<std::int64_t>(report.repeats)}});
+}
+
 void Router::shutDown(std::function<void()> done)
 {
     if (leaving_) {
@@ -455,6 +475,8 @@
     metrics_.addValue(
         "burdock_requests_waiting", "gauge", "Requests that wait for their answer.", [this] { return static_cast<double>(coordinator_.pendingRequests()); });
     metrics_.addValue("burdock_config_version", "gauge", "Version of the routes in force.", [this] { return static_cast<double>(feed_.version()); });
+    metrics_.addValue(
+        "burdock_servers_limited", "gauge", "Servers that name a limit in their answers.", [this] { return static_cast<double>(limits_.count()); });
     metrics_.addValue("burdock_servers_listed", "gauge", "Servers with an entry.", [this] { return static_cast<double>(servers_.size()); });
     metrics_.addValue("burdock_instances", "gauge", "Instances with a record.", [this] { return static_cast<double>(instances_.count(self_)); });
     metrics_.addValue(
--- a/packages/router/tests/serverreplytest.cpp
+++ b/packages/router/tests/serverreplytest.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-const HeaderNames Names{"x-id", "x-left", "x-sign", "x-target", "x-notrun", "x-server", "X-Parts", "X-Missing"};
+const HeaderNames Names{"x-id", "x-left", "x-sign", "x-target", "x-notrun", "x-server", "X-Parts", "X-Missing", "x-limit"};
 const ServerEntry Server{ServerId("p1"), ServiceName("parts"), Address{"10.0.0.1", 80}, DataCentre("a"), false, 4, Duration{0}, 1};
 
 struct ReplyCase
@@ -82,3 +82,15 @@
         CHECK_FALSE(readChanges(bad));
     }
 }
+
+TEST_CASE("A limit that a server names is read from any response, and a malformed one is an error", "[backends][limit]")
+{
+    const auto read = [](const std::string &value) { return HttpBackends::readLimit(Names, HttpResponse{503, {{"x-limit", value}}, ""}); };
+    CHECK(read("34.9").value() == 34.9);
+    CHECK(read("0").value() == 0.0);
+    CHECK_FALSE(HttpBackends::readLimit(Names, HttpResponse{200, {}, ""}).value());
+    for (const char *malformed : {"-1", "nan", "inf", "12,5", "12 a second", "1e999"}) {
+        INFO(malformed);
+        CHECK_FALSE(read(malformed));
+    }
+}
--- a/packages/routing/include/burdock/routing/serverchoice.h
+++ b/packages/routing/include/burdock/routing/serverchoice.h
@@ -2,6 +2,7 @@
 
 #include <burdock/routing/hedgethreshold.h>
 #include <burdock/routing/latencytracker.h>
+#include <burdock/routing/serverlimits.h>
 #include <burdock/routing/serverload.h>
 #include <burdock/routing/servertable.h>
 
@@ -27,8 +28,13 @@
 class ServerChoice
 {
 public:
-    ServerChoice(
-        const ServerTable &table, LatencyTracker &latencies, ServerLoad &load, std::map<DataCentre, Region> regions, Region ownRegion, std::uint64_t seed);
+    ServerChoice(const ServerTable &table,
+                 LatencyTracker &latencies,
+                 ServerLoad &load,
+                 ServerLimits &limits,
+                 std::map<DataCentre, Region> regions,
+                 Region ownRegion,
+                 std::uint64_t seed);
 
     /// Sets the number of instances that send requests to servers, in this region and in total, and whether this is one of them.
     void setInstances(std::size_t inRegion, std::size_t all, bool chosen);
@@ -57,8 +63,8 @@
 
     Distance distance(const ServerEntry &server) const;
 
-    /// Records that a request was sent or answered.
-    void onSent(const ServerEntry &server, TimePoint now);
+    /// Records that a request was sent, possibly as a retry or hedge, or answered.
+    void onSent(const ServerEntry &server, TimePoint now, bool repeat = false);
     void onAnswered(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now);
 
     /// Records that a request was abandoned without an answer. If it was overdue, the wait counts as a failure and as a latency
@@ -73,6 +79,7 @@
     const ServerTable &table_;
     LatencyTracker &latencies_;
     ServerLoad &load_;
+    ServerLimits &limits_;
     const std::map<DataCentre, Region> regions_;
     const Region ownRegion_;
     HedgeThreshold hedgeThreshold_;
--- a/packages/routing/src/serverchoice.cpp
+++ b/packages/routing/src/serverchoice.cpp
@@ -33,11 +33,17 @@
 
 } // namespace
 
-ServerChoice::ServerChoice(
-    const ServerTable &table, LatencyTracker &latencies, ServerLoad &load, std::map<DataCentre, Region> regions, Region ownRegion, std::uint64_t seed)
+ServerChoice::ServerChoice(const ServerTable &table,
+                           LatencyTracker &latencies,
+                           ServerLoad &load,
+                           ServerLimits &limits,
+                           std::map<DataCentre, Region> regions,
+                           Region ownRegion,
+                           std::uint64_t seed)
     : table_(table)
     , latencies_(latencies)
     , load_(load)
+    , limits_(limits)
     , regions_(std::move(regions))
     , ownRegion_(std::move(ownRegion))
     , random_(seed)
@@ -154,8 +160,9 @@
     hedgeThreshold_.onHedged(route.name);
 }
 
-void ServerChoice::onSent(const ServerEntry &server, TimePoint now)
+void ServerChoice::onSent(const ServerEntry &server, TimePoint now, bool repeat)
 {
+    limits_.onSent(server.id, repeat);
     load_.onSent(server.id, now);
 }
 
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -75,7 +75,7 @@
     ++possiblyRan_;
     tried_.push_back(chosen.server->id);
     Attempt attempt{0, chosen.server, now, !first && !attempts_.empty()};
-    context_.choice.onSent(*chosen.server, now);
+    context_.choice.onSent(*chosen.server, now, !first);
     attempt.id =
         context_.backends.send(chosen.server, request_, deadline_, [this, number](Result<ServerReply> reply) { onAttemptFinished(number, std::move(reply)); });
     attempts_.emplace(number, std::move(attempt));
--- a/packages/routing/tests/routingfixture.h
+++ b/packages/routing/tests/routingfixture.h
@@ -172,7 +172,9 @@
     }};
     LatencyTracker latencies;
     ServerLoad load;
-    ServerChoice choice{servers, latencies, load, {{DataCentre(Near), Region("home")}, {DataCentre(Far), Region("away")}}, Region("home"), 7};
+    std::vector<LimitReport> limitReports;
+    ServerLimits limits{[this](const LimitReport &report) { limitReports.push_back(report); }};
+    ServerChoice choice{servers, latencies, load, limits, {{DataCentre(Near), Region("home")}, {DataCentre(Far), Region("away")}}, Region("home"), 7};
     RepeatBudget budget{RepeatTerms{0.2, std::chrono::seconds(10), 50}, TimePoint{} - std::chrono::minutes(1)};
     RoutingCounters counters;
     RecordingJournal journal;
