--- a/packages/fakes/include/burdock/fakes/fakeroutedserver.h
+++ b/packages/fakes/include/burdock/fakes/fakeroutedserver.h
@@ -47,6 +47,8 @@
     bool strayAnswers = false;
     /// The response of the previous request is sent before each response.
     bool reorderedAnswers = false;
+    /// The requests per second that the server names as its limit in each response.
+    std::optional<double> limit;
 };
 
 /// A server that follows the users' documented protocol: slots and a queue, explicit refusals, a check of the target server
@@ -92,6 +94,9 @@
         return arrivals_;
     }
 
+    /// The most by which requests have exceeded what a named limit allows, over all positions of the window; negative if none has.
+    double worstLimitExcess() const;
+
     /// Protocol violations, such as a request without target server or remaining time.
     const std::vector<std::string> &protocolErrors() const
     {
@@ -109,6 +114,8 @@
     };
     using JobPtr = std::shared_ptr<Job>;
 
+    /// Adds the headers that each response has.
+    HttpServerResponse completed(HttpServerResponse response) const;
     void startNext();
     void finish(const JobPtr &job);
     void abandon(const JobPtr &job);
@@ -117,6 +124,9 @@
     Runtime &runtime_;
     const FakeRoutedServerDeclaration declaration_;
     FakeRoutedServerBehaviour behaviour_;
+    /// When the server began to name its limit, and the worst excess over earlier ones.
+    TimePoint limitedSince_{};
+    std::optional<double> earlierExcess_;
     /// The most recent response.
     std::optional<HttpServerResponse> previousAnswer_;
     std::mt19937_64 random_;
--- a/packages/fakes/src/fakeroutedserver.cpp
+++ b/packages/fakes/src/fakeroutedserver.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <limits>
 #include <utility>
 #include <xxhash.h>
 
@@ -19,6 +20,11 @@
 constexpr std::size_t MaxProtocolErrors = 20;
 constexpr std::size_t MaxArrivals = 200000;
 constexpr double WorkSpread = 0.3;
+/// The users' rule for a limit: from the notice on, a window's requests are at most this multiple of the limit, plus some.
+constexpr Duration LimitNotice = std::chrono::seconds(5);
+constexpr Duration LimitWindow = std::chrono::seconds(4);
+constexpr double LimitMultiple = 1.5;
+constexpr double LimitExtra = 5;
 
 std::string headerOf(const HttpServerRequest &request, const char *name)
 {
@@ -59,7 +65,7 @@
 {
     ++arrived_;
     const auto refuse = [&responder, this](int status) {
-        responder->respond(HttpServerResponse{status, {{"Not-Executed", "1"}, {"Instance-Id", declaration_.id}}, "{}", true});
+        responder->respond(completed(HttpServerResponse{status, {{"Not-Executed", "1"}, {"Instance-Id", declaration_.id}}, "{}", true}));
     };
     const std::string target = headerOf(request, "target-instance");
     const std::string attempt = headerOf(request, "attempt-id");
@@ -84,10 +90,40 @@
 
 void FakeRoutedServer::setBehaviour(const FakeRoutedServerBehaviour &behaviour)
 {
+    if (behaviour_.limit != behaviour.limit) {
+        earlierExcess_ = worstLimitExcess();
+        limitedSince_ = runtime_.now();
+    }
     behaviour_ = behaviour;
     startNext();
 }
 
+HttpServerResponse FakeRoutedServer::completed(HttpServerResponse response) const
+{
+    if (behaviour_.limit) {
+        response.headers["Server-Limit"] = std::to_string(*behaviour_.limit);
+    }
+    return response;
+}
+
+double FakeRoutedServer::worstLimitExcess() const
+{
+    double worst = earlierExcess_.value_or(-std::numeric_limits<double>::max());
+    if (!behaviour_.limit) {
+        return worst;
+    }
+    const double allowed = LimitMultiple * *behaviour_.limit * std::chrono::duration<double>(LimitWindow).count() + LimitExtra;
+    const TimePoint from = limitedSince_ + LimitNotice;
+    auto first = std::find_if(arrivals_.begin(), arrivals_.end(), [from](const Arrival &arrival) { return arrival.at >= from; });
+    for (auto last = first; last != arrivals_.end(); ++last) {
+        while (last->at - first->at > LimitWindow) {
+            ++first;
+        }
+        worst = std::max(worst, static_cast<double>(std::distance(first, last) + 1) - allowed);
+    }
+    return worst;
+}
+
 Duration FakeRoutedServer::workTime()
 {
     std::uniform_real_distribution<double> spread(1 - WorkSpread, 1 + WorkSpread);
@@ -134,6 +170,7 @@
         out.body = declaration_.service + " " + job->request.method + " " + job->request.target + " " + job->request.body;
     }
     out.jsonByDefault = false;
+    out = completed(std::move(out));
     running_.erase(job);
     job->done = true;
     if (behaviour_.reorderedAnswers && previousAnswer_) {
--- a/packages/fakes/src/platformcontrol.cpp
+++ b/packages/fakes/src/platformcontrol.cpp
@@ -45,6 +45,9 @@
     behaviour.replaced = body.value("replaced", false);
     behaviour.strayAnswers = body.value("strayAnswers", false);
     behaviour.reorderedAnswers = body.value("lateAnswers", false);
+    if (body.contains("limit")) {
+        behaviour.limit = body["limit"].get<double>();
+    }
     return behaviour;
 }
 
@@ -165,6 +168,7 @@
                     {"arrived", server.server->arrived()},
                     {"arrivedSinceLeaving", server.state == "ready" ? 0 : server.server->arrived() - server.arrivedBeforeLeaving},
                     {"lastAfterLeavingMs", lastArrivalAfterLeaving(server)},
+                    {"worstLimitExcess", server.server->worstLimitExcess()},
                     {"mostConnections", server.port->server.peakConnections()},
                     {"complaints", server.server->protocolErrors()}};
     }
--- a/soak/src/soakchecks.cpp
+++ b/soak/src/soakchecks.cpp
@@ -193,6 +193,16 @@
     }
 }
 
+void SoakChecks::checkLimit(const std::string &server, int starts)
+{
+    // A new life learns of the limit from its first answers, and sends until then on the connections that it may hold.
+    constexpr double RequestsUntilTold = 5;
+    const double excess = world_.testbed().control("GET", "/fake/servers").at(server).at("worstLimitExcess").get<double>();
+    if (excess > RequestsUntilTold * starts) {
+        addViolation("a server's limit", server + " got " + std::to_string(excess) + " requests more in 4 s than its limit allows");
+    }
+}
+
 void SoakChecks::checkRunning()
 {
     for (const std::string &instance : world_.instances()) {
--- a/soak/src/soakfaults.cpp
+++ b/soak/src/soakfaults.cpp
@@ -41,6 +41,7 @@
                                        {"server link reset", &SoakFaults::resetServerLink},
                                        {"server pauses", &SoakFaults::pauseServer},
                                        {"server full", &SoakFaults::saturateServer},
+                                       {"servers limited", &SoakFaults::limitService},
                                        {"server fails", &SoakFaults::failServer},
                                        {"server slow", &SoakFaults::slowServer},
                                        {"stray answers", &SoakFaults::sendStrayAnswers},
@@ -325,6 +326,36 @@
     injectServerFault({{"conduct", {{"full", true}}}}, {{"conduct", Json::object()}});
 }
 
+/// Lasts longer than the notice and the window of the rule. Some of the service's servers name limits, or all of them.
+void SoakFaults::limitService()
+{
+    const std::string service = world_.serviceOf(world_.servers()[random_() % world_.servers().size()]);
+    const bool all = random_() % 3 == 0;
+    std::vector<std::string> ids;
+    for (const std::string &server : world_.servers()) {
+        if (world_.serviceOf(server) == service && (all || ids.empty()) && busyServers_.insert(server).second) {
+            ids.push_back(server);
+        }
+    }
+    if (ids.empty()) {
+        return;
+    }
+    const Json servers{{"target", "server"}, {"ids", ids}};
+    Json fault = servers;
+    fault["conduct"] = {{"limit", static_cast<double>(2 + random_() % 20)}};
+    world_.testbed().control("POST", "/fake/faults", fault);
+    const int starts = world_.starts();
+    liftAfter(randomDuration(9500, 13000), [this, ids, servers, starts] {
+        for (const std::string &server : ids) {
+            checks_.checkLimit(server, world_.starts() - starts);
+            busyServers_.erase(server);
+        }
+        Json repair = servers;
+        repair["conduct"] = Json::object();
+        world_.testbed().control("POST", "/fake/faults", repair);
+    });
+}
+
 void SoakFaults::failServer()
 {
     injectServerFault({{"conduct", {{"failing", 0.5}}}}, {{"conduct", Json::object()}});
--- a/soak/src/soakfaults.h
+++ b/soak/src/soakfaults.h
@@ -82,6 +82,7 @@
     void resetServerLink();
     void pauseServer();
     void saturateServer();
+    void limitService();
     void failServer();
     void slowServer();
     void sendStrayAnswers();
--- a/soak/src/soakworld.cpp
+++ b/soak/src/soakworld.cpp
@@ -83,6 +83,7 @@
 void SoakWorld::start(const std::string &instance)
 {
     ++incarnations_[instance];
+    ++starts_;
     const auto index = static_cast<std::size_t>(std::find(instances_.begin(), instances_.end(), instance) - instances_.begin());
     testbed_.startInstance(instance, ZoneLetters[index % ZoneLetters.size()], storeProxies_.at(instance)->address().toString());
     recordDisturbance(instance);
--- a/soak/src/soakworld.h
+++ b/soak/src/soakworld.h
@@ -56,6 +56,12 @@
         return incarnations_.at(instance);
     }
 
+    /// How often instances have been started in all.
+    int starts() const
+    {
+        return starts_;
+    }
+
     /// Records that a fault on `what` (an instance, `store` or `config`) began or ended now. Time-bounded guarantees apply only to what is
     /// undisturbed.
     void recordDisturbance(const std::string &what);
@@ -99,6 +105,7 @@
     std::int64_t version_ = 0;
     bool usesSecondShards_ = false;
     int replacements_ = 0;
+    int starts_ = 0;
 };
 
 } // namespace Burdock
