Log listings that a follower ignores and the history that the store names

On-call engineers saw that some instances had version 9 in force after version 11 had been confirmed, and nothing that said why. The listing of a store that was restored from a copy has a lower revision than the follower knows and was dropped without a word.

--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -57,7 +57,11 @@
                 (this->*onChange)(entry);
                 relay_.onChanged(prefix, entry);
             },
-            [this, dependency](const Failure *failure) { onReachability(dependency, failure); }};
+            [this, dependency](const Failure *failure) { onReachability(dependency, failure); },
+            [this, dependency](std::int64_t revision, std::int64_t known) {
+                log_.write(
+                    DecisionPriority::Problem, "listing.older", {{"dependency", dependency}, {"revision", revision}, {"known", known}, {"config", version_}});
+            }};
 }
 
 RoutingFeed::~RoutingFeed()
--- a/packages/routing/include/burdock/routing/storefollower.h
+++ b/packages/routing/include/burdock/routing/storefollower.h
@@ -26,6 +26,8 @@
         std::function<void(const StoreEntry &)> onChanged;
         /// Called with the failure when the store becomes unreachable, and with null when it is reachable again.
         std::function<void(const Failure *)> onReachability;
+        /// Called with the revision of a listing that is ignored, since it is below the known one, and with that one.
+        std::function<void(std::int64_t revision, std::int64_t known)> onOlderListing = [](std::int64_t, std::int64_t) {};
     };
 
     StoreFollower(Runtime &runtime, Store &store, std::string prefix, Events events);
--- a/packages/routing/src/storefollower.cpp
+++ b/packages/routing/src/storefollower.cpp
@@ -81,6 +81,8 @@
         revision_ = range->revision;
         hasListing_ = true;
         events_.onListed(range->entries, range->revision);
+    } else {
+        events_.onOlderListing(range->revision, revision_);
     }
     chartRun_.handle("listed");
 }
