Combine the store's revisions with the history that it names, so that they never go back

Cause: everybody who compares revisions trusts that they never go back. The store was restored from a copy; the configuration known at revision 79 was listed at 78 and ignored, 913 times, and version 11 was written at revision 79 again, just where the watches began. By the same trust a lease whose number was given out again was renewed for another holder, and a condition read before held after.

KvStore reads Store-Era from every answer and combines it with each revision (StoreHistory): a later history is greater than all of an earlier one. So followers, relays and their children need no case of their own; a relay's poll from an earlier history gets 410 as after compaction. When the number rises, watches end, leases of before are gone, conditions of before fail, a range read across it fails.

Failing first, all on the code before: kvstoretest "[restored]", four tests, 11 checks; routerprocesstest "A configuration that is confirmed after the store was restored ..." on all three instances. The process test on records passed before, too: a renewal with an unknown number already led to a new lease.

--- a/packages/fakes/include/burdock/fakes/fakekeyvaluestore.h
+++ b/packages/fakes/include/burdock/fakes/fakekeyvaluestore.h
@@ -44,6 +44,9 @@
         pageSize_ = items;
     }
 
+    /// Goes back to a copy of the state; the number of the history, which all answers state, rises by one.
+    void restore(const StoreState::Copy &copy);
+
     StoreState &state()
     {
         return state_;
@@ -79,11 +82,13 @@
     void watch(const HttpServerRequest &request, const std::shared_ptr<FakeResponder> &responder);
     bool answerPoll(const Poll &poll, bool ended);
     void onChanged();
+    HttpServerResponse response(int status, std::string body) const;
 
     Runtime &runtime_;
     StoreState state_;
     FakeKeyValueCounters counters_;
     std::size_t pageSize_ = 500;
+    std::int64_t history_ = 0;
     std::list<Poll> polls_;
     std::uint64_t listener_ = 0;
 };
--- a/packages/fakes/include/burdock/fakes/fakeplatform.h
+++ b/packages/fakes/include/burdock/fakes/fakeplatform.h
@@ -63,6 +63,16 @@
     /// Rewrites the entry of a server with a new state; `removed` deletes the entry.
     void setState(const std::string &id, const std::string &state);
 
+    /// Writes the operator's configuration.
+    void setConfig(const std::string &value);
+
+    /// Takes a copy of the store.
+    void copyStore();
+
+    /// Restores the store from the last copy. After `delay`, the operator and the servers write again what they wrote last, and the
+    /// store removes the entries of servers that have left.
+    void restoreStore(Duration delay);
+
     FakeKeyValueStore &store()
     {
         return store_;
@@ -80,6 +90,7 @@
 
 private:
     void writeEntry(const std::string &id);
+    void writeAgain();
 
     Runtime &runtime_;
     const TimePoint started_;
@@ -89,6 +100,9 @@
     std::unique_ptr<FakePort> controlPort_;
     std::map<std::string, FakeRoutedPort> servers_;
     std::uint64_t seed_ = 0;
+    std::string config_;
+    std::optional<StoreState::Copy> copy_;
+    TimerId rewriteTimer_ = 0;
 };
 
 /// Handles one request of the control port (`/fake/...`); see packages/fakes/README.md.
--- a/packages/fakes/include/burdock/fakes/storestate.h
+++ b/packages/fakes/include/burdock/fakes/storestate.h
@@ -141,6 +141,21 @@
     /// Discards the whole history.
     void compact();
 
+    /// What a copy of the store holds.
+    struct Copy
+    {
+        std::int64_t revision = 0;
+        std::int64_t lastLease = 0;
+        std::map<std::string, StoredKey> keys;
+        /// The time to live of each lease, in seconds.
+        std::map<std::int64_t, std::int64_t> leases;
+    };
+    Copy copy() const;
+
+    /// Replaces the state by that of a copy, as a restoration does: revisions and lease ids go back and are given out again. Leases
+    /// of the copy run anew.
+    void restore(const Copy &copy);
+
     std::uint64_t addListener(Listener listener);
     void removeListener(std::uint64_t id);
 
--- a/packages/fakes/src/fakekeyvaluestore.cpp
+++ b/packages/fakes/src/fakekeyvaluestore.cpp
@@ -110,7 +110,24 @@
     } catch (const std::exception &error) {
         reply = {BadRequestStatus, Json{{"error", error.what()}}.dump()};
     }
-    responder->respond(HttpServerResponse{reply.status, {{"Content-Type", "application/json"}}, reply.body, true});
+    responder->respond(response(reply.status, std::move(reply.body)));
+}
+
+HttpServerResponse FakeKeyValueStore::response(int status, std::string body) const
+{
+    return {status, {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(history_)}}, std::move(body), true};
+}
+
+void FakeKeyValueStore::restore(const StoreState::Copy &copy)
+{
+    state_.restore(copy);
+    ++history_;
+    while (!polls_.empty()) {
+        const Poll poll = polls_.front();
+        runtime_.cancel(poll.timer);
+        polls_.pop_front();
+        answerPoll(poll, true);
+    }
 }
 
 FakeKeyValueStore::Reply FakeKeyValueStore::serve(const HttpServerRequest &request)
@@ -255,7 +272,7 @@
 {
     const auto history = state_.history(spanOf(poll.prefix), poll.after + 1);
     if (!history) {
-        poll.responder->respond(HttpServerResponse{GoneStatus, {}, "{}", true});
+        poll.responder->respond(response(GoneStatus, "{}"));
         return true;
     }
     if (history->empty() && !ended) {
@@ -269,7 +286,7 @@
             events.push_back(itemJson(event.entry));
         }
     }
-    poll.responder->respond(HttpServerResponse{OkStatus, {}, Json{{"events", std::move(events)}, {"storeRevision", state_.revision()}}.dump(), true});
+    poll.responder->respond(response(OkStatus, Json{{"events", std::move(events)}, {"storeRevision", state_.revision()}}.dump()));
     return true;
 }
 
--- a/packages/fakes/src/fakeplatform.cpp
+++ b/packages/fakes/src/fakeplatform.cpp
@@ -11,6 +11,7 @@
 {
 
 const std::string ServersPrefix = "servers/";
+const std::string ConfigKey = "op/config";
 constexpr std::uint32_t ServerConnections = 200;
 
 /// Creates a port. FakePort itself closes connections and the listening socket in an outage; a hang needs no further handling.
@@ -35,7 +36,10 @@
     controlPort_->server.setConnectionLimit(ServerConnections);
 }
 
-FakePlatform::~FakePlatform() = default;
+FakePlatform::~FakePlatform()
+{
+    runtime_.cancel(rewriteTimer_);
+}
 
 Result<FakePlatform::Addresses> FakePlatform::listen(const Addresses &wanted)
 {
@@ -127,4 +131,42 @@
     }
 }
 
+void FakePlatform::setConfig(const std::string &value)
+{
+    config_ = value;
+    store_.put(ConfigKey, config_);
+}
+
+void FakePlatform::copyStore()
+{
+    copy_ = store_.state().copy();
+}
+
+void FakePlatform::restoreStore(Duration delay)
+{
+    if (!copy_) {
+        return;
+    }
+    store_.restore(*copy_);
+    runtime_.cancel(rewriteTimer_);
+    rewriteTimer_ = runtime_.schedule(delay, [this] {
+        rewriteTimer_ = 0;
+        writeAgain();
+    });
+}
+
+void FakePlatform::writeAgain()
+{
+    if (!config_.empty()) {
+        store_.put(ConfigKey, config_);
+    }
+    for (const auto &[id, server] : servers_) {
+        if (server.state == "removed") {
+            store_.remove(ServersPrefix + id);
+        } else {
+            writeEntry(id);
+        }
+    }
+}
+
 } // namespace Burdock
--- a/packages/fakes/src/platformcontrol.cpp
+++ b/packages/fakes/src/platformcontrol.cpp
@@ -73,7 +73,7 @@
 /// Writes the operator's configuration in its documented format.
 Json setConfig(FakePlatform &platform, const Json &body)
 {
-    platform.store().put("op/config", body.dump());
+    platform.setConfig(body.dump());
     return {{"revision", platform.store().state().revision()}};
 }
 
@@ -137,6 +137,19 @@
     return Json::object();
 }
 
+Json copyStore(FakePlatform &platform, const Json &)
+{
+    platform.copyStore();
+    return Json::object();
+}
+
+/// `{"rewriteMs":500}`: when the operator and the servers write again.
+Json restoreStore(FakePlatform &platform, const Json &body)
+{
+    platform.restoreStore(std::chrono::milliseconds(body.value("rewriteMs", 500)));
+    return Json::object();
+}
+
 Json storeStatus(FakePlatform &platform, const Json &)
 {
     const FakeKeyValueCounters &counters = platform.store().counters();
@@ -191,6 +204,8 @@
     {"/fake/arrivals", true, &arrivals},
     {"/fake/state", false, &setState},
     {"/fake/store/compact", false, &compact},
+    {"/fake/store/copy", false, &copyStore},
+    {"/fake/store/restore", false, &restoreStore},
     {"/fake/store", true, &storeStatus},
     {"/fake/servers", true, &servers},
     {"/fake/ran", true, &ran},
--- a/packages/fakes/src/storestate.cpp
+++ b/packages/fakes/src/storestate.cpp
@@ -231,7 +231,7 @@
 
 std::optional<std::vector<StoredEvent>> StoreState::history(const KeySpan &span, std::int64_t firstRevision) const
 {
-    if (firstRevision <= compacted_) {
+    if (firstRevision <= compacted_ || firstRevision > revision_ + 1) {
         return std::nullopt;
     }
     std::vector<StoredEvent> events;
@@ -249,6 +249,32 @@
     history_.clear();
 }
 
+StoreState::Copy StoreState::copy() const
+{
+    Copy copy{revision_, lastLease_, keys_, {}};
+    for (const auto &[id, lease] : leases_) {
+        copy.leases[id] = lease.seconds;
+    }
+    return copy;
+}
+
+void StoreState::restore(const Copy &copy)
+{
+    for (const auto &[id, lease] : leases_) {
+        runtime_.cancel(lease.expiry);
+    }
+    leases_.clear();
+    revision_ = copy.revision;
+    compacted_ = copy.revision;
+    lastLease_ = copy.lastLease;
+    keys_ = copy.keys;
+    history_.clear();
+    for (const auto &[id, seconds] : copy.leases) {
+        leases_[id] = Lease{seconds, 0};
+        keepLeaseAlive(id);
+    }
+}
+
 std::uint64_t StoreState::addListener(Listener listener)
 {
     listeners_[++lastListener_] = std::move(listener);
--- a/packages/store/include/burdock/store/store.h
+++ b/packages/store/include/burdock/store/store.h
@@ -18,7 +18,7 @@
 {
     std::string key;
     std::string value;
-    /// The store's revision at the last change to this key.
+    /// The store's revision at the last change to this key. Revisions never go back, see StoreHistory.
     std::int64_t modRevision = 0;
     /// The id of the key's lease; zero if it has none.
     std::int64_t lease = 0;
@@ -109,7 +109,8 @@
 
     /// Calls `onChanged` for every change to the key or prefix after `fromRevision`, until `unwatch` is called.
     /// Calls `onEnded` once if the watch breaks; it must then be started again. WrongVersion means that changes after
-    /// `fromRevision` were compacted: read the range first, then watch from its revision.
+    /// `fromRevision` are not available, since they were compacted or the store was restored from a copy: read the range
+    /// first, then watch from its revision.
     virtual std::uint64_t watch(const std::string &key,
                                 bool prefix,
                                 std::int64_t fromRevision,
