Keep what was withdrawn away when the store returns from a copy, and write records again

What callers would see: requests to servers that had left or drain, or to instances that are gone, for as long as the copy's entries stand in the restored store; clients directed away from living instances whose records the copy lacks; and from a relay the older routes of the copy.

Cause: a listing was believed to be at least as new as what was known. Entries of servers and records of instances now have an edition, the start of their writer and the number of the write; a listing brings back no edition that was withdrawn or is older than the known one (WithdrawnEntries, used by both tables). Changes are always believed. What the copy lacks counts as lapsed for 2.2 s, also where the store was never seen to be away. Each write of a record has a later number, and an instance writes its record under a new lease as soon as it learns of the new history: active ones at once, standby ones over 1.2 s. A relay serves the routes in force, not the older ones listed.

--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -49,6 +49,7 @@
     void servePeers(const HttpServerRequest &incoming, const std::shared_ptr<HttpResponder> &responder);
     void onRoutesChanged(const std::shared_ptr<const RouteTable> &routes);
     void onInstancesChanged();
+    void onHistoryLost(std::int64_t history);
     void onServerChanged(const ServerEntry &server, bool usable);
     void logLimit(const LimitReport &report);
     void updateConnectionLimits();
@@ -100,6 +101,7 @@
     TimerId tickTimer_ = 0;
     TimerId stateTimer_ = 0;
     TimerId publishTimer_ = 0;
+    TimerId rewriteTimer_ = 0;
     bool recordPublished_ = false;
     InstanceRole role_ = InstanceRole::Standby;
     const TimePoint startedAt_;
--- a/packages/router/include/burdock/router/routingfeed.h
+++ b/packages/router/include/burdock/router/routingfeed.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace Burdock
 {
@@ -19,16 +20,21 @@
 ///
 /// Routes never return to an older version. Entries that disappear while the store is unreachable, or shortly after, are kept as
 /// lapsed; they are dropped once the store has been reachable again for a while.
+///
+/// A store that was restored from a copy lists older routes and entries that had been withdrawn, and lacks some that are in use.
+/// The routes stay, what was withdrawn stays away, and what is missing counts as lapsed until its writers have had time to write
+/// again. Other instances are served the same view.
 class RoutingFeed
 {
 public:
-    /// Called with a new version of the routes, after a full listing of the servers, and after changes of the instances. Changes of
-    /// the instances within a tenth of a second are combined into one call.
+    /// Called with a new version of the routes, after a full listing of the servers, after changes of the instances, and when the
+    /// store was restored from a copy. Changes of the instances within a tenth of a second are combined into one call.
     struct Events
     {
         std::function<void(std::shared_ptr<const RouteTable>)> onRoutes;
         std::function<void()> onServersListed;
         std::function<void()> onInstances;
+        std::function<void(std::int64_t history)> onHistoryLost;
     };
 
     RoutingFeed(Runtime &runtime,
@@ -70,18 +76,23 @@
     }
 
 private:
-    using ListingHandler = void (RoutingFeed::*)(const std::vector<StoreEntry> &);
-    using ChangeHandler = void (RoutingFeed::*)(const StoreEntry &);
+    /// Apply a listing or a change, and return what other instances are served of it.
+    using ListingHandler = std::vector<StoreEntry> (RoutingFeed::*)(const std::vector<StoreEntry> &);
+    using ChangeHandler = StoreEntry (RoutingFeed::*)(const StoreEntry &);
 
     StoreFollower::Events makeEvents(const char *dependency, const std::string &prefix, ListingHandler onListing, ChangeHandler onChange);
     /// Starts following the routes and the servers, which may come from a relay once the instances are known.
     void startOthers();
-    void applyConfigs(const std::vector<StoreEntry> &entries);
-    void applyConfig(const StoreEntry &entry);
-    void applyServer(const StoreEntry &entry);
-    void applyServers(const std::vector<StoreEntry> &entries);
-    void applyInstance(const StoreEntry &entry);
-    void applyInstances(const std::vector<StoreEntry> &entries);
+    std::vector<StoreEntry> applyConfigs(const std::vector<StoreEntry> &entries);
+    StoreEntry applyConfig(const StoreEntry &entry);
+    StoreEntry applyServer(const StoreEntry &entry);
+    std::vector<StoreEntry> applyServers(const std::vector<StoreEntry> &entries);
+    StoreEntry applyInstance(const StoreEntry &entry);
+    std::vector<StoreEntry> applyInstances(const std::vector<StoreEntry> &entries);
+    /// Notes the history of a listing's revision.
+    void noteHistory(std::int64_t revision);
+    void scheduleDropLapsed();
+    void logOutdated(const char *dependency, const std::string &key, const EntryEdition &edition);
     void onReachability(const char *dependency, const Failure *failure);
     void logSkipped(const char *dependency, const std::string &key, const std::string &reason);
     bool isDisturbed() const;
@@ -94,6 +105,10 @@
     DecisionLog &log_;
     const Events events_;
     std::int64_t version_ = 0;
+    /// The value with the routes in force.
+    std::string configValue_;
+    /// The number of the store's history; unset before the first listing.
+    std::optional<std::int64_t> history_;
     /// The number of followers that cannot reach the store.
     int unreachableFollowers_ = 0;
     TimePoint disturbedUntil_{};
--- a/packages/router/src/instancecodec.cpp
+++ b/packages/router/src/instancecodec.cpp
@@ -16,7 +16,9 @@
                 {"dataCentre", record.dataCentre.text()},
                 {"ready", record.ready},
                 {"cores", record.cores},
-                {"crowded", record.crowded}}
+                {"crowded", record.crowded},
+                {"born", record.edition.born},
+                {"sequence", record.edition.sequence}}
         .dump();
 }
 
@@ -36,7 +38,8 @@
                               DataCentre(read.at("dataCentre").get<std::string>()),
                               read.at("ready").get<bool>(),
                               read.at("cores").get<double>(),
-                              read.at("crowded").get<bool>()};
+                              read.at("crowded").get<bool>(),
+                              {read.value("born", std::int64_t{0}), read.value("sequence", std::int64_t{0})}};
     } catch (const Json::exception &error) {
         return notRun(Errc::BadRequest, std::string("not an instance's record: ") + error.what());
     }
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -19,6 +19,9 @@
 constexpr Duration FirstSettlingTime = std::chrono::seconds(4);
 /// An instance that restarts writes its record once it is ready, or after this time.
 constexpr Duration RecordDelay = std::chrono::milliseconds(400);
+/// The steps in which standby instances write their records again after a restoration of the store.
+constexpr std::size_t RewriteSteps = 10;
+constexpr Duration RewriteStep = std::chrono::milliseconds(130);
 constexpr const char *MetricsPath = "/metrics";
 /// The interval of the checks for suspension and readiness.
 constexpr Duration TickInterval = std::chrono::milliseconds(200);
@@ -117,7 +120,15 @@
     , dialect_(dialect)
     , client_(client)
     , log_(log)
-    , self_{settings.id, settings.clients, settings.peers, settings.region, settings.dataCentre, false, settings.cores, false}
+    , self_{settings.id,
+            settings.clients,
+            settings.peers,
+            settings.region,
+            settings.dataCentre,
+            false,
+            settings.cores,
+            false,
+            {std::chrono::duration_cast<std::chrono::milliseconds>(loop.wallNow().time_since_epoch()).count(), 0}}
     , journal_(std::make_unique<Journal>(log))
     , servers_([this](const ServerEntry &server, bool usable) { onServerChanged(server, usable); })
     , instances_(seed)
@@ -135,15 +146,21 @@
     , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
     , relays_(settings.id)
     , store_(loop, client, store, relays_, dialect.instancesPrefix(), log, firstListingDelay(settings))
-    , lease_(loop,
-             store,
-             dialect.instancesPrefix() + settings.id.text(),
-             recordTerms(InstanceRole::Standby).term,
-             [this](const Failure *failure) {
-                 log_.write(DecisionPriority::Change,
-                            failure != nullptr ? "store.lost" : "store.regained",
-                            {{"dependency", "lease"}, {"reason", failure != nullptr ? failure->message : std::string()}});
-             })
+    , lease_(
+          loop,
+          store,
+          dialect.instancesPrefix() + settings.id.text(),
+          recordTerms(InstanceRole::Standby).term,
+          [this](const Failure *failure) {
+              log_.write(DecisionPriority::Change,
+                         failure != nullptr ? "store.lost" : "store.regained",
+                         {{"dependency", "lease"}, {"reason", failure != nullptr ? failure->message : std::string()}});
+          },
+          [this](const std::string &, std::int64_t write) {
+              InstanceRecord record = self_;
+              record.edition.sequence = write;
+              return writeInstance(record);
+          })
     , relay_(
           loop, [this] { return store_.confirmedAt(lease_.confirmedAt()); }, [this] { return relays_.depth(); })
     , feed_(loop,
@@ -155,7 +172,8 @@
             log,
             {[this](const std::shared_ptr<const RouteTable> &routes) { onRoutesChanged(routes); },
              [this] { updateReadiness(); },
-             [this] { onInstancesChanged(); }})
+             [this] { onInstancesChanged(); },
+             [this](std::int64_t history) { onHistoryLost(history); }})
     , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
     , readiness_(makeHttpServer(loop, internalLimits()))
     , directory_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
@@ -175,6 +193,7 @@
     loop_.cancel(tickTimer_);
     loop_.cancel(stateTimer_);
     loop_.cancel(publishTimer_);
+    loop_.cancel(rewriteTimer_);
 }
 
 Result<void> Router::listen(HttpServer &server, const char *what, const Address &address)
@@ -370,6 +389,21 @@
     updateRole();
 }
 
+void Router::onHistoryLost(std::int64_t history)
+{
+    if (!recordPublished_ || leaving_) {
+        return;
+    }
+    // Hundreds of standby instances write again one after the other, within the time for which others keep their records.
+    const auto step = static_cast<int>(std::hash<std::string>()(settings_.id.text()) % RewriteSteps);
+    const Duration delay = role_ == InstanceRole::Active ? Duration{0} : RewriteStep * step;
+    loop_.cancel(rewriteTimer_);
+    rewriteTimer_ = loop_.schedule(delay, [this, history] {
+        rewriteTimer_ = 0;
+        lease_.onHistoryLost(history);
+    });
+}
+
 void Router::updateConnectionLimits()
 {
     for (const auto &[id, server] : usableServers_) {
--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -1,6 +1,7 @@
 #include <burdock/router/routingfeed.h>
 
 #include <burdock/router/instancecodec.h>
+#include <burdock/store/storehistory.h>
 
 #include <utility>
 
@@ -50,13 +51,10 @@
 StoreFollower::Events RoutingFeed::makeEvents(const char *dependency, const std::string &prefix, ListingHandler onListing, ChangeHandler onChange)
 {
     return {[this, prefix, onListing](const std::vector<StoreEntry> &entries, std::int64_t revision) {
-                (this->*onListing)(entries);
-                relay_.onListed(prefix, entries, revision);
-            },
-            [this, prefix, onChange](const StoreEntry &entry) {
-                (this->*onChange)(entry);
-                relay_.onChanged(prefix, entry);
+                noteHistory(revision);
+                relay_.onListed(prefix, (this->*onListing)(entries), revision);
             },
+            [this, prefix, onChange](const StoreEntry &entry) { relay_.onChanged(prefix, (this->*onChange)(entry)); },
             [this, dependency](const Failure *failure) { onReachability(dependency, failure); },
             [this, dependency](std::int64_t revision, std::int64_t known) {
                 log_.write(
@@ -120,40 +118,79 @@
     --unreachableFollowers_;
     log_.write(DecisionPriority::Change, "store.regained", {{"dependency", dependency}, {"config", version_}});
     if (unreachableFollowers_ == 0) {
-        disturbedUntil_ = runtime_.now() + EntryReturnTime;
-        dropLapsedTimer_ = runtime_.schedule(EntryReturnTime, [this] {
-            dropLapsedTimer_ = 0;
-            servers_.dropLapsed();
-            instances_.dropLapsed();
-            events_.onInstances();
-        });
+        scheduleDropLapsed();
     }
 }
 
+void RoutingFeed::scheduleDropLapsed()
+{
+    disturbedUntil_ = runtime_.now() + EntryReturnTime;
+    runtime_.cancel(dropLapsedTimer_);
+    dropLapsedTimer_ = runtime_.schedule(EntryReturnTime, [this] {
+        dropLapsedTimer_ = 0;
+        servers_.dropLapsed();
+        instances_.dropLapsed();
+        events_.onInstances();
+    });
+}
+
+void RoutingFeed::noteHistory(std::int64_t revision)
+{
+    const std::int64_t history = StoreHistory::historyOf(revision);
+    const std::int64_t before = history_.value_or(history);
+    if (history_ && history <= before) {
+        return;
+    }
+    history_ = history;
+    if (history == before) {
+        return;
+    }
+    log_.write(DecisionPriority::Change, "history.changed", {{"history", history}, {"before", before}, {"config", version_}});
+    if (unreachableFollowers_ == 0) {
+        scheduleDropLapsed();
+    }
+    events_.onHistoryLost(history);
+}
+
+void RoutingFeed::logOutdated(const char *dependency, const std::string &key, const EntryEdition &edition)
+{
+    log_.write(DecisionPriority::Problem, "entry.outdated", {{"kind", dependency}, {"key", key}, {"born", edition.born}, {"sequence", edition.sequence}});
+}
+
 void RoutingFeed::logSkipped(const char *dependency, const std::string &key, const std::string &reason)
 {
     log_.write(DecisionPriority::Problem, "entry.skipped", {{"kind", dependency}, {"key", key}, {"reason", reason}});
 }
 
-void RoutingFeed::applyConfigs(const std::vector<StoreEntry> &entries)
+std::vector<StoreEntry> RoutingFeed::applyConfigs(const std::vector<StoreEntry> &entries)
 {
+    std::vector<StoreEntry> served;
     for (const StoreEntry &entry : entries) {
-        applyConfig(entry);
+        served.push_back(applyConfig(entry));
     }
+    return served;
 }
 
-void RoutingFeed::applyConfig(const StoreEntry &entry)
+StoreEntry RoutingFeed::applyConfig(const StoreEntry &entry)
 {
     if (entry.key != dialect_.configKey() || entry.deleted) {
-        return;
+        return entry;
     }
     Result<RoutingConfig> config = dialect_.readConfig(entry.value);
     if (!config) {
-        return logSkipped("config", entry.key, config.error().message);
+        logSkipped("config", entry.key, config.error().message);
+        return entry;
     }
-    if (config->version <= version_) {
-        return;
+    if (config->version < version_) {
+        log_.write(DecisionPriority::Change, "config.older", {{"version", config->version}, {"inForce", version_}, {"revision", entry.modRevision}});
+        StoreEntry served = entry;
+        served.value = configValue_;
+        return served;
     }
+    if (config->version == version_) {
+        return entry;
+    }
+    configValue_ = entry.value;
     const std::int64_t previous = std::exchange(version_, config->version);
     log_.write(DecisionPriority::Change,
                "config.inForce",
@@ -163,33 +200,41 @@
                 {"routes", static_cast<std::int64_t>(config->routes.size())},
                 {"services", static_cast<std::int64_t>(config->services.size())}});
     events_.onRoutes(std::make_shared<const RouteTable>(std::make_shared<const RoutingConfig>(std::move(*config))));
+    return entry;
 }
 
-void RoutingFeed::applyServer(const StoreEntry &entry)
+StoreEntry RoutingFeed::applyServer(const StoreEntry &entry)
 {
     const ServerId id = dialect_.serverIdFromKey(entry.key);
     if (entry.deleted) {
         servers_.remove(id, isDisturbed());
-        return;
+        return entry;
     }
     const Result<ServerEntry> server = dialect_.readServer(entry.key, entry.value);
     if (server) {
         servers_.put(*server);
-        return;
+        return entry;
     }
     logSkipped("server", entry.key, server.error().message);
     servers_.remove(id, false);
+    return entry;
 }
 
-void RoutingFeed::applyServers(const std::vector<StoreEntry> &entries)
+std::vector<StoreEntry> RoutingFeed::applyServers(const std::vector<StoreEntry> &entries)
 {
     std::vector<ServerEntry> read;
+    std::vector<StoreEntry> served;
     for (const StoreEntry &entry : entries) {
         const Result<ServerEntry> server = dialect_.readServer(entry.key, entry.value);
-        if (server) {
-            read.push_back(*server);
-        } else {
+        if (!server) {
             logSkipped("server", entry.key, server.error().message);
+            continue;
+        }
+        read.push_back(*server);
+        if (servers_.isOutdated(*server)) {
+            logOutdated("server", entry.key, server->edition());
+        } else {
+            served.push_back(entry);
         }
     }
     listingServers_ = true;
@@ -199,9 +244,10 @@
                "servers.listed",
                {{"entries", static_cast<std::int64_t>(entries.size())}, {"servers", static_cast<std::int64_t>(servers_.size())}});
     events_.onServersListed();
+    return served;
 }
 
-void RoutingFeed::applyInstance(const StoreEntry &entry)
+StoreEntry RoutingFeed::applyInstance(const StoreEntry &entry)
 {
     const InstanceId id(entry.key.substr(dialect_.instancesPrefix().size()));
     const Result<InstanceRecord> record = entry.deleted ? notRun(Errc::NotFound, "the record was removed") : readInstance(entry.value);
@@ -218,23 +264,31 @@
             events_.onInstances();
         });
     }
+    return entry;
 }
 
-void RoutingFeed::applyInstances(const std::vector<StoreEntry> &entries)
+std::vector<StoreEntry> RoutingFeed::applyInstances(const std::vector<StoreEntry> &entries)
 {
     std::vector<InstanceRecord> read;
+    std::vector<StoreEntry> served;
     for (const StoreEntry &entry : entries) {
         const Result<InstanceRecord> record = readInstance(entry.value);
-        if (record) {
-            read.push_back(*record);
-        } else {
+        if (!record) {
             logSkipped("instance", entry.key, record.error().message);
+            continue;
+        }
+        read.push_back(*record);
+        if (instances_.isOutdated(*record)) {
+            logOutdated("instance", entry.key, record->edition);
+        } else {
+            served.push_back(entry);
         }
     }
     instances_.replace(read, isDisturbed());
     log_.write(DecisionPriority::Change, "instances.listed", {{"instances", static_cast<std::int64_t>(read.size())}});
     events_.onInstances();
     startOthers();
+    return served;
 }
 
 } // namespace Burdock
--- a/packages/router/tests/relaytest.cpp
+++ b/packages/router/tests/relaytest.cpp
@@ -4,6 +4,8 @@
 #include <burdock/values/manualruntime.h>
 
 #include <catch2/catch.hpp>
+
+#include "recordedresponder.h"
 #include <optional>
 #include <unistd.h>
 
@@ -14,31 +16,6 @@
 namespace
 {
 
-class RecordedResponder final : public HttpResponder
-{
-public:
-    void respond(HttpServerResponse answer) override
-    {
-        CHECK(status == 0);
-        status = answer.status;
-        body = answer.body;
-    }
-    void sendChunk(const std::string &) override
-    {
-    }
-    void finish() override
-    {
-    }
-    void setDisconnectHandler(std::function<void()> callback) override
-    {
-        onClientGone = std::move(callback);
-    }
-
-    int status = 0;
-    std::string body;
-    std::function<void()> onClientGone;
-};
-
 struct RelayServiceFixture
 {
     ManualRuntime runtime;
--- /dev/null
+++ b/packages/router/tests/routingfeedtest.cpp
@@ -0,0 +1,220 @@
+#include <burdock/router/routingfeed.h>
+#include <burdock/store/storehistory.h>
+#include <burdock/values/manualruntime.h>
+
+#include <catch2/catch.hpp>
+
+#include "../../routing/tests/manualstore.h"
+#include "recordedresponder.h"
+
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+using namespace Burdock;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Json = nlohmann::json;
+
+namespace
+{
+
+/// A dialect whose configuration is its version, and whose entries are small JSON objects.
+class TestDialect final : public Dialect
+{
+public:
+    const HeaderNames &headers() const override
+    {
+        return headers_;
+    }
+    std::string configKey() const override
+    {
+        return "config";
+    }
+    std::string serversPrefix() const override
+    {
+        return "servers/";
+    }
+    std::string instancesPrefix() const override
+    {
+        return "instances/";
+    }
+    Result<RoutingConfig> readConfig(const std::string &value) const override
+    {
+        RoutingConfig config;
+        config.version = std::stoll(value);
+        return config;
+    }
+    Result<ServerEntry> readServer(const std::string &key, const std::string &value) const override
+    {
+        const Json read = Json::parse(value);
+        ServerEntry entry{serverIdFromKey(key), ServiceName("parts"), Address{"10.0.0.1", 80}, DataCentre("a"), read.at("draining"), 4, Duration{0}, 1};
+        entry.sequence = read.at("sequence");
+        return entry;
+    }
+    ServerId serverIdFromKey(const std::string &key) const override
+    {
+        return ServerId(key.substr(serversPrefix().size()));
+    }
+    std::string readinessPath() const override
+    {
+        return "/ready";
+    }
+    std::string directoryPath() const override
+    {
+        return "/directory";
+    }
+    std::string regionParameter() const override
+    {
+        return "region";
+    }
+    HttpServerResponse directoryAnswer(const std::vector<Address> &, std::chrono::seconds) const override
+    {
+        return {};
+    }
+
+private:
+    HeaderNames headers_;
+};
+
+/// A feed on a store whose calls the test answers. The listings come in the order instances, configuration, servers.
+struct FeedFixture
+{
+    FeedFixture()
+    {
+        feed.start();
+        list(1, "7", {server("p1", 1), server("p2", 1)});
+    }
+
+    static StoreEntry server(const std::string &id, int sequence, bool draining = false)
+    {
+        return {"servers/" + id, Json{{"sequence", sequence}, {"draining", draining}}.dump(), 1, 0, false};
+    }
+
+    void list(std::int64_t history, const std::string &config, const std::vector<StoreEntry> &entries)
+    {
+        const std::int64_t listed = StoreHistory::combine(history, 20);
+        store.reply(store.ranges, Result<StoreRange>(StoreRange{{}, listed}));
+        store.reply(store.ranges, Result<StoreRange>(StoreRange{{{"config", config, listed, 0, false}}, listed}));
+        store.reply(store.ranges, Result<StoreRange>(StoreRange{entries, listed}));
+    }
+
+    /// Ends all watches as a store does that was restored, and answers the listings that follow.
+    void restore(std::int64_t history, const std::string &config, const std::vector<StoreEntry> &entries)
+    {
+        std::vector<ManualStore::Watch> watches;
+        // In the order in which the listings were answered.
+        for (const char *key : {"instances/", "config", "servers/"}) {
+            for (const auto &[id, watch] : store.watches) {
+                if (watch.key == key) {
+                    watches.push_back(watch);
+                }
+            }
+        }
+        store.watches.clear();
+        for (const ManualStore::Watch &watch : watches) {
+            watch.ended(Failure{Errc::WrongVersion, Verdict::NotRun, "the store was restored", Duration{0}});
+        }
+        list(history, config, entries);
+    }
+
+    void change(const StoreEntry &entry, std::int64_t history)
+    {
+        for (const auto &[id, watch] : store.watches) {
+            if (entry.key.compare(0, watch.key.size(), watch.key) == 0) {
+                StoreEntry changed = entry;
+                changed.modRevision = StoreHistory::combine(history, ++revision);
+                const auto handler = watch.changed;
+                return handler(changed);
+            }
+        }
+    }
+
+    std::size_t usableServers() const
+    {
+        return servers.servers(ServiceName("parts")).size();
+    }
+
+    /// What another instance would be served under a prefix.
+    std::string served(const std::string &prefix)
+    {
+        const auto responder = std::make_shared<RecordedResponder>();
+        HttpServerRequest request;
+        request.path = RelayService::EntriesPath;
+        request.query["prefix"] = prefix;
+        relay.serve(request, responder);
+        return responder->body;
+    }
+
+    ManualRuntime runtime;
+    ManualStore store;
+    TestDialect dialect;
+    ServerTable servers{[](const ServerEntry &, bool) {}};
+    InstanceTable instances{1};
+    RelayService relay{runtime, [this] { return runtime.now(); }};
+    DecisionLog log{runtime, STDERR_FILENO, "test"};
+    std::vector<std::int64_t> versions;
+    std::vector<std::int64_t> histories;
+    std::int64_t revision = 30;
+    RoutingFeed feed{runtime,
+                     store,
+                     dialect,
+                     servers,
+                     instances,
+                     relay,
+                     log,
+                     {[this](const std::shared_ptr<const RouteTable> &routes) { versions.push_back(routes->config().version); },
+                      [] {},
+                      [] {},
+                      [this](std::int64_t history) { histories.push_back(history); }}};
+};
+
+} // namespace
+
+TEST_CASE("After a restoration of the store the confirmed routes stay, also for those that are served by this instance", "[feed][restored]")
+{
+    FeedFixture fixture;
+    fixture.restore(2, "5", {FeedFixture::server("p1", 1), FeedFixture::server("p2", 1)});
+    CHECK(fixture.feed.version() == 7);
+    CHECK(fixture.versions == std::vector<std::int64_t>{7});
+    CHECK(fixture.histories == std::vector<std::int64_t>{2});
+    CHECK(fixture.served("config").find('7') != std::string::npos);
+    SECTION("and a version that is confirmed afterwards comes into force")
+    {
+        fixture.change({"config", "9", 0, 0, false}, 2);
+        CHECK(fixture.feed.version() == 9);
+    }
+}
+
+TEST_CASE("After a restoration of the store a server that had left stays away until it writes again", "[feed][restored]")
+{
+    FeedFixture fixture;
+    SECTION("its entry had been removed")
+    {
+        StoreEntry removed = FeedFixture::server("p2", 1);
+        removed.deleted = true;
+        fixture.change(removed, 1);
+    }
+    SECTION("it had reported draining")
+    {
+        fixture.change(FeedFixture::server("p2", 2, true), 1);
+    }
+    REQUIRE(fixture.usableServers() == 1);
+    fixture.restore(2, "7", {FeedFixture::server("p1", 1), FeedFixture::server("p2", 1)});
+    CHECK(fixture.usableServers() == 1);
+    CHECK(fixture.served("servers/").find("p2") == std::string::npos);
+    fixture.change(FeedFixture::server("p2", 3), 2);
+    CHECK(fixture.usableServers() == 2);
+}
+
+TEST_CASE("After a restoration of the store servers that the copy lacks are kept until they have had time to write again", "[feed][restored]")
+{
+    FeedFixture fixture;
+    fixture.restore(2, "7", {});
+    CHECK(fixture.usableServers() == 2);
+    fixture.runtime.advance(seconds(2));
+    fixture.change(FeedFixture::server("p1", 2), 2);
+    CHECK(fixture.usableServers() == 1);
+    fixture.runtime.advance(milliseconds(300));
+    CHECK(fixture.usableServers() == 1);
+    CHECK(fixture.servers.servers(ServiceName("parts")).front()->id == ServerId("p1"));
+}
--- a/packages/routing/include/burdock/routing/instancelease.h
+++ b/packages/routing/include/burdock/routing/instancelease.h
@@ -19,7 +19,16 @@
     /// Called with the failure when the store becomes unreachable, and with null when it is reachable again.
     using ReachabilityHandler = std::function<void(const Failure *)>;
 
-    InstanceLease(Runtime &runtime, Store &store, std::string key, std::chrono::seconds term, ReachabilityHandler onReachability);
+    /// Returns what the given write of the key stores for a value.
+    using Stamp = std::function<std::string(const std::string &value, std::int64_t write)>;
+
+    InstanceLease(
+        Runtime &runtime,
+        Store &store,
+        std::string key,
+        std::chrono::seconds term,
+        ReachabilityHandler onReachability,
+        Stamp stamp = [](const std::string &value, std::int64_t) { return value; });
     ~InstanceLease();
     InstanceLease(const InstanceLease &) = delete;
     InstanceLease &operator=(const InstanceLease &) = delete;
@@ -33,6 +42,10 @@
     /// Replaces the value of the key.
     void change(std::string value);
 
+    /// The store was restored from a copy and has a new history. Unless the key was written in it already, requests a new lease and
+    /// writes the key, since the copy may have neither.
+    void onHistoryLost(std::int64_t history);
+
     /// Revokes the lease, which removes the key; the object cannot be restarted.
     void withdraw();
 
@@ -66,6 +79,10 @@
     /// The delay after the next failed call; grows with consecutive failures.
     Duration retryDelay_;
     const ReachabilityHandler onReachability_;
+    const Stamp stamp_;
+    std::int64_t writes_ = 0;
+    /// The revision of the last confirmed write.
+    std::int64_t writtenAt_ = 0;
     std::string value_;
     std::int64_t lease_ = 0;
     std::chrono::seconds leaseTerm_{0};
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/routing/withdrawnentries.h>
 #include <burdock/values/address.h>
 #include <burdock/values/names.h>
 
@@ -27,10 +28,12 @@
     double cores = 1;
     /// Whether its event loop is delayed, so that it should get fewer clients.
     bool crowded = false;
+    /// Which write of which life of the instance the record is.
+    EntryEdition edition{};
 
     auto fields() const
     {
-        return std::tie(id, address, peers, region, dataCentre, ready, cores, crowded);
+        return std::tie(id, address, peers, region, dataCentre, ready, cores, crowded, edition);
     }
 };
 
@@ -60,6 +63,9 @@
 
     void put(const InstanceRecord &record);
     void remove(const InstanceId &id, bool storeDisturbed);
+    /// Whether a record in a listing is older than the known one, or had been withdrawn: the store was restored from a copy.
+    bool isOutdated(const InstanceRecord &record) const;
+    /// Replaces all records. Outdated ones change nothing.
     void replace(const std::vector<InstanceRecord> &records, bool storeDisturbed);
     void dropLapsed();
 
@@ -96,10 +102,12 @@
 
 private:
     Records all(const InstanceRecord &self) const;
+    void withdraw(const InstanceId &id);
     std::map<Region, Records> byRegion(const InstanceRecord &self) const;
 
     std::map<InstanceId, InstanceRecord> records_;
     std::set<InstanceId> lapsed_;
+    WithdrawnEntries withdrawn_;
     std::mt19937_64 random_;
 };
 
--- a/packages/routing/include/burdock/routing/servertable.h
+++ b/packages/routing/include/burdock/routing/servertable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/routing/routingconfig.h>
+#include <burdock/routing/withdrawnentries.h>
 #include <burdock/values/address.h>
 
 #include <functional>
@@ -25,10 +26,17 @@
     Duration coldFor{0};
     /// The start time in Unix milliseconds; a different value under the same id means that the server has restarted.
     std::int64_t born = 0;
+    /// The number of the write in this life of the server; zero if the entry does not state it.
+    std::int64_t sequence = 0;
+
+    EntryEdition edition() const
+    {
+        return {born, sequence};
+    }
 
     auto fields() const
     {
-        return std::tie(id, service, address, dataCentre, draining, slots, coldFor, born);
+        return std::tie(id, service, address, dataCentre, draining, slots, coldFor, born, sequence);
     }
 };
 
@@ -54,7 +62,11 @@
     /// have lapsed only because the store was unreachable.
     void remove(const ServerId &id, bool storeDisturbed);
 
-    /// Replaces all entries.
+    /// Whether an entry in a listing is older than what is known of the server, or had been withdrawn: the store was restored from
+    /// a copy, and the server has not written again.
+    bool isOutdated(const ServerEntry &entry) const;
+
+    /// Replaces all entries. Outdated ones change nothing.
     void replace(const std::vector<ServerEntry> &entries, bool storeDisturbed);
 
     /// Removes all lapsed servers.
@@ -79,11 +91,15 @@
     };
 
     void unlist(const ServerId &id);
+    void withdraw(const ServerId &id);
 
     ChangeHandler changed_;
     std::unordered_map<ServerId, ServerHandle> listed_;
     std::unordered_map<ServerId, ServerHandle> lapsed_;
     std::unordered_map<ServiceName, Service> services_;
+    /// The last known edition of each listed or lapsed entry.
+    std::unordered_map<ServerId, EntryEdition> editions_;
+    WithdrawnEntries withdrawn_;
 };
 
 } // namespace Burdock
--- a/packages/routing/src/instancelease.cpp
+++ b/packages/routing/src/instancelease.cpp
@@ -1,5 +1,7 @@
 #include <burdock/routing/instancelease.h>
 
+#include <burdock/store/storehistory.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -31,7 +33,7 @@
     return table;
 }
 
-InstanceLease::InstanceLease(Runtime &runtime, Store &store, std::string key, std::chrono::seconds term, ReachabilityHandler onReachability)
+InstanceLease::InstanceLease(Runtime &runtime, Store &store, std::string key, std::chrono::seconds term, ReachabilityHandler onReachability, Stamp stamp)
     : runtime_(runtime)
     , store_(store)
     , key_(std::move(key))
@@ -39,6 +41,7 @@
     , renewalInterval_(Duration(term) / RenewalsPerTerm)
     , retryDelay_(InitialRetryDelay)
     , onReachability_(std::move(onReachability))
+    , stamp_(std::move(stamp))
     , chartRun_(table(), *this)
 {
 }
@@ -71,6 +74,13 @@
     }
 }
 
+void InstanceLease::onHistoryLost(std::int64_t history)
+{
+    if (!chartRun_.isFinished() && StoreHistory::historyOf(writtenAt_) < history) {
+        chartRun_.handle("gone");
+    }
+}
+
 void InstanceLease::withdraw()
 {
     if (!chartRun_.isFinished()) {
@@ -132,7 +142,7 @@
     const std::uint64_t generation = ++generation_;
     const TimePoint sentAt = runtime_.now();
     StoreTransaction transaction;
-    transaction.writes.push_back(StoreWrite{key_, value_, lease_});
+    transaction.writes.push_back(StoreWrite{key_, stamp_(value_, ++writes_), lease_});
     store_.commit(std::move(transaction), [this, generation, sentAt, alive = alive_](const Result<StoreCommit> &commit) {
         if (!*alive || generation != generation_) {
             return;
@@ -140,6 +150,7 @@
         if (!commit) {
             return onFailed(commit.error());
         }
+        writtenAt_ = commit->revision;
         heldUntil_ = std::max(heldUntil_, leaseRequestedAt_ + leaseTerm_);
         onConfirmed(sentAt, "written");
         if (leaseTerm_ != term_ && !chartRun_.isFinished()) {
--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -64,12 +64,27 @@
 {
     records_[record.id] = record;
     lapsed_.erase(record.id);
+    withdrawn_.forget(record.id.text());
+}
+
+void InstanceTable::withdraw(const InstanceId &id)
+{
+    const auto node = records_.extract(id);
+    if (!node.empty()) {
+        withdrawn_.add(id.text(), node.mapped().edition);
+    }
+}
+
+bool InstanceTable::isOutdated(const InstanceRecord &record) const
+{
+    const auto known = records_.find(record.id);
+    return withdrawn_.covers(record.id.text(), record.edition) || (known != records_.end() && record.edition.isBefore(known->second.edition));
 }
 
 void InstanceTable::remove(const InstanceId &id, bool storeDisturbed)
 {
     if (!storeDisturbed) {
-        records_.erase(id);
+        withdraw(id);
         lapsed_.erase(id);
     } else if (records_.count(id) > 0) {
         lapsed_.insert(id);
@@ -83,7 +98,9 @@
         missing.insert(id);
     }
     for (const InstanceRecord &record : records) {
-        put(record);
+        if (!isOutdated(record)) {
+            put(record);
+        }
         missing.erase(record.id);
     }
     for (const InstanceId &id : missing) {
@@ -94,7 +111,7 @@
 void InstanceTable::dropLapsed()
 {
     for (const InstanceId &id : lapsed_) {
-        records_.erase(id);
+        withdraw(id);
     }
     lapsed_.clear();
 }
--- a/packages/routing/src/servertable.cpp
+++ b/packages/routing/src/servertable.cpp
@@ -31,6 +31,8 @@
 void ServerTable::put(const ServerEntry &entry)
 {
     const auto current = listed_.find(entry.id);
+    editions_[entry.id] = entry.edition();
+    withdrawn_.forget(entry.id.text());
     const bool unchanged = current != listed_.end() && sameIncarnation(*current->second, entry) && current->second->draining == entry.draining;
     if (unchanged) {
         return;
@@ -56,6 +58,14 @@
     }
 }
 
+void ServerTable::withdraw(const ServerId &id)
+{
+    const auto node = editions_.extract(id);
+    if (!node.empty()) {
+        withdrawn_.add(id.text(), node.mapped());
+    }
+}
+
 void ServerTable::remove(const ServerId &id, bool storeDisturbed)
 {
     const auto current = listed_.find(id);
@@ -67,16 +77,26 @@
     if (storeDisturbed && !handle->draining) {
         lapsed_[id] = handle;
         services_[handle->service].lapsed.push_back(handle);
+    } else {
+        withdraw(id);
     }
     changed_(*handle, false);
 }
 
+bool ServerTable::isOutdated(const ServerEntry &entry) const
+{
+    const auto known = editions_.find(entry.id);
+    return withdrawn_.covers(entry.id.text(), entry.edition()) || (known != editions_.end() && entry.edition().isBefore(known->second));
+}
+
 void ServerTable::replace(const std::vector<ServerEntry> &entries, bool storeDisturbed)
 {
     std::unordered_set<ServerId> listedIds;
     for (const ServerEntry &entry : entries) {
         listedIds.insert(entry.id);
-        put(entry);
+        if (!isOutdated(entry)) {
+            put(entry);
+        }
     }
     std::vector<ServerId> missing;
     for (const auto &[id, handle] : listed_) {
@@ -93,6 +113,7 @@
 {
     for (const auto &[id, handle] : lapsed_) {
         erase(services_[handle->service].lapsed, id);
+        withdraw(id);
     }
     lapsed_.clear();
 }
--- a/packages/routing/tests/storefollowertest.cpp
+++ b/packages/routing/tests/storefollowertest.cpp
@@ -2,6 +2,7 @@
 
 #include <burdock/routing/instancelease.h>
 #include <burdock/routing/storefollower.h>
+#include <burdock/store/storehistory.h>
 #include <burdock/values/manualruntime.h>
 
 #include <catch2/catch.hpp>
@@ -250,3 +251,36 @@
         CHECK(fixture.store.written.back().lease == 6);
     }
 }
+
+TEST_CASE("A lease is requested anew when the store was restored, unless the record was written since", "[lease][restored]")
+{
+    LeaseFixture fixture;
+    fixture.begin();
+    fixture.lease.onHistoryLost(1);
+    REQUIRE(fixture.store.grants.size() == 1);
+    fixture.store.reply(fixture.store.grants, Result<std::int64_t>(78));
+    fixture.store.reply(fixture.store.commits, Result<StoreCommit>(StoreCommit{true, StoreHistory::combine(1, 2), {}}));
+    CHECK(fixture.store.written.back().lease == 78);
+    fixture.lease.onHistoryLost(1);
+    CHECK(fixture.store.grants.empty());
+}
+
+TEST_CASE("Each write of a record has a later number", "[lease][restored]")
+{
+    ManualRuntime runtime;
+    ManualStore store;
+    InstanceLease lease(
+        runtime,
+        store,
+        "instances/a",
+        seconds(3),
+        [](const Failure *) {},
+        [](const std::string &value, std::int64_t write) { return value + std::to_string(write); });
+    lease.start("ready");
+    store.reply(store.grants, Result<std::int64_t>(77));
+    store.reply(store.commits, Result<StoreCommit>(StoreCommit{true, 5, {}}));
+    lease.change("crowded");
+    REQUIRE(store.written.size() == 2);
+    CHECK(store.written[0].value == "ready1");
+    CHECK(store.written[1].value == "crowded2");
+}
--- a/packages/routing/tests/tablestest.cpp
+++ b/packages/routing/tests/tablestest.cpp
@@ -395,3 +395,75 @@
         }
     }
 }
+
+TEST_CASE("A listing of a restored store brings back no server that had left", "[servers][restored]")
+{
+    ServerTable table([](const ServerEntry &, bool) {});
+    const ServiceName parts("parts");
+    const auto edition = [](std::int64_t born, std::int64_t sequence, bool draining = false) {
+        ServerEntry entry = serverOf("p1", 1, born);
+        entry.sequence = sequence;
+        entry.draining = draining;
+        return entry;
+    };
+    table.put(edition(10, 4));
+    SECTION("it was removed")
+    {
+        table.remove(ServerId("p1"), false);
+        table.replace({edition(10, 4)}, true);
+        CHECK(table.servers(parts).empty());
+    }
+    SECTION("it was missing when the time to return was over")
+    {
+        table.remove(ServerId("p1"), true);
+        table.dropLapsed();
+        table.replace({edition(10, 4)}, true);
+        CHECK(table.servers(parts).empty());
+    }
+    SECTION("it is draining")
+    {
+        table.put(edition(10, 5, true));
+        table.replace({edition(10, 4)}, true);
+        CHECK(table.servers(parts).empty());
+    }
+    SECTION("the listed entry is of an earlier life")
+    {
+        table.put(edition(20, 1, true));
+        table.replace({edition(10, 9)}, true);
+        CHECK(table.servers(parts).empty());
+    }
+    SECTION("but it is used once it writes again, in a listing or as a change")
+    {
+        table.remove(ServerId("p1"), false);
+        const bool listed = GENERATE(true, false);
+        if (listed) {
+            table.replace({edition(10, 5)}, true);
+        } else {
+            table.put(edition(10, 4));
+        }
+        CHECK(table.servers(parts).size() == 1);
+    }
+    SECTION("an entry that does not state its edition is believed")
+    {
+        table.put(edition(10, 0));
+        table.remove(ServerId("p1"), false);
+        table.replace({edition(10, 0)}, true);
+        CHECK(table.servers(parts).size() == 1);
+    }
+}
+
+TEST_CASE("A listing of a restored store brings back no record of an instance that had left", "[instances][restored]")
+{
+    InstanceTable table(1);
+    const InstanceRecord self = instanceOf("a1", "home");
+    InstanceRecord other = instanceOf("a2", "home");
+    other.edition = {10, 2};
+    table.put(self);
+    table.put(other);
+    table.remove(InstanceId("a2"), false);
+    table.replace({self, other}, true);
+    CHECK(table.addressesFor(Region("home"), self, 64).size() == 1);
+    other.edition = {20, 1};
+    table.replace({self, other}, true);
+    CHECK(table.addressesFor(Region("home"), self, 64).size() == 2);
+}
