Take an instance list that was restored from a copy

What callers of burdockd would see: instances and servers that joined later are never used, and those that left stay in use, until the version of the restored list has passed the one known before. The list names no history, so a version that stays lower for three seconds counts as restored; a replica that is behind for less is still ignored.

--- a/packages/router/tests/relaytest.cpp
+++ b/packages/router/tests/relaytest.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "../../../tests/manualclient.h"
 #include "recordedresponder.h"
 #include <optional>
 #include <unistd.h>
@@ -32,42 +33,6 @@
     }
 };
 
-/// An HTTP client whose requests the test answers by hand.
-class ManualClient final : public HttpClient
-{
-public:
-    HttpCallId send(HttpRequest request, Callback done) override
-    {
-        calls[++lastId_] = {std::move(request), std::move(done)};
-        return lastId_;
-    }
-    void cancel(HttpCallId call) override
-    {
-        calls.erase(call);
-    }
-    void setLimits(const Address &, const ConnectionLimits &) override
-    {
-    }
-    void closeIdle() override
-    {
-    }
-    std::uint32_t openConnections(const Address &) const override
-    {
-        return 0;
-    }
-
-    void answer(Result<HttpResponse> response)
-    {
-        auto node = calls.extract(calls.begin());
-        node.mapped().second(std::move(response));
-    }
-
-    std::map<HttpCallId, std::pair<HttpRequest, Callback>> calls;
-
-private:
-    HttpCallId lastId_ = 0;
-};
-
 /// A store that records its watches and counts its range reads.
 class FakeStore final : public Store
 {
--- a/packages/store/src/httpinstancelist.cpp
+++ b/packages/store/src/httpinstancelist.cpp
@@ -20,6 +20,8 @@
 constexpr Duration PollGrace = std::chrono::seconds(5);
 constexpr Duration InitialBackoff = std::chrono::milliseconds(100);
 constexpr Duration MaxBackoff = std::chrono::seconds(5);
+/// A replica of the list may be behind for a moment; a version that stays lower for this time is that of a restored list.
+constexpr Duration RestoredAfter = std::chrono::seconds(3);
 constexpr ConnectionLimits ListConnections{2, 1, std::size_t{16} << 20};
 
 Address addressOf(const Json &object, const char *field)
@@ -117,6 +119,16 @@
     call_ = client_.send(std::move(request), [this](const Result<HttpResponse> &response) { onResponse(response); });
 }
 
+bool HttpInstanceList::wentBack(std::uint64_t version)
+{
+    if (!hasList_ || version >= version_) {
+        olderSince_.reset();
+        return false;
+    }
+    olderSince_ = olderSince_.value_or(runtime_.now());
+    return runtime_.now() - *olderSince_ >= RestoredAfter;
+}
+
 void HttpInstanceList::onResponse(const Result<HttpResponse> &response)
 {
     const auto list = response && response->status == OkStatus ? parseInstanceList(response->body) : notRun(Errc::Unavailable, "no list");
@@ -124,13 +136,14 @@
         ++failures_;
         return pollLater();
     }
-    const bool isNewer = !hasList_ || list->version > version_;
+    const bool isNewer = !hasList_ || list->version > version_ || wentBack(list->version);
     const bool returnedEarly = runtime_.now() - pollStart_ < LongPollWait / 2;
     failures_ = isNewer || !returnedEarly ? 0 : failures_ + 1;
     if (!isNewer) {
         return failures_ > 0 ? pollLater() : poll();
     }
     hasList_ = true;
+    olderSince_.reset();
     version_ = list->version;
     poll();
     const auto onChanged = onChanged_;
--- a/packages/store/src/httpinstancelist.h
+++ b/packages/store/src/httpinstancelist.h
@@ -3,6 +3,7 @@
 #include <burdock/store/instancelistsource.h>
 #include <burdock/wire/httpclient.h>
 
+#include <optional>
 #include <random>
 
 namespace Burdock
@@ -24,6 +25,8 @@
     void poll();
     void onResponse(const Result<HttpResponse> &response);
     void pollLater();
+    /// Whether lists of a lower version have come for so long that the list must have been restored from a copy.
+    bool wentBack(std::uint64_t version);
 
     Runtime &runtime_;
     HttpClient &client_;
@@ -33,6 +36,8 @@
     /// The number of consecutive polls that failed or that returned early without a newer list.
     std::uint32_t failures_ = 0;
     bool hasList_ = false;
+    /// Since when all lists had a lower version than the known one.
+    std::optional<TimePoint> olderSince_;
     TimePoint pollStart_{};
     HttpCallId call_ = 0;
     TimerId timer_ = 0;
