--- a/packages/router/include/burdock/router/routingfeed.h
+++ b/packages/router/include/burdock/router/routingfeed.h
@@ -92,7 +92,8 @@
     /// Notes the history of a listing's revision.
     void noteHistory(std::int64_t revision);
     void scheduleDropLapsed();
-    void logOutdated(const char *dependency, const std::string &key, const EntryEdition &edition);
+    /// Logs the entries of a listing that had been withdrawn or are older than the known ones.
+    void logOutdated(const char *dependency, const std::vector<std::string> &keys);
     void onReachability(const char *dependency, const Failure *failure);
     void logSkipped(const char *dependency, const std::string &key, const std::string &reason);
     bool isDisturbed() const;
--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -3,6 +3,7 @@
 #include <burdock/router/instancecodec.h>
 #include <burdock/store/storehistory.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Burdock
@@ -152,9 +153,17 @@
     events_.onHistoryLost(history);
 }
 
-void RoutingFeed::logOutdated(const char *dependency, const std::string &key, const EntryEdition &edition)
+void RoutingFeed::logOutdated(const char *dependency, const std::vector<std::string> &keys)
 {
-    log_.write(DecisionPriority::Problem, "entry.outdated", {{"kind", dependency}, {"key", key}, {"born", edition.born}, {"sequence", edition.sequence}});
+    constexpr std::size_t MaxLoggedKeys = 5;
+    if (keys.empty()) {
+        return;
+    }
+    std::string first;
+    for (std::size_t index = 0; index < std::min(keys.size(), MaxLoggedKeys); ++index) {
+        first += (index == 0 ? "" : " ") + keys[index];
+    }
+    log_.write(DecisionPriority::Change, "entries.outdated", {{"kind", dependency}, {"entries", static_cast<std::int64_t>(keys.size())}, {"first", first}});
 }
 
 void RoutingFeed::logSkipped(const char *dependency, const std::string &key, const std::string &reason)
@@ -224,6 +233,7 @@
 {
     std::vector<ServerEntry> read;
     std::vector<StoreEntry> served;
+    std::vector<std::string> outdated;
     for (const StoreEntry &entry : entries) {
         const Result<ServerEntry> server = dialect_.readServer(entry.key, entry.value);
         if (!server) {
@@ -232,11 +242,12 @@
         }
         read.push_back(*server);
         if (servers_.isOutdated(*server)) {
-            logOutdated("server", entry.key, server->edition());
+            outdated.push_back(entry.key);
         } else {
             served.push_back(entry);
         }
     }
+    logOutdated("server", outdated);
     listingServers_ = true;
     servers_.replace(read, isDisturbed());
     listingServers_ = false;
@@ -271,6 +282,7 @@
 {
     std::vector<InstanceRecord> read;
     std::vector<StoreEntry> served;
+    std::vector<std::string> outdated;
     for (const StoreEntry &entry : entries) {
         const Result<InstanceRecord> record = readInstance(entry.value);
         if (!record) {
@@ -279,11 +291,12 @@
         }
         read.push_back(*record);
         if (instances_.isOutdated(*record)) {
-            logOutdated("instance", entry.key, record->edition);
+            outdated.push_back(entry.key);
         } else {
             served.push_back(entry);
         }
     }
+    logOutdated("instance", outdated);
     instances_.replace(read, isDisturbed());
     log_.write(DecisionPriority::Change, "instances.listed", {{"instances", static_cast<std::int64_t>(read.size())}});
     events_.onInstances();
--- a/soak/src/main.cpp
+++ b/soak/src/main.cpp
@@ -124,6 +124,7 @@
     faults.stop();
     runFor(RecoveryTime + ObservationTime);
     checks.checkRecovered();
+    checks.checkConfigInForce();
     load.stop();
     loop.runUntil([&load] { return load.inFlight() == 0; }, FinalAnswersTimeout);
     checks.checkEnd();
--- a/soak/src/soakchecks.cpp
+++ b/soak/src/soakchecks.cpp
@@ -213,6 +213,16 @@
     }
 }
 
+void SoakChecks::checkConfigInForce()
+{
+    for (const std::string &instance : world_.instances()) {
+        const auto answer = world_.testbed().sendRequest(instance, "/v" + std::to_string(world_.version()) + "/x", "end-" + instance);
+        if (timed_ && answer && answer->status == NotFoundStatus) {
+            addViolation("a configuration in force within seconds", instance + " has no route of version " + std::to_string(world_.version()) + " at the end");
+        }
+    }
+}
+
 void SoakChecks::checkEnd()
 {
     const Json ran = world_.testbed().control("GET", "/fake/ran");
--- a/soak/src/soakchecks.h
+++ b/soak/src/soakchecks.h
@@ -59,6 +59,9 @@
     /// Checks that a server which began to leave 6 s ago got no request later than 3 s after that.
     void checkDrained(const std::string &server);
 
+    /// Checks, some seconds after the last fault, that all instances have the last configuration in force.
+    void checkConfigInForce();
+
     /// Checks that all instances together kept the limit that a server names; `starts` of them were started meanwhile.
     void checkLimit(const std::string &server, int starts);
 
--- a/soak/src/soakfaults.cpp
+++ b/soak/src/soakfaults.cpp
@@ -33,6 +33,7 @@
                                        {"store slow", &SoakFaults::slowStore},
                                        {"store loses replies", &SoakFaults::loseStoreReplies},
                                        {"store compacted", &SoakFaults::compactStore},
+                                       {"store restored", &SoakFaults::restoreStore},
                                        {"store link silent", &SoakFaults::blackholeStoreLink},
                                        {"store link reset", &SoakFaults::resetStoreLink},
                                        {"store link cut one way", &SoakFaults::holdStoreResponses},
@@ -253,6 +254,30 @@
     world_.testbed().control("POST", "/fake/store/compact");
 }
 
+/// A copy is taken now; the store goes away some seconds later and returns from it, mostly after others have written again.
+void SoakFaults::restoreStore()
+{
+    constexpr int MinRewriteMs = 50;
+    constexpr int MaxRewriteMs = 1500;
+    // More changes than are written again before the configuration, so that its revision is one of those that were lost.
+    constexpr int LostChanges = 4;
+    world_.testbed().control("POST", "/fake/store/copy");
+    for (int change = 0; change < LostChanges; ++change) {
+        world_.publishConfig(false);
+    }
+    const Json rewrite{{"rewriteMs", MinRewriteMs + static_cast<int>(random_() % (MaxRewriteMs - MinRewriteMs))}};
+    liftAfter(randomDuration(1000, 6000), [this, rewrite] {
+        const auto setOutage = [this](const char *outage) {
+            world_.testbed().control("POST", "/fake/faults", {{"target", "store"}, {"transport", {{"outage", outage}}}});
+            world_.recordDisturbance("store");
+        };
+        setOutage("refuse");
+        world_.testbed().control("POST", "/fake/store/restore", rewrite);
+        world_.publishConfig(false);
+        world_.testbed().loop().schedule(randomDuration(100, 2500), [setOutage] { setOutage("none"); });
+    });
+}
+
 void SoakFaults::injectStoreLinkFault(ProxyMode mode)
 {
     const auto &all = world_.instances();
--- a/soak/src/soakfaults.h
+++ b/soak/src/soakfaults.h
@@ -74,6 +74,7 @@
     void slowStore();
     void loseStoreReplies();
     void compactStore();
+    void restoreStore();
     void blackholeStoreLink();
     void resetStoreLink();
     void holdStoreResponses();
