State the time of the limits in a refusal only where all copies name one

What callers saw: while the one copy without a limit was in a pause of 300 ms, a refusal stated the time of the limited ones, which could be seconds. Now a refusal has that time only if every server of the service names a limit; else the usual one. Found by reading the diff; the new case of routingtest "[limit]" covers it. Senders are looked up in a set: a region of a hundred instances changes often when all restart.

--- a/packages/routing/include/burdock/routing/serverlimits.h
+++ b/packages/routing/include/burdock/routing/serverlimits.h
@@ -67,7 +67,7 @@
     void onSent(const ServerId &server, std::int64_t priority, bool repeat, TimePoint now);
 
     /// Records that a request was refused because none of the servers allowed it, and returns the time until one of them can take
-    /// it, behind those refused before it; zero if none of them names a limit that this instance shares.
+    /// it, behind those refused before it; zero if one of them names no limit, or if this instance shares none of their limits.
     Duration refuse(const std::vector<ServerHandle> &servers, std::int64_t priority, TimePoint now);
 
     /// Whether any server names a limit.
--- a/packages/routing/src/gatherrun.cpp
+++ b/packages/routing/src/gatherrun.cpp
@@ -94,6 +94,7 @@
             return false;
         }
         std::vector<Failure> failures;
+        failures.reserve(unable.size());
         for (const ServiceCall *call : unable) {
             failures.push_back(call->refuse());
         }
--- a/packages/routing/src/serverlimits.cpp
+++ b/packages/routing/src/serverlimits.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <set>
 #include <utility>
 
 namespace Burdock
@@ -60,9 +61,9 @@
 
 void ServerLimits::setSenders(const std::vector<InstanceId> &senders, TimePoint now)
 {
+    const std::set<InstanceId> listed(senders.begin(), senders.end());
     for (auto &[id, until] : senders_) {
-        const bool listed = std::find(senders.begin(), senders.end(), id) != senders.end();
-        if (listed) {
+        if (listed.count(id) > 0) {
             until.reset();
         } else if (!until) {
             until = now + SenderMemory;
@@ -253,8 +254,10 @@
 {
     Server *earliest = nullptr;
     TimePoint earliestAt = TimePoint::max();
+    bool allLimited = true;
     for (const ServerHandle &server : servers) {
         const auto found = servers_.find(server->id);
+        allLimited = allLimited && found != servers_.end();
         if (found == servers_.end() || found->second.share == 0) {
             continue;
         }
@@ -270,7 +273,7 @@
             earliestAt = at;
         }
     }
-    if (earliest == nullptr) {
+    if (earliest == nullptr || !allLimited) {
         return Duration{0};
     }
     earliest->promisedUntil = std::min(earliestAt, now + MaxWait);
--- a/packages/routing/tests/serverlimitstest.cpp
+++ b/packages/routing/tests/serverlimitstest.cpp
@@ -385,6 +385,16 @@
     CHECK(limits->allows(entry->id, 0, false, now + first));
 }
 
+TEST_CASE("A refusal states no time of the limits while a copy without a limit is only busy", "[limit]")
+{
+    const TimePoint now{seconds(1000)};
+    const auto limits = settledLimits(0, 2, now);
+    const auto limited = std::make_shared<const ServerEntry>(server("s"));
+    limits->onAnswer(*limited, 10.0, now);
+    CHECK(limits->refuse({limited, std::make_shared<const ServerEntry>(server("busy"))}, 0, now) == Duration{0});
+    CHECK(limits->refuse({limited}, 0, now) <= milliseconds(250));
+}
+
 TEST_CASE("A limit ends with the first answer that does not name it, and with a restart of the server", "[limit]")
 {
     const TimePoint now{seconds(1000)};
