Ask others for the configuration in force when an instance starts

What callers saw: 404 for a confirmed route, from an instance that was started after the store had returned from a copy and before the operator had written again. The instance knew the copy's version only, though all others had the confirmed one in force.

An instance that starts asks two others, those of its region first, and is ready once they have answered or after 0.4 s; a newer version comes into force, also for those that it serves as a relay. Not when the whole system starts for the first time. It costs two small requests between instances for each start.

Failing first: routerprocesstest "An instance that starts beside a restored store ..." gets 404 without the question.

--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -50,6 +50,10 @@
     void onRoutesChanged(const std::shared_ptr<const RouteTable> &routes);
     void onInstancesChanged();
     void onHistoryLost(std::int64_t history);
+    /// Asks some of the others for the configuration that they have in force, once in a life.
+    void askPeersForConfig();
+    void askPeerForConfig(const Address &peer);
+    void onPeerConfig(const Address &peer, const Result<HttpResponse> &response);
     void onServerChanged(const ServerEntry &server, bool usable);
     void logLimit(const LimitReport &report);
     void updateConnectionLimits();
@@ -103,11 +107,15 @@
     TimerId publishTimer_ = 0;
     TimerId rewriteTimer_ = 0;
     bool recordPublished_ = false;
+    bool peersAsked_ = false;
+    /// The number of peers that have been asked for their configuration and have not answered.
+    std::size_t pendingPeerAnswers_ = 0;
     InstanceRole role_ = InstanceRole::Standby;
     const TimePoint startedAt_;
     bool leaving_ = false;
     TimePoint leavingSince_{};
     std::function<void()> onStopped_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace Burdock
--- a/packages/router/include/burdock/router/routingfeed.h
+++ b/packages/router/include/burdock/router/routingfeed.h
@@ -51,6 +51,10 @@
 
     void start();
 
+    /// Takes the configuration that another instance has in force, if it is newer: a store that was restored from a copy may
+    /// list an older one.
+    void offerConfig(const StoreEntry &entry);
+
     /// Lists all entries again, for use after a suspension of the machine.
     void restart();
 
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -1,9 +1,12 @@
 #include <burdock/router/router.h>
 
 #include <burdock/router/instancecodec.h>
+#include <burdock/router/relaycodec.h>
 #include <burdock/wire/factories.h>
+#include <burdock/wire/percentencoding.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Burdock
@@ -22,6 +25,9 @@
 /// The steps in which standby instances write their records again after a restoration of the store.
 constexpr std::size_t RewriteSteps = 10;
 constexpr Duration RewriteStep = std::chrono::milliseconds(130);
+/// How many others an instance asks for their configuration when it starts, and how long it waits for them before it is ready.
+constexpr std::size_t AskedPeers = 2;
+constexpr Duration PeerAnswerTimeout = std::chrono::milliseconds(400);
 constexpr const char *MetricsPath = "/metrics";
 /// The interval of the checks for suspension and readiness.
 constexpr Duration TickInterval = std::chrono::milliseconds(200);
@@ -190,6 +196,7 @@
 
 Router::~Router()
 {
+    *alive_ = false;
     loop_.cancel(tickTimer_);
     loop_.cancel(stateTimer_);
     loop_.cancel(publishTimer_);
@@ -247,7 +254,7 @@
 
 bool Router::isReady() const
 {
-    return !leaving_ && feed_.hasRoutesAndServers();
+    return !leaving_ && feed_.hasRoutesAndServers() && pendingPeerAnswers_ == 0;
 }
 
 void Router::updateReadiness()
@@ -387,6 +394,59 @@
     relays_.setInstances(instances_.recordsIn(self_.region));
     updateConnectionLimits();
     updateRole();
+    askPeersForConfig();
+}
+
+void Router::askPeersForConfig()
+{
+    // When the whole system starts, no one has had a configuration before.
+    if (settings_.firstStart || peersAsked_ || !feed_.hasInstances()) {
+        return;
+    }
+    peersAsked_ = true;
+    std::vector<Region> regions{self_.region};
+    for (const auto &[dataCentre, region] : settings_.regions) {
+        regions.push_back(region);
+    }
+    std::set<InstanceId> asked{self_.id};
+    for (const Region &region : regions) {
+        for (const InstanceRecord &record : instances_.recordsIn(region)) {
+            if (record.ready && asked.size() <= AskedPeers && asked.insert(record.id).second) {
+                askPeerForConfig(record.peers);
+            }
+        }
+    }
+}
+
+void Router::askPeerForConfig(const Address &peer)
+{
+    ++pendingPeerAnswers_;
+    HttpRequest request;
+    request.address = peer;
+    request.method = "GET";
+    request.path = std::string(RelayService::EntriesPath) + "?prefix=" + percentEncode(dialect_.configKey());
+    request.timeout = PeerAnswerTimeout;
+    client_.send(std::move(request), [this, peer, alive = alive_](const Result<HttpResponse> &response) {
+        if (*alive) {
+            onPeerConfig(peer, response);
+        }
+    });
+}
+
+void Router::onPeerConfig(const Address &peer, const Result<HttpResponse> &response)
+{
+    --pendingPeerAnswers_;
+    const auto range = response && response->status == AnswerStatus::Ok ? readRange(response->body) : notRun(Errc::Unavailable, "no configuration");
+    const std::int64_t before = feed_.version();
+    if (range) {
+        for (const StoreEntry &entry : range->entries) {
+            feed_.offerConfig(entry);
+        }
+    }
+    log_.write(DecisionPriority::Change,
+               "peer.config",
+               {{"peer", peer.toString()}, {"outcome", range ? "answered" : "none"}, {"before", before}, {"config", feed_.version()}});
+    updateReadiness();
 }
 
 void Router::onHistoryLost(std::int64_t history)
--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -174,6 +174,7 @@
 std::vector<StoreEntry> RoutingFeed::applyConfigs(const std::vector<StoreEntry> &entries)
 {
     std::vector<StoreEntry> served;
+    served.reserve(entries.size());
     for (const StoreEntry &entry : entries) {
         served.push_back(applyConfig(entry));
     }
@@ -212,6 +213,18 @@
     return entry;
 }
 
+void RoutingFeed::offerConfig(const StoreEntry &entry)
+{
+    const std::int64_t before = version_;
+    applyConfig(entry);
+    if (version_ != before && config_.hasListing()) {
+        // Those that this instance serves get the newer value at the revision that they know, as after a listing.
+        StoreEntry served = entry;
+        served.modRevision = config_.revision();
+        relay_.onListed(dialect_.configKey(), {served}, config_.revision());
+    }
+}
+
 StoreEntry RoutingFeed::applyServer(const StoreEntry &entry)
 {
     const ServerId id = dialect_.serverIdFromKey(entry.key);
--- a/packages/routing/include/burdock/routing/storefollower.h
+++ b/packages/routing/include/burdock/routing/storefollower.h
@@ -40,6 +40,12 @@
     /// Discards the current read or watch and lists all keys again.
     void restart();
 
+    /// Returns the revision up to which the changes are known.
+    std::int64_t revision() const
+    {
+        return revision_;
+    }
+
     /// Whether all keys have been listed at least once.
     bool hasListing() const
     {
--- a/tests/router/storerestoredprocesstest.cpp
+++ b/tests/router/storerestoredprocesstest.cpp
@@ -117,3 +117,23 @@
     world.bed.eventually([] { return false; }, std::chrono::seconds(5));
     CHECK(world.bed.eventually([&] { return listed() == 3; }, std::chrono::seconds(1)));
 }
+
+TEST_CASE("An instance that starts beside a restored store takes the configuration that the others have in force", "[router][restored]")
+{
+    RestoredStore world;
+    world.bed.control("POST", "/fake/store/copy");
+    world.publish(4);
+    for (const std::string &instance : world.instances) {
+        REQUIRE(world.serves(instance, 4));
+    }
+    world.bed.control("POST", "/fake/store/restore", {{"rewriteMs", 60000}});
+    // The others need a moment to learn of the new history, in which they count as out of touch with the store.
+    world.bed.eventually([] { return false; }, std::chrono::seconds(4));
+    world.bed.process("i3").signal(SIGKILL);
+    world.bed.process("i3").wait();
+    world.bed.startInstance("i3");
+    REQUIRE(world.bed.waitUntilReady("i3"));
+    const auto answer = world.bed.sendRequest("i3", "/v4/x", "after");
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+}
