--- a/packages/router/tests/relaytest.cpp
+++ b/packages/router/tests/relaytest.cpp
@@ -37,9 +37,10 @@
 class FakeStore final : public Store
 {
 public:
-    void range(const std::string &, bool, std::int64_t, Callback<StoreRange>) override
+    void range(const std::string &, bool, std::int64_t, Callback<StoreRange> done) override
     {
         ++ranges;
+        lastRange = std::move(done);
     }
     void commit(StoreTransaction, Callback<StoreCommit>) override
     {
@@ -56,9 +57,13 @@
     std::uint64_t
     watch(const std::string &, bool, std::int64_t from, std::function<void(const StoreEntry &)> onChanged, std::function<void(const Failure &)> ended) override
     {
-        watches[++lastId_] = {from, std::move(onChanged), std::move(ended)};
+        watches[++lastId_] = {from, std::move(onChanged), std::move(ended), nullptr};
         return lastId_;
     }
+    void setAnswerHandler(std::uint64_t watch, const std::function<void()> &onAnswered) override
+    {
+        watches.at(watch).onAnswered = onAnswered;
+    }
     void unwatch(std::uint64_t watch) override
     {
         watches.erase(watch);
@@ -69,8 +74,10 @@
         std::int64_t from = 0;
         std::function<void(const StoreEntry &)> onChanged;
         std::function<void(const Failure &)> ended;
+        std::function<void()> onAnswered;
     };
     std::map<std::uint64_t, Watch> watches;
+    Callback<StoreRange> lastRange;
     int ranges = 0;
 
 private:
@@ -362,3 +369,36 @@
     fixture.runtime.advance(Duration{0});
     CHECK(stale->status == 503);
 }
+
+TEST_CASE("After an outage a relay's data count as fresh only once the store has answered the watch, not other calls", "[relay]")
+{
+    RelayedStoreFixture fixture;
+    fixture.relays.setInstances({});
+    fixture.watch(10);
+    REQUIRE(fixture.direct.watches.size() == 1);
+    const auto leaseRenewed = [&fixture] { return fixture.runtime.now(); };
+    fixture.direct.watches.begin()->second.onAnswered();
+    fixture.runtime.advance(seconds(1));
+    CHECK(fixture.store.confirmedAt(leaseRenewed()) == leaseRenewed());
+    const TimePoint answered = fixture.runtime.now() - seconds(1);
+    const auto ended = fixture.direct.watches.begin()->second.ended;
+    fixture.direct.watches.clear();
+    ended(Failure{Errc::Unavailable, Verdict::NotRun, "the store is away", Duration{0}});
+    fixture.runtime.advance(seconds(5));
+    CHECK(fixture.store.confirmedAt(leaseRenewed()) == answered);
+    SECTION("the watch is started again")
+    {
+        fixture.watch(10);
+        CHECK(fixture.store.confirmedAt(leaseRenewed()) == answered);
+        fixture.direct.watches.begin()->second.onAnswered();
+        CHECK(fixture.store.confirmedAt(leaseRenewed()) == leaseRenewed());
+    }
+    SECTION("or the keys are listed again")
+    {
+        fixture.store.range("servers/", true, 0, [](const Result<StoreRange> &) {});
+        const TimePoint sent = fixture.runtime.now();
+        fixture.runtime.advance(milliseconds(50));
+        fixture.direct.lastRange(StoreRange{{}, 12});
+        CHECK(fixture.store.confirmedAt(leaseRenewed()) == sent);
+    }
+}
