Let the model of limited servers finish under sanitizers beside load

The model told each instance the list of the others at each step of 50 ms, and each check of a token looked through all senders for expired ones. As strict: 180 seeds with 2 to 12 instances and 20 with forty; without the tokens all 200 fail, as before.

--- a/packages/routing/include/burdock/routing/serverlimits.h
+++ b/packages/routing/include/burdock/routing/serverlimits.h
@@ -124,6 +124,8 @@
     const ReportHandler onReport_;
     /// The instances that share the limits, each with the time at which it stops counting, if it is no longer a sender.
     std::map<InstanceId, std::optional<TimePoint>> senders_;
+    /// A time before which none of them stops counting.
+    TimePoint nextExpiry_ = TimePoint::max();
     std::uint64_t sendersVersion_ = 1;
     std::optional<TimePoint> knownSince_;
     std::unordered_map<ServerId, Server> servers_;
--- a/packages/routing/src/serverlimits.cpp
+++ b/packages/routing/src/serverlimits.cpp
@@ -67,6 +67,7 @@
             until.reset();
         } else if (!until) {
             until = now + SenderMemory;
+            nextExpiry_ = std::min(nextExpiry_, *until);
         }
     }
     for (const InstanceId &id : senders) {
@@ -80,9 +81,16 @@
 
 void ServerLimits::forgetOldSenders(TimePoint now)
 {
+    if (now < nextExpiry_) {
+        return;
+    }
+    nextExpiry_ = TimePoint::max();
     for (auto sender = senders_.begin(); sender != senders_.end();) {
         const bool old = sender->second && *sender->second <= now;
         sendersVersion_ += old ? 1 : 0;
+        if (!old && sender->second) {
+            nextExpiry_ = std::min(nextExpiry_, *sender->second);
+        }
         sender = old ? senders_.erase(sender) : std::next(sender);
     }
 }
--- a/packages/routing/tests/serverlimitstest.cpp
+++ b/packages/routing/tests/serverlimitstest.cpp
@@ -17,6 +17,8 @@
 {
 
 constexpr Duration Step = milliseconds(50);
+/// An instance learns of changes of the others within this many steps.
+constexpr std::uint64_t StepsPerView = 8;
 constexpr Duration Window = seconds(4);
 /// The rule: from this time after a server first named its limit ...
 constexpr Duration Notice = seconds(5);
@@ -172,8 +174,11 @@
             instances_.emplace_back();
             start(instances_.size() - 1);
         }
-        for (std::size_t index = 0; index < instances_.size(); ++index) {
-            tellSenders(index);
+        // Their views change seldom compared with a step.
+        if (++steps_ % StepsPerView == 0) {
+            for (std::size_t index = 0; index < instances_.size(); ++index) {
+                tellSenders(index);
+            }
         }
         for (Limited &limited : servers_) {
             if (now_ >= limited.changeAt) {
@@ -265,6 +270,7 @@
     std::deque<Instance> instances_;
     std::vector<Limited> servers_;
     std::deque<Answer> answers_;
+    std::uint64_t steps_ = 0;
 };
 
 /// Returns limits whose instance has known itself and the others for long.
@@ -283,8 +289,18 @@
 
 TEST_CASE("Instances together never send more to a server than the limit that it names allows", "[limit]")
 {
-    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
-        LimitedServers servers(seed, seed % 10 == 0 ? 40 : 2 + seed % 11);
+    for (std::uint64_t seed = 1; seed <= 180; ++seed) {
+        LimitedServers servers(seed, 2 + seed % 11);
+        servers.run(seconds(60));
+        INFO("seed " << seed);
+        CHECK(servers.worstExcess() <= 0);
+    }
+}
+
+TEST_CASE("Forty instances together never send more to a server than the limit that it names allows", "[limit]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        LimitedServers servers(seed, 40);
         servers.run(seconds(60));
         INFO("seed " << seed);
         CHECK(servers.worstExcess() <= 0);
