Handle every event of a revision, also in a relay that answers a waiting poll

Servers whose entries were removed in one change of the store together with another's went on getting requests until they exited; a change of any key in the same revision as another key under the prefix was missed likewise.

Cause: StoreFollower compared each event's revision with that of the event before, and RelayService answered a waiting poll after the first event of a revision, from which the child then went on. A follower now compares with the revision from which its watch started, and a relay answers once all events that arrived together are applied; a listing is complete by itself and is still answered at once.

ChangeLog drops whole prefixes of its entries and answers 410 below the dropped revision, so a revision that is dropped in part is read anew: no change. burdockd compares versions and heads, not events. As a cause of the report it is not confirmed: the configuration is one key.

--- a/packages/router/include/burdock/router/relayservice.h
+++ b/packages/router/include/burdock/router/relayservice.h
@@ -71,8 +71,9 @@
 
     bool isFresh() const;
     HttpServerResponse makeResponse(int status, std::string body = {}) const;
-    /// Answers the waiting polls, or schedules that if some were answered just before.
-    void announceChanges(const std::string &prefix);
+    /// Answers the waiting polls soon; at once if `complete`, which states that no other change of the same revision follows, and if
+    /// none were answered just before.
+    void announceChanges(const std::string &prefix, bool complete);
     void serveEntries(const HttpServerRequest &incoming, HttpResponder &responder);
     /// Answers the poll if there are changes or an error, or with an empty response if `timedOut`; returns whether it was answered.
     bool tryAnswer(const Poll &poll, bool timedOut);
--- a/packages/router/src/relayservice.cpp
+++ b/packages/router/src/relayservice.cpp
@@ -93,7 +93,7 @@
     for (const StoreEntry &entry : entries) {
         state.entries[entry.key] = entry;
     }
-    announceChanges(prefix);
+    announceChanges(prefix, true);
 }
 
 void RelayService::onChanged(const std::string &prefix, const StoreEntry &entry)
@@ -107,19 +107,20 @@
     } else {
         state.entries[entry.key] = entry;
     }
-    announceChanges(prefix);
+    announceChanges(prefix, false);
 }
 
-void RelayService::announceChanges(const std::string &prefix)
+void RelayService::announceChanges(const std::string &prefix, bool complete)
 {
     PrefixState &state = prefixes_[prefix];
     if (state.answerTimer != 0) {
         return;
     }
-    const Duration wait = state.answeredAt + AnswerInterval - runtime_.now();
-    if (wait <= Duration{0}) {
+    const Duration wait = std::max(state.answeredAt + AnswerInterval - runtime_.now(), Duration{0});
+    if (complete && wait == Duration{0}) {
         return answerPolls(prefix);
     }
+    // An answer between two changes of one revision would hide the second from the child.
     state.answerTimer = runtime_.schedule(wait, [this, prefix] {
         prefixes_[prefix].answerTimer = 0;
         answerPolls(prefix);
--- a/packages/routing/src/storefollower.cpp
+++ b/packages/routing/src/storefollower.cpp
@@ -90,10 +90,11 @@
 void StoreFollower::startWatch()
 {
     const std::uint64_t generation = ++generation_;
-    const auto changed = [this, generation, alive = alive_](const StoreEntry &entry) {
+    const auto changed = [this, generation, from = revision_, alive = alive_](const StoreEntry &entry) {
         if (*alive && generation == generation_) {
             onReachable();
-            if (entry.modRevision > revision_) {
+            // One change of the store may affect several keys, which then have the same revision.
+            if (entry.modRevision > from && entry.modRevision >= revision_) {
                 revision_ = entry.modRevision;
                 events_.onChanged(entry);
             }
--- a/packages/routing/tests/storefollowertest.cpp
+++ b/packages/routing/tests/storefollowertest.cpp
@@ -5,6 +5,7 @@
 #include <burdock/store/storehistory.h>
 #include <burdock/values/manualruntime.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace Burdock;
@@ -74,6 +75,36 @@
     CHECK(fixture.events == std::vector<std::string>{"all 1", "+a"});
 }
 
+TEST_CASE("Of two entries that are removed in one change of the store, the second removal is noticed as well", "[follower][samerevision]")
+{
+    FollowerFixture fixture;
+    fixture.begin();
+    const auto changed = fixture.store.watches.begin()->second.changed;
+    changed({"a", "", 11, 0, true});
+    changed({"b", "", 11, 0, true});
+    CHECK(fixture.events == std::vector<std::string>{"-a", "-b"});
+    CHECK(fixture.follower.revision() == 11);
+    SECTION("changes up to the revision from which a watch starts are not repeated")
+    {
+        fixture.store.endWatch(Errc::Unavailable);
+        fixture.runtime.advance(seconds(1));
+        REQUIRE(fixture.store.watches.size() == 1);
+        CHECK(fixture.store.watches.begin()->second.from == 11);
+        fixture.events.clear();
+        fixture.change("a", 11);
+        fixture.change("c", 12);
+        CHECK(fixture.events.back() == "+c");
+        CHECK(std::count(fixture.events.begin(), fixture.events.end(), "+a") == 0);
+    }
+    SECTION("an older change is not applied after a newer one")
+    {
+        fixture.events.clear();
+        fixture.change("c", 13);
+        fixture.change("c", 12);
+        CHECK(fixture.events == std::vector<std::string>{"+c"});
+    }
+}
+
 TEST_CASE("A follower resumes from the last known revision after a failure", "[follower]")
 {
     FollowerFixture fixture;
