Log where an instance's view of the store comes from, and when a relay's data are too old

The logs could not tell the hypotheses apart: neither from whom an instance had its version, nor whether that relay's data counted as complete. watch.source has a line whenever a watch changes between a relay and the store, relay.fresh and relay.stale when an instance with children begins or ends to serve them. No logic is changed.

--- a/packages/router/include/burdock/router/relayedstore.h
+++ b/packages/router/include/burdock/router/relayedstore.h
@@ -70,6 +70,8 @@
         HttpCallId poll = 0;
         std::uint64_t storeWatch = 0;
         TimerId timer = 0;
+        /// Where the changes come from: the address of a relay, or `store`.
+        std::string source;
     };
 
     /// What a key's watch last learned of the completeness of its data.
@@ -87,6 +89,7 @@
     void restartWatchLater(std::uint64_t id, Duration delay);
     /// Returns the earliest time at which a watch of the key may use the store.
     TimePoint earliestStoreWatch(const std::string &key) const;
+    void logSource(Watch &watch, const std::string &source);
     void poll(std::uint64_t id, const Address &relay);
     void onPollResponse(std::uint64_t id, const Address &relay, const Result<HttpResponse> &response);
     void watchStore(std::uint64_t id);
--- a/packages/router/include/burdock/router/relayservice.h
+++ b/packages/router/include/burdock/router/relayservice.h
@@ -37,6 +37,12 @@
     /// Ends the waiting polls if the data are too old.
     void endStalePolls();
 
+    /// Returns the time since the data were known to be complete.
+    Duration age() const;
+
+    /// Whether the data are recent enough to be served.
+    bool isFresh() const;
+
     static constexpr const char *ChangesPath = "/changes";
     static constexpr const char *EntriesPath = "/entries";
     /// The header with the age of the data in milliseconds.
@@ -69,7 +75,6 @@
         void clearCachedResponses();
     };
 
-    bool isFresh() const;
     HttpServerResponse makeResponse(int status, std::string body = {}) const;
     /// Answers the waiting polls soon; at once if `complete`, which states that no other change of the same revision follows, and if
     /// none were answered just before.
--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -58,6 +58,8 @@
     void logLimit(const LimitReport &report);
     void updateConnectionLimits();
     void tick();
+    /// Logs when this instance starts or stops serving its data to other instances.
+    void logRelayFreshness();
     void logState();
     bool isReady() const;
     void updateReadiness();
@@ -107,6 +109,7 @@
     TimerId publishTimer_ = 0;
     TimerId rewriteTimer_ = 0;
     bool recordPublished_ = false;
+    bool relayFresh_ = false;
     bool peersAsked_ = false;
     /// The number of peers that have been asked for their configuration and have not answered.
     std::size_t pendingPeerAnswers_ = 0;
--- a/packages/router/src/relayedstore.cpp
+++ b/packages/router/src/relayedstore.cpp
@@ -160,7 +160,7 @@
     const std::string &key, bool prefix, std::int64_t fromRevision, std::function<void(const StoreEntry &)> changed, std::function<void(const Failure &)> ended)
 {
     const std::uint64_t id = ++lastId_;
-    watches_[id] = Watch{key, prefix, fromRevision, std::move(changed), std::move(ended), nullptr, 0, 0, 0};
+    watches_[id] = Watch{key, prefix, fromRevision, std::move(changed), std::move(ended), nullptr, 0, 0, 0, {}};
     startWatch(id);
     return id;
 }
@@ -228,9 +228,19 @@
     return std::max(startedAt_ + (key == instancesPrefix_ ? InstancesWatchDelay : StoreWatchDelay), earliestStoreListing(key));
 }
 
+void RelayedStore::logSource(Watch &watch, const std::string &source)
+{
+    if (watch.source == source) {
+        return;
+    }
+    log_.write(DecisionPriority::Change, "watch.source", {{"watch", watch.key}, {"source", source}, {"before", watch.source}, {"revision", watch.revision}});
+    watch.source = source;
+}
+
 void RelayedStore::poll(std::uint64_t id, const Address &relay)
 {
     Watch &watch = watches_.at(id);
+    logSource(watch, relay.toString());
     HttpRequest request;
     request.address = relay;
     request.method = "GET";
@@ -299,6 +309,7 @@
 void RelayedStore::watchStore(std::uint64_t id)
 {
     Watch &watch = watches_.at(id);
+    logSource(watch, "store");
     confirmations_[watch.key].atStore = true;
     watch.storeWatch = store_.watch(
         watch.key,
--- a/packages/router/src/relayservice.cpp
+++ b/packages/router/src/relayservice.cpp
@@ -61,9 +61,14 @@
     }
 }
 
+Duration RelayService::age() const
+{
+    return runtime_.now() - confirmedAt_();
+}
+
 bool RelayService::isFresh() const
 {
-    return runtime_.now() - confirmedAt_() < MaxAge + MaxAgePerRelay * depth_();
+    return age() < MaxAge + MaxAgePerRelay * depth_();
 }
 
 HttpServerResponse RelayService::makeResponse(int status, std::string body) const
@@ -71,7 +76,7 @@
     HttpServerResponse out;
     out.status = status;
     out.jsonByDefault = false;
-    out.headers[AgeHeader] = std::to_string((runtime_.now() - confirmedAt_()) / std::chrono::milliseconds(1));
+    out.headers[AgeHeader] = std::to_string(age() / std::chrono::milliseconds(1));
     out.body = std::move(body);
     return out;
 }
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t AskedPeers = 2;
 constexpr Duration PeerAnswerTimeout = std::chrono::milliseconds(400);
 constexpr const char *MetricsPath = "/metrics";
+/// Data that were never complete have an age without a meaning.
+constexpr std::int64_t MaxLoggedAgeMs = 999999;
 /// The interval of the checks for suspension and readiness.
 constexpr Duration TickInterval = std::chrono::milliseconds(200);
 /// The interval at which counters and gauges are logged, for operators who have only the logs.
@@ -319,12 +321,24 @@
     }
     suspended_ = suspended;
     relay_.endStalePolls();
+    logRelayFreshness();
     updateReadiness();
     updateRole();
     tickDue_ = loop_.now() + TickInterval;
     tickTimer_ = loop_.schedule(TickInterval, [this] { tick(); });
 }
 
+void Router::logRelayFreshness()
+{
+    const bool fresh = relay_.isFresh();
+    if (!relays_.hasChildren() || std::exchange(relayFresh_, fresh) == fresh) {
+        return;
+    }
+    log_.write(DecisionPriority::Change,
+               fresh ? "relay.fresh" : "relay.stale",
+               {{"ageMs", std::min<std::int64_t>(relay_.age().count() / 1000, MaxLoggedAgeMs)}, {"depth", relays_.depth()}, {"config", feed_.version()}});
+}
+
 void Router::logState()
 {
     metrics_.forEachValue([this](const std::string &name, double value) {
