Count a relay's data as fresh by the answers to its watches, not by other calls

Callers: an undisturbed instance handled requests as an older configuration says, since the relay from which it gets its changes served old data as fresh.

Cause: RelayedStore took data at the store as complete up to the last renewal of the lease. A renewal says that the store can be reached, not that the watch reports: a poll that went silent holds its connection up to 4.5 s, a watch that broke waits up to 1.6 s to be started again, and each renewal meanwhile made the data look new. Class of fault: the answer to one question is taken for the answer to another.

Each answer to a poll now carries the time up to which the watch is complete: that of sending, plus the wait where the store had nothing to report. A relay states the age that its data had when a poll arrived there, so that neither a wait nor a slow way back makes data look newer. Nothing else counts, and a suspended machine forgets it all. DataAge holds the limits, in one place.

That needs more frequent answers where others depend on them: instances with children ask the store to answer each 0.8 s (before: 3.5 s; the others still do).

--- a/packages/router/include/burdock/router/relayedstore.h
+++ b/packages/router/include/burdock/router/relayedstore.h
@@ -45,12 +45,16 @@
                         std::int64_t fromRevision,
                         std::function<void(const StoreEntry &)> changed,
                         std::function<void(const Failure &)> ended) override;
-    void setAnswerHandler(std::uint64_t watch, const std::function<void()> &onAnswered) override;
+    void setAnswerHandler(std::uint64_t watch, const AnswerHandler &onAnswered) override;
+    void setAnswerInterval(Duration interval) override;
     void unwatch(std::uint64_t watch) override;
 
-    /// Returns the time up to which all watched data are known to be complete. `storeConfirmedAt` is when the store last answered
-    /// this instance, which counts for the watches at the store.
-    TimePoint confirmedAt(TimePoint storeConfirmedAt) const;
+    /// Returns the time up to which all listed and watched data are known to be complete. Only answers to their own listings and
+    /// watches count, by the store or by a relay that states its age: other calls succeed while a watch is silent.
+    TimePoint completeUntil() const;
+
+    /// Regards all data as outdated until they are confirmed again: the machine was suspended, and its clock stood still.
+    void forgetConfirmations();
 
     /// Returns the number of polls that relays have answered.
     std::uint64_t answeredPolls() const
@@ -66,7 +70,7 @@
         std::int64_t revision = 0;
         std::function<void(const StoreEntry &)> changed;
         std::function<void(const Failure &)> ended;
-        std::function<void()> answered;
+        AnswerHandler answered;
         HttpCallId poll = 0;
         std::uint64_t storeWatch = 0;
         TimerId timer = 0;
@@ -74,15 +78,9 @@
         std::string source;
     };
 
-    /// What a key's watch last learned of the completeness of its data.
-    struct Confirmation
-    {
-        bool atStore = false;
-        TimePoint at{};
-    };
-
     /// Reads a listing from a relay, or from the store once that is allowed.
     void startListing(const std::string &prefix, Callback<StoreRange> done);
+    void readStore(const std::string &prefix, Callback<StoreRange> done);
     void requestRange(const Address &relay, const std::string &prefix, Callback<StoreRange> done);
     TimePoint earliestStoreListing(const std::string &key) const;
     void startWatch(std::uint64_t id);
@@ -91,13 +89,15 @@
     TimePoint earliestStoreWatch(const std::string &key) const;
     void logSource(Watch &watch, const std::string &source);
     void poll(std::uint64_t id, const Address &relay);
-    void onPollResponse(std::uint64_t id, const Address &relay, const Result<HttpResponse> &response);
+    void onPollResponse(std::uint64_t id, const Address &relay, TimePoint sentAt, const Result<HttpResponse> &response);
     void watchStore(std::uint64_t id);
     void trySwitchToRelay(std::uint64_t id);
     void onRelayFailed(std::uint64_t id, const Address &relay, const std::string &reason);
     void logRelayFailure(const Address &relay, const std::string &key, std::int64_t revision, const std::string &reason);
+    /// Notes the time up to which the data under a key are complete.
+    void confirm(const std::string &key, TimePoint completeUntil);
     /// Tells the watch that the store or a relay has answered; returns false if the callback ended the watch.
-    bool announceAnswer(std::uint64_t id);
+    bool announceAnswer(std::uint64_t id, TimePoint completeUntil);
     /// Passes a change to the watch; returns false if the callback ended the watch.
     bool deliver(std::uint64_t id, const StoreEntry &entry);
     void cancelCalls(const Watch &watch);
@@ -113,7 +113,8 @@
     std::uint64_t lastId_ = 0;
     std::uint64_t answeredPolls_ = 0;
     std::map<std::uint64_t, Watch> watches_;
-    std::map<std::string, Confirmation> confirmations_;
+    /// For each key that was listed or watched, the time up to which its data are complete.
+    std::map<std::string, TimePoint> completeUntil_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/packages/router/include/burdock/router/relayservice.h
+++ b/packages/router/include/burdock/router/relayservice.h
@@ -19,10 +19,10 @@
 class RelayService
 {
 public:
-    /// `confirmedAt` returns the time up to which this instance's data are known to be complete, and `depth` the number of relays
+    /// `completeUntil` returns the time up to which this instance's data are known to be complete, and `depth` the number of relays
     /// between this instance and the store.
     RelayService(
-        Runtime &runtime, std::function<TimePoint()> confirmedAt, std::function<int()> depth = [] { return 0; });
+        Runtime &runtime, std::function<TimePoint()> completeUntil, std::function<int()> depth = [] { return 0; });
     ~RelayService();
     RelayService(const RelayService &) = delete;
     RelayService &operator=(const RelayService &) = delete;
@@ -45,7 +45,8 @@
 
     static constexpr const char *ChangesPath = "/changes";
     static constexpr const char *EntriesPath = "/entries";
-    /// The header with the age of the data in milliseconds.
+    /// The header with the age, in milliseconds, that the data had when the request arrived; negative if they are complete until
+    /// later. So the time for which an answer waited or was on its way never makes data look fresher.
     static constexpr const char *AgeHeader = "relay-age-ms";
 
 private:
@@ -54,6 +55,7 @@
         std::string prefix;
         std::int64_t after = 0;
         std::shared_ptr<HttpResponder> responder;
+        TimePoint arrived{};
         TimerId timer = 0;
     };
     using Polls = std::list<Poll>;
@@ -75,7 +77,7 @@
         void clearCachedResponses();
     };
 
-    HttpServerResponse makeResponse(int status, std::string body = {}) const;
+    HttpServerResponse makeResponse(int status, TimePoint arrived, std::string body = {}) const;
     /// Answers the waiting polls soon; at once if `complete`, which states that no other change of the same revision follows, and if
     /// none were answered just before.
     void announceChanges(const std::string &prefix, bool complete);
@@ -86,7 +88,7 @@
     void removePoll(Polls::iterator poll);
 
     Runtime &runtime_;
-    const std::function<TimePoint()> confirmedAt_;
+    const std::function<TimePoint()> completeUntil_;
     const std::function<int()> depth_;
     std::map<std::string, PrefixState> prefixes_;
     Polls polls_;
--- a/packages/router/src/relayedstore.cpp
+++ b/packages/router/src/relayedstore.cpp
@@ -34,7 +34,8 @@
 /// The interval at which an instance without a relay that may not use the store yet tries again.
 constexpr Duration UnavailableRetryInterval = std::chrono::milliseconds(150);
 
-/// Returns the age of the relay's data, or nothing if the response does not state it.
+/// Returns the age that the relay's data had when the request arrived there, or nothing if the response does not state it. It is
+/// negative if the data are complete until later.
 std::optional<Duration> ageOf(const HttpResponse &response)
 {
     const auto header = response.headers.find(RelayService::AgeHeader);
@@ -44,7 +45,7 @@
     std::int64_t age = 0;
     const std::string &text = header->second;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), age);
-    const bool valid = error == std::errc() && end == text.data() + text.size() && age >= 0;
+    const bool valid = error == std::errc() && end == text.data() + text.size();
     return valid ? std::optional<Duration>(std::chrono::milliseconds(age)) : std::nullopt;
 }
 
@@ -97,7 +98,7 @@
     }
     const TimePoint earliest = earliestStoreListing(prefix);
     if (now >= earliest && relays_.mayUseStore(now)) {
-        return store_.range(prefix, true, 0, std::move(done));
+        return readStore(prefix, std::move(done));
     }
     runtime_.schedule(std::max(UnavailableRetryInterval, earliest - now), [this, prefix, done = std::move(done), alive = alive_] {
         if (*alive) {
@@ -106,36 +107,53 @@
     });
 }
 
-void RelayedStore::requestRange(const Address &relay, const std::string &prefix, Callback<StoreRange> done)
+void RelayedStore::readStore(const std::string &prefix, Callback<StoreRange> done)
 {
-    HttpRequest request;
-    request.address = relay;
-    request.method = "GET";
-    request.path = std::string(RelayService::EntriesPath) + "?prefix=" + percentEncode(prefix);
-    request.timeout = RangeTimeout;
-    client_.send(std::move(request), [this, relay, prefix, done = std::move(done), alive = alive_](const Result<HttpResponse> &response) {
+    store_.range(prefix, true, 0, [this, prefix, sentAt = runtime_.now(), done = std::move(done), alive = alive_](Result<StoreRange> range) {
         if (!*alive) {
             return;
         }
-        auto range = response && response->status == OkStatus ? readRange(response->body) : notRun(Errc::Unavailable, "the relay knows nothing fresh");
         if (range) {
-            relays_.onAnswered();
-            return done(std::move(range));
-        }
-        logRelayFailure(relay, prefix, 0, response ? range.error().message : response.error().message);
-        if (response && response->status == UnavailableStatus) {
-            relays_.onStale(relay, runtime_.now());
-        } else {
-            relays_.onFailed(relay, runtime_.now());
-        }
-        if (relays_.mayUseStore(runtime_.now())) {
-            store_.range(prefix, true, 0, done);
-        } else {
-            startListing(prefix, done);
+            confirm(prefix, sentAt);
         }
+        done(std::move(range));
     });
 }
 
+void RelayedStore::requestRange(const Address &relay, const std::string &prefix, Callback<StoreRange> done)
+{
+    HttpRequest request;
+    request.address = relay;
+    request.method = "GET";
+    request.path = std::string(RelayService::EntriesPath) + "?prefix=" + percentEncode(prefix);
+    request.timeout = RangeTimeout;
+    client_.send(
+        std::move(request), [this, relay, prefix, sentAt = runtime_.now(), done = std::move(done), alive = alive_](const Result<HttpResponse> &response) {
+            if (!*alive) {
+                return;
+            }
+            auto range = response && response->status == OkStatus ? readRange(response->body) : notRun(Errc::Unavailable, "the relay knows nothing fresh");
+            if (range) {
+                relays_.onAnswered();
+                if (const auto age = ageOf(*response)) {
+                    confirm(prefix, sentAt - *age);
+                }
+                return done(std::move(range));
+            }
+            logRelayFailure(relay, prefix, 0, response ? range.error().message : response.error().message);
+            if (response && response->status == UnavailableStatus) {
+                relays_.onStale(relay, runtime_.now());
+            } else {
+                relays_.onFailed(relay, runtime_.now());
+            }
+            if (relays_.mayUseStore(runtime_.now())) {
+                readStore(prefix, done);
+            } else {
+                startListing(prefix, done);
+            }
+        });
+}
+
 void RelayedStore::commit(StoreTransaction transaction, Callback<StoreCommit> done)
 {
     store_.commit(std::move(transaction), std::move(done));
@@ -165,7 +183,12 @@
     return id;
 }
 
-void RelayedStore::setAnswerHandler(std::uint64_t id, const std::function<void()> &onAnswered)
+void RelayedStore::setAnswerInterval(Duration interval)
+{
+    store_.setAnswerInterval(interval);
+}
+
+void RelayedStore::setAnswerHandler(std::uint64_t id, const AnswerHandler &onAnswered)
 {
     const auto found = watches_.find(id);
     if (found != watches_.end()) {
@@ -173,11 +196,18 @@
     }
 }
 
-bool RelayedStore::announceAnswer(std::uint64_t id)
+void RelayedStore::confirm(const std::string &key, TimePoint completeUntil)
+{
+    TimePoint &known = completeUntil_[key];
+    known = std::max(known, completeUntil);
+}
+
+bool RelayedStore::announceAnswer(std::uint64_t id, TimePoint completeUntil)
 {
     const auto answered = watches_.at(id).answered;
+    confirm(watches_.at(id).key, completeUntil);
     if (answered) {
-        answered();
+        answered(completeUntil);
     }
     return watches_.count(id) > 0;
 }
@@ -247,10 +277,11 @@
     request.path = std::string(RelayService::ChangesPath) + "?prefix=" + percentEncode(watch.key) + "&after=" + std::to_string(watch.revision)
         + "&waitMs=" + std::to_string(PollWait / std::chrono::milliseconds(1));
     request.timeout = PollWait + PollTimeoutMargin;
-    watch.poll = client_.send(std::move(request), [this, id, relay](const Result<HttpResponse> &response) { onPollResponse(id, relay, response); });
+    watch.poll = client_.send(
+        std::move(request), [this, id, relay, sentAt = runtime_.now()](const Result<HttpResponse> &response) { onPollResponse(id, relay, sentAt, response); });
 }
 
-void RelayedStore::onPollResponse(std::uint64_t id, const Address &relay, const Result<HttpResponse> &response)
+void RelayedStore::onPollResponse(std::uint64_t id, const Address &relay, TimePoint sentAt, const Result<HttpResponse> &response)
 {
     const auto found = watches_.find(id);
     if (found == watches_.end()) {
@@ -280,10 +311,8 @@
     }
     ++answeredPolls_;
     relays_.onAnswered();
-    if (const auto age = ageOf(*response)) {
-        confirmations_[found->second.key] = {false, runtime_.now() - *age};
-    }
-    if (!announceAnswer(id)) {
+    const auto age = ageOf(*response);
+    if (!announceAnswer(id, age ? sentAt - *age : TimePoint{})) {
         return;
     }
     for (const StoreEntry &entry : *entries) {
@@ -310,7 +339,6 @@
 {
     Watch &watch = watches_.at(id);
     logSource(watch, "store");
-    confirmations_[watch.key].atStore = true;
     watch.storeWatch = store_.watch(
         watch.key,
         watch.prefix,
@@ -324,20 +352,22 @@
                 node.mapped().ended(failure);
             }
         });
-    store_.setAnswerHandler(watch.storeWatch, [this, id] { announceAnswer(id); });
+    store_.setAnswerHandler(watch.storeWatch, [this, id](TimePoint completeUntil) { announceAnswer(id, completeUntil); });
     watch.timer = runtime_.schedule(RelayRetryInterval, [this, id] { trySwitchToRelay(id); });
 }
 
-TimePoint RelayedStore::confirmedAt(TimePoint storeConfirmedAt) const
+TimePoint RelayedStore::completeUntil() const
 {
-    if (confirmations_.empty()) {
-        return TimePoint{};
-    }
-    TimePoint earliest = TimePoint::max();
-    for (const auto &[key, confirmation] : confirmations_) {
-        earliest = std::min(earliest, confirmation.atStore ? storeConfirmedAt : confirmation.at);
+    const auto earliest =
+        std::min_element(completeUntil_.begin(), completeUntil_.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
+    return earliest == completeUntil_.end() ? TimePoint{} : earliest->second;
+}
+
+void RelayedStore::forgetConfirmations()
+{
+    for (auto &[key, completeUntil] : completeUntil_) {
+        completeUntil = TimePoint{};
     }
-    return earliest;
 }
 
 void RelayedStore::trySwitchToRelay(std::uint64_t id)
--- a/packages/router/src/relayservice.cpp
+++ b/packages/router/src/relayservice.cpp
@@ -1,6 +1,7 @@
 #include <burdock/router/relayservice.h>
 
 #include <burdock/router/relaycodec.h>
+#include <burdock/routing/dataage.h>
 
 #include <algorithm>
 #include <charconv>
@@ -18,11 +19,6 @@
 constexpr int GoneStatus = 410;
 constexpr int UnavailableStatus = 503;
 
-/// Data older than this are not served by an instance that watches the store. Its lease is renewed once a second, and a renewal
-/// may be late by nearly another second. Together with the duration of a poll this limits the age of an instance's data.
-constexpr Duration MaxAge = std::chrono::milliseconds(1800);
-/// Each relay in between adds the duration of a poll and its transfer.
-constexpr Duration MaxAgePerRelay = std::chrono::milliseconds(1200);
 /// The minimum time between answers with changes under one prefix: when all instances restart, changes come one by one, and each
 /// answer costs every child a poll.
 constexpr Duration AnswerInterval = std::chrono::milliseconds(100);
@@ -44,9 +40,9 @@
 
 } // namespace
 
-RelayService::RelayService(Runtime &runtime, std::function<TimePoint()> confirmedAt, std::function<int()> depth)
+RelayService::RelayService(Runtime &runtime, std::function<TimePoint()> completeUntil, std::function<int()> depth)
     : runtime_(runtime)
-    , confirmedAt_(std::move(confirmedAt))
+    , completeUntil_(std::move(completeUntil))
     , depth_(std::move(depth))
 {
 }
@@ -63,20 +59,20 @@
 
 Duration RelayService::age() const
 {
-    return runtime_.now() - confirmedAt_();
+    return runtime_.now() - completeUntil_();
 }
 
 bool RelayService::isFresh() const
 {
-    return age() < MaxAge + MaxAgePerRelay * depth_();
+    return DataAge::isServable(age(), depth_());
 }
 
-HttpServerResponse RelayService::makeResponse(int status, std::string body) const
+HttpServerResponse RelayService::makeResponse(int status, TimePoint arrived, std::string body) const
 {
     HttpServerResponse out;
     out.status = status;
     out.jsonByDefault = false;
-    out.headers[AgeHeader] = std::to_string(age() / std::chrono::milliseconds(1));
+    out.headers[AgeHeader] = std::to_string((arrived - completeUntil_()) / std::chrono::milliseconds(1));
     out.body = std::move(body);
     return out;
 }
@@ -136,7 +132,7 @@
 {
     const auto state = prefixes_.find(parameter(incoming, "prefix"));
     if (!isFresh() || state == prefixes_.end() || !state->second.hasListing) {
-        responder.respond(makeResponse(UnavailableStatus));
+        responder.respond(makeResponse(UnavailableStatus, runtime_.now()));
         return;
     }
     std::string &cachedListing = state->second.cachedListing;
@@ -148,7 +144,7 @@
         }
         cachedListing = writeRange(range);
     }
-    responder.respond(makeResponse(OkStatus, cachedListing));
+    responder.respond(makeResponse(OkStatus, runtime_.now(), cachedListing));
 }
 
 void RelayService::serve(const HttpServerRequest &incoming, const std::shared_ptr<HttpResponder> &responder)
@@ -159,10 +155,10 @@
     const auto after = parseNumber(parameter(incoming, "after"));
     const auto waitMs = parseNumber(parameter(incoming, "waitMs"));
     if (!after || !waitMs) {
-        responder->respond(makeResponse(BadRequestStatus));
+        responder->respond(makeResponse(BadRequestStatus, runtime_.now()));
         return;
     }
-    Poll poll{parameter(incoming, "prefix"), *after, responder, 0};
+    Poll poll{parameter(incoming, "prefix"), *after, responder, runtime_.now(), 0};
     const auto state = prefixes_.find(poll.prefix);
     const bool answerLater = state != prefixes_.end() && state->second.answerTimer != 0;
     if (!answerLater && tryAnswer(poll, false)) {
@@ -180,34 +176,34 @@
 bool RelayService::tryAnswer(const Poll &poll, bool timedOut)
 {
     if (!isFresh()) {
-        poll.responder->respond(makeResponse(UnavailableStatus));
+        poll.responder->respond(makeResponse(UnavailableStatus, poll.arrived));
         return true;
     }
     const auto found = prefixes_.find(poll.prefix);
     if (found == prefixes_.end() || !found->second.hasListing) {
-        poll.responder->respond(makeResponse(UnavailableStatus));
+        poll.responder->respond(makeResponse(UnavailableStatus, poll.arrived));
         return true;
     }
     PrefixState &state = found->second;
     const auto cached = state.cachedChanges.find(poll.after);
     if (cached != state.cachedChanges.end()) {
         state.answeredAt = runtime_.now();
-        poll.responder->respond(makeResponse(OkStatus, cached->second));
+        poll.responder->respond(makeResponse(OkStatus, poll.arrived, cached->second));
         return true;
     }
     const auto cachedChanges = state.log.since(poll.after);
     if (!cachedChanges) {
-        poll.responder->respond(makeResponse(GoneStatus));
+        poll.responder->respond(makeResponse(GoneStatus, poll.arrived));
         return true;
     }
     if (cachedChanges->empty()) {
         if (timedOut) {
-            poll.responder->respond(makeResponse(OkStatus, writeChanges(*cachedChanges)));
+            poll.responder->respond(makeResponse(OkStatus, poll.arrived, writeChanges(*cachedChanges)));
         }
         return timedOut;
     }
     state.answeredAt = runtime_.now();
-    poll.responder->respond(makeResponse(OkStatus, state.cachedChanges.emplace(poll.after, writeChanges(*cachedChanges)).first->second));
+    poll.responder->respond(makeResponse(OkStatus, poll.arrived, state.cachedChanges.emplace(poll.after, writeChanges(*cachedChanges)).first->second));
     return true;
 }
 
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -2,6 +2,7 @@
 
 #include <burdock/router/instancecodec.h>
 #include <burdock/router/relaycodec.h>
+#include <burdock/routing/dataage.h>
 #include <burdock/wire/factories.h>
 #include <burdock/wire/percentencoding.h>
 
@@ -170,7 +171,7 @@
               return writeInstance(record);
           })
     , relay_(
-          loop, [this] { return store_.confirmedAt(lease_.confirmedAt()); }, [this] { return relays_.depth(); })
+          loop, [this] { return store_.completeUntil(); }, [this] { return relays_.depth(); })
     , feed_(loop,
             store_,
             dialect,
@@ -317,6 +318,7 @@
         log_.write(DecisionPriority::Change, "machine.woke", {{"suspendedMs", (suspended - suspended_).count() / 1000}});
         // The peers may have closed the connections, and all data from the store may be outdated.
         client_.closeIdle();
+        store_.forgetConfirmations();
         feed_.restart();
     }
     suspended_ = suspended;
@@ -406,6 +408,7 @@
     budget_.setInstances(senders.self ? senders.count : instances_.count(self_) * OutsiderBudgetDivisor, loop_.now());
     limits_.setSenders(feed_.hasInstances() ? instances_.senderIds(self_) : std::vector<InstanceId>(), loop_.now());
     relays_.setInstances(instances_.recordsIn(self_.region));
+    store_.setAnswerInterval(relays_.hasChildren() ? DataAge::StoreAnswerInterval : Duration::max());
     updateConnectionLimits();
     updateRole();
     askPeersForConfig();
--- a/packages/router/tests/recordedresponder.h
+++ b/packages/router/tests/recordedresponder.h
@@ -3,6 +3,7 @@
 #include <burdock/wire/httpserver.h>
 
 #include <functional>
+#include <map>
 #include <string>
 
 namespace Burdock
@@ -17,6 +18,7 @@
         CHECK(status == 0);
         status = answer.status;
         body = answer.body;
+        headers = answer.headers;
     }
     void sendChunk(const std::string &) override
     {
@@ -31,6 +33,7 @@
 
     int status = 0;
     std::string body;
+    std::map<std::string, std::string> headers;
     std::function<void()> onClientGone;
 };
 
--- a/packages/router/tests/relaytest.cpp
+++ b/packages/router/tests/relaytest.cpp
@@ -48,8 +48,9 @@
     void grantLease(std::int64_t, Callback<std::int64_t>) override
     {
     }
-    void keepLeaseAlive(std::int64_t, Callback<std::int64_t>) override
+    void keepLeaseAlive(std::int64_t, Callback<std::int64_t> done) override
     {
+        done(std::int64_t{3});
     }
     void revokeLease(std::int64_t, Callback<std::int64_t>) override
     {
@@ -60,7 +61,7 @@
         watches[++lastId_] = {from, std::move(onChanged), std::move(ended), nullptr};
         return lastId_;
     }
-    void setAnswerHandler(std::uint64_t watch, const std::function<void()> &onAnswered) override
+    void setAnswerHandler(std::uint64_t watch, const AnswerHandler &onAnswered) override
     {
         watches.at(watch).onAnswered = onAnswered;
     }
@@ -74,7 +75,7 @@
         std::int64_t from = 0;
         std::function<void(const StoreEntry &)> onChanged;
         std::function<void(const Failure &)> ended;
-        std::function<void()> onAnswered;
+        AnswerHandler onAnswered;
     };
     std::map<std::uint64_t, Watch> watches;
     Callback<StoreRange> lastRange;
@@ -347,7 +348,7 @@
     fixture.runtime.advance(seconds(2));
     const std::uint64_t watch = fixture.store.watch(
         "servers/", true, 10, [](const StoreEntry &) {}, [](const Failure &) {});
-    fixture.store.setAnswerHandler(watch, [&answers] { ++answers; });
+    fixture.store.setAnswerHandler(watch, [&answers](TimePoint) { ++answers; });
     fixture.client.answer(HttpResponse{503, {}, ""});
     CHECK(answers == 0);
     fixture.client.answer(HttpResponse{200, {}, writeChanges({})});
@@ -360,13 +361,16 @@
     fixture.runtime.advance(seconds(2));
     fixture.store.watch(
         "servers/", true, 10, [](const StoreEntry &) {}, [](const Failure &) {});
-    CHECK(fixture.store.confirmedAt(fixture.runtime.now()) == TimePoint{});
+    CHECK(fixture.store.completeUntil() == TimePoint{});
+    // The answer waits at the relay, or is on its way, for 250 ms, which does not make the data fresher.
+    const TimePoint sent = fixture.runtime.now();
+    fixture.runtime.advance(milliseconds(250));
     fixture.client.answer(HttpResponse{200, {{RelayService::AgeHeader, "700"}}, writeChanges({})});
-    const TimePoint confirmed = fixture.runtime.now() - milliseconds(700);
-    CHECK(fixture.store.confirmedAt(fixture.runtime.now()) == confirmed);
+    const TimePoint complete = sent - milliseconds(700);
+    CHECK(fixture.store.completeUntil() == complete);
 
     RelayService service(
-        fixture.runtime, [&fixture] { return fixture.store.confirmedAt({}); }, [] { return 1; });
+        fixture.runtime, [&fixture] { return fixture.store.completeUntil(); }, [] { return 1; });
     service.onListed("servers/", {}, 10);
     const auto poll = [&service] {
         HttpServerRequest incoming;
@@ -384,28 +388,60 @@
     CHECK(stale->status == 503);
 }
 
+TEST_CASE("A relay states the age that its data had when the poll arrived, negative after a wait", "[relay][age]")
+{
+    RelayServiceFixture fixture;
+    fixture.service.onListed("servers/", {{"servers/p0", "v", 7, 0, false}}, 10);
+    fixture.runtime.advance(milliseconds(300));
+    const auto answer = fixture.poll("10");
+    fixture.runtime.advance(milliseconds(500));
+    SECTION("nothing was confirmed during the wait")
+    {
+        fixture.service.onChanged("servers/", Change);
+        fixture.runtime.advance(Duration{0});
+        REQUIRE(answer->status == 200);
+        CHECK(answer->headers.at(RelayService::AgeHeader) == "300");
+    }
+    SECTION("the data were confirmed during the wait")
+    {
+        fixture.confirmed = fixture.runtime.now() - milliseconds(100);
+        fixture.service.onChanged("servers/", Change);
+        fixture.runtime.advance(Duration{0});
+        REQUIRE(answer->status == 200);
+        CHECK(answer->headers.at(RelayService::AgeHeader) == "-400");
+    }
+}
+
 TEST_CASE("After an outage a relay's data count as fresh only once the store has answered the watch, not other calls", "[relay]")
 {
     RelayedStoreFixture fixture;
     fixture.relays.setInstances({});
     fixture.watch(10);
     REQUIRE(fixture.direct.watches.size() == 1);
-    const auto leaseRenewed = [&fixture] { return fixture.runtime.now(); };
-    fixture.direct.watches.begin()->second.onAnswered();
+    const auto leaseRenewed = [&fixture] {
+        std::optional<Result<std::int64_t>> renewal;
+        fixture.store.keepLeaseAlive(7, [&renewal](Result<std::int64_t> given) { renewal = std::move(given); });
+        REQUIRE(renewal);
+    };
+    const TimePoint answered = fixture.runtime.now();
+    fixture.direct.watches.begin()->second.onAnswered(answered);
+    CHECK(fixture.store.completeUntil() == answered);
     fixture.runtime.advance(seconds(1));
-    CHECK(fixture.store.confirmedAt(leaseRenewed()) == leaseRenewed());
-    const TimePoint answered = fixture.runtime.now() - seconds(1);
+    leaseRenewed();
+    CHECK(fixture.store.completeUntil() == answered);
     const auto ended = fixture.direct.watches.begin()->second.ended;
     fixture.direct.watches.clear();
     ended(Failure{Errc::Unavailable, Verdict::NotRun, "the store is away", Duration{0}});
     fixture.runtime.advance(seconds(5));
-    CHECK(fixture.store.confirmedAt(leaseRenewed()) == answered);
+    leaseRenewed();
+    CHECK(fixture.store.completeUntil() == answered);
     SECTION("the watch is started again")
     {
         fixture.watch(10);
-        CHECK(fixture.store.confirmedAt(leaseRenewed()) == answered);
-        fixture.direct.watches.begin()->second.onAnswered();
-        CHECK(fixture.store.confirmedAt(leaseRenewed()) == leaseRenewed());
+        leaseRenewed();
+        CHECK(fixture.store.completeUntil() == answered);
+        fixture.direct.watches.begin()->second.onAnswered(fixture.runtime.now());
+        CHECK(fixture.store.completeUntil() == fixture.runtime.now());
     }
     SECTION("or the keys are listed again")
     {
@@ -413,6 +449,25 @@
         const TimePoint sent = fixture.runtime.now();
         fixture.runtime.advance(milliseconds(50));
         fixture.direct.lastRange(StoreRange{{}, 12});
-        CHECK(fixture.store.confirmedAt(leaseRenewed()) == sent);
+        CHECK(fixture.store.completeUntil() == sent);
     }
 }
+
+TEST_CASE("The data are as old as those of the watch that was confirmed least recently, and nothing is known after a suspension", "[relay][age]")
+{
+    RelayedStoreFixture fixture;
+    fixture.relays.setInstances({});
+    fixture.watch(10);
+    fixture.store.watch(
+        "config", true, 10, [](const StoreEntry &) {}, [](const Failure &) {});
+    REQUIRE(fixture.direct.watches.size() == 2);
+    const TimePoint first = fixture.runtime.now();
+    for (const auto &[id, watch] : fixture.direct.watches) {
+        watch.onAnswered(first);
+    }
+    fixture.runtime.advance(seconds(1));
+    fixture.direct.watches.begin()->second.onAnswered(fixture.runtime.now());
+    CHECK(fixture.store.completeUntil() == first);
+    fixture.store.forgetConfirmations();
+    CHECK(fixture.store.completeUntil() == TimePoint{});
+}
--- /dev/null
+++ b/packages/routing/src/dataage.cpp
@@ -0,0 +1,22 @@
+#include <burdock/routing/dataage.h>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// The greatest age of data that an instance next to the store serves: after a change one and a half intervals of the store's
+/// answers and a pause, and some delay.
+constexpr Duration MaxServedAge = std::chrono::milliseconds(1800);
+/// Each relay in between adds the wait of a poll.
+constexpr Duration MaxServedAgePerRelay = std::chrono::milliseconds(1000);
+
+} // namespace
+
+bool DataAge::isServable(Duration age, int depth)
+{
+    return age < MaxServedAge + MaxServedAgePerRelay * depth;
+}
+
+} // namespace Burdock
--- a/packages/routing/src/storefollower.cpp
+++ b/packages/routing/src/storefollower.cpp
@@ -108,7 +108,7 @@
     };
     watch_ = store_.watch(prefix_, true, revision_, changed, ended);
     if (watch_ != 0) {
-        store_.setAnswerHandler(watch_, [this, generation, alive = alive_] {
+        store_.setAnswerHandler(watch_, [this, generation, alive = alive_](TimePoint) {
             if (*alive && generation == generation_) {
                 onReachable();
             }
--- a/packages/routing/tests/manualstore.h
+++ b/packages/routing/tests/manualstore.h
@@ -20,7 +20,7 @@
         std::int64_t from = 0;
         std::function<void(const StoreEntry &)> changed;
         std::function<void(const Failure &)> ended;
-        std::function<void()> answered{};
+        AnswerHandler answered{};
     };
 
     void range(const std::string &, bool, std::int64_t, Callback<StoreRange> done) override
@@ -51,7 +51,7 @@
         watches[++last_] = {key, from, std::move(changed), std::move(ended)};
         return last_;
     }
-    void setAnswerHandler(std::uint64_t watch, const std::function<void()> &onAnswered) override
+    void setAnswerHandler(std::uint64_t watch, const AnswerHandler &onAnswered) override
     {
         watches.at(watch).answered = onAnswered;
     }
--- a/packages/routing/tests/storefollowertest.cpp
+++ b/packages/routing/tests/storefollowertest.cpp
@@ -144,7 +144,7 @@
     fixture.runtime.advance(seconds(1));
     REQUIRE(fixture.store.watches.size() == 1);
     CHECK(fixture.events == std::vector<std::string>{"lost"});
-    fixture.store.watches.begin()->second.answered();
+    fixture.store.watches.begin()->second.answered(fixture.runtime.now());
     CHECK(fixture.events == std::vector<std::string>{"lost", "regained"});
 }
 
--- a/packages/store/include/burdock/store/store.h
+++ b/packages/store/include/burdock/store/store.h
@@ -117,9 +117,18 @@
                                 std::function<void(const StoreEntry &)> onChanged,
                                 std::function<void(const Failure &)> onEnded) = 0;
 
+    /// Called with the time up to which a watch has reported all changes.
+    using AnswerHandler = std::function<void(TimePoint completeUntil)>;
+
     /// Sets a function that is called when the store answers for a watch, also without a change: under a key that hardly
-    /// changes nothing else tells that the store can be reached again. A store that cannot tell never calls it.
-    virtual void setAnswerHandler(std::uint64_t /*watch*/, const std::function<void()> & /*onAnswered*/)
+    /// changes nothing else tells that the store can be reached again, or how old the data are. A store that cannot tell never
+    /// calls it.
+    virtual void setAnswerHandler(std::uint64_t /*watch*/, const AnswerHandler & /*onAnswered*/)
+    {
+    }
+
+    /// Asks for an answer to each watch at least this often while the store can be reached. Shorter intervals cost calls.
+    virtual void setAnswerInterval(Duration /*interval*/)
     {
     }
 
