Ask the store once an instance's data are old, however long it has looked for a relay

It may not ask the store for its patience of 3.75 s and misses the bound at 3616.3 s, though the store would have answered at once.

Cause: the age up to which relays serve and the patience of those below were chosen apart, and nothing bounded their sum. Class: a bound on a whole path that each step spends by itself. DataAge now bounds the whole: an instance whose data are 3.6 s old, the most that they reach two relays away in calm, asks the store at once. Patience still holds for those that start, which have no data, so a start of hundreds is as before.

--- a/packages/router/include/burdock/router/relayedstore.h
+++ b/packages/router/include/burdock/router/relayedstore.h
@@ -83,6 +83,8 @@
     void readStore(const std::string &prefix, Callback<StoreRange> done);
     void requestRange(const Address &relay, const std::string &prefix, Callback<StoreRange> done);
     TimePoint earliestStoreListing(const std::string &key) const;
+    /// Whether the store may be asked for the key while no relay is available.
+    bool mayUseStore(const std::string &key) const;
     void startWatch(std::uint64_t id);
     void restartWatchLater(std::uint64_t id, Duration delay);
     /// Returns the earliest time at which a watch of the key may use the store.
--- a/packages/router/src/relayedstore.cpp
+++ b/packages/router/src/relayedstore.cpp
@@ -2,6 +2,7 @@
 
 #include <burdock/router/relaycodec.h>
 #include <burdock/router/relayservice.h>
+#include <burdock/routing/dataage.h>
 #include <burdock/wire/percentencoding.h>
 
 #include <algorithm>
@@ -89,6 +90,13 @@
     return startedAt_ + listingDelay_ + (key == instancesPrefix_ ? Duration{0} : OtherListingsDelay);
 }
 
+bool RelayedStore::mayUseStore(const std::string &key) const
+{
+    const TimePoint now = runtime_.now();
+    const auto known = completeUntil_.find(key);
+    return relays_.mayUseStore(now) || (known != completeUntil_.end() && DataAge::needsStore(now - known->second));
+}
+
 void RelayedStore::startListing(const std::string &prefix, Callback<StoreRange> done)
 {
     const TimePoint now = runtime_.now();
@@ -97,7 +105,7 @@
         return requestRange(*relay, prefix, std::move(done));
     }
     const TimePoint earliest = earliestStoreListing(prefix);
-    if (now >= earliest && relays_.mayUseStore(now)) {
+    if (now >= earliest && mayUseStore(prefix)) {
         return readStore(prefix, std::move(done));
     }
     runtime_.schedule(std::max(UnavailableRetryInterval, earliest - now), [this, prefix, done = std::move(done), alive = alive_] {
@@ -146,7 +154,7 @@
             } else {
                 relays_.onFailed(relay, runtime_.now());
             }
-            if (relays_.mayUseStore(runtime_.now())) {
+            if (mayUseStore(prefix)) {
                 readStore(prefix, done);
             } else {
                 startListing(prefix, done);
@@ -246,7 +254,7 @@
         poll(id, *relay);
     } else if (delay > Duration{0}) {
         restartWatchLater(id, delay);
-    } else if (!relays_.mayUseStore(now)) {
+    } else if (!mayUseStore(watches_.at(id).key)) {
         restartWatchLater(id, UnavailableRetryInterval);
     } else {
         watchStore(id);
--- a/packages/routing/include/burdock/routing/dataage.h
+++ b/packages/routing/include/burdock/routing/dataage.h
@@ -16,6 +16,9 @@
     /// Whether an instance may serve its data to others. `depth` is the number of relays between it and the store.
     static bool isServable(Duration age, int depth);
 
+    /// Whether an instance whose relays have nothing fresh must ask the store, however many others do so too.
+    static bool needsStore(Duration age);
+
     /// How often a relay needs an answer of the store, so that its data do not become too old between two of them.
     static constexpr Duration StoreAnswerInterval = std::chrono::milliseconds(800);
 };
--- a/packages/routing/src/dataage.cpp
+++ b/packages/routing/src/dataage.cpp
@@ -11,6 +11,8 @@
 constexpr Duration MaxServedAge = std::chrono::milliseconds(1800);
 /// Each relay in between adds the wait of a poll.
 constexpr Duration MaxServedAgePerRelay = std::chrono::milliseconds(1000);
+/// Above the age that data reach two relays away from the store without a disturbance.
+constexpr Duration MaxAgeWithoutStore = std::chrono::milliseconds(3600);
 
 } // namespace
 
@@ -19,4 +21,9 @@
     return age < MaxServedAge + MaxServedAgePerRelay * depth;
 }
 
+bool DataAge::needsStore(Duration age)
+{
+    return age >= MaxAgeWithoutStore;
+}
+
 } // namespace Burdock
