Let an instance that starts learn the configuration in force from any that runs

Cause: it asked the first two others of the list once. After many instances were killed together these may be dead, their records not yet lapsed; and one that had no answer of the store for 1.8 s answered that it has no fresh data, which says nothing of the version that it has in force. Class: one rule for how old knowledge may be, used where age does not matter: versions never go back, so any version that was in force is a lower bound.

ConfigInquiry asks in turn, two at a time and twelve at most, until two have told a configuration; /config tells the one in force regardless of its age. The start waits for it no longer than before (0.4 s).

--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/router/clientendpoint.h>
+#include <burdock/router/configinquiry.h>
 #include <burdock/router/decisionlog.h>
 #include <burdock/router/dialect.h>
 #include <burdock/router/httpbackends.h>
@@ -52,8 +53,7 @@
     void onHistoryLost(std::int64_t history);
     /// Asks some of the others for the configuration that they have in force, once in a life.
     void askPeersForConfig();
-    void askPeerForConfig(const Address &peer);
-    void onPeerConfig(const Address &peer, const Result<HttpResponse> &response);
+    void servePeerConfig(const std::shared_ptr<HttpResponder> &responder) const;
     void onServerChanged(const ServerEntry &server, bool usable);
     void logLimit(const LimitReport &report);
     void updateConnectionLimits();
@@ -96,6 +96,7 @@
     InstanceLease lease_;
     RelayService relay_;
     RoutingFeed feed_;
+    ConfigInquiry inquiry_;
     std::unique_ptr<HttpServer> clients_;
     std::unique_ptr<HttpServer> readiness_;
     std::unique_ptr<HttpServer> directory_;
@@ -110,9 +111,6 @@
     TimerId rewriteTimer_ = 0;
     bool recordPublished_ = false;
     bool relayFresh_ = false;
-    bool peersAsked_ = false;
-    /// The number of peers that have been asked for their configuration and have not answered.
-    std::size_t pendingPeerAnswers_ = 0;
     InstanceRole role_ = InstanceRole::Standby;
     const TimePoint startedAt_;
     bool leaving_ = false;
--- a/packages/router/include/burdock/router/routingfeed.h
+++ b/packages/router/include/burdock/router/routingfeed.h
@@ -55,6 +55,9 @@
     /// list an older one.
     void offerConfig(const StoreEntry &entry);
 
+    /// Returns the entry with the configuration in force, however old it is, or nothing before there is one.
+    std::optional<StoreEntry> configInForce() const;
+
     /// Lists all entries again, for use after a suspension of the machine.
     void restart();
 
--- /dev/null
+++ b/packages/router/src/configinquiry.cpp
@@ -0,0 +1,97 @@
+#include <burdock/router/configinquiry.h>
+
+#include <burdock/router/relaycodec.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+constexpr int OkStatus = 200;
+/// How many others must have told a configuration, which is also how many are asked at the same time.
+constexpr std::size_t WantedAnswers = 2;
+/// How many others are asked at most.
+constexpr std::size_t MaxAsked = 12;
+constexpr Duration AnswerTimeout = std::chrono::milliseconds(400);
+
+} // namespace
+
+ConfigInquiry::ConfigInquiry(Runtime &runtime, HttpClient &client, DecisionLog &log, Events events)
+    : runtime_(runtime)
+    , client_(client)
+    , log_(log)
+    , events_(std::move(events))
+{
+}
+
+ConfigInquiry::~ConfigInquiry()
+{
+    *alive_ = false;
+}
+
+void ConfigInquiry::start(std::vector<Address> peers)
+{
+    if (std::exchange(started_, true)) {
+        return;
+    }
+    peers_ = std::move(peers);
+    std::reverse(peers_.begin(), peers_.end());
+    waitUntil_ = runtime_.now() + AnswerTimeout;
+    for (std::size_t count = 0; count < WantedAnswers; ++count) {
+        askNext();
+    }
+}
+
+bool ConfigInquiry::isPending() const
+{
+    return unanswered_ > 0 && told_ < WantedAnswers && runtime_.now() < waitUntil_;
+}
+
+void ConfigInquiry::askNext()
+{
+    if (peers_.empty() || asked_ == MaxAsked) {
+        return;
+    }
+    ++asked_;
+    ++unanswered_;
+    HttpRequest request;
+    request.address = peers_.back();
+    request.method = "GET";
+    request.path = Path;
+    request.timeout = AnswerTimeout;
+    peers_.pop_back();
+    const Address peer = request.address;
+    client_.send(std::move(request), [this, peer, alive = alive_](const Result<HttpResponse> &response) {
+        if (*alive) {
+            onAnswer(peer, response);
+        }
+    });
+}
+
+void ConfigInquiry::onAnswer(const Address &peer, const Result<HttpResponse> &response)
+{
+    --unanswered_;
+    const auto range = response && response->status == OkStatus ? readRange(response->body) : notRun(Errc::Unavailable, "no configuration");
+    const bool told = range && !range->entries.empty();
+    log_.write(DecisionPriority::Change,
+               "peer.config",
+               {{"peer", peer.toString()},
+                {"outcome", told ? "answered" : "none"},
+                {"asked", static_cast<std::int64_t>(asked_)},
+                {"reason", response ? std::string_view() : std::string_view(response.error().message)}});
+    if (told) {
+        ++told_;
+        events_.onConfig(range->entries.front());
+    } else {
+        askNext();
+    }
+    if (unanswered_ == 0) {
+        events_.onFinished();
+    }
+}
+
+} // namespace Burdock
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -4,7 +4,6 @@
 #include <burdock/router/relaycodec.h>
 #include <burdock/routing/dataage.h>
 #include <burdock/wire/factories.h>
-#include <burdock/wire/percentencoding.h>
 
 #include <algorithm>
 #include <set>
@@ -26,9 +25,6 @@
 /// The steps in which standby instances write their records again after a restoration of the store.
 constexpr std::size_t RewriteSteps = 10;
 constexpr Duration RewriteStep = std::chrono::milliseconds(130);
-/// How many others an instance asks for their configuration when it starts, and how long it waits for them before it is ready.
-constexpr std::size_t AskedPeers = 2;
-constexpr Duration PeerAnswerTimeout = std::chrono::milliseconds(400);
 constexpr const char *MetricsPath = "/metrics";
 /// Data that were never complete have an age without a meaning.
 constexpr std::int64_t MaxLoggedAgeMs = 999999;
@@ -183,6 +179,7 @@
              [this] { updateReadiness(); },
              [this] { onInstancesChanged(); },
              [this](std::int64_t history) { onHistoryLost(history); }})
+    , inquiry_(loop, client, log, {[this](const StoreEntry &config) { feed_.offerConfig(config); }, [this] { updateReadiness(); }})
     , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
     , readiness_(makeHttpServer(loop, internalLimits()))
     , directory_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
@@ -257,7 +254,7 @@
 
 bool Router::isReady() const
 {
-    return !leaving_ && feed_.hasRoutesAndServers() && pendingPeerAnswers_ == 0;
+    return !leaving_ && feed_.hasRoutesAndServers() && !inquiry_.isPending();
 }
 
 void Router::updateReadiness()
@@ -387,6 +384,10 @@
         relay_.serve(incoming, responder);
         return;
     }
+    if (incoming.path == ConfigInquiry::Path) {
+        servePeerConfig(responder);
+        return;
+    }
     responder->respond(incoming.path == MetricsPath ? textResponse(AnswerStatus::Ok, metrics_.text()) : textResponse(AnswerStatus::NotFound, "no such path\n"));
 }
 
@@ -417,53 +418,36 @@
 void Router::askPeersForConfig()
 {
     // When the whole system starts, no one has had a configuration before.
-    if (settings_.firstStart || peersAsked_ || !feed_.hasInstances()) {
+    if (settings_.firstStart || !feed_.hasInstances()) {
         return;
     }
-    peersAsked_ = true;
     std::vector<Region> regions{self_.region};
     for (const auto &[dataCentre, region] : settings_.regions) {
         regions.push_back(region);
     }
-    std::set<InstanceId> asked{self_.id};
+    std::set<InstanceId> listed{self_.id};
+    std::vector<Address> peers;
     for (const Region &region : regions) {
         for (const InstanceRecord &record : instances_.recordsIn(region)) {
-            if (record.ready && asked.size() <= AskedPeers && asked.insert(record.id).second) {
-                askPeerForConfig(record.peers);
+            if (record.ready && listed.insert(record.id).second) {
+                peers.push_back(record.peers);
             }
         }
     }
+    inquiry_.start(std::move(peers));
 }
 
-void Router::askPeerForConfig(const Address &peer)
-{
-    ++pendingPeerAnswers_;
-    HttpRequest request;
-    request.address = peer;
-    request.method = "GET";
-    request.path = std::string(RelayService::EntriesPath) + "?prefix=" + percentEncode(dialect_.configKey());
-    request.timeout = PeerAnswerTimeout;
-    client_.send(std::move(request), [this, peer, alive = alive_](const Result<HttpResponse> &response) {
-        if (*alive) {
-            onPeerConfig(peer, response);
-        }
-    });
-}
-
-void Router::onPeerConfig(const Address &peer, const Result<HttpResponse> &response)
+void Router::servePeerConfig(const std::shared_ptr<HttpResponder> &responder) const
 {
-    --pendingPeerAnswers_;
-    const auto range = response && response->status == AnswerStatus::Ok ? readRange(response->body) : notRun(Errc::Unavailable, "no configuration");
-    const std::int64_t before = feed_.version();
-    if (range) {
-        for (const StoreEntry &entry : range->entries) {
-            feed_.offerConfig(entry);
-        }
+    const auto config = feed_.configInForce();
+    if (!config) {
+        responder->respond(textResponse(AnswerStatus::NotFound, "no configuration\n"));
+        return;
     }
-    log_.write(DecisionPriority::Change,
-               "peer.config",
-               {{"peer", peer.toString()}, {"outcome", range ? "answered" : "none"}, {"before", before}, {"config", feed_.version()}});
-    updateReadiness();
+    HttpServerResponse out;
+    out.jsonByDefault = false;
+    out.body = writeRange({{*config}, config->modRevision});
+    responder->respond(std::move(out));
 }
 
 void Router::onHistoryLost(std::int64_t history)
--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -225,6 +225,14 @@
     }
 }
 
+std::optional<StoreEntry> RoutingFeed::configInForce() const
+{
+    if (version_ == 0) {
+        return std::nullopt;
+    }
+    return StoreEntry{dialect_.configKey(), configValue_, config_.revision(), 0, false};
+}
+
 StoreEntry RoutingFeed::applyServer(const StoreEntry &entry)
 {
     const ServerId id = dialect_.serverIdFromKey(entry.key);
