Recognise a request that crashes servers, and refuse it on all instances

Cause: nothing remembers what a request did. A broken connection counted as the server's fault alone, so retries, hedges and the client's next attempt each took another server, at each of seven instances. Class: a failure is charged to the one that suffered it, never to what it had in common with others.

A request is known by a fingerprint of caller, host, method, target and body. All requests in progress when a server breaks off are suspects (CrashGuard). A suspect is repeated, but at one server at a time (RequestTrial, shared by the calls of a request to all shards), so the innocent get their answers, and an answer clears it; one that crashes two servers as the only suspect there is guilty, and is refused at once with 503, not run, and a time to come back. Instances write what they saw under the prefix of their records, without a lease, so that the others and those that restart know it, and without a call more in calm. When one request has crashed several servers, unknown requests to all shards begin at one of them for 1.5 s: the same request may be on its way to any instance. The memory holds 2,048 cases, the guilty longest.

--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -2,6 +2,7 @@
 
 #include <burdock/router/clientendpoint.h>
 #include <burdock/router/configinquiry.h>
+#include <burdock/router/crashreportwriter.h>
 #include <burdock/router/decisionlog.h>
 #include <burdock/router/dialect.h>
 #include <burdock/router/httpbackends.h>
@@ -51,6 +52,7 @@
     void onRoutesChanged(const std::shared_ptr<const RouteTable> &routes);
     void onInstancesChanged();
     void onHistoryLost(std::int64_t history);
+    void onCrashReports(const InstanceId &from, const std::vector<CrashReport> &reports);
     /// Asks some of the others for the configuration that they have in force, once in a life.
     void askPeersForConfig();
     void servePeerConfig(const std::shared_ptr<HttpResponder> &responder) const;
@@ -87,6 +89,7 @@
     ServerLimits limits_;
     ServerChoice choice_;
     RepeatBudget budget_;
+    CrashGuard crashes_;
     HttpBackends backends_;
     RoutingContext context_;
     RequestCoordinator coordinator_;
@@ -95,6 +98,7 @@
     RelayedStore store_;
     InstanceLease lease_;
     RelayService relay_;
+    CrashReportWriter crashReports_;
     RoutingFeed feed_;
     ConfigInquiry inquiry_;
     std::unique_ptr<HttpServer> clients_;
--- a/packages/router/include/burdock/router/routingfeed.h
+++ b/packages/router/include/burdock/router/routingfeed.h
@@ -4,6 +4,7 @@
 #include <burdock/router/decisionlog.h>
 #include <burdock/router/dialect.h>
 #include <burdock/router/relayservice.h>
+#include <burdock/routing/crashguard.h>
 #include <burdock/routing/instancetable.h>
 #include <burdock/routing/routetable.h>
 #include <burdock/routing/servertable.h>
@@ -35,6 +36,9 @@
         std::function<void()> onServersListed;
         std::function<void()> onInstances;
         std::function<void(std::int64_t history)> onHistoryLost;
+        /// Called with what an instance has seen of requests in progress at crashes; it may be this one in an earlier life.
+        std::function<void(const InstanceId &from, const std::vector<CrashReport> &)> onCrashReports = [](const InstanceId &,
+                                                                                                          const std::vector<CrashReport> &) {};
     };
 
     RoutingFeed(Runtime &runtime,
@@ -58,6 +62,9 @@
     /// Returns the entry with the configuration in force, however old it is, or nothing before there is one.
     std::optional<StoreEntry> configInForce() const;
 
+    /// Returns the key of an instance's crash reports, which lies under the prefix of the instances' records.
+    static std::string crashReportsKey(const Dialect &dialect, const InstanceId &instance);
+
     /// Lists all entries again, for use after a suspension of the machine.
     void restart();
 
@@ -94,6 +101,8 @@
     StoreEntry applyConfig(const StoreEntry &entry);
     StoreEntry applyServer(const StoreEntry &entry);
     std::vector<StoreEntry> applyServers(const std::vector<StoreEntry> &entries);
+    bool isCrashReports(const StoreEntry &entry) const;
+    void applyCrashReports(const StoreEntry &entry);
     StoreEntry applyInstance(const StoreEntry &entry);
     std::vector<StoreEntry> applyInstances(const std::vector<StoreEntry> &entries);
     /// Notes the history of a listing's revision.
--- /dev/null
+++ b/packages/router/src/crashreportcodec.cpp
@@ -0,0 +1,37 @@
+#include <burdock/router/crashreportcodec.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Burdock
+{
+
+using Json = nlohmann::json;
+
+std::string writeCrashReports(const std::vector<CrashReport> &reports)
+{
+    Json list = Json::array();
+    for (const CrashReport &report : reports) {
+        list.push_back({{"request", report.request.text()}, {"crashes", report.crashes}, {"alone", report.alone}});
+    }
+    return list.dump();
+}
+
+Result<std::vector<CrashReport>> readCrashReports(const std::string &value)
+{
+    constexpr int Hexadecimal = 16;
+    try {
+        std::vector<CrashReport> reports;
+        for (const Json &read : Json::parse(value)) {
+            if (reports.size() == CrashGuard::MaxShared) {
+                break;
+            }
+            const std::uint64_t hash = std::stoull(read.at("request").get<std::string>(), nullptr, Hexadecimal);
+            reports.push_back({RequestFingerprint(hash), read.at("crashes").get<std::uint32_t>(), read.at("alone").get<std::uint32_t>()});
+        }
+        return reports;
+    } catch (const std::exception &error) {
+        return notRun(Errc::BadRequest, std::string("no crash reports: ") + error.what());
+    }
+}
+
+} // namespace Burdock
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -106,7 +106,7 @@
     void note(const RoutingEvent &event) override
     {
         log_.write(DecisionPriority::Problem,
-                   event.server.empty() ? "request.limited" : "request.repeated",
+                   nameOf(event.decision),
                    {{"request", event.request},
                     {"decision", event.decision},
                     {"service", event.service},
@@ -116,6 +116,11 @@
     }
 
 private:
+    static std::string_view nameOf(std::string_view decision)
+    {
+        return decision == "limit" ? "request.limited" : decision == "crash" ? "request.crashed" : "request.repeated";
+    }
+
     DecisionLog &log_;
 };
 
@@ -140,13 +145,14 @@
     , limits_(settings.id, [this](const LimitReport &report) { logLimit(report); })
     , choice_(servers_, latencies_, load_, limits_, settings.regions, settings.region, seed)
     , budget_(settings.repeats, loop.now())
+    , crashes_([this](bool urgent) { crashReports_.onChanged(urgent); })
     , backends_(
           loop,
           client,
           dialect.headers(),
           [this](const ServerEntry &server, std::optional<double> limit) { limits_.onAnswer(server, limit, loop_.now()); },
           log)
-    , context_{loop, backends_, servers_, choice_, load_, budget_, counters_, *journal_}
+    , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, counters_, *journal_}
     , coordinator_(context_, seed)
     , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
     , relays_(settings.id)
@@ -168,6 +174,7 @@
           })
     , relay_(
           loop, [this] { return store_.completeUntil(); }, [this] { return relays_.depth(); })
+    , crashReports_(loop, store, RoutingFeed::crashReportsKey(dialect, settings.id), crashes_, log)
     , feed_(loop,
             store_,
             dialect,
@@ -178,7 +185,8 @@
             {[this](const std::shared_ptr<const RouteTable> &routes) { onRoutesChanged(routes); },
              [this] { updateReadiness(); },
              [this] { onInstancesChanged(); },
-             [this](std::int64_t history) { onHistoryLost(history); }})
+             [this](std::int64_t history) { onHistoryLost(history); },
+             [this](const InstanceId &from, const std::vector<CrashReport> &reports) { onCrashReports(from, reports); }})
     , inquiry_(loop, client, log, {[this](const StoreEntry &config) { feed_.offerConfig(config); }, [this] { updateReadiness(); }})
     , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
     , readiness_(makeHttpServer(loop, internalLimits()))
@@ -450,8 +458,18 @@
     responder->respond(std::move(out));
 }
 
+void Router::onCrashReports(const InstanceId &from, const std::vector<CrashReport> &reports)
+{
+    if (from != settings_.id) {
+        crashes_.addReports(from, reports, loop_.now());
+    } else if (!crashReports_.hasWritten()) {
+        crashes_.adoptReports(reports, loop_.now());
+    }
+}
+
 void Router::onHistoryLost(std::int64_t history)
 {
+    crashReports_.rewrite();
     if (!recordPublished_ || leaving_) {
         return;
     }
@@ -567,6 +585,7 @@
     counter("burdock_retries_total", "Requests sent to another server after a failure.", &counters_.retries);
     counter("burdock_repeats_denied_total", "Hedges and retries that the budget did not allow.", &counters_.repeatsDenied);
     counter("burdock_refused_by_servers_total", "Requests that a server did not run.", &counters_.refusedByServers);
+    counter("burdock_refused_as_guilty_total", "Requests that are known to crash servers, refused at once.", &counters_.refusedAsGuilty);
     counter("burdock_failed_at_servers_total", "Requests that failed and may have run.", &counters_.failedAtServers);
     metrics_.addValue("burdock_loop_delay_microseconds", "gauge", "How late the loop gets to its work, smoothed over a second.", [this] {
         return static_cast<double>(loopDelay_.smoothed().count());
--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -1,5 +1,6 @@
 #include <burdock/router/routingfeed.h>
 
+#include <burdock/router/crashreportcodec.h>
 #include <burdock/router/instancecodec.h>
 #include <burdock/store/storehistory.h>
 
@@ -21,6 +22,8 @@
 /// The routes and the servers are followed once the instances are known, or after this time: in a large region they then come
 /// from a relay.
 constexpr Duration OthersStartDelay = std::chrono::milliseconds(250);
+/// The end of the keys of crash reports; ids of instances have no slash.
+constexpr const char *CrashReportsSuffix = "/crashes";
 
 } // namespace
 
@@ -279,8 +282,43 @@
     return served;
 }
 
+std::string RoutingFeed::crashReportsKey(const Dialect &dialect, const InstanceId &instance)
+{
+    return dialect.instancesPrefix() + instance.text() + CrashReportsSuffix;
+}
+
+bool RoutingFeed::isCrashReports(const StoreEntry &entry) const
+{
+    const std::size_t slash = entry.key.rfind('/');
+    return slash != std::string::npos && slash >= dialect_.instancesPrefix().size() && entry.key.substr(slash) == CrashReportsSuffix;
+}
+
+void RoutingFeed::applyCrashReports(const StoreEntry &entry)
+{
+    if (entry.deleted) {
+        return;
+    }
+    const auto reports = readCrashReports(entry.value);
+    if (!reports) {
+        return logSkipped("crashes", entry.key, reports.error().message);
+    }
+    const std::size_t begin = dialect_.instancesPrefix().size();
+    const InstanceId from(entry.key.substr(begin, entry.key.rfind('/') - begin));
+    log_.write(DecisionPriority::Change,
+               "crashes.learned",
+               {{"from", from.text()},
+                {"requests", static_cast<std::int64_t>(reports->size())},
+                {"latest", reports->empty() ? std::string() : reports->front().request.text()},
+                {"revision", entry.modRevision}});
+    events_.onCrashReports(from, *reports);
+}
+
 StoreEntry RoutingFeed::applyInstance(const StoreEntry &entry)
 {
+    if (isCrashReports(entry)) {
+        applyCrashReports(entry);
+        return entry;
+    }
     const InstanceId id(entry.key.substr(dialect_.instancesPrefix().size()));
     const Result<InstanceRecord> record = entry.deleted ? notRun(Errc::NotFound, "the record was removed") : readInstance(entry.value);
     instanceChanges_.add(id.text(), record && record->ready, entry.modRevision);
@@ -305,6 +343,11 @@
     std::vector<StoreEntry> served;
     std::vector<std::string> outdated;
     for (const StoreEntry &entry : entries) {
+        if (isCrashReports(entry)) {
+            applyCrashReports(entry);
+            served.push_back(entry);
+            continue;
+        }
         const Result<InstanceRecord> record = readInstance(entry.value);
         if (!record) {
             logSkipped("instance", entry.key, record.error().message);
--- /dev/null
+++ b/packages/routing/include/burdock/routing/crashguard.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <burdock/routing/requestfingerprint.h>
+#include <burdock/values/names.h>
+#include <burdock/values/runtime.h>
+
+#include <functional>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace Burdock
+{
+
+/// What an instance has seen of a request that was in progress when servers crashed.
+struct CrashReport
+{
+    RequestFingerprint request;
+    /// The number of servers that crashed while it was in progress there.
+    std::uint32_t crashes = 0;
+    /// The number among these at which it was the only suspect that the instance had sent.
+    std::uint32_t alone = 0;
+
+    auto fields() const
+    {
+        return std::tie(request, crashes, alone);
+    }
+};
+
+/// Knows which requests crash the servers that run them, from crashes that this instance and the others saw.
+///
+/// Load: a request that crashes each server that begins to run it, and comes again under other ids at any instance, beside innocent
+/// requests that were in progress at the same servers. All that were in progress at a crash are suspects. A suspect is repeated, but
+/// at one server at a time, and an answer clears it. One that crashed two servers as the only suspect there is guilty and is not sent
+/// any more. Instances share their reports, so what one has learned holds for all, and for those that restart.
+///
+/// The memory is bounded: the reports whose last evidence is oldest are dropped first, those of the guilty last.
+class CrashGuard
+{
+public:
+    enum class Verdict { Clear, Suspect, Guilty };
+
+    /// `onChanged` is called when the reports to share have changed; `urgent` says that another instance could otherwise lose
+    /// further servers.
+    using ChangeHandler = std::function<void(bool urgent)>;
+
+    explicit CrashGuard(ChangeHandler onChanged = [](bool) {});
+
+    Verdict judge(const RequestFingerprint &request, TimePoint now) const;
+
+    /// Whether a request has just crashed several servers, here or elsewhere. It may be on its way to any instance, so even unknown
+    /// requests are sent to one server at first.
+    bool isAlarmed(TimePoint now) const
+    {
+        return now < alarmedUntil_;
+    }
+
+    /// A suspect was sent to the server, or has ended there. `onSuspectSent` returns whether it is the only one.
+    bool onSuspectSent(const ServerId &server);
+    void onSuspectEnded(const ServerId &server);
+
+    /// Whether a suspect is in progress at the server.
+    bool hasSuspect(const ServerId &server) const;
+
+    /// A server broke off while the request was in progress there; `alone` says that it was the only suspect.
+    void onCrash(const RequestFingerprint &request, bool alone, TimePoint now);
+
+    /// A server has run the request and answered.
+    void onAnswered(const RequestFingerprint &request);
+
+    /// Returns what this instance has seen, the latest first.
+    std::vector<CrashReport> reports(TimePoint now) const;
+
+    /// Adds what another instance has seen.
+    void addReports(const InstanceId &from, const std::vector<CrashReport> &reports, TimePoint now);
+
+    /// Adds what this instance has seen before it restarted.
+    void adoptReports(const std::vector<CrashReport> &reports, TimePoint now);
+
+    std::size_t size() const
+    {
+        return cases_.size();
+    }
+
+    static constexpr std::size_t MaxShared = 32;
+
+private:
+    struct Case
+    {
+        CrashReport own;
+        std::map<InstanceId, CrashReport> others;
+        TimePoint evidenceAt{};
+
+        std::uint32_t alone() const;
+    };
+
+    void alarm(const CrashReport &report, TimePoint now);
+    bool isExpired(const Case &suspect, TimePoint now) const;
+    Case &caseOf(const RequestFingerprint &request, TimePoint now);
+    void dropOldest(TimePoint now);
+
+    const ChangeHandler onChanged_;
+    std::unordered_map<RequestFingerprint, Case> cases_;
+    std::unordered_map<ServerId, std::uint32_t> suspectsAt_;
+    TimePoint alarmedUntil_{};
+};
+
+} // namespace Burdock
--- a/packages/routing/include/burdock/routing/requestrun.h
+++ b/packages/routing/include/burdock/routing/requestrun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/routing/clientanswer.h>
+#include <burdock/routing/requesttrial.h>
 #include <burdock/routing/servicecall.h>
 
 #include <functional>
@@ -33,6 +34,8 @@
     TimePoint deadline;
     /// The retry delay that a refusal suggests to the client.
     Duration retryAfter{0};
+    /// The request's history with servers that crashed.
+    std::shared_ptr<RequestTrial> trial;
     /// How long the client had already waited when the request arrived.
     Duration clientAge{0};
 };
--- /dev/null
+++ b/packages/routing/include/burdock/routing/requesttrial.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <burdock/routing/crashguard.h>
+#include <burdock/routing/servertable.h>
+
+#include <deque>
+#include <functional>
+
+namespace Burdock
+{
+
+/// Decides when the attempts of one request may be sent while it is suspected of crashing servers, or any request may be: one at a
+/// time, until a server has answered it. Shared by the calls of a request to several shards.
+class RequestTrial
+{
+public:
+    enum class Outcome { Answered, Crashed, Other };
+
+    RequestTrial(CrashGuard &guard, const RequestFingerprint &request, TimePoint now);
+    ~RequestTrial();
+    RequestTrial(const RequestTrial &) = delete;
+    RequestTrial &operator=(const RequestTrial &) = delete;
+
+    /// Whether attempts may be sent side by side.
+    bool isFree() const
+    {
+        return !cautious_ || answered_;
+    }
+
+    /// Whether another attempt may be sent now.
+    bool mayStart() const
+    {
+        return isFree() || inFlight_ == 0;
+    }
+
+    /// Whether the request is known to crash the servers that run it, and must not be sent any more.
+    bool isGuilty(TimePoint now) const;
+
+    /// Calls `resume` once another attempt may be sent. It is called from `resumeWaiting`.
+    void wait(std::function<void()> resume);
+    void resumeWaiting();
+
+    void onSent(const ServerId &server);
+    /// Notes how an attempt ended.
+    void onEnded(const ServerId &server, Outcome outcome, TimePoint now);
+
+    const RequestFingerprint &fingerprint() const
+    {
+        return request_;
+    }
+
+private:
+    /// An attempt that was sent while the request was a suspect.
+    struct Exposure
+    {
+        ServerId server;
+        bool alone = false;
+    };
+
+    CrashGuard &guard_;
+    const RequestFingerprint request_;
+    bool suspect_ = false;
+    bool cautious_ = false;
+    bool answered_ = false;
+    std::size_t inFlight_ = 0;
+    std::vector<Exposure> exposures_;
+    std::deque<std::function<void()>> waiting_;
+};
+
+} // namespace Burdock
--- a/packages/routing/include/burdock/routing/routingcontext.h
+++ b/packages/routing/include/burdock/routing/routingcontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/routing/backendrequests.h>
+#include <burdock/routing/crashguard.h>
 #include <burdock/routing/repeatbudget.h>
 #include <burdock/routing/routingconfig.h>
 #include <burdock/routing/serverchoice.h>
@@ -21,18 +22,20 @@
     std::uint64_t refusedByServers = 0;
     std::uint64_t failedAtServers = 0;
     std::uint64_t clientsGone = 0;
+    std::uint64_t refusedAsGuilty = 0;
 };
 
 /// One routing decision for a request, for the log.
 struct RoutingEvent
 {
-    /// The decision: `hedge` or `retry`, or `limit` if no server of the service may get the request.
+    /// The decision: `hedge` or `retry`, `limit` if no server of the service may get the request, or `crash` if a server broke off
+    /// while the request was in progress there.
     const char *decision = "";
     const std::string &request;
     const std::string &service;
     /// The server that gets the request; empty if there is none.
     const std::string &server;
-    /// The cause, in a few words.
+    /// The cause, in a few words; of a crash, the request's fingerprint.
     const std::string &reason;
     Duration age{0};
 };
@@ -54,6 +57,7 @@
     ServerChoice &choice;
     ServerLoad &load;
     RepeatBudget &budget;
+    CrashGuard &crashes;
     RoutingCounters &counters;
     RoutingJournal &journal;
 };
--- a/packages/routing/include/burdock/routing/servicecall.h
+++ b/packages/routing/include/burdock/routing/servicecall.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <burdock/routing/requesttrial.h>
 #include <burdock/routing/routingcontext.h>
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace Burdock
@@ -30,6 +32,7 @@
                 std::shared_ptr<const Route> route,
                 const ServiceName &service,
                 std::shared_ptr<const ClientRequest> request,
+                std::shared_ptr<RequestTrial> trial,
                 TimePoint deadline,
                 TimePoint targetTime);
     ~ServiceCall();
@@ -72,20 +75,33 @@
         bool hedge = false;
     };
 
+    /// Sends the first attempt, or ends the call if no server can take it.
+    void sendFirst();
+    /// Continues once the trial allows another attempt.
+    void resume();
+    ChosenServer chooseServer(TimePoint now) const;
     bool sendAttempt(const char *kind, const std::string &reason);
     void scheduleHedge(const ChosenServer &chosen);
     void sendHedge();
     void onAttemptFinished(std::uint64_t number, Result<ServerReply> reply);
+    void handleReply(Result<ServerReply> reply);
     void recordOutcome(const Attempt &attempt, const Result<ServerReply> &reply);
     bool isSuccess(const Result<ServerReply> &reply) const;
+    /// Whether another attempt is allowed and a server can take it; the repeat budget may still deny it.
+    bool canRetry() const;
     bool tryRetry(const std::string &reason);
     bool mayRunAgain() const;
+    std::string reasonOf(const Result<ServerReply> &reply) const;
+    /// Whether the attempt ended as it does when the server crashes.
+    bool isCrash(const Result<ServerReply> &reply) const;
+    RequestTrial::Outcome outcomeOf(const Result<ServerReply> &reply) const;
     void finish(Result<ServerReply> reply);
 
     RoutingContext &context_;
     const std::shared_ptr<const Route> route_;
     const ServiceName service_;
     const std::shared_ptr<const ClientRequest> request_;
+    const std::shared_ptr<RequestTrial> trial_;
     const TimePoint deadline_;
     /// The time by which an answer has its full value.
     const TimePoint targetTime_;
@@ -96,6 +112,8 @@
     /// The number of attempts that ran or may have run, including those in flight.
     std::uint32_t possiblyRan_ = 0;
     TimerId hedgeTimer_ = 0;
+    /// The outcome of the last attempt while the call waits to send another one.
+    std::optional<Result<ServerReply>> lastReply_;
 };
 
 } // namespace Burdock
--- /dev/null
+++ b/packages/routing/src/crashguard.cpp
@@ -0,0 +1,156 @@
+#include <burdock/routing/crashguard.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// The servers that a request must have crashed as the only suspect. Another instance's suspect may have been in progress at one of
+/// them by chance, but hardly at both.
+constexpr std::uint32_t CrashesOfGuilty = 2;
+/// A guilty request is tried again, at one server, after this time: the servers may have been mended.
+constexpr Duration GuiltyTime = std::chrono::minutes(10);
+constexpr Duration SuspectTime = std::chrono::seconds(30);
+constexpr std::size_t MaxCases = 2048;
+/// How many servers one request must have crashed for an alarm, and how long the alarm lasts: until all instances have the reports,
+/// and the clients' next attempts have come.
+constexpr std::uint32_t CrashesForAlarm = 2;
+constexpr Duration AlarmTime = std::chrono::milliseconds(1500);
+
+} // namespace
+
+std::uint32_t CrashGuard::Case::alone() const
+{
+    std::uint32_t sum = own.alone;
+    for (const auto &[from, report] : others) {
+        sum += report.alone;
+    }
+    return sum;
+}
+
+CrashGuard::CrashGuard(ChangeHandler onChanged)
+    : onChanged_(std::move(onChanged))
+{
+}
+
+bool CrashGuard::isExpired(const Case &suspect, TimePoint now) const
+{
+    return now - suspect.evidenceAt >= (suspect.alone() >= CrashesOfGuilty ? GuiltyTime : SuspectTime);
+}
+
+CrashGuard::Verdict CrashGuard::judge(const RequestFingerprint &request, TimePoint now) const
+{
+    const auto found = cases_.find(request);
+    if (found == cases_.end()) {
+        return Verdict::Clear;
+    }
+    const bool guilty = found->second.alone() >= CrashesOfGuilty;
+    if (isExpired(found->second, now)) {
+        return guilty ? Verdict::Suspect : Verdict::Clear;
+    }
+    return guilty ? Verdict::Guilty : Verdict::Suspect;
+}
+
+bool CrashGuard::onSuspectSent(const ServerId &server)
+{
+    return ++suspectsAt_[server] == 1;
+}
+
+void CrashGuard::onSuspectEnded(const ServerId &server)
+{
+    const auto found = suspectsAt_.find(server);
+    if (found != suspectsAt_.end() && --found->second == 0) {
+        suspectsAt_.erase(found);
+    }
+}
+
+bool CrashGuard::hasSuspect(const ServerId &server) const
+{
+    return suspectsAt_.count(server) > 0;
+}
+
+CrashGuard::Case &CrashGuard::caseOf(const RequestFingerprint &request, TimePoint now)
+{
+    if (cases_.count(request) == 0 && cases_.size() >= MaxCases) {
+        dropOldest(now);
+    }
+    Case &suspect = cases_[request];
+    suspect.own.request = request;
+    suspect.evidenceAt = now;
+    return suspect;
+}
+
+void CrashGuard::dropOldest(TimePoint now)
+{
+    const auto rank = [this, now](const auto &entry) {
+        const bool kept = entry.second.alone() >= CrashesOfGuilty && !isExpired(entry.second, now);
+        return std::make_pair(kept, entry.second.evidenceAt);
+    };
+    cases_.erase(std::min_element(cases_.begin(), cases_.end(), [&rank](const auto &left, const auto &right) { return rank(left) < rank(right); }));
+}
+
+void CrashGuard::onCrash(const RequestFingerprint &request, bool alone, TimePoint now)
+{
+    Case &suspect = caseOf(request, now);
+    ++suspect.own.crashes;
+    suspect.own.alone += alone ? 1 : 0;
+    const bool urgent = suspect.own.crashes > 1 || suspect.own.alone > 0;
+    alarm(suspect.own, now);
+    onChanged_(urgent);
+}
+
+void CrashGuard::alarm(const CrashReport &report, TimePoint now)
+{
+    if (report.crashes >= CrashesForAlarm) {
+        alarmedUntil_ = now + AlarmTime;
+    }
+}
+
+void CrashGuard::onAnswered(const RequestFingerprint &request)
+{
+    cases_.erase(request);
+}
+
+std::vector<CrashReport> CrashGuard::reports(TimePoint now) const
+{
+    std::vector<std::pair<std::pair<bool, TimePoint>, const Case *>> known;
+    for (const auto &[request, suspect] : cases_) {
+        if (suspect.own.crashes > 0 && !isExpired(suspect, now)) {
+            known.push_back({{suspect.alone() >= CrashesOfGuilty, suspect.evidenceAt}, &suspect});
+        }
+    }
+    std::sort(known.begin(), known.end(), [](const auto &left, const auto &right) { return left.first > right.first; });
+    std::vector<CrashReport> shared;
+    for (std::size_t index = 0; index < std::min(known.size(), MaxShared); ++index) {
+        shared.push_back(known[index].second->own);
+    }
+    return shared;
+}
+
+void CrashGuard::addReports(const InstanceId &from, const std::vector<CrashReport> &reports, TimePoint now)
+{
+    for (const CrashReport &report : reports) {
+        const auto found = cases_.find(report.request);
+        const auto known = found == cases_.end() ? std::map<InstanceId, CrashReport>::const_iterator{} : found->second.others.find(from);
+        const bool isNew = found == cases_.end() || known == found->second.others.end() || known->second != report;
+        if (isNew && report.crashes > 0) {
+            caseOf(report.request, now).others[from] = report;
+            alarm(report, now);
+        }
+    }
+}
+
+void CrashGuard::adoptReports(const std::vector<CrashReport> &reports, TimePoint now)
+{
+    for (const CrashReport &report : reports) {
+        CrashReport &own = caseOf(report.request, now).own;
+        own.crashes = std::max(own.crashes, report.crashes);
+        own.alone = std::max(own.alone, report.alone);
+    }
+}
+
+} // namespace Burdock
--- a/packages/routing/src/forwardrun.cpp
+++ b/packages/routing/src/forwardrun.cpp
@@ -15,7 +15,7 @@
     ForwardRun(RoutingContext &context, const RunTerms &terms, const ServiceName &service)
         : context_(context)
         , terms_(terms)
-        , call_(context, terms.route, service, terms.request, terms.deadline, terms.request->arrived + terms.route->target)
+        , call_(context, terms.route, service, terms.request, terms.trial, terms.deadline, terms.request->arrived + terms.route->target)
     {
     }
 
--- a/packages/routing/src/gatherrun.cpp
+++ b/packages/routing/src/gatherrun.cpp
@@ -48,15 +48,15 @@
         answerAt_ = terms_.request->arrived + route.target - margin - (reachable ? terms_.clientAge : Duration{0});
         calls_.reserve(route.shards.size());
         for (const ServiceName &shard : route.shards) {
-            calls_.push_back(std::make_unique<ServiceCall>(context_, terms_.route, shard, terms_.request, terms_.deadline, answerAt_));
+            calls_.push_back(std::make_unique<ServiceCall>(context_, terms_.route, shard, terms_.request, terms_.trial, terms_.deadline, answerAt_));
         }
         if (refuseAtLimits()) {
             return;
         }
-        for (const auto &call : calls_) {
-            if (done_) {
-                call->start([this](const CallOutcome &outcome) { onCallFinished(outcome); });
-            }
+        // A request that may crash servers is sent to one shard at first, which should not always be the same.
+        const auto first = static_cast<std::size_t>(context_.runtime.now().time_since_epoch().count()) % calls_.size();
+        for (std::size_t index = 0; index < calls_.size() && done_; ++index) {
+            calls_[(first + index) % calls_.size()]->start([this](const CallOutcome &outcome) { onCallFinished(outcome); });
         }
         if (done_) {
             answerTimer_ = context_.runtime.schedule(answerAt_ - context_.runtime.now(), [this] { answerIfDecided(); });
--- a/packages/routing/src/requestcoordinator.cpp
+++ b/packages/routing/src/requestcoordinator.cpp
@@ -21,6 +21,9 @@
 constexpr Duration MinStartupRetryAfter = std::chrono::milliseconds(400);
 constexpr Duration MaxStartupRetryAfter = std::chrono::milliseconds(2500);
 
+/// The suggested retry delay of a request that crashes servers: they are not mended soon.
+constexpr Duration GuiltyRetryAfter = std::chrono::seconds(60);
+
 std::string_view pathOf(const std::string &target)
 {
     return std::string_view(target).substr(0, target.find('?'));
@@ -82,8 +85,16 @@
     }
     const Duration effectiveTimeout = std::min(request.clientTimeout.value_or(route->timeout), route->timeout);
     const Duration clientAge = request.clientTimeout ? clientAge_.onRequest(route->name, *request.clientTimeout) : Duration{0};
+    const TimePoint now = context_.runtime.now();
+    const auto trial = std::make_shared<RequestTrial>(context_.crashes, RequestFingerprint::of(request), now);
+    if (trial->isGuilty(now)) {
+        ++context_.counters.refusedAsGuilty;
+        const std::string reason = "the request " + trial->fingerprint().text() + " has crashed the servers that ran it";
+        onAnswer(route.get(), refusal(AnswerStatus::Unavailable, reason, addJitter(GuiltyRetryAfter)));
+        return id;
+    }
     const auto shared = std::make_shared<const ClientRequest>(std::move(request));
-    const RunTerms terms{route, shared, shared->arrived + effectiveTimeout, retryAfter(*route), clientAge};
+    const RunTerms terms{route, shared, shared->arrived + effectiveTimeout, retryAfter(*route), trial, clientAge};
     Entry &entry = entries_[id];
     entry.run = makeRun(terms);
     ++pending_;
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -26,12 +26,14 @@
                          std::shared_ptr<const Route> route,
                          const ServiceName &service,
                          std::shared_ptr<const ClientRequest> request,
+                         std::shared_ptr<RequestTrial> trial,
                          TimePoint deadline,
                          TimePoint targetTime)
     : context_(context)
     , route_(std::move(route))
     , service_(service)
     , request_(std::move(request))
+    , trial_(std::move(trial))
     , deadline_(deadline)
     , targetTime_(targetTime)
 {
@@ -42,6 +44,7 @@
     context_.runtime.cancel(hedgeTimer_);
     for (const auto &[number, attempt] : attempts_) {
         context_.backends.cancel(attempt.id);
+        trial_->onEnded(attempt.server->id, RequestTrial::Outcome::Other, context_.runtime.now());
         context_.choice.onAbandoned(*route_, *attempt.server, attempt.sentAt, context_.runtime.now());
     }
 }
@@ -50,11 +53,36 @@
 {
     done_ = std::move(done);
     context_.budget.onFirstSend(service_, context_.runtime.now());
+    if (trial_->mayStart()) {
+        return sendFirst();
+    }
+    trial_->wait([this] { resume(); });
+}
+
+void ServiceCall::sendFirst()
+{
     if (!sendAttempt("send", {})) {
         finish(tl::make_unexpected(refuse()));
     }
 }
 
+void ServiceCall::resume()
+{
+    if (!done_) {
+        return;
+    }
+    if (trial_->isGuilty(context_.runtime.now())) {
+        const std::string reason = "the request crashes the servers that run it";
+        return finish(possiblyRan_ == 0 ? Result<ServerReply>(notRun(Errc::Unavailable, reason)) : mayHaveRun(Errc::Unavailable, reason));
+    }
+    if (!lastReply_) {
+        return sendFirst();
+    }
+    if (!tryRetry(reasonOf(*lastReply_))) {
+        finish(std::move(*lastReply_));
+    }
+}
+
 bool ServiceCall::canStart() const
 {
     return context_.choice.choose(*route_, service_, {}, context_.runtime.now()).server != nullptr;
@@ -80,10 +108,28 @@
     context_.runtime.cancel(std::exchange(hedgeTimer_, 0));
 }
 
+ChosenServer ServiceCall::chooseServer(TimePoint now) const
+{
+    if (!trial_->isFree()) {
+        // A server without another suspect tells more of this one if it crashes.
+        std::vector<ServerId> excluded = tried_;
+        for (const ServerHandle &server : context_.servers.servers(service_)) {
+            if (context_.crashes.hasSuspect(server->id)) {
+                excluded.push_back(server->id);
+            }
+        }
+        const ChosenServer chosen = context_.choice.choose(*route_, service_, excluded, now);
+        if (chosen.server) {
+            return chosen;
+        }
+    }
+    return context_.choice.choose(*route_, service_, tried_, now);
+}
+
 bool ServiceCall::sendAttempt(const char *kind, const std::string &reason)
 {
     const TimePoint now = context_.runtime.now();
-    const ChosenServer chosen = context_.choice.choose(*route_, service_, tried_, now);
+    const ChosenServer chosen = chooseServer(now);
     if (!chosen.server) {
         return false;
     }
@@ -96,6 +142,7 @@
     attempt.id =
         context_.backends.send(chosen.server, request_, deadline_, [this, number](Result<ServerReply> reply) { onAttemptFinished(number, std::move(reply)); });
     attempts_.emplace(number, std::move(attempt));
+    trial_->onSent(chosen.server->id);
     if (first) {
         ++context_.counters.firstSends;
     } else {
@@ -113,7 +160,7 @@
 void ServiceCall::scheduleHedge(const ChosenServer &chosen)
 {
     context_.runtime.cancel(std::exchange(hedgeTimer_, 0));
-    if (!mayRunAgain()) {
+    if (!mayRunAgain() || !trial_->isFree()) {
         return;
     }
     const TimePoint now = context_.runtime.now();
@@ -129,7 +176,7 @@
 void ServiceCall::sendHedge()
 {
     hedgeTimer_ = 0;
-    if (!mayRunAgain() || context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server == nullptr) {
+    if (!mayRunAgain() || !trial_->isFree() || context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server == nullptr) {
         return;
     }
     if (!context_.budget.tryAcquire(service_, context_.runtime.now(), RetryReserveFraction)) {
@@ -166,7 +213,21 @@
 void ServiceCall::onAttemptFinished(std::uint64_t number, Result<ServerReply> reply)
 {
     const auto node = attempts_.extract(number);
+    const ServerId server = node.mapped().server->id;
     recordOutcome(node.mapped(), reply);
+    if (isCrash(reply)) {
+        context_.journal.note(
+            {"crash", request_->id, service_.text(), server.text(), trial_->fingerprint().text(), context_.runtime.now() - request_->arrived});
+    }
+    trial_->onEnded(server, outcomeOf(reply), context_.runtime.now());
+    // The calls that wait are resumed after this one, which holds the trial until then.
+    const auto trial = trial_;
+    handleReply(std::move(reply));
+    trial->resumeWaiting();
+}
+
+void ServiceCall::handleReply(Result<ServerReply> reply)
+{
     if (!reply && reply.error().verdict == Verdict::NotRun) {
         --possiblyRan_;
     }
@@ -176,21 +237,49 @@
     if (isSuccess(reply)) {
         return finish(std::move(reply));
     }
-    const std::string reason = reply ? "status " + std::to_string(reply->status) : reply.error().message;
-    if (tryRetry(reason) || !attempts_.empty()) {
+    if (!attempts_.empty() && !trial_->isFree()) {
+        return;
+    }
+    const bool isHeldBack = !trial_->mayStart() || trial_->isGuilty(context_.runtime.now());
+    if (isHeldBack && canRetry()) {
+        lastReply_ = std::move(reply);
+        trial_->wait([this] { resume(); });
+        return;
+    }
+    if (tryRetry(reasonOf(reply)) || !attempts_.empty()) {
         return;
     }
     finish(std::move(reply));
 }
 
-bool ServiceCall::tryRetry(const std::string &reason)
+std::string ServiceCall::reasonOf(const Result<ServerReply> &reply) const
+{
+    return reply ? "status " + std::to_string(reply->status) : reply.error().message;
+}
+
+bool ServiceCall::isCrash(const Result<ServerReply> &reply) const
+{
+    return !reply && reply.error().verdict == Verdict::MayHaveRun && reply.error().code == Errc::ConnectionLost;
+}
+
+RequestTrial::Outcome ServiceCall::outcomeOf(const Result<ServerReply> &reply) const
+{
+    return reply ? RequestTrial::Outcome::Answered : isCrash(reply) ? RequestTrial::Outcome::Crashed : RequestTrial::Outcome::Other;
+}
+
+bool ServiceCall::canRetry() const
 {
     const bool nothingRan = possiblyRan_ == 0 && sends_ < route_->attempts + MaxExtraRefusals;
     const bool timeLeft = deadline_ - context_.runtime.now() > MinTimeLeft;
     if (!timeLeft || !(nothingRan || mayRunAgain()) || sends_ >= route_->attempts + MaxExtraRefusals) {
         return false;
     }
-    if (context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server == nullptr) {
+    return context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server != nullptr;
+}
+
+bool ServiceCall::tryRetry(const std::string &reason)
+{
+    if (!canRetry()) {
         return false;
     }
     if (!context_.budget.tryAcquire(service_, context_.runtime.now(), 0)) {
