Send nothing to servers that say they are leaving, or want nothing for a while

Callers: a server that leaves while the store does not say so is used until it is gone, and what it has in progress is cut; one that turns requests away with a time to come back is asked again after our own back-off of a few milliseconds.

Cause: of an answer's hints only the limit was read. HttpBackends reads all three from every answer that belongs to a request, used or too late; ServerNotices keeps them for that life of the server (its time of birth), bounded; ServerChoice leaves such servers out for first sends, retries and hedges. If all copies of a service pause, the refusal names the time of the first that wants requests again. What cannot be read is logged and changes nothing; a limit that cannot be read does not end the one in force, as before.

--- a/packages/router/include/burdock/router/headernames.h
+++ b/packages/router/include/burdock/router/headernames.h
@@ -26,6 +26,8 @@
     std::string missingParts;
     /// In a server's response: the requests per second that it takes from all instances together.
     std::string serverLimit;
+    /// In a server's response: the server is leaving.
+    std::string serverLeaving;
 };
 
 } // namespace Burdock
--- a/packages/router/include/burdock/router/httpbackends.h
+++ b/packages/router/include/burdock/router/httpbackends.h
@@ -5,17 +5,36 @@
 #include <burdock/routing/backendrequests.h>
 #include <burdock/wire/httpclient.h>
 
+#include <optional>
+#include <tuple>
+
 namespace Burdock
 {
 
+/// What a server's response says of the requests that the server wants.
+struct ServerHints
+{
+    /// Requests per second from all instances together, and whether the response could be read in this respect.
+    std::optional<double> limit;
+    bool limitKnown = true;
+    bool leaving = false;
+    /// No requests from this instance for this time.
+    std::optional<Duration> pause;
+
+    auto fields() const
+    {
+        return std::tie(limit, limitKnown, leaving, pause);
+    }
+};
+
 /// Sends clients' requests to backend servers over HTTP. Only the headers for the time left and the target server are changed.
 class HttpBackends final : public BackendRequests
 {
 public:
-    /// Called with each response of a server and the limit that it names, in requests per second, if any.
-    using LimitHandler = std::function<void(const ServerEntry &, std::optional<double>)>;
+    /// Called with each response of a server, also one that comes too late to be used, and what it says of further requests.
+    using HintsHandler = std::function<void(const ServerEntry &, const ServerHints &)>;
 
-    HttpBackends(Runtime &runtime, HttpClient &client, HeaderNames names, LimitHandler onLimit, DecisionLog &log);
+    HttpBackends(Runtime &runtime, HttpClient &client, HeaderNames names, HintsHandler onHints, DecisionLog &log);
 
     BackendRequestId send(const ServerHandle &server, const std::shared_ptr<const ClientRequest> &request, TimePoint deadline, Callback done) override;
     void cancel(BackendRequestId id) override;
@@ -26,13 +45,18 @@
     /// Returns the limit that a response names, nothing if it names none, or an error if the value is no number from zero up.
     static Result<std::optional<double>> readLimit(const HeaderNames &names, const HttpResponse &response);
 
+    /// Returns for how long a response that turns a request away asks for none, nothing if it does not, or an error if the value is
+    /// no number of seconds.
+    static Result<std::optional<Duration>> readPause(const HttpResponse &response);
+
 private:
-    void noteLimit(const ServerEntry &server, const HttpResponse &response);
+    void noteHints(const ServerEntry &server, const HttpResponse &response);
+    void logSkipped(const ServerEntry &server, const Failure &failure);
 
     Runtime &runtime_;
     HttpClient &client_;
     const HeaderNames names_;
-    const LimitHandler onLimit_;
+    const HintsHandler onHints_;
     DecisionLog &log_;
 };
 
--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -57,6 +57,7 @@
     void askPeersForConfig();
     void servePeerConfig(const std::shared_ptr<HttpResponder> &responder) const;
     void onServerChanged(const ServerEntry &server, bool usable);
+    void onServerHints(const ServerEntry &server, const ServerHints &hints);
     void logLimit(const LimitReport &report);
     void updateConnectionLimits();
     void tick();
@@ -87,6 +88,7 @@
     LatencyTracker latencies_;
     ServerLoad load_;
     ServerLimits limits_;
+    ServerNotices notices_;
     ServerChoice choice_;
     RepeatBudget budget_;
     CrashGuard crashes_;
--- a/packages/router/src/httpbackends.cpp
+++ b/packages/router/src/httpbackends.cpp
@@ -13,6 +13,10 @@
 {
 
 constexpr int MisdirectedRequest = 421;
+constexpr int UnavailableStatus = 503;
+constexpr const char *Yes = "1";
+/// A server that asks for more is asked again after this time.
+constexpr Duration MaxPause = std::chrono::hours(1);
 constexpr std::array<const char *, 11> ConnectionHeaders{"connection",
                                                          "content-length",
                                                          "expect",
@@ -57,11 +61,11 @@
     }
 }
 
-HttpBackends::HttpBackends(Runtime &runtime, HttpClient &client, HeaderNames names, LimitHandler onLimit, DecisionLog &log)
+HttpBackends::HttpBackends(Runtime &runtime, HttpClient &client, HeaderNames names, HintsHandler onHints, DecisionLog &log)
     : runtime_(runtime)
     , client_(client)
     , names_(std::move(names))
-    , onLimit_(std::move(onLimit))
+    , onHints_(std::move(onHints))
     , log_(log)
 {
 }
@@ -84,7 +88,7 @@
     };
     return client_.send(std::move(out), [this, server, done = std::move(done)](Result<HttpResponse> response) {
         if (response) {
-            noteLimit(*server, *response);
+            noteHints(*server, *response);
         }
         done(interpretResponse(names_, *server, std::move(response)));
     });
@@ -109,17 +113,48 @@
     return std::optional<double>(limit);
 }
 
-void HttpBackends::noteLimit(const ServerEntry &server, const HttpResponse &response)
+Result<std::optional<Duration>> HttpBackends::readPause(const HttpResponse &response)
+{
+    const std::string text = valueOf(response.headers, "retry-after");
+    if (response.status != UnavailableStatus || text.empty()) {
+        return std::optional<Duration>();
+    }
+    double seconds = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(seconds) || seconds < 0) {
+        return notRun(Errc::BadRequest, "the time '" + text + "' is no number of seconds from zero up");
+    }
+    const std::chrono::duration<double> pause(std::min(seconds, std::chrono::duration<double>(MaxPause).count()));
+    return std::optional(std::chrono::duration_cast<Duration>(pause));
+}
+
+void HttpBackends::logSkipped(const ServerEntry &server, const Failure &failure)
+{
+    log_.write(DecisionPriority::Problem, "hint.skipped", {{"server", server.id.text()}, {"reason", failure.message}});
+}
+
+void HttpBackends::noteHints(const ServerEntry &server, const HttpResponse &response)
 {
     if (response.status == MisdirectedRequest) {
+        // Another server has answered.
         return;
     }
+    ServerHints hints;
+    hints.leaving = valueOf(response.headers, names_.serverLeaving) == Yes;
+    const auto pause = readPause(response);
+    if (pause) {
+        hints.pause = *pause;
+    } else {
+        logSkipped(server, pause.error());
+    }
     const auto limit = readLimit(names_, response);
-    if (!limit) {
-        log_.write(DecisionPriority::Problem, "limit.skipped", {{"server", server.id.text()}, {"reason", limit.error().message}});
-        return;
+    if (limit) {
+        hints.limit = *limit;
+    } else {
+        hints.limitKnown = false;
+        logSkipped(server, limit.error());
     }
-    onLimit_(server, *limit);
+    onHints_(server, hints);
 }
 
 Result<ServerReply> HttpBackends::interpretResponse(const HeaderNames &names, const ServerEntry &server, Result<HttpResponse> response)
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -143,15 +143,11 @@
     , servers_([this](const ServerEntry &server, bool usable) { onServerChanged(server, usable); })
     , instances_(seed)
     , limits_(settings.id, [this](const LimitReport &report) { logLimit(report); })
-    , choice_(servers_, latencies_, load_, limits_, settings.regions, settings.region, seed)
+    , choice_(servers_, latencies_, load_, limits_, notices_, settings.regions, settings.region, seed)
     , budget_(settings.repeats, loop.now())
     , crashes_([this](bool urgent) { crashReports_.onChanged(urgent); })
     , backends_(
-          loop,
-          client,
-          dialect.headers(),
-          [this](const ServerEntry &server, std::optional<double> limit) { limits_.onAnswer(server, limit, loop_.now()); },
-          log)
+          loop, client, dialect.headers(), [this](const ServerEntry &server, const ServerHints &hints) { onServerHints(server, hints); }, log)
     , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, counters_, *journal_}
     , coordinator_(context_, seed)
     , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
@@ -519,6 +515,26 @@
     }
 }
 
+void Router::onServerHints(const ServerEntry &server, const ServerHints &hints)
+{
+    const TimePoint now = loop_.now();
+    if (hints.limitKnown) {
+        limits_.onAnswer(server, hints.limit, now);
+    }
+    const auto log = [this, &server](const char *outcome, Duration span) {
+        log_.write(
+            DecisionPriority::Change,
+            "server.notice",
+            {{"server", server.id.text()}, {"service", server.service.text()}, {"outcome", outcome}, {"forMs", span.count() / 1000}, {"born", server.born}});
+    };
+    if (hints.leaving && notices_.onLeaving(server, now)) {
+        log("leaving", Duration{0});
+    }
+    if (hints.pause && notices_.onPause(server, *hints.pause, now)) {
+        log("paused", *hints.pause);
+    }
+}
+
 void Router::logLimit(const LimitReport &report)
 {
     constexpr double Thousandths = 1000;
--- a/packages/router/tests/serverreplytest.cpp
+++ b/packages/router/tests/serverreplytest.cpp
@@ -2,14 +2,19 @@
 #include <burdock/router/instancecodec.h>
 #include <burdock/router/relaycodec.h>
 
+#include <burdock/values/manualruntime.h>
+
 #include <catch2/catch.hpp>
 
+#include "../../../tests/manualclient.h"
+#include <unistd.h>
+
 using namespace Burdock;
 
 namespace
 {
 
-const HeaderNames Names{"x-id", "x-left", "x-sign", "x-target", "x-notrun", "x-server", "X-Parts", "X-Missing", "x-limit"};
+const HeaderNames Names{"x-id", "x-left", "x-sign", "x-target", "x-notrun", "x-server", "X-Parts", "X-Missing", "x-limit", "x-leaving"};
 const ServerEntry Server{ServerId("p1"), ServiceName("parts"), Address{"10.0.0.1", 80}, DataCentre("a"), false, 4, Duration{0}, 1};
 
 struct ReplyCase
@@ -94,3 +99,55 @@
         CHECK_FALSE(read(malformed));
     }
 }
+
+TEST_CASE("The time for which a server that turns requests away wants none is read as seconds, and nothing else", "[backends][notices]")
+{
+    const auto read = [](int status, const std::string &value) { return HttpBackends::readPause(HttpResponse{status, {{"retry-after", value}}, ""}); };
+    CHECK(read(503, "2").value() == std::chrono::seconds(2));
+    CHECK(read(503, "0.25").value() == std::chrono::milliseconds(250));
+    CHECK(read(503, "0").value() == Duration{0});
+    CHECK_FALSE(read(200, "2").value());
+    CHECK_FALSE(HttpBackends::readPause(HttpResponse{503, {}, ""}).value());
+    CHECK(read(503, "1e300").value() == std::chrono::hours(1));
+    for (const char *value : {"-1", "soon", "2s", "nan", "inf", "1e999", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+        INFO(value);
+        CHECK_FALSE(read(503, value));
+    }
+}
+
+TEST_CASE("A server's word on further requests counts on each of its answers, also late and failed ones", "[backends][notices]")
+{
+    ManualRuntime runtime;
+    ManualClient client;
+    DecisionLog log{runtime, STDERR_FILENO, "test"};
+    std::vector<ServerHints> heard;
+    HttpBackends backends(
+        runtime, client, Names, [&heard](const ServerEntry &, const ServerHints &hints) { heard.push_back(hints); }, log);
+    const auto server = std::make_shared<const ServerEntry>(Server);
+    const auto request = std::make_shared<const ClientRequest>(ClientRequest{"1", "GET", "/parts/x", {{"x-id", "1"}}, "", runtime.now(), {}});
+    const auto send = [&] { backends.send(server, request, runtime.now() + std::chrono::seconds(1), [](const Result<ServerReply> &) {}); };
+    send();
+    send();
+    client.answer(HttpResponse{200, {{"x-sign", "s"}, {"x-leaving", "1"}}, "body"});
+    client.answer(HttpResponse{503, {{"x-notrun", "1"}, {"retry-after", "3"}}, ""});
+    REQUIRE(heard.size() == 2);
+    CHECK(heard[0].leaving);
+    CHECK_FALSE(heard[0].pause);
+    CHECK_FALSE(heard[1].leaving);
+    CHECK(heard[1].pause == std::chrono::seconds(3));
+    SECTION("what cannot be read changes nothing")
+    {
+        send();
+        client.answer(HttpResponse{503, {{"x-limit", "many"}, {"retry-after", "later"}, {"x-leaving", "maybe"}}, ""});
+        REQUIRE(heard.size() == 3);
+        CHECK_FALSE(heard[2].limitKnown);
+        CHECK_FALSE(heard[2].pause);
+        CHECK_FALSE(heard[2].leaving);
+    }
+    SECTION("another server at the address says nothing of this one")
+    {
+        send();
+        client.answer(HttpResponse{421, {{"x-leaving", "1"}}, ""});
+        CHECK(heard.size() == 2);
+    }
+}
--- a/packages/routing/include/burdock/routing/serverchoice.h
+++ b/packages/routing/include/burdock/routing/serverchoice.h
@@ -4,6 +4,7 @@
 #include <burdock/routing/latencytracker.h>
 #include <burdock/routing/serverlimits.h>
 #include <burdock/routing/serverload.h>
+#include <burdock/routing/servernotices.h>
 #include <burdock/routing/servertable.h>
 
 #include <map>
@@ -32,6 +33,7 @@
                  LatencyTracker &latencies,
                  ServerLoad &load,
                  ServerLimits &limits,
+                 const ServerNotices &notices,
                  std::map<DataCentre, Region> regions,
                  Region ownRegion,
                  std::uint64_t seed);
@@ -49,7 +51,7 @@
     void setConnections(const std::vector<RoutedService> &services);
 
     /// Returns the best server that is not in `tried`; null if no server may get a request now. Servers at the limit that they named
-    /// are left out.
+    /// are left out, and those that are leaving or want no requests for a while.
     ChosenServer choose(const Route &route, const ServiceName &service, const std::vector<ServerId> &tried, TimePoint now);
 
     /// Whether any server names a limit.
@@ -62,6 +64,9 @@
     /// limits are not the cause.
     Duration refuseAtLimits(const Route &route, const ServiceName &service, TimePoint now);
 
+    /// Returns the time until a server of the service wants requests again; zero if one does, or if all of them are leaving.
+    Duration pauseLeft(const ServiceName &service, TimePoint now) const;
+
     /// Returns the time without an answer after which a request is hedged.
     Duration hedgeDelay(const Route &route, const ChosenServer &chosen) const;
 
@@ -91,6 +96,7 @@
     LatencyTracker &latencies_;
     ServerLoad &load_;
     ServerLimits &limits_;
+    const ServerNotices &notices_;
     const std::map<DataCentre, Region> regions_;
     const Region ownRegion_;
     HedgeThreshold hedgeThreshold_;
--- a/packages/routing/src/serverchoice.cpp
+++ b/packages/routing/src/serverchoice.cpp
@@ -37,6 +37,7 @@
                            LatencyTracker &latencies,
                            ServerLoad &load,
                            ServerLimits &limits,
+                           const ServerNotices &notices,
                            std::map<DataCentre, Region> regions,
                            Region ownRegion,
                            std::uint64_t seed)
@@ -44,6 +45,7 @@
     , latencies_(latencies)
     , load_(load)
     , limits_(limits)
+    , notices_(notices)
     , regions_(std::move(regions))
     , ownRegion_(std::move(ownRegion))
     , random_(seed)
@@ -131,7 +133,7 @@
     const std::uint32_t share = connectionShare(service);
     for (const ServerHandle &server : table_.servers(service)) {
         const bool wasTried = std::find(tried.begin(), tried.end(), server->id) != tried.end();
-        if (wasTried || load_.backoffUntil(server->id) > now || load_.inFlight(server->id) >= share
+        if (wasTried || !notices_.accepts(*server, now) || load_.backoffUntil(server->id) > now || load_.inFlight(server->id) >= share
             || !limits_.allows(server->id, route.priority, !tried.empty(), now)) {
             continue;
         }
@@ -151,6 +153,15 @@
     return limits_.refuse(table_.servers(service), route.priority, now);
 }
 
+Duration ServerChoice::pauseLeft(const ServiceName &service, TimePoint now) const
+{
+    TimePoint earliest = TimePoint::max();
+    for (const ServerHandle &server : table_.servers(service)) {
+        earliest = std::min(earliest, notices_.acceptsFrom(*server));
+    }
+    return earliest == TimePoint::max() ? Duration{0} : std::max(earliest - now, Duration{0});
+}
+
 Duration ServerChoice::hedgeDelay(const Route &route, const ChosenServer &chosen) const
 {
     const Duration typical = latencies_.typical(route.name, route.target, Distance::SameRegion);
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -95,7 +95,8 @@
     }
     const Duration wait = context_.choice.refuseAtLimits(*route_, service_, context_.runtime.now());
     if (wait == Duration{0}) {
-        return notRun(Errc::Overloaded, "no server of the service can take a request now").value();
+        const Duration pause = context_.choice.pauseLeft(service_, context_.runtime.now());
+        return notRun(Errc::Overloaded, "no server of the service can take a request now", pause).value();
     }
     const std::string reason = "the servers of the service have reached the limit that they named";
     context_.journal.note({"limit", request_->id, service_.text(), {}, reason, context_.runtime.now() - request_->arrived});
