--- a/packages/wire/src/clientconnection.cpp
+++ b/packages/wire/src/clientconnection.cpp
@@ -144,7 +144,10 @@
     evhttp_connection_set_max_body_size(connection_, static_cast<ev_ssize_t>(bodyLimit));
     // libevent does not limit the line with the size of a chunk. Reading stops at this many unparsed bytes, and the call times out.
     bufferevent_setwatermark(stream_, EV_READ, 0, bodyLimit + ResponseHeaderBytes);
-    if (evhttp_make_request(connection_, request, *commandOf(call_->request.method), call_->request.path.c_str()) != 0) {
+    starting_ = true;
+    const int made = evhttp_make_request(connection_, request, *commandOf(call_->request.method), call_->request.path.c_str());
+    starting_ = false;
+    if (made != 0 || closed_) {
         closed_ = true;
         return notRun(Errc::Unavailable, "cannot connect to " + address_.toString());
     }
@@ -212,6 +215,11 @@
 void ClientConnection::onResponse(evhttp_request *request, void *context)
 {
     auto *self = static_cast<ClientConnection *>(context);
+    if (self->starting_) {
+        // The connect failed at once; `start` reports it.
+        self->closed_ = true;
+        return;
+    }
     if (!self->isBusy()) {
         return;
     }
--- a/packages/wire/src/internal/clientconnection.h
+++ b/packages/wire/src/internal/clientconnection.h
@@ -100,6 +100,8 @@
     /// When the idle connection becomes unusable according to the server's Keep-Alive header.
     std::optional<TimePoint> usableUntil_;
     bool written_ = false;
+    /// Whether a request is being made, during which libevent may call back.
+    bool starting_ = false;
     bool closed_ = false;
 };
 
--- a/packages/wire/tests/httpclientfaulttest.cpp
+++ b/packages/wire/tests/httpclientfaulttest.cpp
@@ -122,6 +122,27 @@
     }
 }
 
+TEST_CASE("a response that ends in its head is no response, whatever frames its body", "[http][client]")
+{
+    for (const std::string frame : {"Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n", ""}) {
+        const std::string head = "HTTP/1.1 200 OK\r\nResponse-Stamp: 3e1b\r\n" + frame + "Date: now\r\n\r\n";
+        for (std::size_t length = 0; length < head.size(); ++length) {
+            INFO("'" << frame << "', truncated after " << length);
+            Client client(nullptr);
+            std::optional<Result<HttpResponse>> answer;
+            client.client->send(client.request(), [&answer](Result<HttpResponse> result) { answer = std::move(result); });
+            REQUIRE(client.until([&] { return !client.server.sockets.empty() && receivedWholeRequest(*client.server.sockets[0]); }));
+            client.server.sockets[0]->send(head.substr(0, length));
+            if (length % 2 == 0) {
+                client.loop.runUntil([] { return false; }, 1ms);
+            }
+            client.server.sockets[0]->close();
+            REQUIRE(client.until([&answer] { return answer.has_value(); }));
+            CHECK_FALSE(answer->has_value());
+        }
+    }
+}
+
 TEST_CASE("bytes without end are no response: the call fails, and little of them is read", "[http][client][endless]")
 {
     const std::string block(16384, 'x');
@@ -218,6 +239,17 @@
         CHECK(answer.error().code == Errc::Unavailable);
         CHECK(answer.error().verdict == Verdict::NotRun);
     }
+    SECTION("a connection that fails at once")
+    {
+        Client client(nullptr);
+        HttpRequest request = client.request();
+        request.address = {"127.0.0.1", 0};
+        const auto answer = client.call(request);
+        REQUIRE_FALSE(answer.has_value());
+        CHECK(answer.error().code == Errc::Unavailable);
+        CHECK(answer.error().verdict == Verdict::NotRun);
+        CHECK(client.call(client.request(ShortTimeout)).error().verdict == Verdict::MayHaveRun);
+    }
     SECTION("no connection within the timeout")
     {
         // TEST-NET-1 does not respond. Some networks reject it immediately.
--- a/tests/router/routerprocesstest.cpp
+++ b/tests/router/routerprocesstest.cpp
@@ -272,6 +272,32 @@
     }
 }
 
+TEST_CASE("Instances go on following the servers beside an odd entry of another writer", "[router][forged]")
+{
+    Deployment deployment;
+    const std::string entry =
+        R"({"service":"one","address":"ADDRESS","zone":"zone-a","version":"v1","slots":SLOTS,"state":"ready","coldRemainingMs":0,"other":NESTED})";
+    const auto odd = [&entry](const std::string &address, const std::string &slots, const std::string &nested) {
+        std::string text = entry;
+        text.replace(text.find("NESTED"), 6, nested);
+        text.replace(text.find("SLOTS"), 5, slots);
+        return text.replace(text.find("ADDRESS"), 7, address);
+    };
+    const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+    const std::vector<std::string> values{
+        odd("127.0.0.1:0", "4", "1"), odd("127.0.0.1:99999", "4", "1"), odd("127.0.0.1:8080", "1e300", "1"), odd("127.0.0.1:8080", "4", deep)};
+    for (std::size_t number = 0; number < values.size(); ++number) {
+        deployment.bed.control("POST", "/fake/entry", {{"key", "servers/odd" + std::to_string(number)}, {"value", values[number]}});
+    }
+    REQUIRE(deployment.bed.eventually([&] { return deployment.bed.log("i1").find("servers/odd3") != std::string::npos; }));
+    for (int number = 0; number < 40; ++number) {
+        CHECK(deployment.status("/one/x", "t" + std::to_string(number)) == 200);
+    }
+    deployment.bed.addServer("one-c", "one");
+    CHECK(deployment.bed.eventually([&] { return deployment.bed.log("i1").find("\"server\":\"one-c\"") != std::string::npos; }));
+    CHECK(deployment.bed.log("i1").rfind("\"event\":\"started\"") == deployment.bed.log("i1").find("\"event\":\"started\""));
+}
+
 TEST_CASE("Requests are served while the store is unreachable", "[router][store]")
 {
     Deployment deployment(2);
