Refuse late requests in a planned stop, and answer those that cannot be finished

Callers: in a planned stop requests that came late in the grace were taken and passed on; at its end all that were unfinished were cut without an answer, among them some that may not be repeated.

Cause: the listeners close by a timer, and whatever the loop reads before it runs is served; and the process ended at its time with requests in progress. Requests that arrive after the time at which the listeners close are refused now, not run, even if they waited in a kept connection while the loop was late. What is unfinished shortly before the end gets a 502, and 150 ms to be read.

--- a/packages/router/include/burdock/router/clientendpoint.h
+++ b/packages/router/include/burdock/router/clientendpoint.h
@@ -19,6 +19,12 @@
     void serve(HttpServerRequest incoming, const std::shared_ptr<HttpResponder> &responder);
 
     /// Sets the version of the routes, which log lines contain.
+    /// Refuses requests from the given time on, since they could not be completed before the process ends.
+    void refuseFrom(TimePoint time)
+    {
+        refusedFrom_ = time;
+    }
+
     void setConfigVersion(std::int64_t configVersion)
     {
         configVersion_ = configVersion;
@@ -35,6 +41,7 @@
     RouterMetrics &metrics_;
     const HeaderNames names_;
     std::int64_t configVersion_ = 0;
+    TimePoint refusedFrom_ = TimePoint::max();
 };
 
 } // namespace Burdock
--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -120,6 +120,7 @@
     InstanceRole role_ = InstanceRole::Standby;
     const TimePoint startedAt_;
     bool leaving_ = false;
+    bool unfinishedAnswered_ = false;
     TimePoint leavingSince_{};
     std::function<void()> onStopped_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/packages/router/src/clientendpoint.cpp
+++ b/packages/router/src/clientendpoint.cpp
@@ -17,6 +17,9 @@
 /// Larger client timeouts are ignored as client errors.
 constexpr std::int64_t MaxClientTimeoutMs = 86400000;
 
+/// A client that comes late to an instance that stops finds another one at once.
+constexpr Duration StoppingRetryAfter = std::chrono::milliseconds(50);
+
 std::string formatSeconds(Duration duration)
 {
     std::array<char, 32> text{};
@@ -136,6 +139,12 @@
     loggedRequest.id = request.id;
     loggedRequest.clientTimeout = request.clientTimeout;
     const TimePoint arrived = request.arrived;
+    if (arrived >= refusedFrom_) {
+        const ClientAnswer answer = refusal(AnswerStatus::Unavailable, "the instance is stopping", StoppingRetryAfter);
+        recordAnswer(loggedRequest, nullptr, answer, Duration{0});
+        responder->respond(makeResponse(answer));
+        return;
+    }
     const ServedRequestId id =
         coordinator_.serve(std::move(request), [this, responder, loggedRequest, arrived](const Route *route, const ClientAnswer &answer) {
             recordAnswer(loggedRequest, route, answer, runtime_.now() - arrived);
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -43,6 +43,8 @@
 constexpr int TtlsBeforeClosing = 3;
 /// The process exits this long before the stop time is over, so that its last responses are still sent.
 constexpr Duration StopMargin = std::chrono::milliseconds(350);
+/// If requests had to be answered unfinished, the process waits until then for their clients to read the answers.
+constexpr Duration LastAnswersMargin = std::chrono::milliseconds(200);
 /// The interval at which an instance that shuts down checks whether it is idle.
 constexpr Duration IdleCheckInterval = std::chrono::milliseconds(20);
 /// The fraction of the file descriptors for clients' connections; the rest is for servers and the store.
@@ -568,6 +570,8 @@
     clients_->announceClose();
     directory_->announceClose();
     const Duration closingDelay = std::min<Duration>(settings_.directoryTtl * TtlsBeforeClosing, settings_.stopTime / 2);
+    // Also those that wait in kept connections while the loop is late.
+    clientEndpoint_.refuseFrom(leavingSince_ + closingDelay);
     loop_.schedule(closingDelay, [this] { closeListeners(); });
 }
 
@@ -581,7 +585,12 @@
 
 void Router::stopIfIdle()
 {
-    const bool deadlinePassed = loop_.now() - leavingSince_ > settings_.stopTime - StopMargin;
+    const Duration left = leavingSince_ + settings_.stopTime - loop_.now();
+    if (left < StopMargin && clients_->requestsInFlight() > 0 && !std::exchange(unfinishedAnswered_, true)) {
+        log_.write(DecisionPriority::Change, "unfinished", {{"requests", static_cast<std::int64_t>(coordinator_.pendingRequests())}});
+        coordinator_.failAll("the instance is stopping, and its time is over");
+    }
+    const bool deadlinePassed = left < (unfinishedAnswered_ ? LastAnswersMargin : StopMargin);
     if (deadlinePassed || (clients_->requestsInFlight() == 0 && clients_->openConnections() == 0)) {
         log_.write(DecisionPriority::Change, "stopped", {{"unanswered", static_cast<std::int64_t>(clients_->requestsInFlight())}});
         log_.flush();
--- a/packages/routing/include/burdock/routing/requestcoordinator.h
+++ b/packages/routing/include/burdock/routing/requestcoordinator.h
@@ -35,6 +35,9 @@
     /// Cancels the request's attempts in flight, since the client has disconnected.
     void onClientDisconnected(ServedRequestId id);
 
+    /// Answers all requests that have no answer with a failure, and cancels what is in flight for them.
+    void failAll(const std::string &reason);
+
     /// Returns the number of requests without an answer.
     std::size_t pendingRequests() const;
 
@@ -42,11 +45,15 @@
     struct Entry
     {
         std::unique_ptr<RequestRun> run;
+        std::shared_ptr<const Route> route;
+        AnswerCallback onAnswer;
         TimerId removal = 0;
         bool answered = false;
     };
 
     void finish(ServedRequestId id);
+    /// Gives the request its answer.
+    void answer(ServedRequestId id, ClientAnswer answer);
     std::unique_ptr<RequestRun> makeRun(const RunTerms &terms);
     Duration retryAfter(const Route &route);
     /// Extends the span by up to half at random, so that clients do not all retry at once.
--- a/packages/routing/src/requestcoordinator.cpp
+++ b/packages/routing/src/requestcoordinator.cpp
@@ -97,14 +97,40 @@
     const RunTerms terms{route, shared, shared->arrived + effectiveTimeout, retryAfter(*route), trial, clientAge};
     Entry &entry = entries_[id];
     entry.run = makeRun(terms);
+    entry.route = route;
+    entry.onAnswer = std::move(onAnswer);
     ++pending_;
-    entry.run->start([this, id, route, onAnswer = std::move(onAnswer)](ClientAnswer answer) {
-        finish(id);
-        onAnswer(route.get(), std::move(answer));
-    });
+    entry.run->start([this, id](ClientAnswer given) { answer(id, std::move(given)); });
     return id;
 }
 
+void RequestCoordinator::answer(ServedRequestId id, ClientAnswer answer)
+{
+    const auto route = entries_.at(id).route;
+    const auto onAnswer = std::exchange(entries_.at(id).onAnswer, nullptr);
+    finish(id);
+    onAnswer(route.get(), std::move(answer));
+}
+
+void RequestCoordinator::failAll(const std::string &reason)
+{
+    std::vector<ServedRequestId> unanswered;
+    for (const auto &[id, entry] : entries_) {
+        if (!entry.answered) {
+            unanswered.push_back(id);
+        }
+    }
+    for (const ServedRequestId id : unanswered) {
+        ClientAnswer failure;
+        failure.kind = ClientAnswer::Kind::Failed;
+        failure.status = AnswerStatus::BadGateway;
+        failure.reason = reason;
+        answer(id, std::move(failure));
+        context_.runtime.cancel(entries_.at(id).removal);
+        entries_.erase(id);
+    }
+}
+
 void RequestCoordinator::finish(ServedRequestId id)
 {
     Entry &entry = entries_.at(id);
--- a/tests/router/routerprocesstest.cpp
+++ b/tests/router/routerprocesstest.cpp
@@ -376,6 +376,51 @@
     CHECK(deployment.bed.log("i1").find("\"event\":\"stopped\",\"unanswered\":0") != std::string::npos);
 }
 
+TEST_CASE("In a planned stop a request that cannot be finished gets an answer, and a late one is refused without being run", "[router][stop]")
+{
+    Deployment deployment;
+    json config = RouterTestbed::config(2, Shards);
+    for (json &route : config["routes"]) {
+        route["timeoutMs"] = 20000;
+    }
+    deployment.bed.control("POST", "/fake/config", config);
+    REQUIRE(deployment.bed.eventually([&] { return deployment.bed.log("i1").find("\"version\":2") != std::string::npos; }));
+    deployment.bed.control("POST", "/fake/faults", {{"target", "server"}, {"ids", {"one-a", "one-b"}}, {"conduct", {{"slowFactor", 5000.0}}}});
+    std::map<std::string, int> statuses;
+    const auto send = [&](const std::string &attempt) {
+        HttpRequest request;
+        request.address = deployment.bed.clients("i1");
+        request.method = "POST";
+        request.path = "/once/x";
+        request.headers = {{"host", "shop.example"}, {"Attempt-Id", attempt}, {"Timeout-Remaining", "15000"}};
+        request.timeout = std::chrono::seconds(12);
+        deployment.bed.client().send(std::move(request),
+                                     [&statuses, attempt](const Result<HttpResponse> &answer) { statuses[attempt] = answer ? answer->status : -1; });
+    };
+    const auto pass = [&](Duration span) { deployment.bed.eventually([] { return false; }, span); };
+    deployment.bed.process("i1").signal(SIGTERM);
+    pass(std::chrono::milliseconds(300));
+    send("early");
+    pass(std::chrono::milliseconds(2500));
+    // The instance reads these once its listeners are to be closed.
+    deployment.bed.process("i1").signal(SIGSTOP);
+    for (int number = 0; number < 5; ++number) {
+        send("late" + std::to_string(number));
+    }
+    pass(std::chrono::milliseconds(500));
+    deployment.bed.process("i1").signal(SIGCONT);
+    CHECK(deployment.bed.process("i1").wait() == 0);
+    REQUIRE(deployment.bed.eventually([&] { return statuses.size() == 6; }));
+    CHECK(statuses["early"] == 502);
+    for (int number = 0; number < 5; ++number) {
+        const std::string attempt = "late" + std::to_string(number);
+        INFO(attempt << ": " << statuses[attempt]);
+        CHECK((statuses[attempt] == 503 || statuses[attempt] == -1));
+        CHECK(deployment.runCount(attempt) == 0);
+    }
+    CHECK(deployment.bed.log("i1").find("\"event\":\"stopped\",\"unanswered\":0") != std::string::npos);
+}
+
 TEST_CASE("Metrics count requests by route and outcome", "[router][metrics]")
 {
     Deployment deployment;
