--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -415,7 +415,7 @@
     budget_.setInstances(senders.self ? senders.count : instances_.count(self_) * OutsiderBudgetDivisor, loop_.now());
     limits_.setSenders(feed_.hasInstances() ? instances_.senderIds(self_) : std::vector<InstanceId>(), loop_.now());
     relays_.setInstances(instances_.recordsIn(self_.region));
-    store_.setAnswerInterval(relays_.hasChildren() ? DataAge::StoreAnswerInterval : Duration::max());
+    store_.setAnswerInterval(relays_.hasChildren() ? DataAge::storeAnswerInterval(relays_.depth()) : Duration::max());
     updateConnectionLimits();
     updateRole();
     askPeersForConfig();
--- a/packages/routing/include/burdock/routing/dataage.h
+++ b/packages/routing/include/burdock/routing/dataage.h
@@ -19,8 +19,9 @@
     /// Whether an instance whose relays have nothing fresh must ask the store, however many others do so too.
     static bool needsStore(Duration age);
 
-    /// How often a relay needs an answer of the store, so that its data do not become too old between two of them.
-    static constexpr Duration StoreAnswerInterval = std::chrono::milliseconds(800);
+    /// How often an instance that serves others needs an answer of the store, so that its data do not become too old between two of
+    /// them. `depth` is the number of relays that are usually between it and the store.
+    static Duration storeAnswerInterval(int depth);
 };
 
 } // namespace Burdock
