--- a/packages/fakes/include/burdock/fakes/fakeplatform.h
+++ b/packages/fakes/include/burdock/fakes/fakeplatform.h
@@ -26,6 +26,8 @@
     TimePoint leavingSince{};
     /// The address published in the store entry; if empty, the address of the server's own port.
     std::string advertised;
+    /// Starts the server again after a crash.
+    TimerId restart = 0;
 };
 
 /// The users' platform in one process: its store, its servers and a control port for tests.
@@ -90,6 +92,8 @@
 
 private:
     void writeEntry(const std::string &id);
+    /// Closes a server's port; the server starts anew after a while.
+    void crash(const std::string &id);
     void writeAgain();
 
     Runtime &runtime_;
--- a/packages/fakes/include/burdock/fakes/fakeroutedserver.h
+++ b/packages/fakes/include/burdock/fakes/fakeroutedserver.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -49,13 +50,21 @@
     bool reorderedAnswers = false;
     /// The requests per second that the server names as its limit in each response.
     std::optional<double> limit;
+    /// Each response says that the server is leaving.
+    bool leaving = false;
+    /// All requests are refused, and asked to come back after this many seconds.
+    std::optional<double> pause;
 };
 
 /// A server that follows the users' documented protocol: slots and a queue, explicit refusals, a check of the target server
 /// and response signatures.
+///
+/// A request whose target contains `DeadlyWord` crashes the server when it runs: all requests in progress are lost.
 class FakeRoutedServer
 {
 public:
+    static constexpr const char *DeadlyWord = "deadly";
+
     FakeRoutedServer(Runtime &runtime, FakeRoutedServerDeclaration declaration, std::uint64_t seed);
     ~FakeRoutedServer();
     FakeRoutedServer(const FakeRoutedServer &) = delete;
@@ -64,6 +73,18 @@
     /// Handles one request.
     void handle(const HttpServerRequest &request, const std::shared_ptr<FakeResponder> &responder);
 
+    /// Sets a function that is called when the server crashes; it closes the connections.
+    void setCrashHandler(std::function<void()> onCrash)
+    {
+        onCrash_ = std::move(onCrash);
+    }
+
+    /// The number of times that each deadly target crashed the server.
+    const std::map<std::string, std::uint32_t> &crashes() const
+    {
+        return crashes_;
+    }
+
     void setBehaviour(const FakeRoutedServerBehaviour &behaviour);
 
     const FakeRoutedServerDeclaration &declaration() const
@@ -118,6 +139,7 @@
     HttpServerResponse completed(HttpServerResponse response) const;
     void startNext();
     void finish(const JobPtr &job);
+    void crash(const std::string &target);
     void abandon(const JobPtr &job);
     Duration workTime();
 
@@ -133,6 +155,8 @@
     std::deque<JobPtr> queue_;
     std::set<JobPtr> running_;
     std::map<std::string, std::uint32_t> executions_;
+    std::map<std::string, std::uint32_t> crashes_;
+    std::function<void()> onCrash_ = [] {};
     std::uint64_t arrived_ = 0;
     std::deque<Arrival> arrivals_;
     std::uint64_t answers_ = 0;
--- a/packages/fakes/src/fakeplatform.cpp
+++ b/packages/fakes/src/fakeplatform.cpp
@@ -13,6 +13,7 @@
 const std::string ServersPrefix = "servers/";
 const std::string ConfigKey = "op/config";
 constexpr std::uint32_t ServerConnections = 200;
+constexpr Duration RestartTime = std::chrono::milliseconds(1500);
 
 /// Creates a port. FakePort itself closes connections and the listening socket in an outage; a hang needs no further handling.
 std::unique_ptr<FakePort> makePort(Runtime &runtime, event_base *base, FakeHandler handler)
@@ -39,6 +40,9 @@
 FakePlatform::~FakePlatform()
 {
     runtime_.cancel(rewriteTimer_);
+    for (const auto &[id, server] : servers_) {
+        runtime_.cancel(server.restart);
+    }
 }
 
 Result<FakePlatform::Addresses> FakePlatform::listen(const Addresses &wanted)
@@ -59,6 +63,7 @@
     added.server = std::make_unique<FakeRoutedServer>(runtime_, declaration, ++seed_);
     added.port = makePort(runtime_, base_, [&added](const HttpServerRequest &request, const auto &responder) { added.server->handle(request, responder); });
     added.port->server.setConnectionLimit(ServerConnections);
+    added.server->setCrashHandler([this, id = declaration.id] { crash(id); });
     auto address = added.port->server.listen(Address{"127.0.0.1", 0});
     if (!address) {
         return address;
@@ -67,6 +72,25 @@
     return address;
 }
 
+void FakePlatform::crash(const std::string &id)
+{
+    FakeRoutedPort &crashed = servers_.at(id);
+    crashed.port->server.refuseConnections();
+    runtime_.cancel(crashed.restart);
+    crashed.restart = runtime_.schedule(RestartTime, [this, id] {
+        FakeRoutedPort &restarted = servers_.at(id);
+        restarted.restart = 0;
+        restarted.born = std::chrono::duration_cast<std::chrono::milliseconds>(runtime_.wallNow().time_since_epoch()).count();
+        restarted.sequence = 0;
+        if (restarted.port->gate.faults().outage != Outage::Refuse) {
+            restarted.port->server.acceptConnections();
+        }
+        if (restarted.state != "removed") {
+            writeEntry(id);
+        }
+    });
+}
+
 void FakePlatform::advertise(const std::string &id, const std::string &address)
 {
     servers_.at(id).advertised = address;
--- a/packages/fakes/src/fakeroutedserver.cpp
+++ b/packages/fakes/src/fakeroutedserver.cpp
@@ -79,6 +79,12 @@
     if (behaviour_.replaced || (!target.empty() && target != declaration_.id)) {
         return refuse(MisdirectedStatus);
     }
+    if (behaviour_.pause) {
+        HttpServerResponse response{UnavailableStatus, {{"Not-Executed", "1"}, {"Instance-Id", declaration_.id}}, "{}", true};
+        response.headers["Retry-After"] = std::to_string(*behaviour_.pause);
+        responder->respond(completed(std::move(response)));
+        return;
+    }
     if (behaviour_.full || queue_.size() >= declaration_.queue) {
         return refuse(UnavailableStatus);
     }
@@ -103,6 +109,9 @@
     if (behaviour_.limit) {
         response.headers["Server-Limit"] = std::to_string(*behaviour_.limit);
     }
+    if (behaviour_.leaving) {
+        response.headers["Server-Leaving"] = "1";
+    }
     return response;
 }
 
@@ -140,8 +149,24 @@
         }
         running_.insert(job);
         ++executions_[job->attempt];
-        job->timer = runtime_.schedule(workTime(), [this, job] { finish(job); });
+        job->timer = runtime_.schedule(workTime(), [this, job] {
+            const std::string &target = job->request.target;
+            target.find(DeadlyWord) == std::string::npos ? finish(job) : crash(target);
+        });
+    }
+}
+
+void FakeRoutedServer::crash(const std::string &target)
+{
+    ++crashes_[target];
+    for (const JobPtr &job : std::exchange(running_, {})) {
+        runtime_.cancel(job->timer);
+        job->done = true;
+    }
+    for (const JobPtr &job : std::exchange(queue_, {})) {
+        job->done = true;
     }
+    onCrash_();
 }
 
 /// Marks a job as done after its client disconnected; cancels its work and frees its slot.
--- a/packages/fakes/src/platformcontrol.cpp
+++ b/packages/fakes/src/platformcontrol.cpp
@@ -48,6 +48,10 @@
     if (body.contains("limit")) {
         behaviour.limit = body["limit"].get<double>();
     }
+    behaviour.leaving = body.value("leaving", false);
+    if (body.contains("pause")) {
+        behaviour.pause = body["pause"].get<double>();
+    }
     return behaviour;
 }
 
@@ -181,6 +185,7 @@
                     {"arrived", server.server->arrived()},
                     {"arrivedSinceLeaving", server.state == "ready" ? 0 : server.server->arrived() - server.arrivedBeforeLeaving},
                     {"lastAfterLeavingMs", lastArrivalAfterLeaving(server)},
+                    {"crashes", server.server->crashes()},
                     {"worstLimitExcess", server.server->worstLimitExcess()},
                     {"mostConnections", server.port->server.peakConnections()},
                     {"complaints", server.server->protocolErrors()}};
--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -52,6 +52,9 @@
     void onRoutesChanged(const std::shared_ptr<const RouteTable> &routes);
     void onInstancesChanged();
     void onHistoryLost(std::int64_t history);
+    /// Hands crash reports to the instances that clients use.
+    void pushCrashReports(const std::vector<CrashReport> &reports);
+    void takePushedReports(const HttpServerRequest &incoming, HttpResponder &responder);
     void onCrashReports(const InstanceId &from, const std::vector<CrashReport> &reports);
     /// Asks some of the others for the configuration that they have in force, once in a life.
     void askPeersForConfig();
--- a/packages/router/src/crashreportcodec.cpp
+++ b/packages/router/src/crashreportcodec.cpp
@@ -1,6 +1,6 @@
 #include <burdock/router/crashreportcodec.h>
 
-#include <nlohmann/json.hpp>
+#include <burdock/wire/json.h>
 
 namespace Burdock
 {
@@ -19,9 +19,13 @@
 Result<std::vector<CrashReport>> readCrashReports(const std::string &value)
 {
     constexpr int Hexadecimal = 16;
+    const auto parsed = parseJson(value);
+    if (!parsed) {
+        return tl::make_unexpected(parsed.error());
+    }
     try {
         std::vector<CrashReport> reports;
-        for (const Json &read : Json::parse(value)) {
+        for (const Json &read : *parsed) {
             if (reports.size() == CrashGuard::MaxShared) {
                 break;
             }
--- a/packages/router/src/crashreportwriter.cpp
+++ b/packages/router/src/crashreportwriter.cpp
@@ -11,18 +11,18 @@
 namespace
 {
 
-/// The minimum time between writes: of reports that another instance needs at once, and of others.
+/// The minimum time between writes.
 constexpr Duration UrgentInterval = std::chrono::milliseconds(50);
-constexpr Duration Interval = std::chrono::seconds(1);
 constexpr Duration RetryDelay = std::chrono::milliseconds(500);
 
 } // namespace
 
-CrashReportWriter::CrashReportWriter(Runtime &runtime, Store &store, std::string key, const CrashGuard &guard, DecisionLog &log)
+CrashReportWriter::CrashReportWriter(Runtime &runtime, Store &store, std::string key, const CrashGuard &guard, Push push, DecisionLog &log)
     : runtime_(runtime)
     , store_(store)
     , key_(std::move(key))
     , guard_(guard)
+    , push_(std::move(push))
     , log_(log)
 {
 }
@@ -33,19 +33,17 @@
     runtime_.cancel(timer_);
 }
 
-void CrashReportWriter::onChanged(bool urgent)
+void CrashReportWriter::onChanged(Duration clearingTime)
 {
-    if (writing_) {
-        changed_ = true;
-        return;
-    }
-    scheduleWrite(std::max(runtime_.now(), writtenAt_ + (urgent ? UrgentInterval : Interval)));
+    urgent_ = urgent_ || clearingTime < CrashGuard::ClearingTime;
+    scheduleWrite(std::max(runtime_.now() + clearingTime, writtenAt_ + UrgentInterval));
 }
 
 void CrashReportWriter::rewrite()
 {
     if (hasWritten_) {
-        onChanged(true);
+        written_.clear();
+        onChanged(Duration{0});
     }
 }
 
@@ -58,20 +56,39 @@
     due_ = at;
     timer_ = runtime_.schedule(at - runtime_.now(), [this] {
         timer_ = 0;
-        write();
+        share();
     });
 }
 
-void CrashReportWriter::write()
+void CrashReportWriter::share()
 {
-    const std::vector<CrashReport> reports = guard_.reports(runtime_.now());
-    if (reports.empty() && !hasWritten_) {
+    const std::vector<CrashReport> reports = guard_.reports(runtime_.now(), false);
+    if (reports.size() < guard_.reports(runtime_.now()).size()) {
+        scheduleWrite(runtime_.now() + CrashGuard::ClearingTime);
+    }
+    // Suspects that were cleared need no write: what others know of them expires.
+    const bool allWritten = std::all_of(
+        reports.begin(), reports.end(), [this](const CrashReport &report) { return std::find(written_.begin(), written_.end(), report) != written_.end(); });
+    if (allWritten) {
         return;
     }
+    writtenAt_ = runtime_.now();
+    if (std::exchange(urgent_, false)) {
+        push_(reports);
+    }
+    if (writing_) {
+        changed_ = true;
+    } else {
+        write(reports);
+    }
+}
+
+void CrashReportWriter::write(const std::vector<CrashReport> &reports)
+{
     hasWritten_ = true;
+    written_ = reports;
     writing_ = true;
     changed_ = false;
-    writtenAt_ = runtime_.now();
     StoreTransaction transaction;
     transaction.writes.push_back(StoreWrite{key_, writeCrashReports(reports), 0});
     store_.commit(std::move(transaction), [this, count = reports.size(), alive = alive_](const Result<StoreCommit> &commit) {
@@ -85,9 +102,10 @@
                     {"outcome", commit ? std::string_view("written") : std::string_view("failed")},
                     {"reason", commit ? std::string_view() : std::string_view(commit.error().message)}});
         if (!commit) {
+            written_.clear();
             scheduleWrite(runtime_.now() + RetryDelay);
         } else if (changed_) {
-            onChanged(true);
+            onChanged(Duration{0});
         }
     });
 }
--- a/packages/router/src/instancecodec.cpp
+++ b/packages/router/src/instancecodec.cpp
@@ -1,6 +1,6 @@
 #include <burdock/router/instancecodec.h>
 
-#include <nlohmann/json.hpp>
+#include <burdock/wire/json.h>
 
 namespace Burdock
 {
@@ -25,7 +25,11 @@
 Result<InstanceRecord> readInstance(const std::string &value)
 {
     try {
-        const Json read = Json::parse(value);
+        const auto parsed = parseJson(value);
+        if (!parsed) {
+            return tl::make_unexpected(parsed.error());
+        }
+        const Json &read = *parsed;
         const Result<Address> address = Address::parse(read.at("address").get<std::string>());
         const Result<Address> peers = Address::parse(read.at("peers").get<std::string>());
         if (!address || !peers) {
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -1,9 +1,11 @@
 #include <burdock/router/router.h>
 
+#include <burdock/router/crashreportcodec.h>
 #include <burdock/router/instancecodec.h>
 #include <burdock/router/relaycodec.h>
 #include <burdock/routing/dataage.h>
 #include <burdock/wire/factories.h>
+#include <burdock/wire/percentencoding.h>
 
 #include <algorithm>
 #include <set>
@@ -26,6 +28,9 @@
 constexpr std::size_t RewriteSteps = 10;
 constexpr Duration RewriteStep = std::chrono::milliseconds(130);
 constexpr const char *MetricsPath = "/metrics";
+/// Where instances hand each other crash reports, and how long that may take.
+constexpr const char *CrashReportsPath = "/crashes";
+constexpr Duration PushTimeout = std::chrono::milliseconds(500);
 /// Data that were never complete have an age without a meaning.
 constexpr std::int64_t MaxLoggedAgeMs = 999999;
 /// The interval of the checks for suspension and readiness.
@@ -147,7 +152,7 @@
     , limits_(settings.id, [this](const LimitReport &report) { logLimit(report); })
     , choice_(servers_, latencies_, load_, limits_, notices_, settings.regions, settings.region, seed)
     , budget_(settings.repeats, loop.now())
-    , crashes_([this](bool urgent) { crashReports_.onChanged(urgent); })
+    , crashes_([this](Duration clearingTime) { crashReports_.onChanged(clearingTime); })
     , backends_(
           loop, client, dialect.headers(), [this](const ServerEntry &server, const ServerHints &hints) { onServerHints(server, hints); }, log)
     , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, counters_, *journal_}
@@ -172,7 +177,13 @@
           })
     , relay_(
           loop, [this] { return store_.completeUntil(); }, [this] { return relays_.depth(); })
-    , crashReports_(loop, store, RoutingFeed::crashReportsKey(dialect, settings.id), crashes_, log)
+    , crashReports_(
+          loop,
+          store,
+          RoutingFeed::crashReportsKey(dialect, settings.id),
+          crashes_,
+          [this](const std::vector<CrashReport> &reports) { pushCrashReports(reports); },
+          log)
     , feed_(loop,
             store_,
             dialect,
@@ -390,6 +401,10 @@
         relay_.serve(incoming, responder);
         return;
     }
+    if (incoming.path == CrashReportsPath) {
+        takePushedReports(incoming, *responder);
+        return;
+    }
     if (incoming.path == ConfigInquiry::Path) {
         servePeerConfig(responder);
         return;
@@ -456,6 +471,49 @@
     responder->respond(std::move(out));
 }
 
+void Router::pushCrashReports(const std::vector<CrashReport> &reports)
+{
+    const std::vector<InstanceId> senders = instances_.senderIds(self_);
+    std::set<Region> regions;
+    for (const auto &[dataCentre, region] : settings_.regions) {
+        regions.insert(region);
+    }
+    for (const Region &region : regions) {
+        for (const InstanceRecord &record : instances_.recordsIn(region)) {
+            if (record.id == settings_.id || std::find(senders.begin(), senders.end(), record.id) == senders.end()) {
+                continue;
+            }
+            HttpRequest request;
+            request.address = record.peers;
+            request.method = "POST";
+            request.path = std::string(CrashReportsPath) + "?from=" + percentEncode(settings_.id.text());
+            request.body = writeCrashReports(reports);
+            request.timeout = PushTimeout;
+            // The store has them too.
+            client_.send(std::move(request), [](const Result<HttpResponse> &) {});
+        }
+    }
+}
+
+void Router::takePushedReports(const HttpServerRequest &incoming, HttpResponder &responder)
+{
+    const auto from = incoming.query.find("from");
+    const auto reports = readCrashReports(incoming.body);
+    if (from == incoming.query.end() || !reports) {
+        log_.write(DecisionPriority::Problem, "crashes.skipped", {{"reason", reports ? "no sender" : reports.error().message}});
+        responder.respond(textResponse(AnswerStatus::BadRequest, "no crash reports\n"));
+        return;
+    }
+    log_.write(DecisionPriority::Change,
+               "crashes.learned",
+               {{"from", from->second},
+                {"requests", static_cast<std::int64_t>(reports->size())},
+                {"latest", reports->empty() ? std::string() : reports->front().request.text()},
+                {"revision", 0}});
+    onCrashReports(InstanceId(from->second), *reports);
+    responder.respond(textResponse(AnswerStatus::Ok, "taken\n"));
+}
+
 void Router::onCrashReports(const InstanceId &from, const std::vector<CrashReport> &reports)
 {
     if (from != settings_.id) {
--- a/packages/routing/include/burdock/routing/crashguard.h
+++ b/packages/routing/include/burdock/routing/crashguard.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Burdock
@@ -27,6 +28,14 @@
     }
 };
 
+/// An attempt during which its server broke off.
+struct CrashedAttempt
+{
+    ServerId server;
+    /// Whether it was the only suspect that the instance had sent there.
+    bool alone = false;
+};
+
 /// Knows which requests crash the servers that run them, from crashes that this instance and the others saw.
 ///
 /// Load: a request that crashes each server that begins to run it, and comes again under other ids at any instance, beside innocent
@@ -40,11 +49,10 @@
 public:
     enum class Verdict { Clear, Suspect, Guilty };
 
-    /// `onChanged` is called when the reports to share have changed; `urgent` says that another instance could otherwise lose
-    /// further servers.
-    using ChangeHandler = std::function<void(bool urgent)>;
+    /// `onChanged` is called when the reports to share have changed, with the time after which they will be certain enough.
+    using ChangeHandler = std::function<void(Duration)>;
 
-    explicit CrashGuard(ChangeHandler onChanged = [](bool) {});
+    explicit CrashGuard(ChangeHandler onChanged = [](Duration) {});
 
     Verdict judge(const RequestFingerprint &request, TimePoint now) const;
 
@@ -62,14 +70,22 @@
     /// Whether a suspect is in progress at the server.
     bool hasSuspect(const ServerId &server) const;
 
-    /// A server broke off while the request was in progress there; `alone` says that it was the only suspect.
-    void onCrash(const RequestFingerprint &request, bool alone, TimePoint now);
+    /// Servers broke off while the request was in progress there.
+    void onCrash(const RequestFingerprint &request, const std::vector<CrashedAttempt> &attempts, TimePoint now);
+
+    /// A server answered a request that was sent to it at the given time. If that was soon after it had broken off, it had not
+    /// crashed, but only lost a connection, and what was in progress there is no suspect for it.
+    void onServerAnswered(const ServerId &server, TimePoint sentAt);
 
     /// A server has run the request and answered.
     void onAnswered(const RequestFingerprint &request);
 
-    /// Returns what this instance has seen, the latest first.
-    std::vector<CrashReport> reports(TimePoint now) const;
+    /// Returns what this instance has seen, the guilty and then the latest first. Without `withUncertain`, requests that an answer
+    /// may still clear soon are left out.
+    std::vector<CrashReport> reports(TimePoint now, bool withUncertain = true) const;
+
+    /// The time that suspects of a single crash are given to be cleared before they are shared.
+    static constexpr Duration ClearingTime = std::chrono::seconds(2);
 
     /// Adds what another instance has seen.
     void addReports(const InstanceId &from, const std::vector<CrashReport> &reports, TimePoint now);
@@ -95,6 +111,8 @@
     };
 
     void alarm(const CrashReport &report, TimePoint now);
+    void noteLoss(const CrashedAttempt &attempt, const RequestFingerprint &request, TimePoint now);
+    void withdraw(const RequestFingerprint &request, bool alone);
     bool isExpired(const Case &suspect, TimePoint now) const;
     Case &caseOf(const RequestFingerprint &request, TimePoint now);
     void dropOldest(TimePoint now);
@@ -102,6 +120,13 @@
     const ChangeHandler onChanged_;
     std::unordered_map<RequestFingerprint, Case> cases_;
     std::unordered_map<ServerId, std::uint32_t> suspectsAt_;
+    /// When a server last broke off, and the requests that were in progress there.
+    struct Loss
+    {
+        TimePoint at{};
+        std::vector<std::pair<RequestFingerprint, bool>> requests;
+    };
+    std::unordered_map<ServerId, Loss> losses_;
     TimePoint alarmedUntil_{};
 };
 
--- a/packages/routing/include/burdock/routing/requesttrial.h
+++ b/packages/routing/include/burdock/routing/requesttrial.h
@@ -9,7 +9,7 @@
 namespace Burdock
 {
 
-/// Decides when the attempts of one request may be sent while it is suspected of crashing servers, or any request may be: one at a
+/// Collects how the attempts of one request ended, and decides when they may be sent while it is suspected of crashing servers, or any request may be: one at a
 /// time, until a server has answered it. Shared by the calls of a request to several shards.
 class RequestTrial
 {
@@ -57,12 +57,19 @@
         bool alone = false;
     };
 
+    /// Reports the crashes once they are too many for an innocent request: of a request to many shards a few servers may crash at
+    /// the same time by chance, and the others soon answer.
+    void reportCrashes(TimePoint now);
+
     CrashGuard &guard_;
     const RequestFingerprint request_;
     bool suspect_ = false;
     bool cautious_ = false;
     bool answered_ = false;
     std::size_t inFlight_ = 0;
+    std::size_t sent_ = 0;
+    std::size_t crashed_ = 0;
+    std::vector<CrashedAttempt> unreported_;
     std::vector<Exposure> exposures_;
     std::deque<std::function<void()>> waiting_;
 };
--- a/packages/routing/src/crashguard.cpp
+++ b/packages/routing/src/crashguard.cpp
@@ -16,11 +16,27 @@
 constexpr Duration GuiltyTime = std::chrono::minutes(10);
 constexpr Duration SuspectTime = std::chrono::seconds(30);
 constexpr std::size_t MaxCases = 2048;
+/// A server that crashed does not answer again so soon.
+constexpr Duration DoubtTime = std::chrono::seconds(1);
+constexpr std::size_t MaxLosses = 4096;
+constexpr std::size_t MaxRequestsPerLoss = 32;
 /// How many servers one request must have crashed for an alarm, and how long the alarm lasts: until all instances have the reports,
 /// and the clients' next attempts have come.
-constexpr std::uint32_t CrashesForAlarm = 2;
+constexpr std::uint32_t CrashesForAlarm = 3;
 constexpr Duration AlarmTime = std::chrono::milliseconds(1500);
 
+/// The time that a suspect of two crashes is given to be cleared: either server may only have lost a connection, and soon shows so.
+constexpr Duration ShortClearingTime = std::chrono::milliseconds(300);
+
+/// The time after the last evidence at which the others should hear of it. With more crashes each could lose further servers at once.
+Duration clearingTimeOf(const CrashReport &report)
+{
+    if (report.crashes >= CrashesForAlarm || report.alone >= CrashesOfGuilty) {
+        return Duration{0};
+    }
+    return report.crashes > 1 || report.alone > 0 ? ShortClearingTime : CrashGuard::ClearingTime;
+}
+
 } // namespace
 
 std::uint32_t CrashGuard::Case::alone() const
@@ -93,14 +109,62 @@
     cases_.erase(std::min_element(cases_.begin(), cases_.end(), [&rank](const auto &left, const auto &right) { return rank(left) < rank(right); }));
 }
 
-void CrashGuard::onCrash(const RequestFingerprint &request, bool alone, TimePoint now)
+void CrashGuard::onCrash(const RequestFingerprint &request, const std::vector<CrashedAttempt> &attempts, TimePoint now)
 {
     Case &suspect = caseOf(request, now);
-    ++suspect.own.crashes;
-    suspect.own.alone += alone ? 1 : 0;
-    const bool urgent = suspect.own.crashes > 1 || suspect.own.alone > 0;
+    for (const CrashedAttempt &attempt : attempts) {
+        ++suspect.own.crashes;
+        suspect.own.alone += attempt.alone ? 1 : 0;
+        noteLoss(attempt, request, now);
+    }
     alarm(suspect.own, now);
-    onChanged_(urgent);
+    onChanged_(clearingTimeOf(suspect.own));
+}
+
+void CrashGuard::noteLoss(const CrashedAttempt &attempt, const RequestFingerprint &request, TimePoint now)
+{
+    if (losses_.size() >= MaxLosses) {
+        losses_.clear();
+    }
+    Loss &loss = losses_[attempt.server];
+    if (now - loss.at > DoubtTime) {
+        loss.requests.clear();
+    }
+    loss.at = now;
+    if (loss.requests.size() < MaxRequestsPerLoss) {
+        loss.requests.emplace_back(request, attempt.alone);
+    }
+}
+
+void CrashGuard::onServerAnswered(const ServerId &server, TimePoint sentAt)
+{
+    const auto found = losses_.find(server);
+    if (found == losses_.end() || sentAt <= found->second.at) {
+        return;
+    }
+    const Loss loss = std::move(found->second);
+    losses_.erase(found);
+    if (sentAt - loss.at > DoubtTime) {
+        // It may have started anew.
+        return;
+    }
+    for (const auto &[request, alone] : loss.requests) {
+        withdraw(request, alone);
+    }
+}
+
+void CrashGuard::withdraw(const RequestFingerprint &request, bool alone)
+{
+    const auto found = cases_.find(request);
+    if (found == cases_.end() || found->second.own.crashes == 0) {
+        return;
+    }
+    CrashReport &own = found->second.own;
+    --own.crashes;
+    own.alone -= alone && own.alone > 0 ? 1 : 0;
+    if (own.crashes == 0 && found->second.others.empty()) {
+        cases_.erase(found);
+    }
 }
 
 void CrashGuard::alarm(const CrashReport &report, TimePoint now)
@@ -115,11 +179,12 @@
     cases_.erase(request);
 }
 
-std::vector<CrashReport> CrashGuard::reports(TimePoint now) const
+std::vector<CrashReport> CrashGuard::reports(TimePoint now, bool withUncertain) const
 {
     std::vector<std::pair<std::pair<bool, TimePoint>, const Case *>> known;
     for (const auto &[request, suspect] : cases_) {
-        if (suspect.own.crashes > 0 && !isExpired(suspect, now)) {
+        const bool isUncertain = now - suspect.evidenceAt < clearingTimeOf(suspect.own);
+        if (suspect.own.crashes > 0 && !isExpired(suspect, now) && (withUncertain || !isUncertain)) {
             known.push_back({{suspect.alone() >= CrashesOfGuilty, suspect.evidenceAt}, &suspect});
         }
     }
--- a/packages/routing/src/requesttrial.cpp
+++ b/packages/routing/src/requesttrial.cpp
@@ -43,6 +43,7 @@
 void RequestTrial::onSent(const ServerId &server)
 {
     ++inFlight_;
+    ++sent_;
     if (suspect_ && !answered_) {
         exposures_.push_back({server, guard_.onSuspectSent(server)});
     }
@@ -62,10 +63,21 @@
         answered_ = true;
         guard_.onAnswered(request_);
     } else if (outcome == Outcome::Crashed && !answered_) {
-        suspect_ = true;
         cautious_ = true;
-        guard_.onCrash(request_, alone, now);
+        ++crashed_;
+        unreported_.push_back({server, alone});
     }
+    reportCrashes(now);
+}
+
+void RequestTrial::reportCrashes(TimePoint now)
+{
+    const bool mostCrashed = 2 * crashed_ > sent_;
+    if (unreported_.empty() || answered_ || !(mostCrashed || suspect_ || inFlight_ == 0)) {
+        return;
+    }
+    suspect_ = true;
+    guard_.onCrash(request_, std::exchange(unreported_, {}), now);
 }
 
 } // namespace Burdock
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -220,6 +220,9 @@
         context_.journal.note(
             {"crash", request_->id, service_.text(), server.text(), trial_->fingerprint().text(), context_.runtime.now() - request_->arrived});
     }
+    if (reply) {
+        context_.crashes.onServerAnswered(server, node.mapped().sentAt);
+    }
     trial_->onEnded(server, outcomeOf(reply), context_.runtime.now());
     // The calls that wait are resumed after this one, which holds the trial until then.
     const auto trial = trial_;
--- a/packages/routing/tests/crashguardtest.cpp
+++ b/packages/routing/tests/crashguardtest.cpp
@@ -272,6 +272,32 @@
     CHECK(servers.fixture.backends.open.size() == 4);
 }
 
+TEST_CASE("A lost connection to a server that goes on answering makes no request guilty", "[crashguard]")
+{
+    ManualRuntime runtime;
+    CrashGuard guard;
+    const ServerId server("p1");
+    for (int time = 0; time < 20; ++time) {
+        RequestTrial trial(guard, Deadly, runtime.now());
+        CHECK_FALSE(trial.isGuilty(runtime.now()));
+        trial.onSent(server);
+        trial.onEnded(server, RequestTrial::Outcome::Crashed, runtime.now());
+        runtime.advance(milliseconds(10));
+        guard.onServerAnswered(server, runtime.now() - milliseconds(5));
+    }
+    CHECK(guard.size() == 0);
+    SECTION("what was sent before the loss proves nothing, nor does a server that may have started anew")
+    {
+        for (const Duration sentAfter : {Duration(milliseconds(-5)), Duration(seconds(2))}) {
+            const TimePoint lost = runtime.now();
+            guard.onCrash(Deadly, {{server, true}}, lost);
+            runtime.advance(seconds(3));
+            guard.onServerAnswered(server, lost + sentAfter);
+        }
+        CHECK(guard.judge(Deadly, runtime.now()) == CrashGuard::Verdict::Guilty);
+    }
+}
+
 TEST_CASE("A request is known by caller, host, method, target and body, not by the id of its attempt", "[crashguard]")
 {
     ClientRequest request;
@@ -316,11 +342,11 @@
 {
     ManualRuntime runtime;
     CrashGuard guard;
-    guard.onCrash(Deadly, true, runtime.now());
-    guard.onCrash(Deadly, true, runtime.now());
+    guard.onCrash(Deadly, {{ServerId("p"), true}}, runtime.now());
+    guard.onCrash(Deadly, {{ServerId("p"), true}}, runtime.now());
     for (std::uint64_t request = 2; request < 10000; ++request) {
         runtime.advance(milliseconds(1));
-        guard.onCrash(RequestFingerprint(request), false, runtime.now());
+        guard.onCrash(RequestFingerprint(request), {{ServerId("p"), false}}, runtime.now());
     }
     CHECK(guard.size() <= 2048);
     CHECK(guard.judge(Deadly, runtime.now()) == CrashGuard::Verdict::Guilty);
--- a/soak/src/soakchecks.cpp
+++ b/soak/src/soakchecks.cpp
@@ -203,6 +203,21 @@
     }
 }
 
+void SoakChecks::checkDeadly(const std::string &target, int starts)
+{
+    // One server of each shard, and two as the only suspect, if an instance hears nothing from the others.
+    const int perLife = static_cast<int>(SoakWorld::mostShards()) + 2;
+    const int lives = static_cast<int>(world_.instances().size()) + starts;
+    int crashes = 0;
+    for (const Json &server : world_.testbed().control("GET", "/fake/servers")) {
+        crashes += server.at("crashes").value(target, 0);
+    }
+    if (crashes > perLife * lives) {
+        addViolation("a request that crashes servers",
+                     target + " crashed " + std::to_string(crashes) + " servers in " + std::to_string(lives) + " lives of instances");
+    }
+}
+
 void SoakChecks::checkRunning()
 {
     for (const std::string &instance : world_.instances()) {
--- a/soak/src/soakchecks.h
+++ b/soak/src/soakchecks.h
@@ -65,6 +65,10 @@
     /// Checks that all instances together kept the limit that a server names; `starts` of them were started meanwhile.
     void checkLimit(const std::string &server, int starts);
 
+    /// Checks that a request which crashes servers did not crash more of them than each life of an instance needs to recognise it;
+    /// `starts` instances were started meanwhile.
+    void checkDeadly(const std::string &target, int starts);
+
     /// Checks that every instance that was not stopped on purpose is running.
     void checkRunning();
 
--- a/soak/src/soakfaults.cpp
+++ b/soak/src/soakfaults.cpp
@@ -43,6 +43,9 @@
                                        {"server pauses", &SoakFaults::pauseServer},
                                        {"server full", &SoakFaults::saturateServer},
                                        {"servers limited", &SoakFaults::limitService},
+                                       {"server wants none", &SoakFaults::turnAway},
+                                       {"server says it leaves", &SoakFaults::announceLeaving},
+                                       {"deadly request", &SoakFaults::sendDeadlyRequest},
                                        {"server fails", &SoakFaults::failServer},
                                        {"server slow", &SoakFaults::slowServer},
                                        {"stray answers", &SoakFaults::sendStrayAnswers},
@@ -381,6 +384,44 @@
     });
 }
 
+void SoakFaults::turnAway()
+{
+    injectServerFault({{"conduct", {{"pause", 2.0}}}}, {{"conduct", Json::object()}});
+}
+
+/// The server says so in its answers some time before its entry does.
+void SoakFaults::announceLeaving()
+{
+    const std::string server = acquireRandomServer();
+    if (server.empty() || server == "one-proxied") {
+        busyServers_.erase(server);
+        return;
+    }
+    world_.replaceServer(server);
+    world_.testbed().control("POST", "/fake/faults", {{"target", "server"}, {"ids", {server}}, {"conduct", {{"leaving", true}}}});
+    liftAfter(randomDuration(500, 2500), [this, server] { world_.testbed().control("POST", "/fake/state", {{"id", server}, {"state", "draining"}}); });
+}
+
+/// A request that crashes each server that runs it comes again at random instances.
+void SoakFaults::sendDeadlyRequest()
+{
+    constexpr int Comings = 8;
+    const std::string target = (random_() % 2 == 0 ? "/one/deadly" : "/all/deadly") + std::to_string(injected_.size());
+    const int starts = world_.starts();
+    for (int coming = 0; coming < Comings; ++coming) {
+        const std::string &instance = world_.instances()[random_() % world_.instances().size()];
+        HttpRequest request;
+        request.address = world_.testbed().clients(instance);
+        request.method = "GET";
+        request.path = target;
+        request.headers = {{"host", "shop.example"}, {"Attempt-Id", target + "-" + std::to_string(coming)}, {"Timeout-Remaining", "2000"}};
+        request.timeout = std::chrono::seconds(3);
+        world_.testbed().loop().schedule(randomDuration(0, 2500),
+                                         [this, request] { world_.testbed().client().send(request, [](const Result<HttpResponse> &) {}); });
+    }
+    liftAfter(std::chrono::seconds(5), [this, target, starts] { checks_.checkDeadly(target, world_.starts() - starts); });
+}
+
 void SoakFaults::failServer()
 {
     injectServerFault({{"conduct", {{"failing", 0.5}}}}, {{"conduct", Json::object()}});
--- a/soak/src/soakfaults.h
+++ b/soak/src/soakfaults.h
@@ -84,6 +84,9 @@
     void pauseServer();
     void saturateServer();
     void limitService();
+    void turnAway();
+    void announceLeaving();
+    void sendDeadlyRequest();
     void failServer();
     void slowServer();
     void sendStrayAnswers();
--- a/soak/src/soakworld.cpp
+++ b/soak/src/soakworld.cpp
@@ -100,4 +100,9 @@
     return found == disturbances_.end() || testbed_.loop().now() - found->second > span;
 }
 
+std::size_t SoakWorld::mostShards()
+{
+    return std::max(FirstShards.size(), SecondShards.size());
+}
+
 } // namespace Burdock
--- a/soak/src/soakworld.h
+++ b/soak/src/soakworld.h
@@ -56,6 +56,9 @@
         return incarnations_.at(instance);
     }
 
+    /// The number of shards of the configuration that has most of them.
+    static std::size_t mostShards();
+
     /// How often instances have been started in all.
     int starts() const
     {
