Replace bytes that are no text in the reason of a refusal

Callers: all requests in progress on an instance were cut, since it ended by an exception when a server's 421 named an id that is not UTF-8 and that became the reason of a refusal. The answer's JSON is written with such bytes replaced. endpointtest failed before: "invalid UTF-8 byte at index 32: 0xFF".

--- a/packages/router/src/clientendpoint.cpp
+++ b/packages/router/src/clientendpoint.cpp
@@ -94,7 +94,7 @@
         out.body = answer.body;
     } else {
         const char *verdict = answer.kind == ClientAnswer::Kind::Refused ? "notRun" : "mayHaveRun";
-        out.body = nlohmann::json{{"error", {{"message", answer.reason}, {"verdict", verdict}}}}.dump();
+        out.body = nlohmann::json{{"error", {{"message", answer.reason}, {"verdict", verdict}}}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     }
     if (answer.kind == ClientAnswer::Kind::Gathered) {
         out.headers[names_.partSignatures] = join(answer.signatures);
