Refuse a request whose transfer encoding is not understood

Callers: a request with "Transfer-Encoding: CHUNKED", or with a blank at its end, ran without its body and was answered 200. The parser library reads chunks for two spellings only; any other is refused with 400, not run, instead of taken for a request without a body. The test failed before: such requests were handled. Ruled out: normalising the header, since the library sees the bytes first.

--- a/packages/wire/src/httprequestparser.cpp
+++ b/packages/wire/src/httprequestparser.cpp
@@ -89,6 +89,7 @@
     status_ = Status::Incomplete;
     headerName_.clear();
     contentLengthCount_ = 0;
+    unknownEncoding_ = false;
     headComplete_ = false;
     expectsContinue_ = false;
 }
@@ -209,6 +210,9 @@
     if (self.headerName_.empty() || hasControlCharacter({text, length})) {
         return self.stop(Status::Malformed);
     }
+    // The library reads a body in chunks for these two spellings only, and none for any other.
+    self.unknownEncoding_ = self.unknownEncoding_
+        || (self.headerName_ == "transfer-encoding" && std::string_view(text, length) != "chunked" && std::string_view(text, length) != "Chunked");
     self.contentLengthCount_ += self.headerName_ == "content-length" ? 1 : 0;
     const auto [place, added] = self.request_.headers.emplace(self.headerName_, trimmed({text, length}));
     if (!added && self.headerName_ == "host") {
@@ -223,7 +227,7 @@
 
 bool HttpRequestParser::hasAmbiguousFraming() const
 {
-    return contentLengthCount_ > 1 || (contentLengthCount_ == 1 && request_.headers.count("transfer-encoding") > 0);
+    return unknownEncoding_ || contentLengthCount_ > 1 || (contentLengthCount_ == 1 && request_.headers.count("transfer-encoding") > 0);
 }
 
 int HttpRequestParser::onHeadersDone(htparser *parser)
--- a/packages/wire/src/internal/httprequestparser.h
+++ b/packages/wire/src/internal/httprequestparser.h
@@ -81,6 +81,8 @@
     std::string headerName_;
     Status status_ = Status::Incomplete;
     std::size_t contentLengthCount_ = 0;
+    /// Whether the body has a transfer encoding that the library does not understand.
+    bool unknownEncoding_ = false;
     bool headComplete_ = false;
     bool expectsContinue_ = false;
     bool keepAlive_ = false;
--- a/packages/wire/tests/httprequestparsertest.cpp
+++ b/packages/wire/tests/httprequestparsertest.cpp
@@ -59,3 +59,13 @@
         CHECK(requests[3].method == "HEAD");
     }
 }
+
+TEST_CASE("a body in chunks is read in the spellings of the transfer encoding that are understood", "[http][parser]")
+{
+    for (const char *encoding : {"chunked", "Chunked"}) {
+        INFO(encoding);
+        const auto requests = parseInTwo(std::string("POST /c HTTP/1.1\r\nTransfer-Encoding: ") + encoding + "\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", 0);
+        REQUIRE(requests.size() == 1);
+        CHECK(requests[0].body == "abcde");
+    }
+}
--- a/packages/wire/tests/httpserverfaulttest.cpp
+++ b/packages/wire/tests/httpserverfaulttest.cpp
@@ -138,6 +138,19 @@
     }
 }
 
+TEST_CASE("a request whose transfer encoding is not understood is refused, and not handled without its body", "[http][server]")
+{
+    for (const char *encoding : {"CHUNKED", "chunked ", "chunked\t", "gzip, chunked", "identity", ""}) {
+        INFO("'" << encoding << "'");
+        Server server;
+        RawSocket client(server.loop, server.port);
+        client.send(std::string("POST /order HTTP/1.1\r\nTransfer-Encoding: ") + encoding + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+        CHECK(server.until([&] { return client.closedByPeer; }));
+        CHECK(client.received.rfind("HTTP/1.1 400 ", 0) == 0);
+        CHECK(server.paths.empty());
+    }
+}
+
 TEST_CASE("pipelined requests are answered in order even if the first response is delayed", "[http][server]")
 {
     Server server;
