Write crash reports at most each two seconds

Urgent reports reach the instances that clients use directly, so the store, where each write has its price, need not have them at once but for the first.

--- a/packages/router/include/burdock/router/crashreportwriter.h
+++ b/packages/router/include/burdock/router/crashreportwriter.h
@@ -58,6 +58,7 @@
     bool urgent_ = false;
     /// Whether the reports changed while they were being written.
     bool changed_ = false;
+    TimePoint pushedAt_{};
     TimePoint writtenAt_{};
     /// The reports of the last write.
     std::vector<CrashReport> written_;
--- a/packages/router/src/crashreportwriter.cpp
+++ b/packages/router/src/crashreportwriter.cpp
@@ -11,8 +11,9 @@
 namespace
 {
 
-/// The minimum time between writes.
-constexpr Duration UrgentInterval = std::chrono::milliseconds(50);
+/// The minimum time between two hand-overs to other instances, and between two writes.
+constexpr Duration PushInterval = std::chrono::milliseconds(50);
+constexpr Duration WriteInterval = std::chrono::seconds(2);
 constexpr Duration RetryDelay = std::chrono::milliseconds(500);
 
 } // namespace
@@ -36,7 +37,7 @@
 void CrashReportWriter::onChanged(Duration clearingTime)
 {
     urgent_ = urgent_ || clearingTime < CrashGuard::ClearingTime;
-    scheduleWrite(std::max(runtime_.now() + clearingTime, writtenAt_ + UrgentInterval));
+    scheduleWrite(std::max(runtime_.now() + clearingTime, pushedAt_ + PushInterval));
 }
 
 void CrashReportWriter::rewrite()
@@ -72,13 +73,16 @@
     if (allWritten) {
         return;
     }
-    writtenAt_ = runtime_.now();
     if (std::exchange(urgent_, false)) {
+        pushedAt_ = runtime_.now();
         push_(reports);
     }
     if (writing_) {
         changed_ = true;
+    } else if (runtime_.now() < writtenAt_ + WriteInterval) {
+        scheduleWrite(writtenAt_ + WriteInterval);
     } else {
+        writtenAt_ = runtime_.now();
         write(reports);
     }
 }
