--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -119,7 +119,7 @@
                 excluded.push_back(server->id);
             }
         }
-        const ChosenServer chosen = context_.choice.choose(*route_, service_, excluded, now);
+        ChosenServer chosen = context_.choice.choose(*route_, service_, excluded, now);
         if (chosen.server) {
             return chosen;
         }
