Let crash reports end: those of long ago count no more, and the guilty are tried again after two minutes

The reports have no lease, so a starting instance would have found each request guilty that ever crashed servers, long after those had been mended. They name their time now, and those as old as a verdict lasts are left out. Ten minutes of refusals were long for a request that only many callers send while servers crash for another reason: two, then one server at a time again.

--- a/packages/router/src/crashreportcodec.cpp
+++ b/packages/router/src/crashreportcodec.cpp
@@ -7,16 +7,16 @@
 
 using Json = nlohmann::json;
 
-std::string writeCrashReports(const std::vector<CrashReport> &reports)
+std::string writeCrashReports(const std::vector<CrashReport> &reports, WallTime at)
 {
     Json list = Json::array();
     for (const CrashReport &report : reports) {
         list.push_back({{"request", report.request.text()}, {"crashes", report.crashes}, {"alone", report.alone}});
     }
-    return list.dump();
+    return Json{{"atMs", at.time_since_epoch() / std::chrono::milliseconds(1)}, {"reports", std::move(list)}}.dump();
 }
 
-Result<std::vector<CrashReport>> readCrashReports(const std::string &value)
+Result<std::vector<CrashReport>> readCrashReports(const std::string &value, WallTime now)
 {
     constexpr int Hexadecimal = 16;
     const auto parsed = parseJson(value);
@@ -25,7 +25,11 @@
     }
     try {
         std::vector<CrashReport> reports;
-        for (const Json &read : *parsed) {
+        const WallTime at{std::chrono::milliseconds(parsed->at("atMs").get<std::int64_t>())};
+        if (now - at >= CrashGuard::GuiltyTime) {
+            return reports;
+        }
+        for (const Json &read : parsed->at("reports")) {
             if (reports.size() == CrashGuard::MaxShared) {
                 break;
             }
--- a/packages/router/src/crashreportwriter.cpp
+++ b/packages/router/src/crashreportwriter.cpp
@@ -94,7 +94,7 @@
     writing_ = true;
     changed_ = false;
     StoreTransaction transaction;
-    transaction.writes.push_back(StoreWrite{key_, writeCrashReports(reports), 0});
+    transaction.writes.push_back(StoreWrite{key_, writeCrashReports(reports, runtime_.wallNow()), 0});
     store_.commit(std::move(transaction), [this, count = reports.size(), alive = alive_](const Result<StoreCommit> &commit) {
         if (!*alive) {
             return;
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -487,7 +487,7 @@
             request.address = record.peers;
             request.method = "POST";
             request.path = std::string(CrashReportsPath) + "?from=" + percentEncode(settings_.id.text());
-            request.body = writeCrashReports(reports);
+            request.body = writeCrashReports(reports, loop_.wallNow());
             request.timeout = PushTimeout;
             // The store has them too.
             client_.send(std::move(request), [](const Result<HttpResponse> &) {});
@@ -498,7 +498,7 @@
 void Router::takePushedReports(const HttpServerRequest &incoming, HttpResponder &responder)
 {
     const auto from = incoming.query.find("from");
-    const auto reports = readCrashReports(incoming.body);
+    const auto reports = readCrashReports(incoming.body, loop_.wallNow());
     if (from == incoming.query.end() || !reports) {
         log_.write(DecisionPriority::Problem, "crashes.skipped", {{"reason", reports ? "no sender" : reports.error().message}});
         responder.respond(textResponse(AnswerStatus::BadRequest, "no crash reports\n"));
--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -298,7 +298,7 @@
     if (entry.deleted) {
         return;
     }
-    const auto reports = readCrashReports(entry.value);
+    const auto reports = readCrashReports(entry.value, runtime_.wallNow());
     if (!reports) {
         return logSkipped("crashes", entry.key, reports.error().message);
     }
--- a/packages/routing/include/burdock/routing/crashguard.h
+++ b/packages/routing/include/burdock/routing/crashguard.h
@@ -84,6 +84,10 @@
     /// may still clear soon are left out.
     std::vector<CrashReport> reports(TimePoint now, bool withUncertain = true) const;
 
+    /// A guilty request is tried again, at one server, this long after its last crash: the servers may have been mended, or may have
+    /// crashed for another reason at the same time.
+    static constexpr Duration GuiltyTime = std::chrono::minutes(2);
+
     /// The time that suspects of a single crash are given to be cleared before they are shared.
     static constexpr Duration ClearingTime = std::chrono::seconds(2);
 
--- a/packages/routing/src/crashguard.cpp
+++ b/packages/routing/src/crashguard.cpp
@@ -12,8 +12,6 @@
 /// The servers that a request must have crashed as the only suspect. Another instance's suspect may have been in progress at one of
 /// them by chance, but hardly at both.
 constexpr std::uint32_t CrashesOfGuilty = 2;
-/// A guilty request is tried again, at one server, after this time: the servers may have been mended.
-constexpr Duration GuiltyTime = std::chrono::minutes(10);
 constexpr Duration SuspectTime = std::chrono::seconds(30);
 constexpr std::size_t MaxCases = 2048;
 /// A server that crashed does not answer again so soon.
@@ -55,7 +53,7 @@
 
 bool CrashGuard::isExpired(const Case &suspect, TimePoint now) const
 {
-    return now - suspect.evidenceAt >= (suspect.alone() >= CrashesOfGuilty ? GuiltyTime : SuspectTime);
+    return now - suspect.evidenceAt >= (suspect.alone() >= CrashesOfGuilty ? CrashGuard::GuiltyTime : SuspectTime);
 }
 
 CrashGuard::Verdict CrashGuard::judge(const RequestFingerprint &request, TimePoint now) const
