Hedge a request that may crash servers once its server has been silent for 0.4 s

A suspect, or a request sent to one shard first, waited for a silent server until its deadline, since it was not hedged at all. A server that runs a request which crashes it is gone by then, so silence has another reason.

--- a/packages/routing/include/burdock/routing/requesttrial.h
+++ b/packages/routing/include/burdock/routing/requesttrial.h
@@ -9,8 +9,8 @@
 namespace Burdock
 {
 
-/// Collects how the attempts of one request ended, and decides when they may be sent while it is suspected of crashing servers, or any request may be: one at a
-/// time, until a server has answered it. Shared by the calls of a request to several shards.
+/// Collects how the attempts of one request ended, and decides when they may be sent while it, or any request, is suspected of
+/// crashing servers: one at a time, until a server has answered it. Shared by the calls of a request to several shards.
 class RequestTrial
 {
 public:
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -15,6 +15,9 @@
 constexpr std::uint32_t MaxExtraRefusals = 2;
 /// A hedge is sent no earlier than the expected latency plus itself divided by this, however close the target time is.
 constexpr int EarliestHedgeDivisor = 8;
+/// A request that may crash servers is hedged no earlier than this: a server that runs it would have crashed by then, so it is silent
+/// for another reason.
+constexpr Duration SuspectHedgeDelay = std::chrono::milliseconds(400);
 /// The suggested retry delay if a service has no listed server: lapsed entries are back within two seconds after the store recovers.
 constexpr Duration ListingRetryAfter = std::chrono::milliseconds(1200);
 /// The minimum time before the deadline for another attempt; with less, it cannot be answered in time.
@@ -161,7 +164,7 @@
 void ServiceCall::scheduleHedge(const ChosenServer &chosen)
 {
     context_.runtime.cancel(std::exchange(hedgeTimer_, 0));
-    if (!mayRunAgain() || !trial_->isFree()) {
+    if (!mayRunAgain()) {
         return;
     }
     const TimePoint now = context_.runtime.now();
@@ -171,13 +174,14 @@
     }
     // Hedge when the first attempt is late, but early enough that the second can still meet the target time.
     const Duration latest = std::max(targetTime_ - now - other.expected, chosen.expected + chosen.expected / EarliestHedgeDivisor);
-    hedgeTimer_ = context_.runtime.schedule(std::min(context_.choice.hedgeDelay(*route_, chosen), latest), [this] { sendHedge(); });
+    const Duration usual = std::min(context_.choice.hedgeDelay(*route_, chosen), latest);
+    hedgeTimer_ = context_.runtime.schedule(trial_->isFree() ? usual : std::max(usual, SuspectHedgeDelay), [this] { sendHedge(); });
 }
 
 void ServiceCall::sendHedge()
 {
     hedgeTimer_ = 0;
-    if (!mayRunAgain() || !trial_->isFree() || context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server == nullptr) {
+    if (!mayRunAgain() || context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server == nullptr) {
         return;
     }
     if (!context_.budget.tryAcquire(service_, context_.runtime.now(), RetryReserveFraction)) {
