Log which signal or exception ended a process, and the stack

Callers' requests ended with processes that ended by themselves, and nothing in the log of such a process told an end by a signal from a log that was cut short, nor where it happened.

CrashLog writes one line `ended` from the handler of SIGSEGV, SIGABRT, SIGBUS, SIGFPE and SIGILL: the signal, the address, the text of an uncaught exception, and the stack as offsets within the program and its libraries, which addr2line takes as they are. It uses write, poll, clock_gettime and raise, a stack of its own, and backtrace, which was called once before. The head is written before the stack is read, and nothing is written if the descriptor would block. The signal then takes its previous effect. DecisionLog ends each write with a line, so that the last one never stands within another; burdockd installs the handlers too.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -3,10 +3,12 @@
 #include <burdock/daemon/instance.h>
 #include <burdock/daemon/log.h>
 #include <burdock/daemon/settings.h>
+#include <burdock/wire/crashlog.h>
 
 #include <csignal>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 using namespace Burdock;
 
@@ -36,6 +38,7 @@
 int serve(const Settings &settings)
 {
     initializeLogging(settings.logFormat, settings.logLevel);
+    CrashLog::install(STDERR_FILENO, settings.id.text());
     EventLoop loop;
     const auto incarnation = static_cast<std::uint64_t>(loop.wallNow().time_since_epoch().count());
     Instance instance(loop, settings, incarnation);
--- a/packages/router/src/decisionlog.cpp
+++ b/packages/router/src/decisionlog.cpp
@@ -1,6 +1,5 @@
 #include <burdock/router/decisionlog.h>
 
-#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdio>
@@ -40,6 +39,16 @@
     }
 }
 
+/// The length of the longest piece of whole lines that one write takes; a line that is longer is cut.
+std::size_t pieceLength(std::string_view text)
+{
+    if (text.size() <= MaxWriteBytes) {
+        return text.size();
+    }
+    const std::size_t end = text.rfind('\n', MaxWriteBytes - 1);
+    return end == std::string_view::npos ? MaxWriteBytes : end + 1;
+}
+
 void appendNumber(std::string &line, std::int64_t number)
 {
     std::array<char, 24> digits{};
@@ -118,7 +127,9 @@
         if (poll(&ready, 1, 0) <= 0 || (ready.revents & POLLOUT) == 0) {
             break;
         }
-        const ssize_t written = ::write(descriptor_, buffer_.data() + writtenBytes, std::min(MaxWriteBytes, buffer_.size() - writtenBytes));
+        // Pieces end with a line, because other writers of the descriptor may write between them.
+        const std::string_view left = std::string_view(buffer_).substr(writtenBytes);
+        const ssize_t written = ::write(descriptor_, left.data(), pieceLength(left));
         if (written <= 0) {
             break;
         }
--- a/packages/router/tests/decisionlogtest.cpp
+++ b/packages/router/tests/decisionlogtest.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
+#include <fcntl.h>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <unistd.h>
@@ -17,9 +18,9 @@
 /// A pipe to which a log writes.
 struct LogPipe
 {
-    LogPipe()
+    explicit LogPipe(int flags = 0)
     {
-        REQUIRE(pipe(ends.data()) == 0);
+        REQUIRE(pipe2(ends.data(), flags) == 0);
     }
     ~LogPipe()
     {
@@ -84,3 +85,24 @@
         CHECK_NOTHROW(json::parse(line));
     }
 }
+
+TEST_CASE("Each write ends with a line, so that a last line of the process does not stand within another", "[log]")
+{
+    // With O_DIRECT each read returns what one write wrote.
+    LogPipe logPipe(O_DIRECT);
+    DecisionLog log(logPipe.runtime, logPipe.ends[1], "front-1");
+    constexpr int Lines = 300;
+    for (int number = 0; number < Lines; ++number) {
+        log.write(DecisionPriority::Change, "server.changed", {{"server", std::string(static_cast<std::size_t>(number), 's')}});
+    }
+    log.flush();
+    int read = 0;
+    while (read < Lines) {
+        const std::string piece = logPipe.read();
+        REQUIRE_FALSE(piece.empty());
+        CHECK(piece.back() == '\n');
+        read += static_cast<int>(std::count(piece.begin(), piece.end(), '\n'));
+        log.flush();
+    }
+    CHECK(read == Lines);
+}
--- /dev/null
+++ b/packages/wire/include/burdock/wire/crashlog.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string_view>
+
+namespace Burdock
+{
+
+/// Writes a last log line when the process is ended by a fault of its own: a signal such as SIGSEGV, or an uncaught exception.
+///
+/// The line is a JSON object with the event `ended`: the signal, the address that was accessed, the uncaught exception if there is one,
+/// and the stack as offsets within the program and its shared libraries. It is written only if the descriptor accepts it without
+/// blocking. Afterwards the signal takes its previous effect, so the exit status is that of the signal.
+class CrashLog
+{
+public:
+    /// Installs the handlers for the whole process. The main thread also gets a stack for them, because its own may have overflowed.
+    /// Call it once, after all shared libraries were loaded.
+    static void install(int descriptor, std::string_view instance);
+};
+
+} // namespace Burdock
