Play changes of the configuration in undisturbed service against real processes

Routes, splits and limits change 38 times under 80 clients on four instances, with servers that drain and join. The clients of the process tests pause after a refusal.

--- a/tests/router/faultsprocesstest.cpp
+++ b/tests/router/faultsprocesstest.cpp
@@ -1,6 +1,7 @@
 #include "callers.h"
 #include "routertestbed.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <sys/resource.h>
 
@@ -254,3 +255,59 @@
     CHECK(unconfigured.lost().empty());
     CHECK(callers.late() + unconfigured.late() == 0);
 }
+
+TEST_CASE("Changes of the configuration in undisturbed service end no instance and no request", "[router][faults][churn]")
+{
+    constexpr int WorkMs = 8;
+    Deployment deployment({"i1", "i2", "i3", "i4"}, WorkMs);
+    deployment.start();
+    const auto publish = [&](std::int64_t version) {
+        json config = RouterTestbed::config(version, Shards);
+        // Every part of a configuration changes: routes come and go, limits of connections and of requests rise and fall.
+        json extra = config["routes"][0];
+        extra["name"] = "r-extra" + std::to_string(version);
+        extra["prefix"] = version % 2 == 0 ? "/one/a" : "/extra/";
+        extra["maxAttempts"] = 1 + version % 3;
+        extra.erase("service");
+        extra["trafficSplit"] = json::array({{{"service", "one"}, {"weight", 1 + version % 3}}, {{"service", "two"}, {"weight", 1}}});
+        config["routes"].push_back(extra);
+        if (version % 3 == 0) {
+            config["routes"].erase(config["routes"].begin() + 1);
+        }
+        constexpr std::array<int, 4> Connections{40, 4, 12, 8};
+        for (json &service : config["services"]) {
+            service["maxConnections"] = Connections[static_cast<std::size_t>(version) % Connections.size()];
+        }
+        config["limits"]["idleTimeoutMs"] = version % 2 == 0 ? 1000 : 15000;
+        config["limits"]["maxHeaderBytes"] = version % 2 == 0 ? 4096 : 16384;
+        deployment.bed.control("POST", "/fake/config", config);
+    };
+    std::vector<std::unique_ptr<Callers>> callers;
+    for (const std::string &instance : deployment.instances) {
+        callers.push_back(
+            std::make_unique<Callers>(deployment.bed, instance, instance + "-", 20, std::vector<std::string>{"/one/", "/all/", "/extra/", "/once/", "/none/"}));
+        callers.back()->start();
+    }
+    constexpr int Versions = 40;
+    for (int version = 2; version < Versions; ++version) {
+        publish(version);
+        deployment.pass(std::chrono::milliseconds(150 + version % 5 * 30));
+        const std::string state = version % 4 < 2 ? "draining" : "ready";
+        deployment.bed.control("POST", "/fake/state", {{"id", "s1-a"}, {"state", state}});
+        if (version % 5 == 0) {
+            deployment.bed.addServer("two-" + std::to_string(version), "two", 0, WorkMs);
+        }
+    }
+    std::string summary;
+    for (const auto &each : callers) {
+        each->finish();
+        summary += each->summary() + "; ";
+    }
+    INFO(summary);
+    deployment.checkAllRun();
+    for (const auto &each : callers) {
+        CHECK(each->lost().empty());
+        CHECK(each->late() == 0);
+        CHECK(each->statuses().count(200) == 1);
+    }
+}
--- a/tests/testbed/callers.cpp
+++ b/tests/testbed/callers.cpp
@@ -11,8 +11,9 @@
 
 /// Longer than any route of the testbed takes.
 constexpr Duration RequestTimeout = std::chrono::seconds(5);
-/// After a failure to connect, a client waits for this time.
-constexpr Duration ReconnectDelay = std::chrono::milliseconds(20);
+/// After a failure to connect or a refusal, a client waits for this time.
+constexpr Duration RetryDelay = std::chrono::milliseconds(20);
+constexpr int OkStatus = 200;
 
 } // namespace
 
@@ -73,17 +74,17 @@
     --waiting_;
     if (response) {
         ++statuses_[response->status];
-        send();
-        return;
-    }
-    if (response.error().code == Errc::DeadlineExceeded) {
+        if (response->status == OkStatus) {
+            return send();
+        }
+    } else if (response.error().code == Errc::DeadlineExceeded) {
         ++late_;
     } else if (response.error().verdict == Verdict::NotRun) {
         ++unsent_;
     } else {
         lost_.push_back(id);
     }
-    bed_.loop().schedule(ReconnectDelay, [this] { send(); });
+    bed_.loop().schedule(RetryDelay, [this] { send(); });
 }
 
 int Callers::answered() const
