Send the last answers of a planned stop also if the process is late

Callers of an instance that got no processor time near the end of its planned stop had their connections closed without an answer, though their requests had been read.

The time left was checked once for answering the unfinished requests and once for leaving. A process that came back after both moments wrote the answers and left in the same step, before anything was sent. The last answers now have their own time, which counts from when the end of the stop time was found. Class of fault: a deadline that is compared with the clock twice, where the first comparison may come after the second moment.

faultsprocesstest "An instance that is late in a planned stop ..." stops a process with SIGSTOP over the end of its time: 0 of 6 requests were answered before, 6 of 6 now. The other stops of routerprocesstest hold. Ruled out for this case: the listeners and the clients' connections, which stay open until then.

--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -16,6 +16,7 @@
 #include <burdock/wire/eventloop.h>
 
 #include <memory>
+#include <optional>
 
 namespace Burdock
 {
@@ -123,7 +124,8 @@
     InstanceRole role_ = InstanceRole::Standby;
     const TimePoint startedAt_;
     bool leaving_ = false;
-    bool unfinishedAnswered_ = false;
+    /// Set once the time to stop is over: until when the last responses are sent.
+    std::optional<TimePoint> lastAnswersUntil_;
     TimePoint leavingSince_{};
     std::function<void()> onStopped_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -48,8 +48,9 @@
 constexpr int TtlsBeforeClosing = 3;
 /// The process exits this long before the stop time is over, so that its last responses are still sent.
 constexpr Duration StopMargin = std::chrono::milliseconds(350);
-/// If requests had to be answered unfinished, the process waits until then for their clients to read the answers.
-constexpr Duration LastAnswersMargin = std::chrono::milliseconds(200);
+/// How long the last responses may take to be sent. It counts from when the time was found to be over, which is later than it should be
+/// if the process got no processor time.
+constexpr Duration LastAnswersTime = std::chrono::milliseconds(150);
 /// The interval at which an instance that shuts down checks whether it is idle.
 constexpr Duration IdleCheckInterval = std::chrono::milliseconds(20);
 /// The fraction of the file descriptors for clients' connections; the rest is for servers and the store.
@@ -643,12 +644,15 @@
 
 void Router::stopIfIdle()
 {
-    const Duration left = leavingSince_ + settings_.stopTime - loop_.now();
-    if (left < StopMargin && clients_->requestsInFlight() > 0 && !std::exchange(unfinishedAnswered_, true)) {
-        log_.write(DecisionPriority::Change, "unfinished", {{"requests", static_cast<std::int64_t>(coordinator_.pendingRequests())}});
-        coordinator_.failAll("the instance is stopping, and its time is over");
+    const TimePoint now = loop_.now();
+    if (!lastAnswersUntil_ && leavingSince_ + settings_.stopTime - now < StopMargin) {
+        lastAnswersUntil_ = now + LastAnswersTime;
+        if (clients_->requestsInFlight() > 0) {
+            log_.write(DecisionPriority::Change, "unfinished", {{"requests", static_cast<std::int64_t>(coordinator_.pendingRequests())}});
+            coordinator_.failAll("the instance is stopping, and its time is over");
+        }
     }
-    const bool deadlinePassed = left < (unfinishedAnswered_ ? LastAnswersMargin : StopMargin);
+    const bool deadlinePassed = lastAnswersUntil_ && now >= *lastAnswersUntil_;
     if (deadlinePassed || (clients_->requestsInFlight() == 0 && clients_->openConnections() == 0)) {
         log_.write(DecisionPriority::Change, "stopped", {{"unanswered", static_cast<std::int64_t>(clients_->requestsInFlight())}});
         log_.flush();
--- a/tests/router/faultsprocesstest.cpp
+++ b/tests/router/faultsprocesstest.cpp
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <sys/resource.h>
 
 using namespace Burdock;
@@ -311,3 +312,38 @@
         CHECK(each->statuses().count(200) == 1);
     }
 }
+
+TEST_CASE("An instance that is late in a planned stop still answers the requests that it has read", "[router][faults][stop]")
+{
+    Deployment deployment;
+    deployment.start();
+    deployment.bed.control("POST", "/fake/faults", {{"target", "server"}, {"ids", {"one-a", "one-b"}}, {"conduct", {{"slowFactor", 5000.0}}}});
+    json config = RouterTestbed::config(2, Shards);
+    for (json &route : config["routes"]) {
+        route["timeoutMs"] = 20000;
+    }
+    deployment.bed.control("POST", "/fake/config", config);
+    REQUIRE(deployment.bed.eventually([&] { return deployment.bed.log("i1").find("\"version\":2") != std::string::npos; }));
+    constexpr int Requests = 6;
+    int answers = 0;
+    int others = 0;
+    for (int number = 0; number < Requests; ++number) {
+        HttpRequest request;
+        request.address = deployment.bed.clients("i1");
+        request.method = "GET";
+        request.path = "/once/x";
+        request.headers = {{"host", "shop.example"}, {"Attempt-Id", "t" + std::to_string(number)}, {"Timeout-Remaining", "15000"}};
+        request.timeout = std::chrono::seconds(12);
+        deployment.bed.client().send(std::move(request), [&](const Result<HttpResponse> &answer) { ++(answer ? answers : others); });
+    }
+    deployment.pass(std::chrono::milliseconds(300));
+    deployment.bed.process("i1").signal(SIGTERM);
+    deployment.pass(std::chrono::milliseconds(100));
+    // The process gets no processor time until its time is over.
+    deployment.bed.process("i1").signal(SIGSTOP);
+    deployment.pass(std::chrono::milliseconds(6200));
+    deployment.bed.process("i1").signal(SIGCONT);
+    deployment.bed.eventually([&] { return answers + others == Requests; });
+    CHECK(answers == Requests);
+    CHECK(deployment.bed.process("i1").wait() == 0);
+}
