Destroy the requests of an instance before what their ends report to

At the end of a planned stop the attempts that were still in flight at a server ended after the writer of crash reports was destroyed, and an attempt that made its request a suspect called that writer. Nothing was seen to break: the memory is still there, and no loop runs any more. The coordinator is now declared after all that it reports to. Found by reading; no test can show it.

--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -98,8 +98,6 @@
     CrashGuard crashes_;
     HttpBackends backends_;
     RoutingContext context_;
-    RequestCoordinator coordinator_;
-    ClientEndpoint clientEndpoint_;
     RelayChoice relays_;
     RelayedStore store_;
     InstanceLease lease_;
@@ -107,6 +105,9 @@
     CrashReportWriter crashReports_;
     RoutingFeed feed_;
     ConfigInquiry inquiry_;
+    /// Destroyed before the members above, because requests that end with the process still report to them.
+    RequestCoordinator coordinator_;
+    ClientEndpoint clientEndpoint_;
     std::unique_ptr<HttpServer> clients_;
     std::unique_ptr<HttpServer> readiness_;
     std::unique_ptr<HttpServer> directory_;
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -157,8 +157,6 @@
     , backends_(
           loop, client, dialect.headers(), [this](const ServerEntry &server, const ServerHints &hints) { onServerHints(server, hints); }, log)
     , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, counters_, *journal_}
-    , coordinator_(context_, seed)
-    , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
     , relays_(settings.id)
     , store_(loop, client, store, relays_, dialect.instancesPrefix(), log, firstListingDelay(settings))
     , lease_(
@@ -198,6 +196,8 @@
              [this](std::int64_t history) { onHistoryLost(history); },
              [this](const InstanceId &from, const std::vector<CrashReport> &reports) { onCrashReports(from, reports); }})
     , inquiry_(loop, client, log, {[this](const StoreEntry &config) { feed_.offerConfig(config); }, [this] { updateReadiness(); }})
+    , coordinator_(context_, seed)
+    , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
     , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
     , readiness_(makeHttpServer(loop, internalLimits()))
     , directory_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
