--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -16,6 +16,7 @@
 #include <burdock/wire/eventloop.h>
 
 #include <memory>
+#include <optional>
 
 namespace Burdock
 {
@@ -97,8 +98,6 @@
     CrashGuard crashes_;
     HttpBackends backends_;
     RoutingContext context_;
-    RequestCoordinator coordinator_;
-    ClientEndpoint clientEndpoint_;
     RelayChoice relays_;
     RelayedStore store_;
     InstanceLease lease_;
@@ -106,6 +105,9 @@
     CrashReportWriter crashReports_;
     RoutingFeed feed_;
     ConfigInquiry inquiry_;
+    /// Destroyed before the members above, because requests that end with the process still report to them.
+    RequestCoordinator coordinator_;
+    ClientEndpoint clientEndpoint_;
     std::unique_ptr<HttpServer> clients_;
     std::unique_ptr<HttpServer> readiness_;
     std::unique_ptr<HttpServer> directory_;
@@ -123,7 +125,8 @@
     InstanceRole role_ = InstanceRole::Standby;
     const TimePoint startedAt_;
     bool leaving_ = false;
-    bool unfinishedAnswered_ = false;
+    /// Set once the time to stop is over: until when the last responses are sent.
+    std::optional<TimePoint> lastAnswersUntil_;
     TimePoint leavingSince_{};
     std::function<void()> onStopped_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
