Leave out entries whose keys are outside of the prefix

An answer of the store or of a relay with a key that is shorter than the prefix that was asked for threw std::out_of_range out of the handler of a change, where the key is cut behind the prefix: the process would end by an exception. Listings of servers were safe, as the dialect catches it; changes of servers and of instances' records were not. Not seen at a caller.

The feed now takes entries under the prefix only, for all three prefixes in one place, logs the others as `entry.skipped` and hands none of them on to other instances.

The new test failed before, with the exception in both its sections; it passes with sanitizers.

--- a/packages/router/include/burdock/router/routingfeed.h
+++ b/packages/router/include/burdock/router/routingfeed.h
@@ -111,6 +111,8 @@
     /// Logs the entries of a listing that had been withdrawn or are older than the known ones.
     void logOutdated(const char *dependency, const std::vector<std::string> &keys);
     void onReachability(const char *dependency, const Failure *failure);
+    /// Whether the entry's key begins with the prefix that was asked for; logs the entry if not.
+    bool hasPrefix(const char *dependency, const StoreEntry &entry, const std::string &prefix);
     void logSkipped(const char *dependency, const std::string &key, const std::string &reason);
     bool isDisturbed() const;
 
--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -5,6 +5,7 @@
 #include <burdock/store/storehistory.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Burdock
@@ -54,11 +55,19 @@
 
 StoreFollower::Events RoutingFeed::makeEvents(const char *dependency, const std::string &prefix, ListingHandler onListing, ChangeHandler onChange)
 {
-    return {[this, prefix, onListing](const std::vector<StoreEntry> &entries, std::int64_t revision) {
+    return {[this, dependency, prefix, onListing](const std::vector<StoreEntry> &entries, std::int64_t revision) {
+                std::vector<StoreEntry> asked;
+                std::copy_if(entries.begin(), entries.end(), std::back_inserter(asked), [this, dependency, &prefix](const StoreEntry &entry) {
+                    return hasPrefix(dependency, entry, prefix);
+                });
                 noteHistory(revision);
-                relay_.onListed(prefix, (this->*onListing)(entries), revision);
+                relay_.onListed(prefix, (this->*onListing)(asked), revision);
+            },
+            [this, dependency, prefix, onChange](const StoreEntry &entry) {
+                if (hasPrefix(dependency, entry, prefix)) {
+                    relay_.onChanged(prefix, (this->*onChange)(entry));
+                }
             },
-            [this, prefix, onChange](const StoreEntry &entry) { relay_.onChanged(prefix, (this->*onChange)(entry)); },
             [this, dependency](const Failure *failure) { onReachability(dependency, failure); },
             [this, dependency](std::int64_t revision, std::int64_t known) {
                 log_.write(
@@ -174,6 +183,15 @@
     log_.write(DecisionPriority::Problem, "entry.skipped", {{"kind", dependency}, {"key", key}, {"reason", reason}});
 }
 
+bool RoutingFeed::hasPrefix(const char *dependency, const StoreEntry &entry, const std::string &prefix)
+{
+    if (entry.key.compare(0, prefix.size(), prefix) == 0) {
+        return true;
+    }
+    logSkipped(dependency, entry.key, "the key does not begin with " + prefix);
+    return false;
+}
+
 std::vector<StoreEntry> RoutingFeed::applyConfigs(const std::vector<StoreEntry> &entries)
 {
     std::vector<StoreEntry> served;
--- a/packages/router/tests/routingfeedtest.cpp
+++ b/packages/router/tests/routingfeedtest.cpp
@@ -218,3 +218,36 @@
     CHECK(fixture.usableServers() == 1);
     CHECK(fixture.servers.servers(ServiceName("parts")).front()->id == ServerId("p1"));
 }
+
+TEST_CASE("An entry whose key is outside of the prefix that was asked for is left out and ends no process", "[feed]")
+{
+    FeedFixture fixture;
+    const std::vector<std::string> keys{"", "x", "server", "config/other", "instances"};
+    SECTION("in a listing")
+    {
+        std::vector<StoreEntry> entries{FeedFixture::server("p1", 1), FeedFixture::server("p2", 1)};
+        for (const std::string &key : keys) {
+            entries.push_back(FeedFixture::server("p3", 1));
+            entries.back().key = key;
+        }
+        fixture.restore(2, "7", entries);
+        CHECK(fixture.usableServers() == 2);
+        CHECK(fixture.served("servers/").find("other") == std::string::npos);
+    }
+    SECTION("in a change")
+    {
+        const bool deleted = GENERATE(false, true);
+        for (const auto &[id, watch] : std::map(fixture.store.watches)) {
+            for (const std::string &key : keys) {
+                if (watch.key != "config" || key != "config/other") {
+                    StoreEntry entry = FeedFixture::server("p3", 1);
+                    entry.key = key;
+                    entry.deleted = deleted;
+                    entry.modRevision = StoreHistory::combine(1, ++fixture.revision);
+                    CHECK_NOTHROW(watch.changed(entry));
+                }
+            }
+        }
+        CHECK(fixture.usableServers() == 2);
+    }
+}
