Keep a run until the loop has left it, also if its client leaves

A client that left within its own answer destroyed the run that was giving it. If other calls of the request were waiting to be sent, as they do under an alarm, they were resumed after that: AddressSanitizer reports a heap-use-after-free in ServiceCall::resume, from RequestTrial::resumeWaiting. And `failAll` threw std::out_of_range if an answer ended a request that comes later in its list.

The router does not do either today: its HTTP server tells of a closed connection from the loop only, never while an answer is written, and `failAll` is called from a timer. So this is no cause of the processes that were seen to end; the coordinator relied on it silently.

An answered run is now destroyed in the next iteration of the loop, whoever asks for it, and `failAll` looks again before each answer.

--- a/packages/routing/include/burdock/routing/requestcoordinator.h
+++ b/packages/routing/include/burdock/routing/requestcoordinator.h
@@ -52,6 +52,8 @@
     };
 
     void finish(ServedRequestId id);
+    /// Destroys an answered request's run in the next iteration of the loop, since it may still be on the stack.
+    void removeSoon(ServedRequestId id);
     /// Gives the request its answer.
     void answer(ServedRequestId id, ClientAnswer answer);
     std::unique_ptr<RequestRun> makeRun(const RunTerms &terms);
--- a/packages/routing/src/requestcoordinator.cpp
+++ b/packages/routing/src/requestcoordinator.cpp
@@ -121,6 +121,11 @@
         }
     }
     for (const ServedRequestId id : unanswered) {
+        // The answers before it may have ended this one.
+        const auto found = entries_.find(id);
+        if (found == entries_.end() || found->second.answered) {
+            continue;
+        }
         ClientAnswer failure;
         failure.kind = ClientAnswer::Kind::Failed;
         failure.status = AnswerStatus::BadGateway;
@@ -147,14 +152,21 @@
     if (found == entries_.end()) {
         return;
     }
-    if (!found->second.answered) {
-        --pending_;
-        ++context_.counters.clientsGone;
+    if (found->second.answered) {
+        return removeSoon(id);
     }
-    context_.runtime.cancel(found->second.removal);
+    --pending_;
+    ++context_.counters.clientsGone;
     entries_.erase(found);
 }
 
+void RequestCoordinator::removeSoon(ServedRequestId id)
+{
+    Entry &entry = entries_.at(id);
+    context_.runtime.cancel(entry.removal);
+    entry.removal = context_.runtime.schedule(Duration{0}, [this, id] { entries_.erase(id); });
+}
+
 std::size_t RequestCoordinator::pendingRequests() const
 {
     return pending_;
