Bound the waits and ages that other instances state

A wait or an age near the greatest number overflowed when its milliseconds became microseconds: undefined, and the end of a process with sanitizers. Without them the age of a relay's data came out as any value, also one that makes old data count as fresh.

A wait is reduced before it is converted. An age beyond a hundred years counts as not stated.

--- a/packages/router/src/relayedstore.cpp
+++ b/packages/router/src/relayedstore.cpp
@@ -35,6 +35,9 @@
 /// The interval at which an instance without a relay that may not use the store yet tries again.
 constexpr Duration UnavailableRetryInterval = std::chrono::milliseconds(150);
 
+/// No machine runs for longer; greater values would overflow where they are added to times.
+constexpr std::int64_t MaxAgeMs = std::chrono::milliseconds(std::chrono::hours(24 * 365 * 100)).count();
+
 /// Returns the age that the relay's data had when the request arrived there, or nothing if the response does not state it. It is
 /// negative if the data are complete until later.
 std::optional<Duration> ageOf(const HttpResponse &response)
@@ -46,7 +49,7 @@
     std::int64_t age = 0;
     const std::string &text = header->second;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), age);
-    const bool valid = error == std::errc() && end == text.data() + text.size();
+    const bool valid = error == std::errc() && end == text.data() + text.size() && age >= -MaxAgeMs && age <= MaxAgeMs;
     return valid ? std::optional<Duration>(std::chrono::milliseconds(age)) : std::nullopt;
 }
 
--- a/packages/router/src/relayservice.cpp
+++ b/packages/router/src/relayservice.cpp
@@ -164,7 +164,7 @@
     if (!answerLater && tryAnswer(poll, false)) {
         return;
     }
-    const Duration wait = std::min<Duration>(std::chrono::milliseconds(*waitMs), MaxPollWait);
+    const Duration wait = std::chrono::milliseconds(std::min<std::int64_t>(*waitMs, MaxPollWait / std::chrono::milliseconds(1)));
     const auto position = polls_.insert(polls_.end(), std::move(poll));
     position->timer = runtime_.schedule(wait, [this, position] {
         tryAnswer(*position, true);
--- a/packages/router/tests/relaytest.cpp
+++ b/packages/router/tests/relaytest.cpp
@@ -173,6 +173,30 @@
     }
 }
 
+TEST_CASE("A wait or an age near the greatest number overflows no duration", "[relay][overflow]")
+{
+    SECTION("the wait of a poll")
+    {
+        RelayServiceFixture fixture;
+        fixture.service.onListed("servers/", {}, 10);
+        const auto answer = fixture.poll("10", "9223372036854775807");
+        CHECK(answer->status == 0);
+        fixture.runtime.advance(seconds(1));
+        CHECK(answer->status == 0);
+    }
+    SECTION("the age that a relay states")
+    {
+        const std::string age = GENERATE("9223372036854775807", "-9223372036854775808", "9223372036854775", "-9223372036854775");
+        RelayedStoreFixture fixture;
+        fixture.watch(10);
+        REQUIRE(fixture.client.calls.size() == 1);
+        const TimePoint before = fixture.store.completeUntil();
+        fixture.client.answer(HttpResponse{200, {{RelayService::AgeHeader, age}}, writeChanges({Change})});
+        CHECK(fixture.received == std::vector<std::string>{"servers/p1"});
+        CHECK(fixture.store.completeUntil() == before);
+    }
+}
+
 TEST_CASE("A relay hands on all changes of one revision, also to a poll that waits", "[relay][samerevision]")
 {
     RelayServiceFixture fixture;
