Refuse crash reports whose time no clock shows

Crash reports come from the store and from other instances. A time near the greatest number overflowed when it became microseconds: undefined, and the end of a process with sanitizers. Without them, reports of any age could count as recent.

A time before 1970 or after the year 9999 makes the reports malformed, which is logged, as for other faults in them.

The new test failed before (signed integer overflow in std::chrono); it passes with sanitizers.

--- a/packages/router/src/crashreportcodec.cpp
+++ b/packages/router/src/crashreportcodec.cpp
@@ -2,11 +2,22 @@
 
 #include <burdock/wire/json.h>
 
+#include <cstdint>
+#include <string>
+
 namespace Burdock
 {
 
 using Json = nlohmann::json;
 
+namespace
+{
+
+/// The end of the year 9999; greater values would overflow where times are subtracted.
+constexpr std::int64_t MaxWallMs = 253402300799999;
+
+} // namespace
+
 std::string writeCrashReports(const std::vector<CrashReport> &reports, WallTime at)
 {
     Json list = Json::array();
@@ -25,7 +36,11 @@
     }
     try {
         std::vector<CrashReport> reports;
-        const WallTime at{std::chrono::milliseconds(parsed->at("atMs").get<std::int64_t>())};
+        const auto atMs = parsed->at("atMs").get<std::int64_t>();
+        if (atMs < 0 || atMs > MaxWallMs) {
+            return notRun(Errc::BadRequest, "no crash reports: the time " + std::to_string(atMs) + " is out of range");
+        }
+        const WallTime at{std::chrono::milliseconds(atMs)};
         if (now - at >= CrashGuard::GuiltyTime) {
             return reports;
         }
--- a/packages/router/tests/crashreportwritertest.cpp
+++ b/packages/router/tests/crashreportwritertest.cpp
@@ -128,6 +128,15 @@
     CHECK(readCrashReports(writeCrashReports(many, now), now)->size() == CrashGuard::MaxShared);
 }
 
+TEST_CASE("Crash reports of a time that no clock shows are refused and overflow no duration", "[crashreports][overflow]")
+{
+    const WallTime now{std::chrono::hours(24)};
+    for (const char *at : {"9223372036854775807", "-9223372036854775808", "9223372036854775", "-1"}) {
+        INFO(at);
+        CHECK_FALSE(readCrashReports(std::string(R"({"atMs":)") + at + R"(,"reports":[]})", now));
+    }
+}
+
 TEST_CASE("Crash reports of long ago, which a starting instance finds in the store, make no request guilty", "[crashreports]")
 {
     const WallTime now{std::chrono::hours(1000)};
