Log a fatal error of libevent as the end of the process

It now ends with SIGABRT and an `ended` line with the stack. wiretest "a fatal error of libevent leaves a line" found no line and no signal before.

--- a/packages/wire/include/burdock/wire/crashlog.h
+++ b/packages/wire/include/burdock/wire/crashlog.h
@@ -5,7 +5,8 @@
 namespace Burdock
 {
 
-/// Writes a last log line when the process is ended by a fault of its own: a signal such as SIGSEGV, or an uncaught exception.
+/// Writes a last log line when the process is ended by a fault of its own: a signal such as SIGSEGV, an uncaught exception, or a fatal
+/// error of libevent.
 ///
 /// The line is a JSON object with the event `ended`: the signal, the address that was accessed, the uncaught exception if there is one,
 /// and the stack as offsets within the program and its shared libraries. It is written only if the descriptor accepts it without
--- a/packages/wire/src/crashlog.cpp
+++ b/packages/wire/src/crashlog.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <ctime>
+#include <event2/event.h>
 #include <exception>
 #include <execinfo.h>
 #include <link.h>
@@ -240,6 +241,13 @@
     std::abort();
 }
 
+/// libevent would exit with status 1.
+void onLibraryFailed(int)
+{
+    state().exception.add("a fatal error of libevent, which standard error names");
+    std::abort();
+}
+
 } // namespace
 
 void CrashLog::install(int descriptor, std::string_view instance)
@@ -265,6 +273,7 @@
         sigaction(FatalSignals[index].number, &action, &crash.previous[index]);
     }
     std::set_terminate(&onTerminate);
+    event_set_fatal_callback(&onLibraryFailed);
 }
 
 } // namespace Burdock
--- a/packages/wire/tests/crashlogtest.cpp
+++ b/packages/wire/tests/crashlogtest.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <event2/event.h>
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -119,3 +120,15 @@
     CHECK(ending.signal == SIGABRT);
     CHECK(ending.log == std::string(PipeBytes, 'x'));
 }
+
+TEST_CASE("a fatal error of libevent leaves a line", "[crashlog]")
+{
+    const Ending ending = endingOf([] {
+        // Allowed once.
+        event_enable_debug_mode();
+        event_enable_debug_mode();
+    });
+    INFO(ending.log);
+    CHECK(ending.signal == SIGABRT);
+    CHECK(json::parse(ending.log).at("exception").get<std::string>().find("libevent") != std::string::npos);
+}
