--- a/packages/router/src/decisionlog.cpp
+++ b/packages/router/src/decisionlog.cpp
@@ -1,5 +1,7 @@
 #include <burdock/router/decisionlog.h>
 
+#include <burdock/wire/crashlog.h>
+
 #include <array>
 #include <charconv>
 #include <cstdio>
@@ -63,10 +65,12 @@
     , descriptor_(descriptor)
     , instance_(std::move(instance))
 {
+    CrashLog::setWaiting(&buffer_);
 }
 
 DecisionLog::~DecisionLog()
 {
+    CrashLog::setWaiting(nullptr);
     runtime_.cancel(timer_);
     flush();
 }
--- a/packages/wire/include/burdock/wire/crashlog.h
+++ b/packages/wire/include/burdock/wire/crashlog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string>
 #include <string_view>
 
 namespace Burdock
@@ -17,6 +18,9 @@
     /// Installs the handlers for the whole process. The main thread also gets a stack for them, because its own may have overflowed.
     /// Call it once, after all shared libraries were loaded.
     static void install(int descriptor, std::string_view instance);
+
+    /// Sets the lines that wait to be written to the same descriptor; they follow the last line. Null if there are none any more.
+    static void setWaiting(const std::string *lines);
 };
 
 } // namespace Burdock
--- a/packages/wire/src/crashlog.cpp
+++ b/packages/wire/src/crashlog.cpp
@@ -13,6 +13,7 @@
 #include <execinfo.h>
 #include <link.h>
 #include <poll.h>
+#include <string>
 #include <unistd.h>
 
 namespace Burdock
@@ -112,6 +113,7 @@
     FixedText<MaxTextBytes> exception;
     std::array<Module, MaxModules> modules;
     std::size_t moduleCount = 0;
+    const std::string *waiting = nullptr;
     std::array<struct sigaction, FatalSignals.size()> previous{};
     std::array<char, HandlerStackBytes> stack{};
 };
@@ -179,12 +181,16 @@
     return static_cast<std::uint64_t>(time.tv_sec) * MillisecondsPerSecond + static_cast<std::uint64_t>(time.tv_nsec) / NanosecondsPerMillisecond;
 }
 
+/// Writes in pieces that the descriptor accepts without blocking; what it does not accept is dropped.
 void writeWithoutBlocking(std::string_view text)
 {
     pollfd ready{state().descriptor, POLLOUT, 0};
-    if (poll(&ready, 1, 0) > 0 && (ready.revents & POLLOUT) != 0) {
-        const ssize_t ignored = write(state().descriptor, text.data(), text.size());
-        static_cast<void>(ignored);
+    while (!text.empty() && poll(&ready, 1, 0) > 0 && (ready.revents & POLLOUT) != 0) {
+        const ssize_t written = write(state().descriptor, text.data(), std::min(text.size(), MaxLineBytes));
+        if (written <= 0) {
+            return;
+        }
+        text.remove_prefix(static_cast<std::size_t>(written));
     }
 }
 
@@ -220,6 +226,10 @@
     addStack(stack);
     stack.add("]}\n");
     writeWithoutBlocking(stack.text());
+    // Last, because the text may be in the middle of a change.
+    if (state().waiting != nullptr) {
+        writeWithoutBlocking(*state().waiting);
+    }
     errno = error;
     // Takes effect when this handler returns, because the signal is blocked until then.
     raise(number);
@@ -276,4 +286,9 @@
     event_set_fatal_callback(&onLibraryFailed);
 }
 
+void CrashLog::setWaiting(const std::string *lines)
+{
+    state().waiting = lines;
+}
+
 } // namespace Burdock
--- a/tests/router/endedprocesstest.cpp
+++ b/tests/router/endedprocesstest.cpp
@@ -42,12 +42,18 @@
     bed.control("POST", "/fake/config", RouterTestbed::config(1, {}));
     bed.startInstance("i1");
     REQUIRE(bed.waitUntilReady("i1"));
+    // Its line still waits when the signal comes.
+    CHECK(bed.sendRequest("i1", "/none", "latest"));
     bed.process("i1").signal(number);
     constexpr int SignalExitBase = 128;
     CHECK(bed.process("i1").wait() == SignalExitBase + number);
     const json line = lastLineOf(bed.log("i1"), "ended");
     INFO(line.dump());
     REQUIRE(line.is_object());
+    const json latest = lastLineOf(bed.log("i1"), "request.answered");
+    INFO(latest.dump());
+    REQUIRE(latest.is_object());
+    CHECK(latest.value("request", "") == "latest");
     CHECK(line.at("instance") == "i1");
     CHECK(line.at("signal") == number);
     CHECK(line.at("name") == name);
