Count accepts that failed, and clients' connections that were closed, in the metrics and the state lines

An instance without descriptors accepts nothing for a tenth of a second at a time and said so nowhere; nor did it count connections over its limit, slow ones that it closed, and answers whose clients were gone. Four counters of the clients' endpoint are now in the metrics and, with the others, in the log every 15 s. faultsprocesstest "Clients that use up the descriptors ..." found no such metric before. No process ends and no request that was read is lost in that state: the listener pauses for 100 ms after a failure, so there is no busy loop either.

--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -674,6 +674,11 @@
     counter("burdock_refused_by_servers_total", "Requests that a server did not run.", &counters_.refusedByServers);
     counter("burdock_refused_as_guilty_total", "Requests that are known to crash servers, refused at once.", &counters_.refusedAsGuilty);
     counter("burdock_failed_at_servers_total", "Requests that failed and may have run.", &counters_.failedAtServers);
+    const HttpServerCounters &clients = clients_->counters();
+    counter("burdock_connections_refused_total", "Clients' connections that were closed at once, since there were too many.", &clients.refusedConnections);
+    counter("burdock_accepts_failed_total", "Attempts to accept clients' connections that failed, as for lack of descriptors.", &clients.failedAccepts);
+    counter("burdock_connections_timed_out_total", "Clients' connections that were closed since they sent or read too slowly.", &clients.timedOut);
+    counter("burdock_answers_dropped_total", "Answers whose clients had closed their connections.", &clients.droppedAnswers);
     metrics_.addValue("burdock_loop_delay_microseconds", "gauge", "How late the loop gets to its work, smoothed over a second.", [this] {
         return static_cast<double>(loopDelay_.smoothed().count());
     });
--- a/packages/wire/include/burdock/wire/httpserver.h
+++ b/packages/wire/include/burdock/wire/httpserver.h
@@ -76,6 +76,8 @@
     std::uint64_t tooLarge = 0;
     std::uint64_t timedOut = 0;
     std::uint64_t droppedAnswers = 0;
+    /// Attempts to accept connections that failed, as for lack of descriptors. The connections wait in the kernel.
+    std::uint64_t failedAccepts = 0;
 };
 
 /// An HTTP/1.1 server on the process's event loop. Pipelined requests are answered in order.
--- a/packages/wire/src/eventhttpserver.cpp
+++ b/packages/wire/src/eventhttpserver.cpp
@@ -26,7 +26,8 @@
 public:
     EventHttpServer(EventLoop &loop, const HttpServerLimits &limits)
         : context_(loop, limits)
-        , listener_(std::make_unique<Listener>(loop, [this](int socket) { accept(socket); }))
+        , listener_(std::make_unique<Listener>(
+              loop, [this](int socket) { accept(socket); }, [this] { ++context_.counters->failedAccepts; }))
         , sweepInterval_(std::clamp(std::min(limits.requestTime, limits.idleTime) / SweepsPerLimit, MinSweepInterval, MaxSweepInterval))
     {
         sweep();
--- a/packages/wire/src/internal/listener.h
+++ b/packages/wire/src/internal/listener.h
@@ -18,7 +18,9 @@
     /// Called for each accepted socket, whose ownership it takes.
     using Handler = std::function<void(int socket)>;
 
-    Listener(EventLoop &loop, Handler handler);
+    /// `onFailed` is called for each attempt to accept that failed; it is tried again after a pause.
+    Listener(
+        EventLoop &loop, Handler handler, std::function<void()> onFailed = [] {});
     ~Listener();
     Listener(const Listener &) = delete;
     Listener &operator=(const Listener &) = delete;
@@ -33,6 +35,7 @@
 
     EventLoop &loop_;
     Handler handler_;
+    std::function<void()> onFailed_;
     evconnlistener *listener_ = nullptr;
     TimerId retryTimer_ = 0;
 };
--- a/packages/wire/src/listener.cpp
+++ b/packages/wire/src/listener.cpp
@@ -18,9 +18,10 @@
 
 } // namespace
 
-Listener::Listener(EventLoop &loop, Handler handler)
+Listener::Listener(EventLoop &loop, Handler handler, std::function<void()> onFailed)
     : loop_(loop)
     , handler_(std::move(handler))
+    , onFailed_(std::move(onFailed))
 {
 }
 
@@ -56,6 +57,7 @@
 void Listener::onError(evconnlistener *listener, void *context)
 {
     auto *self = static_cast<Listener *>(context);
+    self->onFailed_();
     evconnlistener_disable(listener);
     self->loop_.cancel(self->retryTimer_);
     self->retryTimer_ = self->loop_.schedule(AcceptRetryDelay, [self] { evconnlistener_enable(self->listener_); });
--- a/tests/router/faultsprocesstest.cpp
+++ b/tests/router/faultsprocesstest.cpp
@@ -153,6 +153,10 @@
     CHECK(callers.answered() > 0);
     // The descriptors are free again.
     CHECK(deployment.bed.eventually([&] { return deployment.bed.sendRequest("i1", "/one/after", "after").has_value(); }));
+    const auto metrics = deployment.bed.call(deployment.bed.peers("i1"), "GET", "/metrics");
+    REQUIRE(metrics);
+    CHECK(metrics->body.find("\nburdock_accepts_failed_total ") != std::string::npos);
+    CHECK(metrics->body.find("\nburdock_accepts_failed_total 0\n") == std::string::npos);
 }
 
 TEST_CASE("A configuration that drops routes, services and all servers of one ends no request in progress", "[router][faults][drop]")
