--- a/packages/wire/include/burdock/wire/crashlog.h
+++ b/packages/wire/include/burdock/wire/crashlog.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <string>
 #include <string_view>
 
 namespace Burdock
 {
 
-/// Writes a last log line when the process is ended by a fault of its own: a signal such as SIGSEGV, or an uncaught exception.
+/// Writes a last log line when the process is ended by a fault of its own: a signal such as SIGSEGV, an uncaught exception, or a fatal
+/// error of libevent.
 ///
 /// The line is a JSON object with the event `ended`: the signal, the address that was accessed, the uncaught exception if there is one,
 /// and the stack as offsets within the program and its shared libraries. It is written only if the descriptor accepts it without
@@ -16,6 +18,9 @@
     /// Installs the handlers for the whole process. The main thread also gets a stack for them, because its own may have overflowed.
     /// Call it once, after all shared libraries were loaded.
     static void install(int descriptor, std::string_view instance);
+
+    /// Sets the lines that wait to be written to the same descriptor; they follow the last line. Null if there are none any more.
+    static void setWaiting(const std::string *lines);
 };
 
 } // namespace Burdock
