Fail tests whose instances end by themselves at any moment

A process that ended by itself was seen by the soak only if it was not being stopped just then, and by a process test only if the test asked for it afterwards. A sanitizer's report on the way out, or in an instance that a test no longer looked at, went unnoticed.

Each child process now remembers which signals it was sent. An end with an exit code other than 0 counts as one by itself, except by a SIGINT, SIGTERM or SIGKILL that was sent to it.

--- a/soak/src/soakchecks.cpp
+++ b/soak/src/soakchecks.cpp
@@ -220,9 +220,12 @@
 
 void SoakChecks::checkRunning()
 {
+    for (const std::string &end : world_.testbed().takeFaultyEnds()) {
+        addViolation("no end by itself", end);
+    }
     for (const std::string &instance : world_.instances()) {
         if (restarting_.count(instance) == 0 && !world_.testbed().process(instance).isRunning()) {
-            addViolation("no end by itself", instance + " exited with code " + std::to_string(world_.testbed().process(instance).wait()));
+            addViolation("no end by itself", instance + " is not running and was not stopped");
             restarting_.insert(instance);
         }
     }
@@ -272,6 +275,7 @@
         }
     }
     checkBudget();
+    checkRunning();
 }
 
 void SoakChecks::checkBudget()
--- a/tests/testbed/childprocess.cpp
+++ b/tests/testbed/childprocess.cpp
@@ -84,13 +84,27 @@
     return text + buffer_;
 }
 
-void ChildProcess::signal(int number) const
+void ChildProcess::signal(int number)
 {
     if (pid_ > 0 && exitCode_ < 0) {
+        sentSignals_.insert(number);
         ::kill(pid_, number);
     }
 }
 
+std::string ChildProcess::faultyEnd()
+{
+    if (isRunning() || exitCode_ == 0) {
+        return {};
+    }
+    for (const int asked : {SIGINT, SIGTERM, SIGKILL}) {
+        if (exitCode_ == SignalExitBase + asked && sentSignals_.count(asked) > 0) {
+            return {};
+        }
+    }
+    return "exited with code " + std::to_string(exitCode_);
+}
+
 int ChildProcess::wait()
 {
     int status = 0;
--- a/tests/testbed/childprocess.h
+++ b/tests/testbed/childprocess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -25,11 +26,15 @@
     std::string readAll();
 
     /// Sends a signal to this process, not to its group; does nothing once the process was reaped.
-    void signal(int number) const;
+    void signal(int number);
 
     /// Waits for the process to exit; returns its exit code, or 128 plus the number of the signal that killed it.
     int wait();
 
+    /// Describes how the process ended, if it ended by itself: neither with exit code 0 nor by a SIGINT, SIGTERM or SIGKILL that was sent
+    /// to it. Empty otherwise, and while it runs.
+    std::string faultyEnd();
+
     pid_t pid() const
     {
         return pid_;
@@ -42,6 +47,7 @@
     pid_t pid_ = -1;
     int output_ = -1;
     int exitCode_ = -1;
+    std::set<int> sentSignals_;
     std::string buffer_;
 };
 
--- a/tests/testbed/routertestbed.cpp
+++ b/tests/testbed/routertestbed.cpp
@@ -1,9 +1,13 @@
 #include "routertestbed.h"
 
+#include <cstdlib>
+#include <exception>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 #include <stdexcept>
 #include <unistd.h>
+#include <utility>
 
 namespace Burdock
 {
@@ -58,10 +62,35 @@
 
 RouterTestbed::~RouterTestbed()
 {
+    const std::vector<std::string> ends = takeFaultyEnds();
     instances_.clear();
     platform_.reset();
     std::error_code ignored;
     std::filesystem::remove_all(folder_, ignored);
+    for (const std::string &end : ends) {
+        std::cerr << "ended by itself: " << end << std::endl;
+    }
+    // A test that has failed already reports more than an abort.
+    if (!ends.empty() && std::uncaught_exceptions() == 0) {
+        std::abort();
+    }
+}
+
+void RouterTestbed::noteEnd(const std::string &id)
+{
+    const auto instance = instances_.find(id);
+    const std::string end = instance == instances_.end() ? std::string() : instance->second->faultyEnd();
+    if (!end.empty() && reportedEnds_.insert(id).second) {
+        faultyEnds_.push_back(id + " " + end);
+    }
+}
+
+std::vector<std::string> RouterTestbed::takeFaultyEnds()
+{
+    for (const auto &[id, instance] : instances_) {
+        noteEnd(id);
+    }
+    return std::exchange(faultyEnds_, {});
 }
 
 Json RouterTestbed::control(const std::string &method, const std::string &path, const Json &body)
@@ -112,6 +141,8 @@
 void RouterTestbed::startInstance(const std::string &id, const std::string &letter, const std::string &storeAddress)
 {
     hosts_.try_emplace(id, static_cast<int>(hosts_.size()) + 1);
+    noteEnd(id);
+    reportedEnds_.erase(id);
     instances_.erase(id);
     const std::vector<std::string> arguments{"--settings", writeSettings(id, letter, storeAddress)};
     instances_[id] = std::make_unique<ChildProcess>(BURDOCK_ROUTER, arguments, (folder_ / (id + ".log")).string());
--- a/tests/testbed/routertestbed.h
+++ b/tests/testbed/routertestbed.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,10 @@
     bool eventually(const std::function<bool()> &condition, Duration timeout = std::chrono::seconds(10));
 
     ChildProcess &process(const std::string &id);
+
+    /// Returns the instances that ended by themselves since the last call, as after a crash or a sanitizer's report. If there are any of
+    /// which nobody has asked, the destructor ends the test with SIGABRT.
+    std::vector<std::string> takeFaultyEnds();
     ChildProcess &platform();
     Address clients(const std::string &id) const;
     Address directory(const std::string &id) const;
@@ -87,6 +92,7 @@
     static nlohmann::json config(std::int64_t version, const std::vector<std::string> &shards);
 
 private:
+    void noteEnd(const std::string &id);
     static Result<HttpResponse> wait(EventLoop &loop, HttpClient &client, HttpRequest request);
     std::string host(const std::string &id) const;
     std::string writeSettings(const std::string &id, const std::string &letter, const std::string &storeAddress);
@@ -102,6 +108,8 @@
     Address control_;
     std::map<std::string, int> hosts_;
     std::map<std::string, std::unique_ptr<ChildProcess>> instances_;
+    std::set<std::string> reportedEnds_;
+    std::vector<std::string> faultyEnds_;
 };
 
 } // namespace Burdock
