--- a/tests/router/routerprocesstest.cpp
+++ b/tests/router/routerprocesstest.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <csignal>
+#include <filesystem>
 
 using namespace Burdock;
 using nlohmann::json;
@@ -56,6 +58,25 @@
     RouterTestbed bed;
 };
 
+/// Waits until the process has an event loop, as its epoll descriptor shows; returns false if it ends before or after some seconds.
+bool waitUntilLoopExists(ChildProcess &process)
+{
+    constexpr auto Timeout = std::chrono::seconds(10);
+    const auto isEpoll = [](const std::filesystem::directory_entry &descriptor) {
+        std::error_code closed;
+        return std::filesystem::read_symlink(descriptor.path(), closed).string().find("eventpoll") != std::string::npos;
+    };
+    const auto end = std::chrono::steady_clock::now() + Timeout;
+    while (std::chrono::steady_clock::now() < end && process.isRunning()) {
+        std::error_code ended;
+        const std::filesystem::directory_iterator descriptors("/proc/" + std::to_string(process.pid()) + "/fd", ended);
+        if (std::any_of(begin(descriptors), std::filesystem::directory_iterator(), isEpoll)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::string greatestRecords(const std::string &target, std::size_t limit)
 {
     std::vector<std::string> records;
@@ -354,6 +375,29 @@
     }
 }
 
+TEST_CASE("A signal to reload or to stop that comes while an instance starts is not lost and ends it by no default action", "[router][start]")
+{
+    Deployment deployment;
+    const int signal = GENERATE(SIGHUP, SIGTERM);
+    const int starts = signal == SIGHUP ? 20 : 4;
+    for (int start = 0; start < starts; ++start) {
+        const std::string id = "early" + std::to_string(start);
+        deployment.bed.startInstance(id);
+        ChildProcess &process = deployment.bed.process(id);
+        REQUIRE(waitUntilLoopExists(process));
+        process.signal(signal);
+        if (signal == SIGTERM) {
+            REQUIRE(process.wait() == 0);
+            continue;
+        }
+        REQUIRE(deployment.bed.waitUntilReady(id));
+        REQUIRE(process.isRunning());
+        REQUIRE(deployment.bed.eventually([&] { return deployment.bed.log(id).find("settings.reloaded") != std::string::npos; }));
+        process.signal(SIGKILL);
+        process.wait();
+    }
+}
+
 TEST_CASE("A graceful shutdown completes the requests in flight", "[router][stop]")
 {
     Deployment deployment;
