Fake platform: cut instances off from all servers

An instance whose connections to servers hang, are reset, live on while new ones are refused, or are cut one way could not be played by tests: all processes connect from 127.0.0.1, so a fake server cannot tell the instances apart, and an accepting server cannot refuse one of its clients.

The testbed now preloads a small library into each instance. It binds connections to servers to the instance's own loopback address, lets the kernel refuse them, or drops the packets that answer them (a filter on the socket), so that nothing was sent when a connection does not come about. Open connections are held, lost, held one way or reset by the fake servers, by the client's address. Looking up each connection's process in /proc was weighed: new connections would have been accepted and then reset, after a request may have been written.

Not played: packets of an open connection that are lost in one direction only for a while.

--- a/packages/fakes/include/burdock/fakes/fakehttpserver.h
+++ b/packages/fakes/include/burdock/fakes/fakehttpserver.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <burdock/fakes/fakeresponder.h>
+#include <burdock/fakes/faults.h>
 #include <burdock/values/address.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <string>
 
 struct event_base;
 
@@ -32,6 +35,9 @@
     /// Sets the maximum number of connections; further ones are closed immediately.
     void setConnectionLimit(std::uint32_t connections);
 
+    /// Replaces the cuts, by the clients' IP addresses.
+    void setLinkCuts(const std::map<std::string, LinkCut> &cuts);
+
     std::uint32_t openConnections() const;
     std::uint32_t peakConnections() const;
     std::uint64_t refusedConnections() const;
--- a/packages/fakes/include/burdock/fakes/fakeplatform.h
+++ b/packages/fakes/include/burdock/fakes/fakeplatform.h
@@ -65,6 +65,9 @@
     /// Rewrites the entry of a server with a new state; `removed` deletes the entry.
     void setState(const std::string &id, const std::string &state);
 
+    /// Cuts the connections from clients' IP addresses to all servers, present and future; `None` ends a cut.
+    void cutLinks(const std::vector<std::string> &clients, LinkCut cut);
+
     /// Writes the operator's configuration.
     void setConfig(const std::string &value);
 
@@ -103,6 +106,7 @@
     std::unique_ptr<FakePort> storePort_;
     std::unique_ptr<FakePort> controlPort_;
     std::map<std::string, FakeRoutedPort> servers_;
+    std::map<std::string, LinkCut> linkCuts_;
     std::uint64_t seed_ = 0;
     std::string config_;
     std::optional<StoreState::Copy> copy_;
--- a/packages/fakes/include/burdock/fakes/faults.h
+++ b/packages/fakes/include/burdock/fakes/faults.h
@@ -31,6 +31,21 @@
     Hang,
 };
 
+/// How the connections from one client address are cut, while other clients are served.
+enum class LinkCut {
+    None,
+    /// Nothing is read or sent; both go on when the cut ends.
+    Hang,
+    /// What arrives is discarded and nothing is sent, on these connections also after the cut.
+    Lose,
+    /// Requests are read and executed; the responses are held until the cut ends.
+    OneWay,
+    /// Open connections and new ones are reset.
+    Reset,
+    /// Open connections work; new ones are reset.
+    RefuseNew,
+};
+
 /// Transport faults of a fake. `path`, `every` and `times` select the requests that `error` and `delivery` apply to.
 struct TransportFaults
 {
--- a/packages/fakes/src/fakehttpserver.cpp
+++ b/packages/fakes/src/fakehttpserver.cpp
@@ -1,12 +1,15 @@
 #include <burdock/fakes/fakehttpserver.h>
 
 #include <algorithm>
+#include <arpa/inet.h>
+#include <array>
 #include <cctype>
 #include <evhtp/evhtp.h>
 #include <map>
 #include <netinet/in.h>
 #include <set>
 #include <sys/socket.h>
+#include <utility>
 
 namespace Burdock
 {
@@ -92,6 +95,23 @@
     return result;
 }
 
+std::string clientOf(const evhtp_connection_t *connection)
+{
+    std::array<char, INET6_ADDRSTRLEN> text{};
+    const auto *const any = connection->saddr;
+    const void *const ip = any->sa_family == AF_INET6 ? static_cast<const void *>(&reinterpret_cast<const sockaddr_in6 *>(any)->sin6_addr)
+                                                      : &reinterpret_cast<const sockaddr_in *>(any)->sin_addr;
+    inet_ntop(any->sa_family, ip, text.data(), text.size());
+    return text.data();
+}
+
+/// Makes closing a socket reset its connection.
+void resetOnClose(evutil_socket_t socket)
+{
+    const linger abort{1, 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+}
+
 /// Responds to an evhtp request; drops its pointer to the request when evhtp frees it.
 class EvhtpResponder final : public FakeResponder, public std::enable_shared_from_this<EvhtpResponder>
 {
@@ -295,6 +315,20 @@
         }
     }
 
+    void setLinkCuts(const std::map<std::string, LinkCut> &cuts)
+    {
+        const auto earlier = std::exchange(cuts_, cuts);
+        const auto open = connections_;
+        for (evhtp_connection_t *connection : open) {
+            const auto before = earlier.find(clientOf(connection));
+            const LinkCut cut = cutOf(connection);
+            if (before != earlier.end() && before->second != cut && lost_.count(connection) == 0) {
+                bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
+            }
+            apply(cut, connection);
+        }
+    }
+
     Address address_;
     std::uint32_t limit_ = DefaultConnections;
     std::uint64_t refused_ = 0;
@@ -311,9 +345,55 @@
                                              : ntohs(reinterpret_cast<sockaddr_in *>(&storage)->sin_port);
     }
 
-    static evhtp_res onPreAccept(evhtp_connection_t *, void *argument)
+    LinkCut cutOf(const evhtp_connection_t *connection) const
+    {
+        const auto found = cuts_.empty() ? cuts_.end() : cuts_.find(clientOf(connection));
+        return found == cuts_.end() ? LinkCut::None : found->second;
+    }
+
+    void apply(LinkCut cut, evhtp_connection_t *connection)
+    {
+        switch (cut) {
+        case LinkCut::Hang:
+            bufferevent_disable(connection->bev, EV_READ | EV_WRITE);
+            break;
+        case LinkCut::Lose:
+            lost_.insert(connection);
+            bufferevent_disable(connection->bev, EV_WRITE);
+            bufferevent_setcb(connection->bev, &Private::onLostBytes, nullptr, &Private::onLostEvent, connection);
+            break;
+        case LinkCut::OneWay:
+            bufferevent_disable(connection->bev, EV_WRITE);
+            break;
+        case LinkCut::Reset:
+            resetOnClose(connection->sock);
+            evhtp_connection_free(connection);
+            break;
+        case LinkCut::RefuseNew:
+        case LinkCut::None:
+            break;
+        }
+    }
+
+    static void onLostBytes(bufferevent *stream, void *)
+    {
+        evbuffer *const input = bufferevent_get_input(stream);
+        evbuffer_drain(input, evbuffer_get_length(input));
+    }
+
+    static void onLostEvent(bufferevent *, short, void *connection)
+    {
+        evhtp_connection_free(static_cast<evhtp_connection_t *>(connection));
+    }
+
+    static evhtp_res onPreAccept(evhtp_connection_t *connection, void *argument)
     {
         auto *const self = static_cast<Private *>(argument);
+        const LinkCut cut = self->cutOf(connection);
+        if (cut == LinkCut::Reset || cut == LinkCut::RefuseNew) {
+            resetOnClose(connection->sock);
+            return EVHTP_RES_ERROR;
+        }
         if (self->connections_.size() >= self->limit_) {
             ++self->refused_;
             return EVHTP_RES_ERROR;
@@ -327,12 +407,15 @@
         self->connections_.insert(connection);
         self->peakConnections_ = std::max(self->peakConnections_, static_cast<std::uint32_t>(self->connections_.size()));
         evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini, asHook(&Private::onClosed), self);
+        self->apply(self->cutOf(connection), connection);
         return EVHTP_RES_OK;
     }
 
     static evhtp_res onClosed(evhtp_connection_t *connection, void *argument)
     {
-        static_cast<Private *>(argument)->connections_.erase(connection);
+        auto *const self = static_cast<Private *>(argument);
+        self->connections_.erase(connection);
+        self->lost_.erase(connection);
         return EVHTP_RES_OK;
     }
 
@@ -348,6 +431,9 @@
     Runtime &runtime_;
     FakeHandler handler_;
     evhtp_t *http_;
+    std::map<std::string, LinkCut> cuts_;
+    /// Connections whose requests were lost, which never answer again.
+    std::set<evhtp_connection_t *> lost_;
 };
 
 FakeHttpServer::FakeHttpServer(Runtime &runtime, event_base *base, FakeHandler handler)
@@ -378,6 +464,11 @@
     d_->limit_ = connections;
 }
 
+void FakeHttpServer::setLinkCuts(const std::map<std::string, LinkCut> &cuts)
+{
+    d_->setLinkCuts(cuts);
+}
+
 std::uint32_t FakeHttpServer::openConnections() const
 {
     return static_cast<std::uint32_t>(d_->connections_.size());
--- a/packages/fakes/src/fakeplatform.cpp
+++ b/packages/fakes/src/fakeplatform.cpp
@@ -64,6 +64,7 @@
     added.port = makePort(runtime_, base_, [&added](const HttpServerRequest &request, const auto &responder) { added.server->handle(request, responder); });
     added.port->server.setConnectionLimit(ServerConnections);
     added.server->setCrashHandler([this, id = declaration.id] { crash(id); });
+    added.port->server.setLinkCuts(linkCuts_);
     auto address = added.port->server.listen(Address{"127.0.0.1", 0});
     if (!address) {
         return address;
@@ -155,6 +156,20 @@
     }
 }
 
+void FakePlatform::cutLinks(const std::vector<std::string> &clients, LinkCut cut)
+{
+    for (const std::string &client : clients) {
+        if (cut == LinkCut::None) {
+            linkCuts_.erase(client);
+        } else {
+            linkCuts_[client] = cut;
+        }
+    }
+    for (const auto &[id, server] : servers_) {
+        server.port->server.setLinkCuts(linkCuts_);
+    }
+}
+
 void FakePlatform::setConfig(const std::string &value)
 {
     config_ = value;
--- a/packages/fakes/src/platformcontrol.cpp
+++ b/packages/fakes/src/platformcontrol.cpp
@@ -74,6 +74,19 @@
     return Json::object();
 }
 
+/// `{"clients":["127.0.0.2"],"how":"hang"}`
+Json cutLinks(FakePlatform &platform, const Json &body)
+{
+    static const std::map<std::string, LinkCut> cuts{{"none", LinkCut::None},
+                                                     {"hang", LinkCut::Hang},
+                                                     {"lose", LinkCut::Lose},
+                                                     {"oneWay", LinkCut::OneWay},
+                                                     {"reset", LinkCut::Reset},
+                                                     {"refuseNew", LinkCut::RefuseNew}};
+    platform.cutLinks(body.at("clients").get<std::vector<std::string>>(), cuts.at(body.at("how").get<std::string>()));
+    return Json::object();
+}
+
 /// Writes the operator's configuration in its documented format.
 Json setConfig(FakePlatform &platform, const Json &body)
 {
@@ -202,6 +215,7 @@
 
 const Route Routes[] = {
     {"/fake/faults", false, &setFaults},
+    {"/fake/cut", false, &cutLinks},
     {"/fake/config", false, &setConfig},
     {"/fake/entry", false, &setEntry},
     {"/fake/server", false, &addServer},
--- a/tests/testbed/routertestbed.cpp
+++ b/tests/testbed/routertestbed.cpp
@@ -1,5 +1,6 @@
 #include "routertestbed.h"
 
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -113,8 +114,54 @@
 {
     hosts_.try_emplace(id, static_cast<int>(hosts_.size()) + 1);
     instances_.erase(id);
-    const std::vector<std::string> arguments{"--settings", writeSettings(id, letter, storeAddress)};
-    instances_[id] = std::make_unique<ChildProcess>(BURDOCK_ROUTER, arguments, (folder_ / (id + ".log")).string());
+    const Address store = storeAddress.empty() ? store_ : parseAddress(storeAddress);
+    // The sanitizers require that nothing is loaded before their own library, unless told otherwise.
+    const char *const sanitizer = std::getenv("ASAN_OPTIONS");
+    const std::vector<std::string> arguments{std::string("LD_PRELOAD=") + BURDOCK_SERVER_LINKS,
+                                             "ASAN_OPTIONS=" + (sanitizer == nullptr ? std::string() : sanitizer + std::string(":"))
+                                                 + "verify_asan_link_order=0",
+                                             "BURDOCK_TESTBED_HOST=" + host(id),
+                                             "BURDOCK_TESTBED_STORE_PORT=" + std::to_string(store.port),
+                                             "BURDOCK_TESTBED_LINKS=" + linksFile(id).string(),
+                                             BURDOCK_ROUTER,
+                                             "--settings",
+                                             writeSettings(id, letter, storeAddress)};
+    instances_[id] = std::make_unique<ChildProcess>("/usr/bin/env", arguments, (folder_ / (id + ".log")).string());
+}
+
+std::filesystem::path RouterTestbed::linksFile(const std::string &id) const
+{
+    return folder_ / (id + ".links");
+}
+
+void RouterTestbed::setLinks(const std::vector<std::string> &instances, const std::string &how, char state)
+{
+    std::vector<std::string> hosts;
+    for (const std::string &id : instances) {
+        std::ofstream(linksFile(id)) << state;
+        hosts.push_back(host(id));
+    }
+    control("POST", "/fake/cut", {{"clients", hosts}, {"how", how}});
+}
+
+void RouterTestbed::cut(const std::vector<std::string> &instances, const std::string &how)
+{
+    const bool isRefused = how == "reset" || how == "refuseNew";
+    setLinks(instances, how, isRefused ? 'r' : 's');
+}
+
+void RouterTestbed::heal(const std::vector<std::string> &instances)
+{
+    setLinks(instances, "none", 'o');
+}
+
+void RouterTestbed::heal()
+{
+    std::vector<std::string> all;
+    for (const auto &[id, number] : hosts_) {
+        all.push_back(id);
+    }
+    heal(all);
 }
 
 bool RouterTestbed::isReady(const std::string &id)
--- a/tests/testbed/routertestbed.h
+++ b/tests/testbed/routertestbed.h
@@ -37,6 +37,14 @@
     /// that is not empty replaces the fake platform's store.
     void startInstance(const std::string &id, const std::string &letter = "a", const std::string &storeAddress = {});
 
+    /// Cuts instances off from all servers, while clients, the store and the other instances still reach them. `how`: `hang`, `lose`,
+    /// `oneWay`, `reset` or `refuseNew`; see LinkCut. New connections are refused or, in the first three forms, not answered.
+    void cut(const std::vector<std::string> &instances, const std::string &how);
+
+    /// Ends the cuts of these instances, or of all.
+    void heal(const std::vector<std::string> &instances);
+    void heal();
+
     /// Waits until the instance reports that it is ready; returns false after 10 seconds.
     bool waitUntilReady(const std::string &id);
 
@@ -89,6 +97,9 @@
 private:
     static Result<HttpResponse> wait(EventLoop &loop, HttpClient &client, HttpRequest request);
     std::string host(const std::string &id) const;
+    /// The file that tells the instance's connections to servers whether they are cut; see serverlinks.cpp.
+    std::filesystem::path linksFile(const std::string &id) const;
+    void setLinks(const std::vector<std::string> &instances, const std::string &how, char state);
     std::string writeSettings(const std::string &id, const std::string &letter, const std::string &storeAddress);
 
     EventLoop loop_;
