--- a/packages/fakes/include/burdock/fakes/fakeroutedserver.h
+++ b/packages/fakes/include/burdock/fakes/fakeroutedserver.h
@@ -98,6 +98,12 @@
         return executions_;
     }
 
+    /// Number of requests that occupy slots now.
+    std::size_t running() const
+    {
+        return running_.size();
+    }
+
     /// Number of requests received.
     std::uint64_t arrived() const
     {
--- a/packages/fakes/src/platformcontrol.cpp
+++ b/packages/fakes/src/platformcontrol.cpp
@@ -196,6 +196,7 @@
         list[id] = {{"service", server.server->declaration().service},
                     {"state", server.state},
                     {"arrived", server.server->arrived()},
+                    {"running", server.server->running()},
                     {"arrivedSinceLeaving", server.state == "ready" ? 0 : server.server->arrived() - server.arrivedBeforeLeaving},
                     {"lastAfterLeavingMs", lastArrivalAfterLeaving(server)},
                     {"crashes", server.server->crashes()},
