Soak: servers unreachable for some, most or all instances of a region

A new kind of fault cuts one instance, half of them, all but one or all of a region off from all servers, for 6 to 11 s, in each form, beside all other kinds. The check compares requests at instances that were cut off for 5 s or longer with those at the others over the run: served less than two thirds as often, and more than 10 and 1 in 50 of all failed there, is a violation.

A leaving server is not checked for late requests around the end of a cut: what was held on its connections arrives then.

--- a/soak/src/soakchecks.cpp
+++ b/soak/src/soakchecks.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t BudgetWindowSeconds = 10;
 constexpr double BudgetRatio = 0.2;
 constexpr double BudgetSlack = 52;
+constexpr double MinCutOffFraction = 2.0 / 3;
+constexpr double MaxCutOffFailures = 10;
+constexpr double MaxCutOffFailedFraction = 1.0 / 50;
 constexpr std::size_t RecoverySeconds = 3;
 constexpr double MinRecoveredFraction = 0.9;
 constexpr std::size_t MaxViolations = 20;
@@ -89,6 +92,10 @@
     // Most requested versions do not exist, so these requests are no measure of service.
     if (request.kind != SoakRequestKind::Versioned) {
         countRequest(status, world_.testbed().loop().now() - request.sentAt);
+        for (const auto &[counts, served] : {std::make_pair(request.atCutOff, &atCutOff_), std::make_pair(request.besideCutOff, &besideCutOff_)}) {
+            served->requests += counts ? 1 : 0;
+            served->served += counts && status == OkStatus ? 1 : 0;
+        }
     }
     if (request.kind == SoakRequestKind::Unrepeatable) {
         unrepeatable_[request.attempt] = isRefusal(status);
@@ -183,10 +190,10 @@
 {
     constexpr Duration DrainCheckDelay = std::chrono::seconds(6);
     const Duration span = DrainCheckDelay + StabilityWindow;
-    const bool undisturbed =
-        world_.isUndisturbed("store", span) && std::all_of(world_.instances().begin(), world_.instances().end(), [this, span](const std::string &instance) {
-            return world_.isUndisturbed(instance, span);
-        });
+    const bool undisturbed = world_.isUndisturbed("store", span) && world_.isUndisturbed("links", span)
+        && std::all_of(world_.instances().begin(), world_.instances().end(), [this, span](const std::string &instance) {
+                                 return world_.isUndisturbed(instance, span);
+                             });
     const Json status = world_.testbed().control("GET", "/fake/servers").at(server);
     if (timed_ && undisturbed && status.at("lastAfterLeavingMs").get<std::int64_t>() > MaxDrainMs) {
         addViolation("no work for a leaving server", server + " received a request " + status.at("lastAfterLeavingMs").dump() + " ms after it began to leave");
@@ -272,6 +279,31 @@
         }
     }
     checkBudget();
+    checkCutOff();
+}
+
+void SoakChecks::noteCutOff(SoakRequest &request) const
+{
+    const auto &all = world_.instances();
+    const auto isUsable = [this](const std::string &instance) { return restarting_.count(instance) == 0 && world_.isUndisturbed(instance, StabilityWindow); };
+    const bool isAnyCutOff = std::any_of(all.begin(), all.end(), [this](const std::string &each) { return world_.isCutOff(each, StabilityWindow); });
+    const bool canAnyHelp = std::any_of(all.begin(), all.end(), [&](const std::string &each) { return isUsable(each) && !world_.isCutOff(each); });
+    const bool counts = isAnyCutOff && canAnyHelp && isUsable(request.instance);
+    request.atCutOff = counts && world_.isCutOff(request.instance, StabilityWindow);
+    request.besideCutOff = counts && !world_.isCutOff(request.instance);
+}
+
+void SoakChecks::checkCutOff()
+{
+    const double failures = atCutOff_.requests - atCutOff_.served;
+    const double all = atCutOff_.requests + besideCutOff_.requests;
+    if (atCutOff_.served * besideCutOff_.requests < MinCutOffFraction * besideCutOff_.served * atCutOff_.requests
+        && failures > MaxCutOffFailures + MaxCutOffFailedFraction * all) {
+        std::ostringstream what;
+        what << "served " << atCutOff_.served << " of " << atCutOff_.requests << " requests there, the others " << besideCutOff_.served << " of "
+             << besideCutOff_.requests;
+        addViolation("instances without servers are helped", what.str());
+    }
 }
 
 void SoakChecks::checkBudget()
--- a/soak/src/soakchecks.h
+++ b/soak/src/soakchecks.h
@@ -31,6 +31,9 @@
     int incarnation = 0;
     std::int64_t version = 0;
     TimePoint sentAt;
+    /// The instance had been cut off from the servers for some seconds, or was not cut off while others were.
+    bool atCutOff = false;
+    bool besideCutOff = false;
     /// SIGTERM had been sent to the instance before the request.
     bool instanceStopping = false;
 };
@@ -76,6 +79,9 @@
     /// reported, and the repeat budget.
     void checkEnd();
 
+    /// Notes whether the request, which is about to be sent, counts for checkCutOff().
+    void noteCutOff(SoakRequest &request) const;
+
     /// Checks that at least 90 % of the requests in the last 3 s were served.
     void checkRecovered();
 
@@ -105,6 +111,8 @@
     void checkFanoutAnswer(const SoakRequest &request, const HttpResponse &answer);
     void checkConfigVersion(const SoakRequest &request, int status);
     void checkBudget();
+    /// Checks that requests at instances that were cut off from the servers were not served far worse than those at the others.
+    void checkCutOff();
     SoakSecond &currentSecond();
 
     SoakWorld &world_;
@@ -119,6 +127,13 @@
     /// The newest version that each incarnation of an instance served, and when a client first saw it.
     std::map<std::pair<std::string, int>, std::pair<std::int64_t, TimePoint>> servedVersions_;
     std::set<std::string> restarting_;
+    struct Served
+    {
+        double requests = 0;
+        double served = 0;
+    };
+    Served atCutOff_;
+    Served besideCutOff_;
     bool serversSlow_ = false;
 };
 
--- a/soak/src/soakfaults.cpp
+++ b/soak/src/soakfaults.cpp
@@ -1,6 +1,7 @@
 #include "soakfaults.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <utility>
 
@@ -27,6 +28,7 @@
                                        {"kill", &SoakFaults::killInstance},
                                        {"kill many", &SoakFaults::killHalf},
                                        {"freeze", &SoakFaults::freezeInstance},
+                                       {"servers unreachable", &SoakFaults::cutInstancesOff},
                                        {"reload", &SoakFaults::reloadInstance},
                                        {"store refuses", &SoakFaults::refuseStore},
                                        {"store hangs", &SoakFaults::hangStore},
@@ -216,6 +218,31 @@
     });
 }
 
+/// One instance, about half of them, all but one, or all of a region lose their links to all servers; one at least keeps them.
+void SoakFaults::cutInstancesOff()
+{
+    constexpr std::array<const char *, 5> Forms{"hang", "lose", "oneWay", "reset", "refuseNew"};
+    std::vector<std::string> linked = world_.instances();
+    linked.erase(std::remove_if(linked.begin(), linked.end(), [this](const std::string &each) { return world_.isCutOff(each); }), linked.end());
+    std::shuffle(linked.begin(), linked.end(), random_);
+    const std::string region = world_.regionOf(linked.front());
+    const std::array<std::size_t, 3> counts{1, linked.size() / 2, linked.size() - 1};
+    const std::size_t choice = random_() % (counts.size() + 1);
+    std::vector<std::string> chosen;
+    for (const std::string &instance : linked) {
+        const bool isChosen = choice == counts.size() ? world_.regionOf(instance) == region : chosen.size() < counts[choice];
+        if (isChosen && chosen.size() + 1 < linked.size()) {
+            chosen.push_back(instance);
+        }
+    }
+    if (chosen.empty()) {
+        return;
+    }
+    checks_.setServersSlow(true);
+    world_.cutOff(chosen, Forms[random_() % Forms.size()]);
+    liftAfter(randomDuration(6000, 11000), [this, chosen] { world_.endCutOff(chosen); });
+}
+
 void SoakFaults::reloadInstance()
 {
     const auto &all = world_.instances();
--- a/soak/src/soakfaults.h
+++ b/soak/src/soakfaults.h
@@ -68,6 +68,7 @@
     void killInstance();
     void killHalf();
     void freezeInstance();
+    void cutInstancesOff();
     void reloadInstance();
     void refuseStore();
     void hangStore();
--- a/soak/src/soakload.cpp
+++ b/soak/src/soakload.cpp
@@ -123,6 +123,7 @@
     const std::string prefix =
         request.kind == SoakRequestKind::Versioned ? "/v" + std::to_string(request.version) + "/" : Prefixes[static_cast<std::size_t>(request.kind)];
     request.target = prefix + std::to_string(random_() % 1000);
+    checks_.noteCutOff(request);
     send(request);
     sendTimer_ = world_.testbed().loop().schedule(sendInterval_, [this] { sendNext(); });
 }
--- a/soak/src/soakworld.cpp
+++ b/soak/src/soakworld.cpp
@@ -80,12 +80,17 @@
     recordDisturbance("config");
 }
 
+std::string SoakWorld::regionOf(const std::string &instance) const
+{
+    const auto index = static_cast<std::size_t>(std::find(instances_.begin(), instances_.end(), instance) - instances_.begin());
+    return ZoneLetters[index % ZoneLetters.size()];
+}
+
 void SoakWorld::start(const std::string &instance)
 {
     ++incarnations_[instance];
     ++starts_;
-    const auto index = static_cast<std::size_t>(std::find(instances_.begin(), instances_.end(), instance) - instances_.begin());
-    testbed_.startInstance(instance, ZoneLetters[index % ZoneLetters.size()], storeProxies_.at(instance)->address().toString());
+    testbed_.startInstance(instance, regionOf(instance), storeProxies_.at(instance)->address().toString());
     recordDisturbance(instance);
 }
 
@@ -100,6 +105,33 @@
     return found == disturbances_.end() || testbed_.loop().now() - found->second > span;
 }
 
+void SoakWorld::cutOff(const std::vector<std::string> &instances, const std::string &how)
+{
+    testbed_.cut(instances, how);
+    if (how != "refuseNew") {
+        // Behind the proxy the server cannot tell the instances apart.
+        serverProxy_->resetConnections();
+    }
+    for (const std::string &instance : instances) {
+        cutOff_[instance] = testbed_.loop().now();
+    }
+}
+
+void SoakWorld::endCutOff(const std::vector<std::string> &instances)
+{
+    testbed_.heal(instances);
+    for (const std::string &instance : instances) {
+        cutOff_.erase(instance);
+    }
+    recordDisturbance("links");
+}
+
+bool SoakWorld::isCutOff(const std::string &instance, Duration span) const
+{
+    const auto found = cutOff_.find(instance);
+    return found != cutOff_.end() && testbed_.loop().now() - found->second >= span;
+}
+
 std::size_t SoakWorld::mostShards()
 {
     return std::max(FirstShards.size(), SecondShards.size());
--- a/soak/src/soakworld.h
+++ b/soak/src/soakworld.h
@@ -23,6 +23,8 @@
     {
         return instances_;
     }
+    /// The letter that names the instance's region and zone.
+    std::string regionOf(const std::string &instance) const;
     /// The ids of the servers that have not left.
     const std::vector<std::string> &servers() const
     {
@@ -72,6 +74,13 @@
     /// Whether no fault on `what` began or ended within the last `span`.
     bool isUndisturbed(const std::string &what, Duration span) const;
 
+    /// Cuts instances off from all servers; see RouterTestbed::cut().
+    void cutOff(const std::vector<std::string> &instances, const std::string &how);
+    void endCutOff(const std::vector<std::string> &instances);
+
+    /// Whether the instance has been cut off for at least `span`.
+    bool isCutOff(const std::string &instance, Duration span = Duration{0}) const;
+
     LoopbackProxy &storeProxy(const std::string &instance)
     {
         return *storeProxies_.at(instance);
@@ -102,6 +111,8 @@
     std::map<std::string, std::string> services_;
     std::map<std::string, int> incarnations_;
     std::map<std::string, TimePoint> disturbances_;
+    /// The instances that are cut off, and since when.
+    std::map<std::string, TimePoint> cutOff_;
     std::map<std::string, std::unique_ptr<LoopbackProxy>> storeProxies_;
     std::unique_ptr<LoopbackProxy> serverProxy_;
     std::vector<std::set<std::string>> shardSets_;
