Links: user timeout and keep-alive probes give up at the same time

Callers saw nothing; found by reading. On Linux TCP_USER_TIMEOUT, where it is set, also decides when keep-alive probes give up, whatever their count. Links between burdockd instances set it to 15 s beside probes after 10 s, 5 s apart, 2 of them: an idle link was given up after 15 s with a single unanswered probe, and not after two at 20 s as the constants and the note say. With unacknowledged bytes no probes are sent and the user timeout decides as well.

Other sockets, by their code: those of HttpClient (to servers, the store and other instances) and of HttpServer's connections set TCP_NODELAY only, no user timeout and no keep-alive times; their requests have deadlines and their idle connections time limits of their own.

--- a/packages/wire/src/sockets.cpp
+++ b/packages/wire/src/sockets.cpp
@@ -12,11 +12,13 @@
 {
 
 /// A link without traffic is probed after KeepAliveIdleSeconds, then once per interval.
-constexpr int KeepAliveIdleSeconds = 10;
+constexpr int KeepAliveIdleSeconds = 5;
 constexpr int KeepAliveIntervalSeconds = 5;
 constexpr int KeepAliveProbes = 2;
-/// The link is broken if sent bytes remain unacknowledged for this time.
-constexpr int UnacknowledgedMilliseconds = 15000;
+constexpr int MillisecondsPerSecond = 1000;
+/// The link is broken if sent bytes remain unacknowledged for this time. On Linux this also ends an idle link, whatever the count of
+/// its probes, once one of them is unanswered.
+constexpr int UserTimeoutMilliseconds = (KeepAliveIdleSeconds + KeepAliveProbes * KeepAliveIntervalSeconds) * MillisecondsPerSecond;
 
 void setOption(evutil_socket_t socket, int level, int option, int value)
 {
@@ -83,7 +85,7 @@
     setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
     setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
     setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
-    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedMilliseconds);
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMilliseconds);
 }
 
 } // namespace Burdock
