Fail burdockd's process tests if an instance ends by itself

As for the routing path: an instance that ended with an exit code other than 0, without a SIGINT, SIGTERM or SIGKILL from the test, now ends the test with SIGABRT, also if the test no longer looks at it.

--- a/tests/testbed/testbed.cpp
+++ b/tests/testbed/testbed.cpp
@@ -1,5 +1,8 @@
 #include "testbed.h"
 
+#include <cstdlib>
+#include <exception>
+#include <iostream>
 #include <stdexcept>
 
 namespace Burdock
@@ -53,6 +56,31 @@
     control_ = parseAddress(line.at("control"));
 }
 
+Testbed::~Testbed()
+{
+    for (const auto &[id, instance] : instances_) {
+        noteEnd(id);
+    }
+    for (const std::string &end : faultyEnds_) {
+        std::cerr << "ended by itself: " << end << std::endl;
+    }
+    // A test that has failed already reports more than an abort.
+    if (!faultyEnds_.empty() && std::uncaught_exceptions() == 0) {
+        instances_.clear();
+        fakes_.reset();
+        std::abort();
+    }
+}
+
+void Testbed::noteEnd(const std::string &id)
+{
+    const auto instance = instances_.find(id);
+    const std::string end = instance == instances_.end() ? std::string() : instance->second.process->faultyEnd();
+    if (!end.empty()) {
+        faultyEnds_.push_back(id + " " + end);
+    }
+}
+
 std::string Testbed::declarations() const
 {
     return deployment_.find('/') == std::string::npos ? std::string(BURDOCK_EXAMPLES) + "/" + deployment_ : deployment_;
@@ -60,6 +88,7 @@
 
 void Testbed::startInstance(const std::string &id, const std::string &region, bool listed)
 {
+    noteEnd(id);
     Instance instance;
     instance.region = region;
     instance.process = std::make_unique<ChildProcess>(BURDOCK_DAEMON,
--- a/tests/testbed/testbed.h
+++ b/tests/testbed/testbed.h
@@ -24,6 +24,11 @@
     /// the fakes. Throws std::runtime_error if the fakes do not start.
     Testbed(const std::string &deployment, const std::vector<std::string> &regions, const std::vector<std::string> &fakesFlags = {});
 
+    /// Ends the test with SIGABRT if an instance has ended by itself, as after a crash or a sanitizer's report.
+    ~Testbed();
+    Testbed(const Testbed &) = delete;
+    Testbed &operator=(const Testbed &) = delete;
+
     /// Starts an instance in a region and waits until it listens. Adds it to the instance list unless `listed` is false.
     void startInstance(const std::string &id, const std::string &region, bool listed = true);
 
@@ -73,6 +78,9 @@
     EventLoop &loop();
 
 private:
+    /// Remembers how the instance ended, if it ended by itself.
+    void noteEnd(const std::string &id);
+
     struct Instance
     {
         std::unique_ptr<ChildProcess> process;
@@ -90,6 +98,7 @@
     Address instanceList_;
     Address control_;
     std::map<std::string, Instance> instances_;
+    std::vector<std::string> faultyEnds_;
 };
 
 } // namespace Burdock
