Notice within a quarter of a second that no server can be reached, and forget what failed meanwhile

What callers saw: an instance that had lost its links to all servers went on as if each of them had failed on its own.

Cause: nothing looked at the servers together. Each failure was the failure of one server, with its backoff, its failure rate, its latency sample and, for connections that were reset, its crash report, which other instances heard of too.

Change: ServerReach decides from the attempts at servers whether the instance is cut off. Only what happened since the last response of any server is evidence: at least five distinct servers of at least two services that refused, broke off or are overdue. What failed while another attempt was in flight counts once that one is decided, so that servers of some shards that are down are no evidence before the other shards have answered. Silence is judged on a timer of 50 ms, and not when that fires late. Broken connections need two servers beside them that cannot be reached anew. Any response ends the cut; ReachTrials asks the health path of one server after the other meanwhile. When a cut is noticed, backoffs, failure rates and crash reports since the last response are taken back, and attempts that were in flight in a cut leave no latency sample. Crash reports of five servers or more that broke off before any other answered wait 300 ms before the others hear of them. Kept connections to servers are closed, since they may hang.

A response with status 421 is now the failure NotFound, not Unavailable: the address was reached.

The tests fail without the change (there was no such class); those on backoffs, latencies and crash reports state what was wrong.

--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -13,6 +13,7 @@
 #include <burdock/routing/instancelease.h>
 #include <burdock/routing/instancerole.h>
 #include <burdock/routing/loopdelay.h>
+#include <burdock/routing/reachtrials.h>
 #include <burdock/wire/eventloop.h>
 
 #include <memory>
@@ -60,6 +61,11 @@
     void askPeersForConfig();
     void servePeerConfig(const std::shared_ptr<HttpResponder> &responder) const;
     void onServerChanged(const ServerEntry &server, bool usable);
+    void onReachChanged(const ReachChange &change);
+    /// Asks a server for a response at the path.
+    void askServer(const ServerHandle &server, const std::string &path, Duration timeout, std::function<void(ReachOutcome)> done);
+    /// Closes the kept connections to servers; they may hang.
+    void closeIdleServerConnections();
     void onServerHints(const ServerEntry &server, const ServerHints &hints);
     void logLimit(const LimitReport &report);
     void updateConnectionLimits();
@@ -95,6 +101,9 @@
     ServerChoice choice_;
     RepeatBudget budget_;
     CrashGuard crashes_;
+    ServerReach reach_;
+    ReachTrials trials_;
+    std::uint64_t cutOffs_ = 0;
     HttpBackends backends_;
     RoutingContext context_;
     RequestCoordinator coordinator_;
--- a/packages/router/src/httpbackends.cpp
+++ b/packages/router/src/httpbackends.cpp
@@ -163,7 +163,7 @@
         return tl::make_unexpected(response.error());
     }
     if (response->status == MisdirectedRequest) {
-        return notRun(Errc::Unavailable, "another server has the address: " + valueOf(response->headers, names.answeringServer));
+        return notRun(Errc::NotFound, "another server has the address: " + valueOf(response->headers, names.answeringServer));
     }
     if (response->headers.count(names.notRun) > 0) {
         return notRun(Errc::Overloaded, "the server did not run it, status " + std::to_string(response->status));
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -153,9 +153,18 @@
     , choice_(servers_, latencies_, load_, limits_, notices_, settings.regions, settings.region, seed)
     , budget_(settings.repeats, loop.now())
     , crashes_([this](Duration clearingTime) { crashReports_.onChanged(clearingTime); })
+    , reach_(loop, servers_, [this](const ReachChange &change) { onReachChanged(change); })
+    , trials_(
+          loop,
+          servers_,
+          reach_,
+          [this](const ServerHandle &server, const std::string &path, Duration timeout, std::function<void(ReachOutcome)> done) {
+              askServer(server, path, timeout, std::move(done));
+          },
+          seed)
     , backends_(
           loop, client, dialect.headers(), [this](const ServerEntry &server, const ServerHints &hints) { onServerHints(server, hints); }, log)
-    , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, counters_, *journal_}
+    , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, reach_, counters_, *journal_}
     , coordinator_(context_, seed)
     , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
     , relays_(settings.id)
@@ -282,10 +291,12 @@
     }
     self_.ready = isReady();
     self_.crowded = loopDelay_.crowded();
-    log_.write(
-        DecisionPriority::Change,
-        "readiness.changed",
-        {{"ready", self_.ready ? 1 : 0}, {"crowded", self_.crowded ? 1 : 0}, {"loopDelayUs", loopDelay_.smoothed().count()}, {"config", feed_.version()}});
+    log_.write(DecisionPriority::Change,
+               "readiness.changed",
+               {{"ready", self_.ready ? 1 : 0},
+                {"crowded", self_.crowded ? 1 : 0},
+                {"loopDelayUs", loopDelay_.smoothed().count()},
+                {"config", feed_.version()}});
     onInstancesChanged();
     if (self_.ready) {
         publishRecord();
@@ -416,6 +427,7 @@
 {
     clientEndpoint_.setConfigVersion(routes->config().version);
     choice_.setConnections(routes->config().services);
+    trials_.setServices(routes->config().services);
     coordinator_.setRoutes(routes);
     clients_->setLimits(clientLimits(routes->config().limits, settings_.descriptors));
     updateConnectionLimits();
@@ -575,6 +587,42 @@
     }
 }
 
+void Router::onReachChanged(const ReachChange &change)
+{
+    if (change.cutOff) {
+        ++cutOffs_;
+        log_.write(DecisionPriority::Change,
+                   "servers.unreachable",
+                   {{"servers", static_cast<std::int64_t>(change.servers)}, {"sinceAnswerMs", change.sinceResponse.count() / 1000}, {"how", change.how}});
+        withdrawFailuresOfCut(context_);
+        closeIdleServerConnections();
+    } else {
+        log_.write(DecisionPriority::Change, "servers.reached", {{"forMs", change.lasted.count() / 1000}});
+    }
+    trials_.update();
+}
+
+void Router::closeIdleServerConnections()
+{
+    for (const auto &[id, server] : usableServers_) {
+        const std::uint32_t share = choice_.connectionShare(server.service);
+        client_.setLimits(server.address, ConnectionLimits{share, 0, MaxServerResponseBytes});
+    }
+    updateConnectionLimits();
+}
+
+void Router::askServer(const ServerHandle &server, const std::string &path, Duration timeout, std::function<void(ReachOutcome)> done)
+{
+    HttpRequest request;
+    request.address = server->address;
+    request.method = "GET";
+    request.path = path;
+    request.headers[dialect_.headers().targetServer] = server->id.text();
+    request.timeout = timeout;
+    client_.send(std::move(request),
+                 [done = std::move(done)](const Result<HttpResponse> &response) { done(response ? ReachOutcome::Response : ReachOutcome::NoResponse); });
+}
+
 void Router::onServerHints(const ServerEntry &server, const ServerHints &hints)
 {
     const TimePoint now = loop_.now();
@@ -670,6 +718,11 @@
     counter("burdock_refused_by_servers_total", "Requests that a server did not run.", &counters_.refusedByServers);
     counter("burdock_refused_as_guilty_total", "Requests that are known to crash servers, refused at once.", &counters_.refusedAsGuilty);
     counter("burdock_failed_at_servers_total", "Requests that failed and may have run.", &counters_.failedAtServers);
+    counter("burdock_cut_offs_total", "Times that no server could be reached.", &cutOffs_);
+    metrics_.addValue("burdock_cut_off", "gauge", "Whether no server can be reached.", [this] { return reach_.isCutOff() ? 1.0 : 0.0; });
+    metrics_.addValue("burdock_reach_trials_total", "counter", "Requests to servers' health paths while none can be reached.", [this] {
+        return static_cast<double>(trials_.count());
+    });
     metrics_.addValue("burdock_loop_delay_microseconds", "gauge", "How late the loop gets to its work, smoothed over a second.", [this] {
         return static_cast<double>(loopDelay_.smoothed().count());
     });
--- a/packages/routing/include/burdock/routing/backendrequests.h
+++ b/packages/routing/include/burdock/routing/backendrequests.h
@@ -49,8 +49,9 @@
 
 /// Sends requests to servers.
 ///
-/// A failure has the verdict NotRun if the server reported that or if nothing was sent. Malformed responses are reported as
-/// ConnectionLost. The callback is never called from within `send`.
+/// A failure has the verdict NotRun if the server reported that or if nothing was sent. Its code is Unavailable if nothing was sent
+/// since there was no connection, ConnectionLost if the connection broke later or the response is malformed, DeadlineExceeded if
+/// the time is over, Overloaded or NotFound if the server responded that it did not run the request. The callback is never called from within `send`.
 class BackendRequests
 {
 public:
--- a/packages/routing/include/burdock/routing/crashguard.h
+++ b/packages/routing/include/burdock/routing/crashguard.h
@@ -4,8 +4,10 @@
 #include <burdock/values/names.h>
 #include <burdock/values/runtime.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -60,7 +62,7 @@
     /// requests are sent to one server at first.
     bool isAlarmed(TimePoint now) const
     {
-        return now < alarmedUntil_;
+        return now < std::max(ownAlarmUntil_, othersAlarmUntil_);
     }
 
     /// A suspect was sent to the server, or has ended there. `onSuspectSent` returns whether it is the only one.
@@ -80,6 +82,15 @@
     /// A server has run the request and answered.
     void onAnswered(const RequestFingerprint &request);
 
+    /// Takes back the crashes that this instance has seen since the given time: it had lost its connections to all servers.
+    void withdrawSince(TimePoint since, TimePoint now);
+
+    /// When crashes were last taken back.
+    TimePoint withdrawnAt() const
+    {
+        return withdrawnAt_;
+    }
+
     /// Returns what this instance has seen, the guilty and then the latest first. Without `withUncertain`, requests that an answer
     /// may still clear soon are left out.
     std::vector<CrashReport> reports(TimePoint now, bool withUncertain = true) const;
@@ -110,11 +121,14 @@
         CrashReport own;
         std::map<InstanceId, CrashReport> others;
         TimePoint evidenceAt{};
+        /// Whether so many servers broke off together that the network may have been the cause.
+        bool doubtful = false;
 
         std::uint32_t alone() const;
+        Duration clearingTime() const;
     };
 
-    void alarm(const CrashReport &report, TimePoint now);
+    static void alarm(TimePoint &until, const CrashReport &report, TimePoint now);
     void noteLoss(const CrashedAttempt &attempt, const RequestFingerprint &request, TimePoint now);
     void withdraw(const RequestFingerprint &request, bool alone);
     bool isExpired(const Case &suspect, TimePoint now) const;
@@ -131,7 +145,11 @@
         std::vector<std::pair<RequestFingerprint, bool>> requests;
     };
     std::unordered_map<ServerId, Loss> losses_;
-    TimePoint alarmedUntil_{};
+    /// The servers that broke off since the last answer of any server.
+    std::set<ServerId> lostTogether_;
+    TimePoint ownAlarmUntil_{};
+    TimePoint othersAlarmUntil_{};
+    TimePoint withdrawnAt_{};
 };
 
 } // namespace Burdock
--- a/packages/routing/include/burdock/routing/requesttrial.h
+++ b/packages/routing/include/burdock/routing/requesttrial.h
@@ -70,6 +70,7 @@
     std::size_t sent_ = 0;
     std::size_t crashed_ = 0;
     std::vector<CrashedAttempt> unreported_;
+    TimePoint lastCrash_{};
     std::vector<Exposure> exposures_;
     std::deque<std::function<void()>> waiting_;
 };
--- a/packages/routing/include/burdock/routing/routingconfig.h
+++ b/packages/routing/include/burdock/routing/routingconfig.h
@@ -66,10 +66,12 @@
     ServiceName name;
     /// The number of connections that one server accepts from all instances together; zero selects a default.
     std::uint32_t connections = 0;
+    /// The path at which a server responds without work; empty if there is none.
+    std::string healthPath{};
 
     auto fields() const
     {
-        return std::tie(name, connections);
+        return std::tie(name, connections, healthPath);
     }
 };
 
--- a/packages/routing/include/burdock/routing/routingcontext.h
+++ b/packages/routing/include/burdock/routing/routingcontext.h
@@ -5,6 +5,7 @@
 #include <burdock/routing/repeatbudget.h>
 #include <burdock/routing/routingconfig.h>
 #include <burdock/routing/serverchoice.h>
+#include <burdock/routing/serverreach.h>
 
 #include <cstdint>
 #include <string>
@@ -58,8 +59,16 @@
     ServerLoad &load;
     RepeatBudget &budget;
     CrashGuard &crashes;
+    ServerReach &reach;
     RoutingCounters &counters;
     RoutingJournal &journal;
 };
 
+/// Takes back what failed since the last response of any server: the instance was cut off, and nothing of it is the servers'.
+inline void withdrawFailuresOfCut(const RoutingContext &context)
+{
+    context.load.withdrawFailures();
+    context.crashes.withdrawSince(context.reach.lastResponse(), context.runtime.now());
+}
+
 } // namespace Burdock
--- a/packages/routing/include/burdock/routing/serverchoice.h
+++ b/packages/routing/include/burdock/routing/serverchoice.h
@@ -70,6 +70,9 @@
     /// Returns the time without an answer after which a request is hedged.
     Duration hedgeDelay(const Route &route, const ChosenServer &chosen) const;
 
+    /// Returns the time without an answer after which a request to the server is overdue.
+    Duration overdueAfter(const Route &route, const ServerEntry &server, TimePoint now) const;
+
     /// Adapts the hedge delay after a request without a hedge, or with one.
     void onNotHedged(const Route &route);
     void onHedged(const Route &route);
@@ -89,7 +92,7 @@
 
 private:
     Duration expectedOf(const Route &route, const ServerEntry &server, TimePoint now) const;
-    bool overdue(const Route &route, Duration age, Duration expected) const;
+    Duration overdueAfter(const Route &route, Duration expected) const;
     double cost(const Route &route, const ServerEntry &server, Duration expected, TimePoint now);
 
     const ServerTable &table_;
--- a/packages/routing/include/burdock/routing/serverload.h
+++ b/packages/routing/include/burdock/routing/serverload.h
@@ -26,6 +26,15 @@
     /// Removes an abandoned request without recording an outcome.
     void onAbandoned(const ServerId &server, TimePoint sentAt);
 
+    /// Any server has responded, so what failed before counts for the servers where it failed.
+    void onResponse()
+    {
+        ++responses_;
+    }
+
+    /// Takes back the failures and refusals since the last response, because they were not the servers'.
+    void withdrawFailures();
+
     /// Returns the number of requests in flight.
     std::uint32_t inFlight(const ServerId &server) const;
 
@@ -48,19 +57,30 @@
     void forget(const ServerId &server);
 
 private:
-    struct Server
+    struct Failures
     {
-        std::vector<TimePoint> open;
-        double failureRate = 0;
-        TimePoint failureRateAt{};
+        double rate = 0;
+        TimePoint rateAt{};
         std::uint32_t consecutiveRefusals = 0;
         TimePoint backoffUntil{};
+    };
+
+    struct Server
+    {
+        std::vector<TimePoint> open;
+        Failures failures;
+        /// The failures before the first one since the given number of responses.
+        Failures before;
+        std::uint64_t beforeAt = 0;
         TimePoint coldUntil{};
     };
 
+    void keepForWithdrawal(Server &server) const;
     void finishRequest(Server &server, TimePoint sentAt, double failure, TimePoint now);
 
     std::unordered_map<ServerId, Server> servers_;
+    /// The number of responses so far, from 1.
+    std::uint64_t responses_ = 1;
 };
 
 } // namespace Burdock
--- /dev/null
+++ b/packages/routing/include/burdock/routing/serverreach.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <burdock/routing/servertable.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+namespace Burdock
+{
+
+/// How an attempt ended, as far as it shows whether servers can be reached.
+enum class ReachOutcome {
+    /// The server responded, whatever it said.
+    Response,
+    /// Nothing could be sent, for example because the connection was refused.
+    NotConnected,
+    /// The connection broke after something was sent.
+    Broken,
+    /// The attempt was abandoned or its time was over.
+    NoResponse,
+};
+
+/// A change of whether the instance is cut off, and the evidence for it.
+struct ReachChange
+{
+    bool cutOff = false;
+    /// The distinct servers that failed or were silent, and the time since the last response of any.
+    std::size_t servers = 0;
+    Duration sinceResponse{0};
+    /// Whether most of them were silent, or failed.
+    const char *how = "";
+    /// For how long the instance was cut off; zero at the beginning.
+    Duration lasted{0};
+};
+
+/// Decides whether this instance is cut off: whether it can reach no server, although others may.
+///
+/// Load: single servers that are silent, refuse connections or reset them; services or shards of which all servers are down; slow
+/// servers; all connections reset at once. None of these cuts an instance off, since some server still responds. Only what happened
+/// since the last response of any server is evidence, and it must concern several servers and more than one service.
+///
+/// Silence counts from when a response is overdue. It is judged on a timer, and not when that timer fires late: the responses
+/// may wait in the event loop.
+class ServerReach
+{
+public:
+    /// Called from the event loop after `isCutOff` has changed.
+    using ChangeHandler = std::function<void(const ReachChange &)>;
+    using AttemptId = std::uint64_t;
+
+    ServerReach(Runtime &runtime, const ServerTable &servers, ChangeHandler onChanged);
+    ~ServerReach();
+    ServerReach(const ServerReach &) = delete;
+    ServerReach &operator=(const ServerReach &) = delete;
+
+    /// Records an attempt at a server, whose response is overdue after the given time.
+    AttemptId onSent(const ServerEntry &server, Duration overdueAfter);
+
+    /// Records how an attempt ended.
+    void onEnded(AttemptId attempt, ReachOutcome outcome);
+
+    bool isCutOff() const
+    {
+        return cutOff_;
+    }
+
+    /// Whether several servers could not be connected to in the last second. Others may respond: kept connections can live on while
+    /// new ones are refused.
+    bool isImpaired(TimePoint now) const;
+
+    /// Whether the instance is cut off or was so in the last second. Clients should not be directed to it.
+    bool isUnstable(TimePoint now) const;
+
+    /// Whether the instance has been cut off at any time since then. How an attempt of that time ended says nothing about its server.
+    bool wasCutOffSince(TimePoint from) const;
+
+    /// When a server last responded.
+    TimePoint lastResponse() const
+    {
+        return lastResponse_;
+    }
+
+private:
+    struct Attempt
+    {
+        ServerId server;
+        ServiceName service;
+        TimePoint overdueAt{};
+    };
+
+    /// The first failure at a server since the last response of any server.
+    struct FailedServer
+    {
+        ServiceName service;
+        ReachOutcome outcome = ReachOutcome::NoResponse;
+        /// The first attempt that was sent after the failure.
+        AttemptId nextAttempt = 0;
+    };
+
+    struct Evidence
+    {
+        std::map<ServerId, ServiceName> silent;
+        std::map<ServerId, ServiceName> failed;
+        /// How many of the failed ones failed other than by a broken connection.
+        std::size_t notBroken = 0;
+    };
+
+    void onResponse(TimePoint now);
+    void noteNotConnected(const ServerId &server, TimePoint now);
+    void judge();
+    void onRound();
+    void startRounds();
+    bool isRoundLate(TimePoint now) const;
+    Evidence evidence(TimePoint now) const;
+    bool isEnough(const Evidence &evidence, TimePoint now) const;
+    void setCutOff(bool cutOff, ReachChange change);
+    void notify();
+
+    Runtime &runtime_;
+    const ServerTable &servers_;
+    const ChangeHandler onChanged_;
+    std::map<AttemptId, Attempt> open_;
+    std::unordered_map<ServerId, FailedServer> failed_;
+    std::unordered_map<ServerId, TimePoint> notConnectedAt_;
+    AttemptId lastAttempt_ = 0;
+    /// The first attempt that was sent after the last response; earlier ones are no evidence.
+    AttemptId firstSinceResponse_ = 1;
+    TimePoint lastResponse_;
+    bool cutOff_ = false;
+    bool notified_ = false;
+    ReachChange change_;
+    TimePoint cutOffAt_{};
+    /// When the instance was last reached again after it was cut off.
+    std::optional<TimePoint> reachedAt_;
+    TimerId roundTimer_ = 0;
+    TimePoint roundDue_{};
+    /// Whether the last round was late. Until one is on time, responses may wait in the event loop.
+    bool late_ = false;
+    TimerId notifyTimer_ = 0;
+};
+
+} // namespace Burdock
--- a/packages/routing/include/burdock/routing/servertable.h
+++ b/packages/routing/include/burdock/routing/servertable.h
@@ -75,6 +75,18 @@
     /// Returns the servers of a service that may get requests, or the lapsed ones if there are none.
     const std::vector<ServerHandle> &servers(const ServiceName &service) const;
 
+    /// Returns all servers that may get requests.
+    std::vector<ServerHandle> allUsable() const;
+
+    struct Counts
+    {
+        std::size_t servers = 0;
+        std::size_t services = 0;
+    };
+
+    /// Counts the servers that may get requests, and their services.
+    Counts usableCounts() const;
+
     /// Whether the server is in the table, has not restarted and may get requests.
     bool usable(const ServerEntry &entry) const;
 
@@ -90,6 +102,7 @@
         std::vector<ServerHandle> lapsed;
     };
 
+    static const std::vector<ServerHandle> &usableOf(const Service &service);
     void unlist(const ServerId &id);
     void withdraw(const ServerId &id);
 
--- a/packages/routing/include/burdock/routing/servicecall.h
+++ b/packages/routing/include/burdock/routing/servicecall.h
@@ -73,6 +73,7 @@
         ServerHandle server;
         TimePoint sentAt;
         bool hedge = false;
+        ServerReach::AttemptId reachId = 0;
     };
 
     /// Sends the first attempt, or ends the call if no server can take it.
@@ -93,8 +94,8 @@
     bool mayRunAgain() const;
     std::string reasonOf(const Result<ServerReply> &reply) const;
     /// Whether the attempt ended as it does when the server crashes.
-    bool isCrash(const Result<ServerReply> &reply) const;
-    RequestTrial::Outcome outcomeOf(const Result<ServerReply> &reply) const;
+    bool isCrash(const Attempt &attempt, const Result<ServerReply> &reply) const;
+    RequestTrial::Outcome outcomeOf(const Attempt &attempt, const Result<ServerReply> &reply) const;
     void finish(Result<ServerReply> reply);
 
     RoutingContext &context_;
--- a/packages/routing/src/crashguard.cpp
+++ b/packages/routing/src/crashguard.cpp
@@ -26,17 +26,21 @@
 /// The time that a suspect of two crashes is given to be cleared: either server may only have lost a connection, and soon shows so.
 constexpr Duration ShortClearingTime = std::chrono::milliseconds(300);
 
-/// The time after the last evidence at which the others should hear of it. With more crashes each could lose further servers at once.
-Duration clearingTimeOf(const CrashReport &report)
+/// With so many servers that break off before any other answers, this instance may have lost its connections.
+constexpr std::size_t ServersForDoubt = 5;
+
+} // namespace
+
+/// Returns the time after the last evidence at which the others should hear of it. With more crashes each could lose further servers
+/// at once.
+Duration CrashGuard::Case::clearingTime() const
 {
-    if (report.crashes >= CrashesForAlarm || report.alone >= CrashesOfGuilty) {
-        return Duration{0};
+    if (own.crashes >= CrashesForAlarm || own.alone >= CrashesOfGuilty) {
+        return doubtful ? ShortClearingTime : Duration{0};
     }
-    return report.crashes > 1 || report.alone > 0 ? ShortClearingTime : CrashGuard::ClearingTime;
+    return own.crashes > 1 || own.alone > 0 ? ShortClearingTime : ClearingTime;
 }
 
-} // namespace
-
 std::uint32_t CrashGuard::Case::alone() const
 {
     std::uint32_t sum = own.alone;
@@ -115,8 +119,9 @@
         suspect.own.alone += attempt.alone ? 1 : 0;
         noteLoss(attempt, request, now);
     }
-    alarm(suspect.own, now);
-    onChanged_(clearingTimeOf(suspect.own));
+    suspect.doubtful = lostTogether_.size() >= ServersForDoubt;
+    alarm(ownAlarmUntil_, suspect.own, now);
+    onChanged_(suspect.clearingTime());
 }
 
 void CrashGuard::noteLoss(const CrashedAttempt &attempt, const RequestFingerprint &request, TimePoint now)
@@ -124,6 +129,7 @@
     if (losses_.size() >= MaxLosses) {
         losses_.clear();
     }
+    lostTogether_.insert(attempt.server);
     Loss &loss = losses_[attempt.server];
     if (now - loss.at > DoubtTime) {
         loss.requests.clear();
@@ -136,6 +142,7 @@
 
 void CrashGuard::onServerAnswered(const ServerId &server, TimePoint sentAt)
 {
+    lostTogether_.clear();
     const auto found = losses_.find(server);
     if (found == losses_.end() || sentAt <= found->second.at) {
         return;
@@ -165,10 +172,32 @@
     }
 }
 
-void CrashGuard::alarm(const CrashReport &report, TimePoint now)
+void CrashGuard::withdrawSince(TimePoint since, TimePoint now)
+{
+    withdrawnAt_ = now;
+    ownAlarmUntil_ = {};
+    lostTogether_.clear();
+    bool changed = false;
+    for (auto each = losses_.begin(); each != losses_.end();) {
+        if (each->second.at < since) {
+            ++each;
+            continue;
+        }
+        for (const auto &[request, alone] : each->second.requests) {
+            withdraw(request, alone);
+        }
+        changed = true;
+        each = losses_.erase(each);
+    }
+    if (changed) {
+        onChanged_(Duration{0});
+    }
+}
+
+void CrashGuard::alarm(TimePoint &until, const CrashReport &report, TimePoint now)
 {
     if (report.crashes >= CrashesForAlarm) {
-        alarmedUntil_ = now + AlarmTime;
+        until = now + AlarmTime;
     }
 }
 
@@ -181,7 +210,7 @@
 {
     std::vector<std::pair<std::pair<bool, TimePoint>, const Case *>> known;
     for (const auto &[request, suspect] : cases_) {
-        const bool isUncertain = now - suspect.evidenceAt < clearingTimeOf(suspect.own);
+        const bool isUncertain = now - suspect.evidenceAt < suspect.clearingTime();
         if (suspect.own.crashes > 0 && !isExpired(suspect, now) && (withUncertain || !isUncertain)) {
             known.push_back({{suspect.alone() >= CrashesOfGuilty, suspect.evidenceAt}, &suspect});
         }
@@ -202,7 +231,7 @@
         const bool isNew = found == cases_.end() || known == found->second.others.end() || known->second != report;
         if (isNew && report.crashes > 0) {
             caseOf(report.request, now).others[from] = report;
-            alarm(report, now);
+            alarm(othersAlarmUntil_, report, now);
         }
     }
 }
--- a/packages/routing/src/requesttrial.cpp
+++ b/packages/routing/src/requesttrial.cpp
@@ -66,12 +66,17 @@
         cautious_ = true;
         ++crashed_;
         unreported_.push_back({server, alone});
+        lastCrash_ = now;
     }
     reportCrashes(now);
 }
 
 void RequestTrial::reportCrashes(TimePoint now)
 {
+    if (!unreported_.empty() && lastCrash_ <= guard_.withdrawnAt()) {
+        crashed_ -= unreported_.size();
+        unreported_.clear();
+    }
     const bool mostCrashed = 2 * crashed_ > sent_;
     if (unreported_.empty() || answered_ || !(mostCrashed || suspect_ || inFlight_ == 0)) {
         return;
--- a/packages/routing/src/serverchoice.cpp
+++ b/packages/routing/src/serverchoice.cpp
@@ -106,10 +106,15 @@
     return cold ? Duration(static_cast<Duration::rep>(static_cast<double>(expected.count()) * ColdLatencyFactor)) : expected;
 }
 
-bool ServerChoice::overdue(const Route &route, Duration age, Duration expected) const
+Duration ServerChoice::overdueAfter(const Route &route, Duration expected) const
 {
     const auto typical = static_cast<double>(latencies_.typical(route.name, route.target, Distance::SameRegion).count());
-    return static_cast<double>(age.count()) > static_cast<double>(expected.count()) + typical * OverdueMultiple;
+    return expected + Duration(static_cast<Duration::rep>(typical * OverdueMultiple));
+}
+
+Duration ServerChoice::overdueAfter(const Route &route, const ServerEntry &server, TimePoint now) const
+{
+    return overdueAfter(route, expectedOf(route, server, now));
 }
 
 double ServerChoice::cost(const Route &route, const ServerEntry &server, Duration expected, TimePoint now)
@@ -119,7 +124,7 @@
     const double use = load_.inFlight(server.id) * sharers / std::max(1U, server.slots);
     cost *= 1 + std::max(0.0, use - BusyThreshold) * BusyCostSlope;
     const Duration oldest = load_.oldest(server.id, now);
-    if (overdue(route, oldest, expected)) {
+    if (oldest > overdueAfter(route, expected)) {
         cost += static_cast<double>(oldest.count()) * OverdueWeight;
     }
     cost += load_.failureRate(server.id, now) * FailureCostMicroseconds;
@@ -188,7 +193,7 @@
 void ServerChoice::onAbandoned(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now)
 {
     const Duration waited = now - sentAt;
-    if (!overdue(route, waited, expectedOf(route, server, now))) {
+    if (waited <= overdueAfter(route, server, now)) {
         load_.onAbandoned(server.id, sentAt);
         return;
     }
--- a/packages/routing/src/serverload.cpp
+++ b/packages/routing/src/serverload.cpp
@@ -35,29 +35,49 @@
     if (open != server.open.end()) {
         server.open.erase(open);
     }
-    const double share = decayed(server.failureRate, now - server.failureRateAt);
-    server.failureRate = share + FailureWeight * (failure - share);
-    server.failureRateAt = now;
+    const double share = decayed(server.failures.rate, now - server.failures.rateAt);
+    server.failures.rate = share + FailureWeight * (failure - share);
+    server.failures.rateAt = now;
 }
 
 void ServerLoad::onAnswered(const ServerId &server, TimePoint sentAt, TimePoint now)
 {
     Server &state = servers_[server];
     finishRequest(state, sentAt, 0, now);
-    state.consecutiveRefusals = 0;
+    state.failures.consecutiveRefusals = 0;
 }
 
 void ServerLoad::onRefused(const ServerId &server, TimePoint sentAt, TimePoint now)
 {
     Server &state = servers_[server];
+    keepForWithdrawal(state);
     finishRequest(state, sentAt, 1, now);
-    state.backoffUntil = now + std::min(InitialBackoff * (1 << std::min(state.consecutiveRefusals, MaxDoublings)), MaxBackoff);
-    ++state.consecutiveRefusals;
+    state.failures.backoffUntil = now + std::min(InitialBackoff * (1 << std::min(state.failures.consecutiveRefusals, MaxDoublings)), MaxBackoff);
+    ++state.failures.consecutiveRefusals;
 }
 
 void ServerLoad::onFailed(const ServerId &server, TimePoint sentAt, TimePoint now)
 {
-    finishRequest(servers_[server], sentAt, 1, now);
+    Server &state = servers_[server];
+    keepForWithdrawal(state);
+    finishRequest(state, sentAt, 1, now);
+}
+
+void ServerLoad::keepForWithdrawal(Server &server) const
+{
+    if (server.beforeAt != responses_) {
+        server.before = server.failures;
+        server.beforeAt = responses_;
+    }
+}
+
+void ServerLoad::withdrawFailures()
+{
+    for (auto &[id, server] : servers_) {
+        if (server.beforeAt == responses_) {
+            server.failures = server.before;
+        }
+    }
 }
 
 void ServerLoad::onAbandoned(const ServerId &server, TimePoint sentAt)
@@ -87,13 +107,13 @@
 double ServerLoad::failureRate(const ServerId &server, TimePoint now) const
 {
     const auto found = servers_.find(server);
-    return found == servers_.end() ? 0 : decayed(found->second.failureRate, now - found->second.failureRateAt);
+    return found == servers_.end() ? 0 : decayed(found->second.failures.rate, now - found->second.failures.rateAt);
 }
 
 TimePoint ServerLoad::backoffUntil(const ServerId &server) const
 {
     const auto found = servers_.find(server);
-    return found == servers_.end() ? TimePoint{} : found->second.backoffUntil;
+    return found == servers_.end() ? TimePoint{} : found->second.failures.backoffUntil;
 }
 
 void ServerLoad::setColdUntil(const ServerId &server, TimePoint until)
--- /dev/null
+++ b/packages/routing/src/serverreach.cpp
@@ -0,0 +1,214 @@
+#include <burdock/routing/serverreach.h>
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// The distinct servers and services that must have failed or been silent. An instance that knows fewer servers needs all of them.
+constexpr std::size_t MinServers = 5;
+constexpr std::size_t MinServersOfFew = 2;
+constexpr std::size_t MinServices = 2;
+/// Broken connections alone may have been reset by the network while new ones can be made.
+constexpr std::size_t MinNotBroken = 2;
+/// A server is silent no earlier than this after the attempt, and silence is evidence no earlier than this after the last response.
+constexpr Duration MinOverdue = std::chrono::milliseconds(100);
+constexpr Duration MinSilence = std::chrono::milliseconds(150);
+/// The interval at which silence is judged. A round that is later than the slack is skipped.
+constexpr Duration RoundInterval = std::chrono::milliseconds(50);
+constexpr Duration LateSlack = std::chrono::milliseconds(25);
+/// The servers that could not be connected to, and the time for which they count.
+constexpr std::size_t MinNotConnected = 2;
+constexpr Duration NotConnectedTime = std::chrono::seconds(1);
+/// How long servers must have been reached before clients are directed here again.
+constexpr Duration StableTime = std::chrono::seconds(1);
+
+} // namespace
+
+ServerReach::ServerReach(Runtime &runtime, const ServerTable &servers, ChangeHandler onChanged)
+    : runtime_(runtime)
+    , servers_(servers)
+    , onChanged_(std::move(onChanged))
+    , lastResponse_(runtime.now())
+{
+}
+
+ServerReach::~ServerReach()
+{
+    runtime_.cancel(roundTimer_);
+    runtime_.cancel(notifyTimer_);
+}
+
+ServerReach::AttemptId ServerReach::onSent(const ServerEntry &server, Duration overdueAfter)
+{
+    const AttemptId id = ++lastAttempt_;
+    open_.emplace(id, Attempt{server.id, server.service, runtime_.now() + std::max(overdueAfter, MinOverdue)});
+    startRounds();
+    return id;
+}
+
+void ServerReach::onEnded(AttemptId attempt, ReachOutcome outcome)
+{
+    const TimePoint now = runtime_.now();
+    const auto node = open_.extract(attempt);
+    if (outcome == ReachOutcome::Response) {
+        return onResponse(now);
+    }
+    if (node.empty()) {
+        return;
+    }
+    const Attempt &ended = node.mapped();
+    if (outcome == ReachOutcome::NotConnected) {
+        noteNotConnected(ended.server, now);
+    }
+    const bool early = outcome == ReachOutcome::NoResponse && now < ended.overdueAt;
+    if (early || node.key() < firstSinceResponse_) {
+        return;
+    }
+    failed_.try_emplace(ended.server, FailedServer{ended.service, outcome, lastAttempt_ + 1});
+    judge();
+}
+
+void ServerReach::onResponse(TimePoint now)
+{
+    const Duration sinceResponse = now - std::exchange(lastResponse_, now);
+    firstSinceResponse_ = lastAttempt_ + 1;
+    failed_.clear();
+    if (cutOff_) {
+        reachedAt_ = now;
+        setCutOff(false, {false, 0, sinceResponse, "", now - cutOffAt_});
+    }
+}
+
+void ServerReach::startRounds()
+{
+    if (roundTimer_ == 0) {
+        roundDue_ = runtime_.now() + RoundInterval;
+        roundTimer_ = runtime_.schedule(RoundInterval, [this] { onRound(); });
+    }
+}
+
+void ServerReach::onRound()
+{
+    roundTimer_ = 0;
+    late_ = isRoundLate(runtime_.now());
+    if (open_.lower_bound(firstSinceResponse_) == open_.end()) {
+        return;
+    }
+    startRounds();
+    judge();
+}
+
+bool ServerReach::isRoundLate(TimePoint now) const
+{
+    return now > roundDue_ + LateSlack;
+}
+
+ServerReach::Evidence ServerReach::evidence(TimePoint now) const
+{
+    Evidence found;
+    AttemptId firstUndecided = lastAttempt_ + 1;
+    for (auto attempt = open_.lower_bound(firstSinceResponse_); attempt != open_.end(); ++attempt) {
+        if (attempt->second.overdueAt <= now) {
+            found.silent.emplace(attempt->second.server, attempt->second.service);
+        } else {
+            firstUndecided = std::min(firstUndecided, attempt->first);
+        }
+    }
+    for (const auto &[server, failure] : failed_) {
+        if (failure.outcome == ReachOutcome::NoResponse) {
+            found.silent.emplace(server, failure.service);
+        } else if (failure.nextAttempt <= firstUndecided) {
+            // An attempt that was in flight at the failure may still be answered, and only that server be down.
+            found.failed.emplace(server, failure.service);
+            found.notBroken += failure.outcome == ReachOutcome::Broken ? 0 : 1;
+        }
+    }
+    return found;
+}
+
+bool ServerReach::isEnough(const Evidence &evidence, TimePoint now) const
+{
+    std::set<ServerId> servers;
+    std::set<ServiceName> services;
+    for (const auto *each : {&evidence.silent, &evidence.failed}) {
+        for (const auto &[server, service] : *each) {
+            servers.insert(server);
+            services.insert(service);
+        }
+    }
+    const ServerTable::Counts known = servers_.usableCounts();
+    const bool silentLongEnough = evidence.silent.empty() || now - lastResponse_ >= MinSilence;
+    return servers.size() >= std::clamp(known.servers, MinServersOfFew, MinServers) && services.size() >= std::min(known.services, MinServices)
+        && evidence.silent.size() + evidence.notBroken >= MinNotBroken && silentLongEnough;
+}
+
+void ServerReach::judge()
+{
+    const TimePoint now = runtime_.now();
+    if (cutOff_ || late_ || (roundTimer_ != 0 && isRoundLate(now)) || open_.size() + failed_.size() < MinServersOfFew) {
+        return;
+    }
+    const Evidence found = evidence(now);
+    if (!isEnough(found, now)) {
+        return;
+    }
+    std::set<ServerId> servers;
+    for (const auto *each : {&found.silent, &found.failed}) {
+        for (const auto &[server, service] : *each) {
+            servers.insert(server);
+        }
+    }
+    cutOffAt_ = now;
+    setCutOff(true, {true, servers.size(), now - lastResponse_, found.silent.size() * 2 >= servers.size() ? "silent" : "failed", Duration{0}});
+}
+
+void ServerReach::setCutOff(bool cutOff, ReachChange change)
+{
+    cutOff_ = cutOff;
+    change_ = change;
+    if (notifyTimer_ == 0) {
+        // The caller may be in the middle of a request.
+        notifyTimer_ = runtime_.schedule(Duration{0}, [this] { notify(); });
+    }
+}
+
+void ServerReach::notify()
+{
+    notifyTimer_ = 0;
+    if (std::exchange(notified_, cutOff_) != cutOff_) {
+        onChanged_(change_);
+    }
+}
+
+void ServerReach::noteNotConnected(const ServerId &server, TimePoint now)
+{
+    for (auto each = notConnectedAt_.begin(); each != notConnectedAt_.end();) {
+        each = now - each->second < NotConnectedTime ? std::next(each) : notConnectedAt_.erase(each);
+    }
+    notConnectedAt_[server] = now;
+}
+
+bool ServerReach::isImpaired(TimePoint now) const
+{
+    const auto isRecent = [now](const auto &entry) { return now - entry.second < NotConnectedTime; };
+    return static_cast<std::size_t>(std::count_if(notConnectedAt_.begin(), notConnectedAt_.end(), isRecent)) >= MinNotConnected;
+}
+
+bool ServerReach::isUnstable(TimePoint now) const
+{
+    return cutOff_ || (reachedAt_ && now - *reachedAt_ < StableTime);
+}
+
+bool ServerReach::wasCutOffSince(TimePoint from) const
+{
+    return cutOff_ || (reachedAt_ && from <= *reachedAt_);
+}
+
+} // namespace Burdock
--- a/packages/routing/src/servertable.cpp
+++ b/packages/routing/src/servertable.cpp
@@ -125,7 +125,31 @@
     if (found == services_.end()) {
         return none;
     }
-    return found->second.ready.empty() ? found->second.lapsed : found->second.ready;
+    return usableOf(found->second);
+}
+
+const std::vector<ServerHandle> &ServerTable::usableOf(const Service &service)
+{
+    return service.ready.empty() ? service.lapsed : service.ready;
+}
+
+std::vector<ServerHandle> ServerTable::allUsable() const
+{
+    std::vector<ServerHandle> all;
+    for (const auto &[name, service] : services_) {
+        all.insert(all.end(), usableOf(service).begin(), usableOf(service).end());
+    }
+    return all;
+}
+
+ServerTable::Counts ServerTable::usableCounts() const
+{
+    Counts counts;
+    for (const auto &[name, service] : services_) {
+        counts.servers += usableOf(service).size();
+        counts.services += usableOf(service).empty() ? 0 : 1;
+    }
+    return counts;
 }
 
 bool ServerTable::usable(const ServerEntry &entry) const
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -23,6 +23,24 @@
 /// The minimum time before the deadline for another attempt; with less, it cannot be answered in time.
 constexpr Duration MinTimeLeft = std::chrono::milliseconds(10);
 
+ReachOutcome reachOutcomeOf(const Result<ServerReply> &reply)
+{
+    if (reply) {
+        return ReachOutcome::Response;
+    }
+    switch (reply.error().code) {
+    case Errc::Unavailable:
+        return ReachOutcome::NotConnected;
+    case Errc::ConnectionLost:
+        return ReachOutcome::Broken;
+    case Errc::Overloaded:
+    case Errc::NotFound:
+        return ReachOutcome::Response;
+    default:
+        return ReachOutcome::NoResponse;
+    }
+}
+
 } // namespace
 
 ServiceCall::ServiceCall(RoutingContext &context,
@@ -47,8 +65,13 @@
     context_.runtime.cancel(hedgeTimer_);
     for (const auto &[number, attempt] : attempts_) {
         context_.backends.cancel(attempt.id);
+        context_.reach.onEnded(attempt.reachId, ReachOutcome::NoResponse);
         trial_->onEnded(attempt.server->id, RequestTrial::Outcome::Other, context_.runtime.now());
-        context_.choice.onAbandoned(*route_, *attempt.server, attempt.sentAt, context_.runtime.now());
+        if (context_.reach.wasCutOffSince(attempt.sentAt)) {
+            context_.load.onAbandoned(attempt.server->id, attempt.sentAt);
+        } else {
+            context_.choice.onAbandoned(*route_, *attempt.server, attempt.sentAt, context_.runtime.now());
+        }
     }
 }
 
@@ -141,7 +164,8 @@
     const std::uint64_t number = ++sends_;
     ++possiblyRan_;
     tried_.push_back(chosen.server->id);
-    Attempt attempt{0, chosen.server, now, !first && !attempts_.empty()};
+    Attempt attempt{0, chosen.server, now, !first && !attempts_.empty(), 0};
+    attempt.reachId = context_.reach.onSent(*chosen.server, context_.choice.overdueAfter(*route_, *chosen.server, now));
     context_.choice.onSent(*route_, *chosen.server, now, !first);
     attempt.id =
         context_.backends.send(chosen.server, request_, deadline_, [this, number](Result<ServerReply> reply) { onAttemptFinished(number, std::move(reply)); });
@@ -201,7 +225,13 @@
 void ServiceCall::recordOutcome(const Attempt &attempt, const Result<ServerReply> &reply)
 {
     const TimePoint now = context_.runtime.now();
-    if (isSuccess(reply)) {
+    if (reachOutcomeOf(reply) == ReachOutcome::Response) {
+        context_.load.onResponse();
+    }
+    if (context_.reach.wasCutOffSince(attempt.sentAt)) {
+        // Neither the failure nor the time that it took is the server's.
+        context_.load.onAbandoned(attempt.server->id, attempt.sentAt);
+    } else if (isSuccess(reply)) {
         context_.choice.onAnswered(*route_, *attempt.server, attempt.sentAt, now);
         if (sends_ == 1) {
             context_.choice.onNotHedged(*route_);
@@ -218,16 +248,18 @@
 void ServiceCall::onAttemptFinished(std::uint64_t number, Result<ServerReply> reply)
 {
     const auto node = attempts_.extract(number);
-    const ServerId server = node.mapped().server->id;
-    recordOutcome(node.mapped(), reply);
-    if (isCrash(reply)) {
+    const Attempt &attempt = node.mapped();
+    const ServerId server = attempt.server->id;
+    context_.reach.onEnded(attempt.reachId, reachOutcomeOf(reply));
+    recordOutcome(attempt, reply);
+    if (isCrash(attempt, reply)) {
         context_.journal.note(
             {"crash", request_->id, service_.text(), server.text(), trial_->fingerprint().text(), context_.runtime.now() - request_->arrived});
     }
     if (reply) {
-        context_.crashes.onServerAnswered(server, node.mapped().sentAt);
+        context_.crashes.onServerAnswered(server, attempt.sentAt);
     }
-    trial_->onEnded(server, outcomeOf(reply), context_.runtime.now());
+    trial_->onEnded(server, outcomeOf(attempt, reply), context_.runtime.now());
     // The calls that wait are resumed after this one, which holds the trial until then.
     const auto trial = trial_;
     handleReply(std::move(reply));
@@ -265,14 +297,15 @@
     return reply ? "status " + std::to_string(reply->status) : reply.error().message;
 }
 
-bool ServiceCall::isCrash(const Result<ServerReply> &reply) const
+bool ServiceCall::isCrash(const Attempt &attempt, const Result<ServerReply> &reply) const
 {
-    return !reply && reply.error().verdict == Verdict::MayHaveRun && reply.error().code == Errc::ConnectionLost;
+    const bool broken = !reply && reply.error().verdict == Verdict::MayHaveRun && reply.error().code == Errc::ConnectionLost;
+    return broken && !context_.reach.wasCutOffSince(attempt.sentAt);
 }
 
-RequestTrial::Outcome ServiceCall::outcomeOf(const Result<ServerReply> &reply) const
+RequestTrial::Outcome ServiceCall::outcomeOf(const Attempt &attempt, const Result<ServerReply> &reply) const
 {
-    return reply ? RequestTrial::Outcome::Answered : isCrash(reply) ? RequestTrial::Outcome::Crashed : RequestTrial::Outcome::Other;
+    return reply ? RequestTrial::Outcome::Answered : isCrash(attempt, reply) ? RequestTrial::Outcome::Crashed : RequestTrial::Outcome::Other;
 }
 
 bool ServiceCall::canRetry() const
--- /dev/null
+++ b/packages/routing/tests/cutofftest.cpp
@@ -0,0 +1,127 @@
+#include <catch2/catch.hpp>
+
+#include "routingfixture.h"
+
+using namespace Burdock;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr std::size_t ShardCount = 10;
+
+/// An instance with one route over ten shards, each with two servers, of which the first request was answered.
+struct CutOffFixture : RoutingFixture
+{
+    CutOffFixture()
+    {
+        std::vector<std::string> names;
+        for (std::size_t shard = 0; shard < ShardCount; ++shard) {
+            names.push_back("k" + std::to_string(shard));
+        }
+        Route all = shardRoute(names, 1);
+        for (const std::string &name : names) {
+            addServer(name + "2", name);
+        }
+        setRoutes({all});
+        sendRequest("all");
+        runtime.advance(milliseconds(10));
+        answerAll([](int number) { return Result<ServerReply>(success("[" + std::to_string(number) + "]")); });
+        REQUIRE(answer);
+        runtime.advance(seconds(1));
+    }
+
+    /// Answers all requests in flight, and those that are sent because of it.
+    template<class MakeReply>
+    void answerAll(MakeReply makeReply)
+    {
+        for (int number = 0; !backends.open.empty(); ++number) {
+            backends.answer(makeReply(number));
+        }
+    }
+
+    std::vector<ServerHandle> allServers() const
+    {
+        return servers.allUsable();
+    }
+};
+
+} // namespace
+
+TEST_CASE("Refused connections of a cut do not count as failures of the servers after it", "[reach][cutoff]")
+{
+    CutOffFixture fixture;
+    fixture.sendRequest("all");
+    fixture.answerAll([](int) { return notConnected(); });
+    REQUIRE(fixture.reach.isCutOff());
+    fixture.runtime.advance(Duration{0});
+    for (const ServerHandle &server : fixture.allServers()) {
+        CHECK(fixture.load.failureRate(server->id, fixture.runtime.now()) == 0);
+        CHECK(fixture.load.backoffUntil(server->id) <= fixture.runtime.now());
+    }
+    SECTION("nor do those that come once the cut is known")
+    {
+        fixture.sendRequest("all", std::nullopt, "y");
+        fixture.answerAll([](int) { return notConnected(); });
+        for (const ServerHandle &server : fixture.allServers()) {
+            CHECK(fixture.load.failureRate(server->id, fixture.runtime.now()) == 0);
+            CHECK(fixture.load.backoffUntil(server->id) <= fixture.runtime.now());
+        }
+    }
+}
+
+TEST_CASE("A failure before the last response of another server still counts when the instance is cut off later", "[reach][cutoff]")
+{
+    CutOffFixture fixture;
+    fixture.sendRequest("all");
+    const ServerId failing = fixture.backends.open.front().server->id;
+    fixture.backends.answer(refusedByServer());
+    fixture.answerAll([](int number) { return Result<ServerReply>(success("[" + std::to_string(number) + "]")); });
+    const double before = fixture.load.failureRate(failing, fixture.runtime.now());
+    CHECK(before > 0);
+    fixture.sendRequest("all", std::nullopt, "y");
+    fixture.answerAll([](int) { return notConnected(); });
+    REQUIRE(fixture.reach.isCutOff());
+    fixture.runtime.advance(Duration{0});
+    CHECK(fixture.load.failureRate(failing, fixture.runtime.now()) == Approx(before));
+}
+
+TEST_CASE("A request whose connections a cut resets is not reported as one that crashes servers", "[reach][cutoff][crash]")
+{
+    CutOffFixture fixture;
+    std::vector<Duration> announced;
+    fixture.sendRequest("all");
+    for (std::size_t shard = 0; shard < ShardCount; ++shard) {
+        fixture.backends.answer(lostAtServer());
+    }
+    fixture.answerAll([](int) { return notConnected(); });
+    fixture.sendRequest("all", std::nullopt, "y");
+    fixture.answerAll([](int) { return notConnected(); });
+    REQUIRE(fixture.reach.isCutOff());
+    fixture.runtime.advance(Duration{0});
+    CHECK(fixture.crashes.reports(fixture.runtime.now()).empty());
+    CHECK_FALSE(fixture.crashes.isAlarmed(fixture.runtime.now()));
+}
+
+TEST_CASE("The time that requests wait in a cut is no latency of their servers", "[reach][cutoff]")
+{
+    CutOffFixture fixture;
+    const Route route = fixture.route("all");
+    const Duration before = fixture.latencies.typical(route.name, route.target, Distance::SameRegion);
+    const ServedRequestId id = fixture.sendRequest("all");
+    fixture.runtime.advance(milliseconds(600));
+    REQUIRE(fixture.reach.isCutOff());
+    SECTION("if the client leaves")
+    {
+        fixture.coordinator.onClientDisconnected(id);
+    }
+    SECTION("if they are answered after it")
+    {
+        fixture.answerAll([](int number) { return Result<ServerReply>(success("[" + std::to_string(number) + "]")); });
+    }
+    CHECK(fixture.latencies.typical(route.name, route.target, Distance::SameRegion) == before);
+    for (const ServerHandle &server : fixture.allServers()) {
+        CHECK(fixture.load.failureRate(server->id, fixture.runtime.now()) == 0);
+    }
+}
--- a/packages/routing/tests/routingfixture.h
+++ b/packages/routing/tests/routingfixture.h
@@ -74,6 +74,11 @@
     return notRun(Errc::Overloaded, "the server did not run it");
 }
 
+inline Result<ServerReply> notConnected()
+{
+    return notRun(Errc::Unavailable, "nothing was sent: the connection failed");
+}
+
 inline Result<ServerReply> lostAtServer()
 {
     return mayHaveRun(Errc::ConnectionLost, "the connection closed");
@@ -180,7 +185,14 @@
     RoutingCounters counters;
     RecordingJournal journal;
     CrashGuard crashes;
-    RoutingContext context{runtime, backends, servers, choice, load, budget, crashes, counters, journal};
+    std::vector<ReachChange> reachChanges;
+    ServerReach reach{runtime, servers, [this](const ReachChange &change) {
+                          reachChanges.push_back(change);
+                          if (change.cutOff) {
+                              withdrawFailuresOfCut(context);
+                          }
+                      }};
+    RoutingContext context{runtime, backends, servers, choice, load, budget, crashes, reach, counters, journal};
     RequestCoordinator coordinator{context, 7};
     std::optional<ClientAnswer> answer;
     std::int64_t version = 0;
