Do not charge a retry to the repeat budget when the attempts before it arrived nowhere

What callers saw: where new connections are refused, the budget of a service was used up by retries, and further requests were refused after their first attempt.

Cause: each send after the first took a token, though the budget bounds the arrivals at servers beyond the first, and an attempt whose connection was refused has not arrived.

Change: a retry takes no token while every attempt before it ended without a connection. The number of sends and the number of servers that may have run the request are bounded as before.

The test fails without the change: the request ends after one refused connection.

--- a/packages/routing/include/burdock/routing/servicecall.h
+++ b/packages/routing/include/burdock/routing/servicecall.h
@@ -110,6 +110,8 @@
     std::map<std::uint64_t, Attempt> attempts_;
     std::vector<ServerId> tried_;
     std::uint32_t sends_ = 0;
+    /// The number of attempts that certainly did not arrive at a server.
+    std::uint32_t notArrived_ = 0;
     /// The number of attempts that ran or may have run, including those in flight.
     std::uint32_t possiblyRan_ = 0;
     TimerId hedgeTimer_ = 0;
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -250,7 +250,9 @@
     const auto node = attempts_.extract(number);
     const Attempt &attempt = node.mapped();
     const ServerId server = attempt.server->id;
-    context_.reach.onEnded(attempt.reachId, reachOutcomeOf(reply));
+    const ReachOutcome reached = reachOutcomeOf(reply);
+    context_.reach.onEnded(attempt.reachId, reached);
+    notArrived_ += reached == ReachOutcome::NotConnected ? 1 : 0;
     recordOutcome(attempt, reply);
     if (isCrash(attempt, reply)) {
         context_.journal.note(
@@ -323,7 +325,9 @@
     if (!canRetry()) {
         return false;
     }
-    if (!context_.budget.tryAcquire(service_, context_.runtime.now(), 0)) {
+    // The budget is for arrivals at servers beyond the first.
+    const bool isFirstArrival = sends_ == notArrived_;
+    if (!isFirstArrival && !context_.budget.tryAcquire(service_, context_.runtime.now(), 0)) {
         ++context_.counters.repeatsDenied;
         return false;
     }
--- a/packages/routing/tests/cutofftest.cpp
+++ b/packages/routing/tests/cutofftest.cpp
@@ -125,3 +125,34 @@
         CHECK(fixture.load.failureRate(server->id, fixture.runtime.now()) == 0);
     }
 }
+
+TEST_CASE("A retry after a refused connection is no arrival at a server and needs no repeat budget", "[reach][budget]")
+{
+    RoutingFixture fixture;
+    fixture.addServer("near1", "parts");
+    fixture.addServer("near2", "parts");
+    fixture.addServer("near3", "parts");
+    fixture.setRoutes({RoutingFixture::route("parts")});
+    fixture.budget.setTerms({0, seconds(10), 0});
+    fixture.sendRequest("parts");
+    fixture.backends.answer(notConnected());
+    REQUIRE(fixture.backends.open.size() == 1);
+    CHECK_FALSE(fixture.answer);
+    SECTION("the first retry that arrived is the last one")
+    {
+        fixture.backends.answer(refusedByServer());
+        CHECK(fixture.backends.open.empty());
+        REQUIRE(fixture.answer);
+        CHECK(fixture.answer->kind == ClientAnswer::Kind::Refused);
+    }
+    SECTION("the number of attempts stays limited")
+    {
+        fixture.addServer("near4", "parts");
+        fixture.addServer("near5", "parts");
+        fixture.addServer("near6", "parts");
+        while (!fixture.backends.open.empty()) {
+            fixture.backends.answer(notConnected());
+        }
+        CHECK(fixture.backends.all == 4);
+    }
+}
