Direct clients to instances that can reach servers

What callers saw: clients came back to cut-off instances for the whole time, since their records said that they were ready.

Cause: a record said nothing of whether its instance reaches servers.

Change: an instance's record has the field cutOff, which older records lack and which then means no. InstanceTable directs clients to the ready instances that are not cut off, in the region first, then in the others; if all are cut off, the flag is ignored. Shares of connections, limits and budgets are counted as before, so that they do not change with each cut. helpersFor gives the instances that can serve requests for a cut-off one, in the order in which clients use them. Readiness still answers 200.

The tests fail without the change.

--- a/packages/router/src/instancecodec.cpp
+++ b/packages/router/src/instancecodec.cpp
@@ -18,7 +18,8 @@
                 {"cores", record.cores},
                 {"crowded", record.crowded},
                 {"born", record.edition.born},
-                {"sequence", record.edition.sequence}}
+                {"sequence", record.edition.sequence},
+                {"cutOff", record.cutOff}}
         .dump();
 }
 
@@ -43,7 +44,8 @@
                               read.at("ready").get<bool>(),
                               read.at("cores").get<double>(),
                               read.at("crowded").get<bool>(),
-                              {read.value("born", std::int64_t{0}), read.value("sequence", std::int64_t{0})}};
+                              {read.value("born", std::int64_t{0}), read.value("sequence", std::int64_t{0})},
+                              read.value("cutOff", false)};
     } catch (const Json::exception &error) {
         return notRun(Errc::BadRequest, std::string("not an instance's record: ") + error.what());
     }
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -285,16 +285,19 @@
 
 void Router::updateReadiness()
 {
-    const bool unchanged = self_.ready == isReady() && self_.crowded == loopDelay_.crowded();
+    const bool cutOff = reach_.isUnstable(loop_.now());
+    const bool unchanged = self_.ready == isReady() && self_.crowded == loopDelay_.crowded() && self_.cutOff == cutOff;
     if (unchanged) {
         return;
     }
     self_.ready = isReady();
     self_.crowded = loopDelay_.crowded();
+    self_.cutOff = cutOff;
     log_.write(DecisionPriority::Change,
                "readiness.changed",
                {{"ready", self_.ready ? 1 : 0},
                 {"crowded", self_.crowded ? 1 : 0},
+                {"cutOff", self_.cutOff ? 1 : 0},
                 {"loopDelayUs", loopDelay_.smoothed().count()},
                 {"config", feed_.version()}});
     onInstancesChanged();
@@ -600,6 +603,7 @@
         log_.write(DecisionPriority::Change, "servers.reached", {{"forMs", change.lasted.count() / 1000}});
     }
     trials_.update();
+    updateReadiness();
 }
 
 void Router::closeIdleServerConnections()
--- a/packages/router/tests/serverreplytest.cpp
+++ b/packages/router/tests/serverreplytest.cpp
@@ -66,7 +66,8 @@
 
 TEST_CASE("An instance's record is unchanged after encoding and decoding", "[codec]")
 {
-    const InstanceRecord record{InstanceId("front-1"), Address{"10.0.0.1", 80}, Address{"10.0.0.1", 90}, Region("home"), DataCentre("a"), true, 0.25, true};
+    InstanceRecord record{InstanceId("front-1"), Address{"10.0.0.1", 80}, Address{"10.0.0.1", 90}, Region("home"), DataCentre("a"), true, 0.25, true, {7, 3}};
+    record.cutOff = GENERATE(true, false);
     const auto read = readInstance(writeInstance(record));
     REQUIRE(read);
     CHECK(*read == record);
@@ -76,6 +77,14 @@
     }
 }
 
+TEST_CASE("An instance's record of an older version says that the instance is not cut off", "[codec]")
+{
+    const auto read = readInstance(
+        R"({"id":"front-1","address":"10.0.0.1:80","peers":"10.0.0.1:90","region":"home","dataCentre":"a","ready":true,"cores":1,"crowded":false})");
+    REQUIRE(read);
+    CHECK_FALSE(read->cutOff);
+}
+
 TEST_CASE("Changes with binary values are unchanged after encoding and decoding", "[codec][relay]")
 {
     const std::vector<StoreEntry> entries{{"k", std::string("\x00\xff", 2), 12, 3, false}, {"gone", "", 13, 0, true}};
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -30,10 +30,12 @@
     bool crowded = false;
     /// Which write of which life of the instance the record is.
     EntryEdition edition{};
+    /// Whether the instance can reach no server. It serves clients through other instances.
+    bool cutOff = false;
 
     auto fields() const
     {
-        return std::tie(id, address, peers, region, dataCentre, ready, cores, crowded, edition);
+        return std::tie(id, address, peers, region, dataCentre, ready, cores, crowded, edition, cutOff);
     }
 };
 
@@ -70,10 +72,12 @@
     void dropLapsed();
 
     /// Returns at most `maxCount` addresses for a client of the region, in random order: the chosen instances there, or all ready
-    /// instances of all regions if there are none. `self` replaces this instance's record in the store.
+    /// instances of all regions if there are none. Instances that are cut off are left out unless all ready ones are. `self`
+    /// replaces this instance's record in the store.
     std::vector<Address> addressesFor(const Region &region, const InstanceRecord &self, std::size_t maxCount);
 
-    /// Returns the instances of a region that its clients are directed to.
+    /// Returns the instances of a region that its clients are directed to while none is cut off. What instances share, such as limits
+    /// and connections to servers, is divided among these.
     ///
     /// Instances differ in size: a request to many shards takes several times as long on an instance with a fraction of a core.
     /// Fewer senders per server also means more latency samples and more connections for each of them. Clients therefore use
@@ -81,6 +85,10 @@
     /// crowded, the load exceeds the capacity of the large ones and clients use all.
     Records chosenIn(const Region &region, const InstanceRecord &self) const;
 
+    /// Returns the instances that can serve requests for this one, in groups: those that clients of its region are directed to, then
+    /// the other ready ones of its region, then those of other regions. None is cut off, and no group is empty.
+    std::vector<Records> helpersFor(const InstanceRecord &self) const;
+
     /// Counts the chosen instances of all regions; the count is at least 1.
     Senders chosen(const InstanceRecord &self) const;
 
@@ -102,6 +110,10 @@
 
 private:
     Records all(const InstanceRecord &self) const;
+    /// Returns the ready instances that are not cut off.
+    Records connected(const InstanceRecord &self) const;
+    /// Returns the instances that clients of a region are directed to, which may stand in other regions.
+    Records directedFrom(const Region &region, const InstanceRecord &self) const;
     void withdraw(const InstanceId &id);
     std::map<Region, Records> byRegion(const InstanceRecord &self) const;
 
--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -180,9 +180,36 @@
     return includes(chosenOf(filter(all(self), [&self](const InstanceRecord *record) { return record->region == self.region; })), self.id);
 }
 
+InstanceTable::Records InstanceTable::connected(const InstanceRecord &self) const
+{
+    return filter(all(self), [](const InstanceRecord *record) { return record->ready && !record->cutOff; });
+}
+
+InstanceTable::Records InstanceTable::directedFrom(const Region &region, const InstanceRecord &self) const
+{
+    const Records connected = this->connected(self);
+    const Records here = chosenOf(filter(connected, [&region](const InstanceRecord *record) { return record->region == region; }));
+    if (!here.empty()) {
+        return here;
+    }
+    return connected.empty() ? chosenIn(region, self) : connected;
+}
+
+std::vector<InstanceTable::Records> InstanceTable::helpersFor(const InstanceRecord &self) const
+{
+    const Records others = filter(connected(self), [&self](const InstanceRecord *record) { return record->id != self.id; });
+    const Records here = filter(others, [&self](const InstanceRecord *record) { return record->region == self.region; });
+    const Records chosen = chosenOf(here);
+    std::vector<Records> groups{chosen,
+                                filter(here, [&chosen](const InstanceRecord *record) { return !includes(chosen, record->id); }),
+                                filter(others, [&self](const InstanceRecord *record) { return record->region != self.region; })};
+    groups.erase(std::remove_if(groups.begin(), groups.end(), [](const Records &group) { return group.empty(); }), groups.end());
+    return groups;
+}
+
 std::vector<Address> InstanceTable::addressesFor(const Region &region, const InstanceRecord &self, std::size_t maxCount)
 {
-    Records chosen = chosenIn(region, self);
+    Records chosen = directedFrom(region, self);
     if (chosen.empty()) {
         chosen = readyOf(all(self));
     }
--- a/packages/routing/tests/tablestest.cpp
+++ b/packages/routing/tests/tablestest.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
 
 using namespace Burdock;
 using std::chrono::milliseconds;
@@ -252,6 +253,87 @@
     }
 }
 
+TEST_CASE("Clients are not directed to instances that are cut off while any other is ready", "[instances][cutoff]")
+{
+    InstanceTable table(7);
+    const InstanceRecord self = instanceOf("a", "home");
+    for (const char *id : {"b", "c", "d"}) {
+        table.put(instanceOf(id, "home"));
+    }
+    table.put(instanceOf("e", "away"));
+    const auto cutOff = [&table](const std::string &id, const std::string &region) {
+        InstanceRecord record = instanceOf(id, region);
+        record.cutOff = true;
+        table.put(record);
+    };
+    const auto directed = [&table](const std::string &region, const InstanceRecord &own) {
+        std::set<std::uint16_t> ports;
+        for (const Address &address : table.addressesFor(Region(region), own, 64)) {
+            ports.insert(address.port);
+        }
+        std::string ids;
+        for (const std::uint16_t port : ports) {
+            ids += static_cast<char>(port - 9000);
+        }
+        return ids;
+    };
+    const Senders chosen = table.chosen(self);
+    const std::vector<InstanceId> senders = table.senderIds(self);
+    cutOff("b", "home");
+    CHECK(directed("home", self) == "acd");
+    cutOff("c", "home");
+    cutOff("d", "home");
+    CHECK(directed("home", self) == "a");
+    InstanceRecord own = self;
+    own.cutOff = true;
+    SECTION("nor when the whole region is cut off")
+    {
+        CHECK(directed("home", own) == "e");
+        CHECK(directed("away", own) == "e");
+    }
+    SECTION("but if all are, the flag says nothing")
+    {
+        cutOff("e", "away");
+        CHECK(directed("home", own) == "abcd");
+        CHECK(directed("away", own) == "e");
+    }
+    CHECK(table.chosen(own) == chosen);
+    CHECK(table.senderIds(own) == senders);
+    CHECK(table.chosenIn(Region("home"), own).size() == 4);
+}
+
+TEST_CASE("Instances that are not cut off help those that are, in the order in which clients use them", "[instances][cutoff]")
+{
+    InstanceTable table(7);
+    InstanceRecord self = instanceOf("a", "home");
+    self.cutOff = true;
+    for (const char *id : {"b", "c", "d"}) {
+        table.put(instanceOf(id, "home", 4));
+    }
+    table.put(instanceOf("e", "home", 0.25));
+    table.put(instanceOf("f", "away"));
+    table.put(instanceOf("g", "away", 1, false));
+    const auto groups = [&table, &self] {
+        std::vector<std::string> found;
+        for (const InstanceTable::Records &group : table.helpersFor(self)) {
+            found.emplace_back();
+            for (const InstanceRecord *record : group) {
+                found.back() += record->id.text();
+            }
+        }
+        return found;
+    };
+    CHECK(groups() == std::vector<std::string>{"bcd", "e", "f"});
+    for (const char *id : {"b", "c", "d", "e"}) {
+        InstanceRecord record = instanceOf(id, "home", 4);
+        record.cutOff = true;
+        table.put(record);
+    }
+    CHECK(groups() == std::vector<std::string>{"f"});
+    table.remove(InstanceId("f"), false);
+    CHECK(groups().empty());
+}
+
 TEST_CASE("Clients are directed to the large instances while several have spare capacity", "[instances][unlike]")
 {
     InstanceTable table(3);
