--- a/packages/router/include/burdock/router/configinquiry.h
+++ b/packages/router/include/burdock/router/configinquiry.h
@@ -35,6 +35,9 @@
     /// Asks the instances at the addresses, the first ones first. Has an effect once only.
     void start(std::vector<Address> peers);
 
+    /// Asks the instance at the address, which is known to have a newer configuration than this one.
+    void ask(const Address &peer);
+
     /// Whether the start of the instance should wait for answers; at most for the time in which one answer is due.
     bool isPending() const;
 
@@ -43,6 +46,9 @@
 
 private:
     void askNext();
+    void send(const Address &peer, std::function<void(const Result<HttpResponse> &)> onAnswer);
+    /// Takes over what an instance told; returns whether it told a configuration.
+    bool takeAnswer(const Address &peer, const Result<HttpResponse> &response);
     void onAnswer(const Address &peer, const Result<HttpResponse> &response);
 
     Runtime &runtime_;
@@ -56,6 +62,8 @@
     std::size_t asked_ = 0;
     std::size_t unanswered_ = 0;
     std::size_t told_ = 0;
+    /// Whether an instance is being asked because its configuration is newer.
+    bool asking_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -6,6 +6,7 @@
 #include <burdock/router/decisionlog.h>
 #include <burdock/router/dialect.h>
 #include <burdock/router/httpbackends.h>
+#include <burdock/router/httppeers.h>
 #include <burdock/router/relayedstore.h>
 #include <burdock/router/routermetrics.h>
 #include <burdock/router/routersettings.h>
@@ -49,7 +50,7 @@
     Result<void> listen(HttpServer &server, const char *what, const Address &address);
     void serveReadiness(const HttpServerRequest &incoming, const std::shared_ptr<HttpResponder> &responder);
     void serveDirectory(const HttpServerRequest &incoming, const std::shared_ptr<HttpResponder> &responder);
-    void servePeers(const HttpServerRequest &incoming, const std::shared_ptr<HttpResponder> &responder);
+    void servePeers(HttpServerRequest incoming, const std::shared_ptr<HttpResponder> &responder);
     void onRoutesChanged(const std::shared_ptr<const RouteTable> &routes);
     void onInstancesChanged();
     void onHistoryLost(std::int64_t history);
@@ -81,6 +82,8 @@
     void updateRole();
     void closeListeners();
     void stopIfIdle();
+    /// Whether a request of a client or of another instance has no complete answer yet.
+    bool hasWork() const;
     void registerMetrics();
 
     EventLoop &loop_;
@@ -105,6 +108,8 @@
     ReachTrials trials_;
     std::uint64_t cutOffs_ = 0;
     HttpBackends backends_;
+    HttpPeers peerRequests_;
+    PeerChoice peerChoice_;
     RoutingContext context_;
     RequestCoordinator coordinator_;
     ClientEndpoint clientEndpoint_;
@@ -133,6 +138,7 @@
     const TimePoint startedAt_;
     bool leaving_ = false;
     bool unfinishedAnswered_ = false;
+    bool wasBusy_ = true;
     TimePoint leavingSince_{};
     std::function<void()> onStopped_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/packages/router/src/clientendpoint.cpp
+++ b/packages/router/src/clientendpoint.cpp
@@ -1,6 +1,7 @@
 #include <burdock/router/clientendpoint.h>
 
 #include <burdock/router/httpbackends.h>
+#include <burdock/router/passonheaders.h>
 
 #include <array>
 #include <charconv>
@@ -19,6 +20,8 @@
 
 /// A client that comes late to an instance that stops finds another one at once.
 constexpr Duration StoppingRetryAfter = std::chrono::milliseconds(50);
+/// What other instances are told: they keep connections for part of the time after which the server closes idle ones.
+constexpr const char *PeerKeepAlive = "timeout=10";
 
 std::string formatSeconds(Duration duration)
 {
@@ -84,11 +87,11 @@
     return request;
 }
 
-HttpServerResponse ClientEndpoint::makeResponse(const ClientAnswer &answer) const
+HttpServerResponse ClientEndpoint::makeResponse(const ClientRequest &request, const ClientAnswer &answer) const
 {
     HttpServerResponse out;
     out.status = answer.status;
-    if (answer.kind == ClientAnswer::Kind::Passed || answer.kind == ClientAnswer::Kind::Gathered) {
+    if (answer.succeeded()) {
         out.jsonByDefault = false;
         out.headers = answer.headers;
         out.body = answer.body;
@@ -105,16 +108,22 @@
     if (answer.retryAfter > Duration{0}) {
         out.headers["Retry-After"] = formatSeconds(answer.retryAfter);
     }
+    if (request.passedOn) {
+        PassOnHeaders::writeOutcome(out.headers, answer, configVersion_);
+        out.headers["Keep-Alive"] = PeerKeepAlive;
+    }
     return out;
 }
 
 void ClientEndpoint::recordAnswer(const ClientRequest &request, const Route *route, const ClientAnswer &answer, Duration elapsed)
 {
-    const bool succeeded = answer.kind == ClientAnswer::Kind::Passed || answer.kind == ClientAnswer::Kind::Gathered;
-    metrics_.countAnswer(route == nullptr ? std::string() : route->name, kindName(answer.kind), elapsed, answer.missing);
-    log_.write(succeeded && answer.missing == 0 ? DecisionPriority::Routine : DecisionPriority::Problem,
+    if (!request.passedOn) {
+        metrics_.countAnswer(route == nullptr ? std::string() : route->name, kindName(answer.kind), elapsed, answer.missing);
+    }
+    log_.write(answer.succeeded() && answer.missing == 0 ? DecisionPriority::Routine : DecisionPriority::Problem,
                "request.answered",
                {{"request", request.id},
+                {"from", request.passedOn ? std::string_view(request.passedOn->from.text()) : std::string_view()},
                 {"route", route == nullptr ? std::string_view("none") : std::string_view(route->name)},
                 {"config", configVersion_},
                 {"outcome", kindName(answer.kind)},
@@ -129,31 +138,61 @@
 
 void ClientEndpoint::serve(HttpServerRequest incoming, const std::shared_ptr<HttpResponder> &responder)
 {
-    if (incoming.target.empty() || incoming.target.front() != '/') {
-        responder->respond(makeResponse(refusal(AnswerStatus::BadRequest, "the request target must be a path")));
+    PassOnHeaders::remove(incoming.headers);
+    serveRequest(readRequest(std::move(incoming)), responder);
+}
+
+void ClientEndpoint::servePassedOn(HttpServerRequest incoming, const std::shared_ptr<HttpResponder> &responder)
+{
+    const auto terms = PassOnHeaders::read(incoming.headers);
+    PassOnHeaders::remove(incoming.headers);
+    ClientRequest request = readRequest(std::move(incoming));
+    if (!terms) {
+        request.passedOn = PassOnTerms();
+        ClientAnswer answer = refusal(AnswerStatus::BadRequest, terms.error().message);
+        answer.unable = true;
+        responder->respond(makeResponse(request, answer));
+        return;
+    }
+    request.passedOn = *terms;
+    serveRequest(std::move(request), responder);
+}
+
+void ClientEndpoint::serveRequest(ClientRequest request, const std::shared_ptr<HttpResponder> &responder)
+{
+    if (request.target.empty() || request.target.front() != '/') {
+        responder->respond(makeResponse(request, refusal(AnswerStatus::BadRequest, "the request target must be a path")));
         return;
     }
-    ClientRequest request = readRequest(std::move(incoming));
     // The coordinator takes ownership of the request, so the fields for the log are copied.
     ClientRequest loggedRequest;
     loggedRequest.id = request.id;
     loggedRequest.clientTimeout = request.clientTimeout;
+    loggedRequest.passedOn = request.passedOn;
     const TimePoint arrived = request.arrived;
     if (arrived >= refusedFrom_) {
-        const ClientAnswer answer = refusal(AnswerStatus::Unavailable, "the instance is stopping", StoppingRetryAfter);
+        ClientAnswer answer = refusal(AnswerStatus::Unavailable, "the instance is stopping", StoppingRetryAfter);
+        answer.unable = request.passedOn.has_value();
         recordAnswer(loggedRequest, nullptr, answer, Duration{0});
-        responder->respond(makeResponse(answer));
+        responder->respond(makeResponse(loggedRequest, answer));
         return;
     }
     const ServedRequestId id =
         coordinator_.serve(std::move(request), [this, responder, loggedRequest, arrived](const Route *route, const ClientAnswer &answer) {
             recordAnswer(loggedRequest, route, answer, runtime_.now() - arrived);
-            responder->respond(makeResponse(answer));
+            responder->respond(makeResponse(loggedRequest, answer));
         });
-    responder->setDisconnectHandler([this, id, requestId = loggedRequest.id] {
+    responder->setDisconnectHandler([this, id, loggedRequest] {
         coordinator_.onClientDisconnected(id);
-        metrics_.countDisconnect();
-        log_.write(DecisionPriority::Problem, "request.abandoned", {{"request", requestId}, {"reason", "the client closed its connection"}});
+        const bool byPeer = loggedRequest.passedOn.has_value();
+        if (!byPeer) {
+            metrics_.countDisconnect();
+        }
+        log_.write(DecisionPriority::Problem,
+                   "request.abandoned",
+                   {{"request", loggedRequest.id},
+                    {"from", byPeer ? std::string_view(loggedRequest.passedOn->from.text()) : std::string_view()},
+                    {"reason", byPeer ? "the instance that passed it on closed its connection" : "the client closed its connection"}});
     });
 }
 
--- a/packages/router/src/configinquiry.cpp
+++ b/packages/router/src/configinquiry.cpp
@@ -58,23 +58,38 @@
     }
     ++asked_;
     ++unanswered_;
+    const Address peer = peers_.back();
+    peers_.pop_back();
+    send(peer, [this, peer](const Result<HttpResponse> &response) { onAnswer(peer, response); });
+}
+
+void ConfigInquiry::ask(const Address &peer)
+{
+    if (std::exchange(asking_, true)) {
+        return;
+    }
+    send(peer, [this, peer](const Result<HttpResponse> &response) {
+        asking_ = false;
+        takeAnswer(peer, response);
+    });
+}
+
+void ConfigInquiry::send(const Address &peer, std::function<void(const Result<HttpResponse> &)> onAnswer)
+{
     HttpRequest request;
-    request.address = peers_.back();
+    request.address = peer;
     request.method = "GET";
     request.path = Path;
     request.timeout = AnswerTimeout;
-    peers_.pop_back();
-    const Address peer = request.address;
-    client_.send(std::move(request), [this, peer, alive = alive_](const Result<HttpResponse> &response) {
+    client_.send(std::move(request), [onAnswer = std::move(onAnswer), alive = alive_](const Result<HttpResponse> &response) {
         if (*alive) {
-            onAnswer(peer, response);
+            onAnswer(response);
         }
     });
 }
 
-void ConfigInquiry::onAnswer(const Address &peer, const Result<HttpResponse> &response)
+bool ConfigInquiry::takeAnswer(const Address &peer, const Result<HttpResponse> &response)
 {
-    --unanswered_;
     const auto range = response && response->status == OkStatus ? readRange(response->body) : notRun(Errc::Unavailable, "no configuration");
     const bool told = range && !range->entries.empty();
     log_.write(DecisionPriority::Change,
@@ -84,8 +99,16 @@
                 {"asked", static_cast<std::int64_t>(asked_)},
                 {"reason", response ? std::string_view() : std::string_view(response.error().message)}});
     if (told) {
-        ++told_;
         events_.onConfig(range->entries.front());
+    }
+    return told;
+}
+
+void ConfigInquiry::onAnswer(const Address &peer, const Result<HttpResponse> &response)
+{
+    --unanswered_;
+    if (takeAnswer(peer, response)) {
+        ++told_;
     } else {
         askNext();
     }
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -2,6 +2,7 @@
 
 #include <burdock/router/crashreportcodec.h>
 #include <burdock/router/instancecodec.h>
+#include <burdock/router/passonheaders.h>
 #include <burdock/router/relaycodec.h>
 #include <burdock/routing/dataage.h>
 #include <burdock/wire/factories.h>
@@ -55,6 +56,10 @@
 /// The fraction of the file descriptors for clients' connections; the rest is for servers and the store.
 constexpr double ClientDescriptorFraction = 0.6;
 constexpr std::uint32_t MaxInternalConnections = 200;
+/// The fraction of the file descriptors for other instances' connections, which poll, and pass on requests.
+constexpr double PeerDescriptorFraction = 0.25;
+/// The headers that instances add to the requests that they pass on.
+constexpr std::size_t PassOnHeaderBytes = 4096;
 /// The maximum size of a server's response. Several servers may send bytes without end at the same time, each on several connections,
 /// and the smallest instances have 160 MB.
 constexpr std::size_t MaxServerResponseBytes = std::size_t{4} << 20;
@@ -80,6 +85,16 @@
     return out;
 }
 
+/// Requests that are passed on are limited as clients' requests are.
+HttpServerLimits peerLimits(const ClientLimits &limits, std::uint32_t descriptors)
+{
+    HttpServerLimits out = internalLimits();
+    out.headerBytes = limits.headerBytes + PassOnHeaderBytes;
+    out.bodyBytes = std::max(limits.bodyBytes, out.bodyBytes);
+    out.connections = std::max(MaxInternalConnections, static_cast<std::uint32_t>(descriptors * PeerDescriptorFraction));
+    return out;
+}
+
 /// Instances that start together list the others at slightly different times.
 Duration firstListingDelay(const RouterSettings &settings)
 {
@@ -122,6 +137,20 @@
                     {"ageUs", event.age.count()}});
     }
 
+    void notePassedOn(const PassOnEvent &event) override
+    {
+        const bool served = event.outcome == "passed" || event.outcome == "gathered";
+        log_.write(served ? DecisionPriority::Routine : DecisionPriority::Problem,
+                   "request.passedOn",
+                   {{"request", event.request},
+                    {"to", event.peer.text()},
+                    {"why", event.reason},
+                    {"outcome", event.outcome},
+                    {"reason", event.detail},
+                    {"tookUs", event.took.count()},
+                    {"ageUs", event.age.count()}});
+    }
+
 private:
     static std::string_view nameOf(std::string_view decision)
     {
@@ -164,7 +193,9 @@
           seed)
     , backends_(
           loop, client, dialect.headers(), [this](const ServerEntry &server, const ServerHints &hints) { onServerHints(server, hints); }, log)
-    , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, reach_, counters_, *journal_}
+    , peerRequests_(loop, client, dialect.headers(), settings.id, [this](const Peer &peer) { inquiry_.ask(peer.address); })
+    , peerChoice_([this] { return instances_.helpersFor(self_); }, settings.id, seed)
+    , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, reach_, counters_, *journal_, peerRequests_, peerChoice_}
     , coordinator_(context_, seed)
     , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
     , relays_(settings.id)
@@ -209,14 +240,14 @@
     , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
     , readiness_(makeHttpServer(loop, internalLimits()))
     , directory_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
-    , peers_(makeHttpServer(loop, internalLimits()))
+    , peers_(makeHttpServer(loop, peerLimits({}, settings.descriptors)))
     , suspended_(loop.suspended())
     , startedAt_(loop.now())
 {
     clients_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { clientEndpoint_.serve(std::move(in), out); });
     readiness_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveReadiness(in, out); });
     directory_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveDirectory(in, out); });
-    peers_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { servePeers(in, out); });
+    peers_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { servePeers(std::move(in), out); });
     registerMetrics();
 }
 
@@ -409,8 +440,13 @@
     responder->respond(dialect_.directoryAnswer(addresses, settings_.directoryTtl));
 }
 
-void Router::servePeers(const HttpServerRequest &incoming, const std::shared_ptr<HttpResponder> &responder)
+void Router::servePeers(HttpServerRequest incoming, const std::shared_ptr<HttpResponder> &responder)
 {
+    // Before the paths, since a client's request may have any.
+    if (PassOnHeaders::isPassedOn(incoming.headers)) {
+        clientEndpoint_.servePassedOn(std::move(incoming), responder);
+        return;
+    }
     if (incoming.path == RelayService::ChangesPath || incoming.path == RelayService::EntriesPath) {
         relay_.serve(incoming, responder);
         return;
@@ -433,6 +469,7 @@
     trials_.setServices(routes->config().services);
     coordinator_.setRoutes(routes);
     clients_->setLimits(clientLimits(routes->config().limits, settings_.descriptors));
+    peers_->setLimits(peerLimits(routes->config().limits, settings_.descriptors));
     updateConnectionLimits();
     updateReadiness();
 }
@@ -602,6 +639,7 @@
     } else {
         log_.write(DecisionPriority::Change, "servers.reached", {{"forMs", change.lasted.count() / 1000}});
     }
+    coordinator_.onReachChanged();
     trials_.update();
     updateReadiness();
 }
@@ -696,12 +734,14 @@
 void Router::stopIfIdle()
 {
     const Duration left = leavingSince_ + settings_.stopTime - loop_.now();
-    if (left < StopMargin && clients_->requestsInFlight() > 0 && !std::exchange(unfinishedAnswered_, true)) {
+    if (left < StopMargin && hasWork() && !std::exchange(unfinishedAnswered_, true)) {
         log_.write(DecisionPriority::Change, "unfinished", {{"requests", static_cast<std::int64_t>(coordinator_.pendingRequests())}});
         coordinator_.failAll("the instance is stopping, and its time is over");
     }
     const bool deadlinePassed = left < (unfinishedAnswered_ ? LastAnswersMargin : StopMargin);
-    if (deadlinePassed || (clients_->requestsInFlight() == 0 && clients_->openConnections() == 0)) {
+    // The last answers to other instances are sent by the next check.
+    const bool idle = !std::exchange(wasBusy_, hasWork()) && !wasBusy_ && clients_->openConnections() == 0;
+    if (deadlinePassed || idle) {
         log_.write(DecisionPriority::Change, "stopped", {{"unanswered", static_cast<std::int64_t>(clients_->requestsInFlight())}});
         log_.flush();
         onStopped_();
@@ -710,6 +750,11 @@
     loop_.schedule(IdleCheckInterval, [this] { stopIfIdle(); });
 }
 
+bool Router::hasWork() const
+{
+    return clients_->requestsInFlight() > 0 || coordinator_.pendingRequests() > 0;
+}
+
 void Router::registerMetrics()
 {
     const auto counter = [this](const char *name, const char *help, const std::uint64_t *value) {
@@ -727,6 +772,9 @@
     metrics_.addValue("burdock_reach_trials_total", "counter", "Requests to servers' health paths while none can be reached.", [this] {
         return static_cast<double>(trials_.count());
     });
+    counter("burdock_passed_on_total", "Requests passed on to another instance, once for each instance asked.", &counters_.passedOn);
+    counter("burdock_passed_on_failed_total", "Requests passed on to another instance that did not serve them.", &counters_.passedOnFailed);
+    counter("burdock_served_for_others_total", "Requests served that another instance had passed on.", &counters_.servedForOthers);
     metrics_.addValue("burdock_loop_delay_microseconds", "gauge", "How late the loop gets to its work, smoothed over a second.", [this] {
         return static_cast<double>(loopDelay_.smoothed().count());
     });
--- a/packages/routing/include/burdock/routing/backendrequests.h
+++ b/packages/routing/include/burdock/routing/backendrequests.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/routing/passonterms.h>
 #include <burdock/routing/servertable.h>
 #include <burdock/values/failure.h>
 
@@ -25,6 +26,8 @@
     TimePoint arrived{};
     /// How long the client waits for the answer, in microseconds; unset if the client does not state it.
     std::optional<Duration> clientTimeout;
+    /// Set if another instance passed the request on to this one.
+    std::optional<PassOnTerms> passedOn{};
 };
 
 /// A complete response of a backend server.
--- a/packages/routing/include/burdock/routing/clientanswer.h
+++ b/packages/routing/include/burdock/routing/clientanswer.h
@@ -33,6 +33,15 @@
     Duration retryAfter{0};
     /// The cause, for the log and for the body of a refusal.
     std::string reason;
+    /// Set if the request was passed on to this instance, which cannot serve it although another instance may.
+    bool unable = false;
+    /// The maximum number of attempts per shard that ran or may have run.
+    std::uint32_t attempts = 0;
+
+    bool succeeded() const
+    {
+        return kind == Kind::Passed || kind == Kind::Gathered;
+    }
 };
 
 /// HTTP status codes that an instance sets itself.
--- /dev/null
+++ b/packages/routing/include/burdock/routing/peerchoice.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <burdock/routing/instancetable.h>
+#include <burdock/routing/peerrequests.h>
+
+#include <functional>
+#include <optional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace Burdock
+{
+
+/// Chooses the instance that serves a request for one that cannot reach the servers.
+///
+/// Load: some or most instances of a region are cut off from the servers at the same time, while peers may be killed, suspended or
+/// cut off as well. Peers of the own region come first. Each instance uses a few peers only, others than its neighbours use, so that
+/// the number of connections stays small in a large system; among these it takes the one of two random ones with fewer of its
+/// requests in flight. A peer that cannot help or is lost is left out for a while.
+class PeerChoice
+{
+public:
+    /// Returns the instances that can help, in groups in the order of preference.
+    using Helpers = std::function<std::vector<InstanceTable::Records>()>;
+
+    /// How a request at a peer ended: with an answer, because the peer cannot help or was lost, or by this instance.
+    enum class Ending { Answered, Unable, Lost, Cancelled };
+
+    PeerChoice(Helpers helpers, InstanceId self, std::uint64_t seed);
+
+    /// Returns a peer that is not in `tried`, or nothing if none can help.
+    std::optional<Peer> choose(const std::vector<InstanceId> &tried, TimePoint now);
+
+    void onSent(const InstanceId &peer, TimePoint now);
+    void onEnded(const InstanceId &peer, Ending ending, TimePoint now);
+
+    /// The maximum number of requests in flight at one peer.
+    static constexpr std::uint32_t MaxInFlight = 56;
+
+private:
+    struct PeerState
+    {
+        std::uint32_t inFlight = 0;
+        /// When the peer last answered, or since when requests wait there if that is later.
+        TimePoint heardAt{};
+        TimePoint leftOutUntil{};
+    };
+
+    std::uint32_t inFlight(const InstanceId &peer) const;
+    bool isSilent(const InstanceId &peer, TimePoint now) const;
+    bool canTake(const InstanceId &peer, TimePoint now) const;
+    std::size_t rank(const InstanceId &peer) const;
+    Peer chooseFrom(InstanceTable::Records candidates);
+    void forgetUnused(TimePoint now);
+
+    const Helpers helpers_;
+    const InstanceId self_;
+    std::mt19937_64 random_;
+    std::unordered_map<InstanceId, PeerState> states_;
+};
+
+} // namespace Burdock
--- a/packages/routing/include/burdock/routing/repeatbudget.h
+++ b/packages/routing/include/burdock/routing/repeatbudget.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace Burdock
 {
@@ -48,6 +49,9 @@
     /// Uses one repeat; returns false if the budget is exhausted. `reserve` is the fraction, 0 to 1, of the budget to keep.
     bool tryAcquire(const ServiceName &service, TimePoint now, double reserve);
 
+    /// Uses one repeat of each service, or none if the budget of any of them is exhausted.
+    bool tryAcquireAll(const std::vector<ServiceName> &services, TimePoint now);
+
 private:
     /// The bucket of a service, and its requests in the last window, which determine the capacity.
     struct Account
--- a/packages/routing/include/burdock/routing/requestcoordinator.h
+++ b/packages/routing/include/burdock/routing/requestcoordinator.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include <burdock/routing/clientage.h>
+#include <burdock/routing/passonrun.h>
 #include <burdock/routing/requestrun.h>
 #include <burdock/routing/routetable.h>
 #include <burdock/routing/weightedsplit.h>
 
+#include <optional>
 #include <random>
+#include <string>
 #include <unordered_map>
 
 namespace Burdock
@@ -15,6 +18,10 @@
 using ServedRequestId = std::uint64_t;
 
 /// Accepts client requests, finds their routes and owns their runs until nothing of them is in flight.
+///
+/// While this instance cannot reach the servers, it passes requests on to other instances at once; a request that has been sent to
+/// servers before is passed on beside its own run, and the first success is the answer. A request that came from another instance is
+/// served here or refused, so that it is passed on once at most.
 class RequestCoordinator
 {
 public:
@@ -38,20 +45,44 @@
     /// Answers all requests that have no answer with a failure, and cancels what is in flight for them.
     void failAll(const std::string &reason);
 
+    /// Passes on the requests in progress, or ends those of other instances, if this instance cannot reach the servers any more.
+    void onReachChanged();
+
     /// Returns the number of requests without an answer.
     std::size_t pendingRequests() const;
 
 private:
     struct Entry
     {
+        /// Null if the request was passed on at once.
         std::unique_ptr<RequestRun> run;
-        std::shared_ptr<const Route> route;
+        std::unique_ptr<PassOnRun> passOn;
+        /// The answer of a run that ended without success while the request is passed on.
+        std::optional<ClientAnswer> ownAnswer;
+        RunTerms terms;
         AnswerCallback onAnswer;
         TimerId removal = 0;
         bool answered = false;
     };
 
-    void finish(ServedRequestId id);
+    /// Returns the refusal of a request of another instance that this one cannot serve, or nothing.
+    std::optional<ClientAnswer> refuseForOther(const ClientRequest &request) const;
+    /// Returns the route as it holds for the request.
+    std::shared_ptr<const Route> routeFor(const ClientRequest &request) const;
+    Duration clientAge(const ClientRequest &request, const Route &route);
+    void onRunAnswered(ServedRequestId id, ClientAnswer answer);
+    void onPassOnAnswered(ServedRequestId id, ClientAnswer answer);
+    /// Whether the request may be passed on, by what its own run has done.
+    bool mayPassOn(const Entry &entry, const RunProgress &progress) const;
+    /// Passes on a request whose run ended without success, if another instance may serve it; returns whether it did.
+    bool passOnFailed(ServedRequestId id, const ClientAnswer &answer);
+    /// Takes the repeats that passing on costs; returns false if the budget does not allow them.
+    bool acquireRepeats(const RunProgress &progress);
+    void passOn(ServedRequestId id, const RunProgress &progress, const std::string &reason);
+    /// Passes on or ends a request in progress, since no server can be reached.
+    void onCutOff(ServedRequestId id);
+    RunProgress progressOf(const Entry &entry) const;
+    void finish(ServedRequestId id, Duration delay);
     /// Gives the request its answer.
     void answer(ServedRequestId id, ClientAnswer answer);
     std::unique_ptr<RequestRun> makeRun(const RunTerms &terms);
@@ -65,6 +96,10 @@
     std::shared_ptr<const RouteTable> routes_;
     WeightedSplit split_;
     ClientAge clientAge_;
+    /// The newest version of the configuration that other instances are known to have.
+    std::int64_t newestConfig_ = 0;
+    /// Until when requests of a route are not passed on, since a peer could not serve one either.
+    std::unordered_map<std::string, TimePoint> heldUntil_;
     ServedRequestId lastId_ = 0;
     std::size_t pending_ = 0;
     std::unordered_map<ServedRequestId, Entry> entries_;
--- a/packages/routing/include/burdock/routing/requestrun.h
+++ b/packages/routing/include/burdock/routing/requestrun.h
@@ -6,10 +6,27 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace Burdock
 {
 
+/// What a run has done at the servers.
+struct RunProgress
+{
+    /// The maximum number of attempts per service that ran or may have run.
+    std::uint32_t attempts = 0;
+    /// Whether the request has been counted in the repeat budget.
+    bool counted = false;
+    /// The services at whose servers the request may have arrived.
+    std::vector<ServiceName> sentTo;
+    /// The service of a weighted split; empty for a route over shards.
+    ServiceName service;
+
+    /// Adds the progress of a call.
+    void add(const ServiceCall &call, TimePoint lastResponseAt);
+};
+
 /// Processes one client request. The destructor cancels attempts in flight.
 class RequestRun
 {
@@ -23,6 +40,12 @@
 
     /// Returns the number of requests in flight at servers.
     virtual std::size_t inFlight() const = 0;
+
+    /// Sends no more attempts; those in flight may still be answered.
+    virtual void stopSending() = 0;
+
+    /// Returns what the run has done so far; see ServiceCall::attemptsUsed.
+    virtual RunProgress progress(TimePoint lastResponseAt = TimePoint::max()) const = 0;
 };
 
 /// The parameters of a run.
--- a/packages/routing/include/burdock/routing/routingcontext.h
+++ b/packages/routing/include/burdock/routing/routingcontext.h
@@ -2,6 +2,7 @@
 
 #include <burdock/routing/backendrequests.h>
 #include <burdock/routing/crashguard.h>
+#include <burdock/routing/peerchoice.h>
 #include <burdock/routing/repeatbudget.h>
 #include <burdock/routing/routingconfig.h>
 #include <burdock/routing/serverchoice.h>
@@ -9,6 +10,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace Burdock
 {
@@ -24,6 +26,11 @@
     std::uint64_t failedAtServers = 0;
     std::uint64_t clientsGone = 0;
     std::uint64_t refusedAsGuilty = 0;
+    /// Requests that were passed on to a peer, and those among them that the peer did not serve.
+    std::uint64_t passedOn = 0;
+    std::uint64_t passedOnFailed = 0;
+    /// Requests that other instances passed on to this one and that were served.
+    std::uint64_t servedForOthers = 0;
 };
 
 /// One routing decision for a request, for the log.
@@ -41,12 +48,30 @@
     Duration age{0};
 };
 
+/// One request that was passed on to a peer, for the log.
+struct PassOnEvent
+{
+    const std::string &request;
+    const InstanceId &peer;
+    /// Why the request was passed on.
+    const std::string &reason;
+    /// `passed`, `gathered`, `refused` or `failed` as the peer answered; `unable` if it could not help, `lost` if the connection to it
+    /// failed, or `cancelled`.
+    std::string_view outcome;
+    /// The peer's reason, or that of the lost connection.
+    const std::string &detail;
+    Duration took{0};
+    /// The time since the request arrived.
+    Duration age{0};
+};
+
 /// Receives the routing decisions for requests.
 class RoutingJournal
 {
 public:
     virtual ~RoutingJournal() = default;
     virtual void note(const RoutingEvent &event) = 0;
+    virtual void notePassedOn(const PassOnEvent &event) = 0;
 };
 
 /// The objects that all requests of an instance share.
@@ -62,6 +87,8 @@
     ServerReach &reach;
     RoutingCounters &counters;
     RoutingJournal &journal;
+    PeerRequests &peers;
+    PeerChoice &peerChoice;
 };
 
 /// Takes back what failed since the last response of any server: the instance was cut off, and nothing of it is the servers'.
--- a/packages/routing/include/burdock/routing/servicecall.h
+++ b/packages/routing/include/burdock/routing/servicecall.h
@@ -51,6 +51,24 @@
     /// Stops the call: sends no more attempts and does not call `done`. Attempts in flight may finish and are measured.
     void stop();
 
+    /// Sends no more attempts; those in flight may still be answered.
+    void stopSending();
+
+    /// Returns the number of attempts that ran or may have run, without those that were sent after a time since which no server has
+    /// responded: they did not arrive while the instance is cut off.
+    std::uint32_t attemptsUsed(TimePoint lastResponseAt) const;
+
+    bool started() const
+    {
+        return started_;
+    }
+
+    /// Whether an attempt may have arrived at a server.
+    bool mayHaveArrived() const
+    {
+        return sends_ > notArrived_;
+    }
+
     const ServiceName &service() const
     {
         return service_;
@@ -112,8 +130,11 @@
     std::uint32_t sends_ = 0;
     /// The number of attempts that certainly did not arrive at a server.
     std::uint32_t notArrived_ = 0;
-    /// The number of attempts that ran or may have run, including those in flight.
+    /// The number of attempts that ran or may have run, including those in flight, and when they were sent.
     std::uint32_t possiblyRan_ = 0;
+    std::vector<TimePoint> possiblyRanSentAt_;
+    bool started_ = false;
+    bool sendingStopped_ = false;
     TimerId hedgeTimer_ = 0;
     /// The outcome of the last attempt while the call waits to send another one.
     std::optional<Result<ServerReply>> lastReply_;
--- a/packages/routing/src/forwardrun.cpp
+++ b/packages/routing/src/forwardrun.cpp
@@ -1,5 +1,6 @@
 #include <burdock/routing/requestrun.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Burdock
@@ -29,6 +30,19 @@
         return call_.inFlight();
     }
 
+    void stopSending() override
+    {
+        call_.stopSending();
+    }
+
+    RunProgress progress(TimePoint lastResponseAt) const override
+    {
+        RunProgress progress;
+        progress.add(call_, lastResponseAt);
+        progress.service = call_.service();
+        return progress;
+    }
+
 private:
     ClientAnswer answer(const CallOutcome &outcome) const
     {
@@ -52,6 +66,15 @@
 
 } // namespace
 
+void RunProgress::add(const ServiceCall &call, TimePoint lastResponseAt)
+{
+    attempts = std::max(attempts, call.attemptsUsed(lastResponseAt));
+    counted = counted || call.started();
+    if (call.mayHaveArrived()) {
+        sentTo.push_back(call.service());
+    }
+}
+
 std::unique_ptr<RequestRun> makeForwardRun(RoutingContext &context, const RunTerms &terms, const ServiceName &service)
 {
     return std::make_unique<ForwardRun>(context, terms, service);
--- a/packages/routing/src/gatherrun.cpp
+++ b/packages/routing/src/gatherrun.cpp
@@ -72,6 +72,22 @@
         return sum;
     }
 
+    void stopSending() override
+    {
+        for (const auto &call : calls_) {
+            call->stopSending();
+        }
+    }
+
+    RunProgress progress(TimePoint lastResponseAt) const override
+    {
+        RunProgress progress;
+        for (const auto &call : calls_) {
+            progress.add(*call, lastResponseAt);
+        }
+        return progress;
+    }
+
 private:
     /// Refuses the request before anything is sent if too many shards are at the limits of their servers: the parts of the others
     /// would use up their servers' limits for nothing.
--- /dev/null
+++ b/packages/routing/src/peerchoice.cpp
@@ -0,0 +1,113 @@
+#include <burdock/routing/peerchoice.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Burdock
+{
+
+namespace
+{
+
+/// The number of peers of one region that an instance uses at the same time.
+constexpr std::size_t MaxPeers = 8;
+/// How long a peer that could not help is left out.
+constexpr Duration LeftOutTime = std::chrono::seconds(2);
+/// A peer at which requests wait is silent if it has not answered any for this time.
+constexpr Duration SilenceTime = std::chrono::milliseconds(300);
+
+} // namespace
+
+PeerChoice::PeerChoice(Helpers helpers, InstanceId self, std::uint64_t seed)
+    : helpers_(std::move(helpers))
+    , self_(std::move(self))
+    , random_(seed)
+{
+}
+
+std::uint32_t PeerChoice::inFlight(const InstanceId &peer) const
+{
+    const auto state = states_.find(peer);
+    return state == states_.end() ? 0 : state->second.inFlight;
+}
+
+bool PeerChoice::isSilent(const InstanceId &peer, TimePoint now) const
+{
+    const auto state = states_.find(peer);
+    return state != states_.end() && state->second.inFlight > 0 && now - state->second.heardAt > SilenceTime;
+}
+
+bool PeerChoice::canTake(const InstanceId &peer, TimePoint now) const
+{
+    const auto state = states_.find(peer);
+    return state == states_.end() || (state->second.leftOutUntil <= now && state->second.inFlight < MaxInFlight);
+}
+
+std::size_t PeerChoice::rank(const InstanceId &peer) const
+{
+    return std::hash<std::string>()(self_.text() + '/' + peer.text());
+}
+
+std::optional<Peer> PeerChoice::choose(const std::vector<InstanceId> &tried, TimePoint now)
+{
+    forgetUnused(now);
+    // Silent peers are the last resort: they may be suspended, or just work on long requests.
+    InstanceTable::Records silent;
+    for (const InstanceTable::Records &group : helpers_()) {
+        InstanceTable::Records candidates;
+        for (const InstanceRecord *record : group) {
+            const bool wasTried = std::find(tried.begin(), tried.end(), record->id) != tried.end();
+            if (!wasTried && canTake(record->id, now)) {
+                (isSilent(record->id, now) ? silent : candidates).push_back(record);
+            }
+        }
+        if (!candidates.empty()) {
+            return chooseFrom(std::move(candidates));
+        }
+    }
+    return silent.empty() ? std::nullopt : std::optional(chooseFrom(std::move(silent)));
+}
+
+Peer PeerChoice::chooseFrom(InstanceTable::Records candidates)
+{
+    const std::size_t used = std::min(candidates.size(), MaxPeers);
+    std::partial_sort(candidates.begin(),
+                      candidates.begin() + static_cast<std::ptrdiff_t>(used),
+                      candidates.end(),
+                      [this](const InstanceRecord *left, const InstanceRecord *right) { return rank(left->id) < rank(right->id); });
+    std::uniform_int_distribution<std::size_t> place(0, used - 1);
+    const InstanceRecord *first = candidates[place(random_)];
+    const InstanceRecord *second = candidates[place(random_)];
+    const InstanceRecord *chosen = inFlight(second->id) < inFlight(first->id) ? second : first;
+    return {chosen->id, chosen->peers};
+}
+
+void PeerChoice::onSent(const InstanceId &peer, TimePoint now)
+{
+    PeerState &state = states_[peer];
+    if (state.inFlight++ == 0) {
+        state.heardAt = now;
+    }
+}
+
+void PeerChoice::onEnded(const InstanceId &peer, Ending ending, TimePoint now)
+{
+    PeerState &state = states_[peer];
+    state.inFlight -= std::min(state.inFlight, 1U);
+    if (ending == Ending::Answered || ending == Ending::Unable) {
+        state.heardAt = now;
+    }
+    if (ending == Ending::Unable || ending == Ending::Lost) {
+        state.leftOutUntil = now + LeftOutTime;
+    }
+}
+
+void PeerChoice::forgetUnused(TimePoint now)
+{
+    for (auto state = states_.begin(); state != states_.end();) {
+        const bool unused = state->second.inFlight == 0 && state->second.leftOutUntil <= now;
+        state = unused ? states_.erase(state) : std::next(state);
+    }
+}
+
+} // namespace Burdock
--- a/packages/routing/src/repeatbudget.cpp
+++ b/packages/routing/src/repeatbudget.cpp
@@ -129,4 +129,11 @@
     return bucket.tryAcquire(bucket.capacity() * reserve);
 }
 
+bool RepeatBudget::tryAcquireAll(const std::vector<ServiceName> &services, TimePoint now)
+{
+    const bool enough =
+        std::all_of(services.begin(), services.end(), [this, now](const ServiceName &service) { return accountOf(service, now).bucket.tokens() >= 1; });
+    return enough && std::all_of(services.begin(), services.end(), [this, now](const ServiceName &service) { return tryAcquire(service, now, 0); });
+}
+
 } // namespace Burdock
--- a/packages/routing/src/requestcoordinator.cpp
+++ b/packages/routing/src/requestcoordinator.cpp
@@ -24,6 +24,11 @@
 /// The suggested retry delay of a request that crashes servers: they are not mended soon.
 constexpr Duration GuiltyRetryAfter = std::chrono::seconds(60);
 
+/// After a peer could not serve a request of a route either, others of that route are not passed on for this time while some servers
+/// can be reached: the servers are down for all.
+constexpr Duration HoldTime = std::chrono::seconds(1);
+constexpr const char *CutOffReason = "no server can be reached";
+
 std::string_view pathOf(const std::string &target)
 {
     return std::string_view(target).substr(0, target.find('?'));
@@ -48,6 +53,7 @@
 void RequestCoordinator::setRoutes(std::shared_ptr<const RouteTable> routes)
 {
     routes_ = std::move(routes);
+    heldUntil_.clear();
 }
 
 Duration RequestCoordinator::retryAfter(const Route &route)
@@ -69,22 +75,70 @@
     return makeForwardRun(context_, terms, split_.next(*terms.route));
 }
 
+std::optional<ClientAnswer> RequestCoordinator::refuseForOther(const ClientRequest &request) const
+{
+    if (!request.passedOn) {
+        return std::nullopt;
+    }
+    std::string reason;
+    if (!routes_) {
+        reason = "no configuration is known yet";
+    } else if (routes_->config().version < request.passedOn->configVersion) {
+        reason = "the configuration here is older, " + std::to_string(routes_->config().version);
+    } else if (context_.reach.isCutOff()) {
+        reason = "this instance cannot reach a server either";
+    } else {
+        return std::nullopt;
+    }
+    ClientAnswer answer = refusal(AnswerStatus::Unavailable, std::move(reason));
+    answer.unable = true;
+    return answer;
+}
+
+std::shared_ptr<const Route> RequestCoordinator::routeFor(const ClientRequest &request) const
+{
+    const auto host = request.headers.find("host");
+    const auto route = host == request.headers.end() ? nullptr : routes_->find(host->second, pathOf(request.target));
+    if (!route || !request.passedOn) {
+        return route;
+    }
+    Route limited = *route;
+    limited.attempts = std::min(limited.attempts, request.passedOn->attempts);
+    const ServiceName &chosen = request.passedOn->service;
+    const auto isChosen = [&chosen](const WeightedService &part) { return part.service == chosen; };
+    if (std::any_of(limited.services.begin(), limited.services.end(), isChosen)) {
+        limited.services = {{chosen, 1}};
+    }
+    return std::make_shared<const Route>(std::move(limited));
+}
+
+Duration RequestCoordinator::clientAge(const ClientRequest &request, const Route &route)
+{
+    if (request.passedOn) {
+        return request.passedOn->clientAge;
+    }
+    return request.clientTimeout ? clientAge_.onRequest(route.name, *request.clientTimeout) : Duration{0};
+}
+
 ServedRequestId RequestCoordinator::serve(ClientRequest request, AnswerCallback onAnswer)
 {
     const ServedRequestId id = ++lastId_;
+    if (auto refused = refuseForOther(request)) {
+        onAnswer(nullptr, std::move(*refused));
+        return id;
+    }
     if (!routes_) {
         const Duration sinceStart = std::clamp(context_.runtime.now() - started_, MinStartupRetryAfter, MaxStartupRetryAfter);
         onAnswer(nullptr, refusal(AnswerStatus::Unavailable, "no configuration is known yet", addJitter(sinceStart)));
         return id;
     }
-    const auto host = request.headers.find("host");
-    const auto route = host == request.headers.end() ? nullptr : routes_->find(host->second, pathOf(request.target));
+    const auto route = routeFor(request);
     if (!route) {
         onAnswer(nullptr, refusal(AnswerStatus::NotFound, "no route for this host and path"));
         return id;
     }
     const Duration effectiveTimeout = std::min(request.clientTimeout.value_or(route->timeout), route->timeout);
-    const Duration clientAge = request.clientTimeout ? clientAge_.onRequest(route->name, *request.clientTimeout) : Duration{0};
+    const Duration clientAge = this->clientAge(request, *route);
     const TimePoint now = context_.runtime.now();
     const auto trial = std::make_shared<RequestTrial>(context_.crashes, RequestFingerprint::of(request), now);
     if (trial->isGuilty(now)) {
@@ -94,21 +148,168 @@
         return id;
     }
     const auto shared = std::make_shared<const ClientRequest>(std::move(request));
-    const RunTerms terms{route, shared, shared->arrived + effectiveTimeout, retryAfter(*route), trial, clientAge};
     Entry &entry = entries_[id];
-    entry.run = makeRun(terms);
-    entry.route = route;
+    entry.terms = RunTerms{route, shared, shared->arrived + effectiveTimeout, retryAfter(*route), trial, clientAge};
     entry.onAnswer = std::move(onAnswer);
     ++pending_;
-    entry.run->start([this, id](ClientAnswer given) { answer(id, std::move(given)); });
+    if (context_.reach.isCutOff()) {
+        passOn(id, {}, CutOffReason);
+        return id;
+    }
+    entry.run = makeRun(entry.terms);
+    entry.run->start([this, id](ClientAnswer given) { onRunAnswered(id, std::move(given)); });
     return id;
 }
 
+void RequestCoordinator::onRunAnswered(ServedRequestId id, ClientAnswer given)
+{
+    Entry &entry = entries_.at(id);
+    if (entry.answered) {
+        return;
+    }
+    if (given.succeeded()) {
+        return answer(id, std::move(given));
+    }
+    entry.ownAnswer = given;
+    const bool passedOn = entry.passOn ? !entry.passOn->finished() : passOnFailed(id, given);
+    if (!passedOn) {
+        answer(id, std::move(given));
+    }
+}
+
+bool RequestCoordinator::mayPassOn(const Entry &entry, const RunProgress &progress) const
+{
+    const TimePoint now = context_.runtime.now();
+    const RunTerms &terms = entry.terms;
+    if (terms.request->passedOn || now >= terms.deadline || terms.trial->isGuilty(now)) {
+        return false;
+    }
+    return progress.attempts == 0 || (terms.route->repeatable && progress.attempts < terms.route->attempts);
+}
+
+bool RequestCoordinator::passOnFailed(ServedRequestId id, const ClientAnswer &answer)
+{
+    const Entry &entry = entries_.at(id);
+    const TimePoint now = context_.runtime.now();
+    const auto held = heldUntil_.find(entry.terms.route->name);
+    const bool isHeld = held != heldUntil_.end() && now < held->second;
+    if (!context_.reach.isCutOff() && (isHeld || !context_.reach.isImpaired(now))) {
+        return false;
+    }
+    const RunProgress progress = progressOf(entry);
+    if (!mayPassOn(entry, progress) || !acquireRepeats(progress)) {
+        return false;
+    }
+    passOn(id, progress, answer.reason);
+    return true;
+}
+
+bool RequestCoordinator::acquireRepeats(const RunProgress &progress)
+{
+    if (context_.budget.tryAcquireAll(progress.sentTo, context_.runtime.now())) {
+        return true;
+    }
+    ++context_.counters.repeatsDenied;
+    return false;
+}
+
+RunProgress RequestCoordinator::progressOf(const Entry &entry) const
+{
+    if (!entry.run) {
+        return {};
+    }
+    const bool ignoresLost = entry.terms.route->repeatable && context_.reach.isCutOff();
+    return entry.run->progress(ignoresLost ? context_.reach.lastResponse() : TimePoint::max());
+}
+
+void RequestCoordinator::passOn(ServedRequestId id, const RunProgress &progress, const std::string &reason)
+{
+    Entry &entry = entries_.at(id);
+    PassOnTerms terms;
+    terms.configVersion = std::max(routes_->config().version, newestConfig_);
+    terms.attempts = entry.terms.route->attempts - progress.attempts;
+    terms.counted = progress.counted;
+    terms.service = progress.service;
+    entry.passOn = std::make_unique<PassOnRun>(context_, entry.terms, std::move(terms), reason);
+    entry.passOn->start([this, id](ClientAnswer given) { onPassOnAnswered(id, std::move(given)); });
+}
+
+void RequestCoordinator::onPassOnAnswered(ServedRequestId id, ClientAnswer given)
+{
+    Entry &entry = entries_.at(id);
+    if (entry.answered) {
+        return;
+    }
+    newestConfig_ = std::max(newestConfig_, entry.passOn->newestConfig());
+    if (given.succeeded()) {
+        return answer(id, std::move(given));
+    }
+    const bool cutOff = context_.reach.isCutOff();
+    if (!cutOff) {
+        heldUntil_[entry.terms.route->name] = context_.runtime.now() + HoldTime;
+        if (entry.run && !entry.ownAnswer) {
+            // The servers can be reached again, so the own run may still be answered.
+            return;
+        }
+    }
+    const bool ranHere = entry.run && entry.run->progress().attempts > 0;
+    if (given.kind == ClientAnswer::Kind::Refused && ranHere) {
+        given = entry.ownAnswer.value_or(failureAnswer(mayHaveRun(Errc::Unavailable, given.reason).value(), false, false, Duration{0}));
+    }
+    answer(id, std::move(given));
+}
+
+void RequestCoordinator::onReachChanged()
+{
+    if (!context_.reach.isCutOff()) {
+        return;
+    }
+    std::vector<ServedRequestId> unanswered;
+    for (const auto &[id, entry] : entries_) {
+        if (!entry.answered && !entry.passOn) {
+            unanswered.push_back(id);
+        }
+    }
+    for (const ServedRequestId id : unanswered) {
+        onCutOff(id);
+    }
+}
+
+void RequestCoordinator::onCutOff(ServedRequestId id)
+{
+    Entry &entry = entries_.at(id);
+    if (!entry.terms.request->passedOn && !context_.peerChoice.choose({}, context_.runtime.now())) {
+        // Nobody else could serve it, and a server may still respond.
+        return;
+    }
+    const RunProgress progress = progressOf(entry);
+    if (mayPassOn(entry, progress) && acquireRepeats(progress)) {
+        entry.run->stopSending();
+        passOn(id, progress, CutOffReason);
+        return;
+    }
+    const bool mayHaveRunHere = entry.run->progress().attempts > 0;
+    if (mayHaveRunHere && !entry.terms.route->repeatable) {
+        // A second run is not allowed, and the answer may still come.
+        return;
+    }
+    const std::string reason = "no server can be reached any more";
+    const Failure failure{Errc::Unavailable, mayHaveRunHere ? Verdict::MayHaveRun : Verdict::NotRun, reason, Duration{0}};
+    answer(id, failureAnswer(failure, !mayHaveRunHere, false, entry.terms.retryAfter));
+}
+
 void RequestCoordinator::answer(ServedRequestId id, ClientAnswer answer)
 {
-    const auto route = entries_.at(id).route;
-    const auto onAnswer = std::exchange(entries_.at(id).onAnswer, nullptr);
-    finish(id);
+    Entry &entry = entries_.at(id);
+    const auto route = entry.terms.route;
+    const auto onAnswer = std::exchange(entry.onAnswer, nullptr);
+    if (entry.terms.request->passedOn) {
+        answer.attempts = entry.run->progress().attempts;
+        answer.unable = !answer.succeeded() && context_.reach.isCutOff();
+        context_.counters.servedForOthers += answer.succeeded() ? 1 : 0;
+    }
+    const bool byPeer = entry.passOn && entry.passOn->finished();
+    finish(id, !byPeer && entry.run && entry.run->inFlight() > 0 ? LoserGracePeriod : Duration{0});
     onAnswer(route.get(), std::move(answer));
 }
 
@@ -131,13 +332,18 @@
     }
 }
 
-void RequestCoordinator::finish(ServedRequestId id)
+void RequestCoordinator::finish(ServedRequestId id, Duration delay)
 {
     Entry &entry = entries_.at(id);
     entry.answered = true;
     --pending_;
-    // Deferred even without requests in flight, since the run is still on the stack.
-    const Duration delay = entry.run->inFlight() > 0 ? LoserGracePeriod : Duration{0};
+    if (entry.run) {
+        entry.run->stopSending();
+    }
+    if (entry.passOn) {
+        entry.passOn->cancel();
+    }
+    // Deferred even without requests in flight, since the run may be on the stack.
     entry.removal = context_.runtime.schedule(delay, [this, id] { entries_.erase(id); });
 }
 
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -78,13 +78,28 @@
 void ServiceCall::start(Done done)
 {
     done_ = std::move(done);
-    context_.budget.onFirstSend(service_, context_.runtime.now());
+    started_ = true;
+    if (!request_->passedOn || !request_->passedOn->counted) {
+        context_.budget.onFirstSend(service_, context_.runtime.now());
+    }
     if (trial_->mayStart()) {
         return sendFirst();
     }
     trial_->wait([this] { resume(); });
 }
 
+void ServiceCall::stopSending()
+{
+    sendingStopped_ = true;
+    context_.runtime.cancel(std::exchange(hedgeTimer_, 0));
+}
+
+std::uint32_t ServiceCall::attemptsUsed(TimePoint lastResponseAt) const
+{
+    const auto isUsed = [lastResponseAt](TimePoint sentAt) { return sentAt <= lastResponseAt; };
+    return static_cast<std::uint32_t>(std::count_if(possiblyRanSentAt_.begin(), possiblyRanSentAt_.end(), isUsed));
+}
+
 void ServiceCall::sendFirst()
 {
     if (!sendAttempt("send", {})) {
@@ -155,6 +170,9 @@
 
 bool ServiceCall::sendAttempt(const char *kind, const std::string &reason)
 {
+    if (sendingStopped_) {
+        return false;
+    }
     const TimePoint now = context_.runtime.now();
     const ChosenServer chosen = chooseServer(now);
     if (!chosen.server) {
@@ -163,6 +181,7 @@
     const bool first = sends_ == 0;
     const std::uint64_t number = ++sends_;
     ++possiblyRan_;
+    possiblyRanSentAt_.push_back(now);
     tried_.push_back(chosen.server->id);
     Attempt attempt{0, chosen.server, now, !first && !attempts_.empty(), 0};
     attempt.reachId = context_.reach.onSent(*chosen.server, context_.choice.overdueAfter(*route_, *chosen.server, now));
@@ -182,7 +201,7 @@
 
 bool ServiceCall::mayRunAgain() const
 {
-    return route_->repeatable && possiblyRan_ < route_->attempts && deadline_ - context_.runtime.now() > MinTimeLeft;
+    return !sendingStopped_ && route_->repeatable && possiblyRan_ < route_->attempts && deadline_ - context_.runtime.now() > MinTimeLeft;
 }
 
 void ServiceCall::scheduleHedge(const ChosenServer &chosen)
@@ -254,6 +273,10 @@
     context_.reach.onEnded(attempt.reachId, reached);
     notArrived_ += reached == ReachOutcome::NotConnected ? 1 : 0;
     recordOutcome(attempt, reply);
+    if (!reply && reply.error().verdict == Verdict::NotRun) {
+        --possiblyRan_;
+        possiblyRanSentAt_.erase(std::find(possiblyRanSentAt_.begin(), possiblyRanSentAt_.end(), attempt.sentAt));
+    }
     if (isCrash(attempt, reply)) {
         context_.journal.note(
             {"crash", request_->id, service_.text(), server.text(), trial_->fingerprint().text(), context_.runtime.now() - request_->arrived});
@@ -270,9 +293,6 @@
 
 void ServiceCall::handleReply(Result<ServerReply> reply)
 {
-    if (!reply && reply.error().verdict == Verdict::NotRun) {
-        --possiblyRan_;
-    }
     if (!done_) {
         return;
     }
@@ -314,7 +334,7 @@
 {
     const bool nothingRan = possiblyRan_ == 0 && sends_ < route_->attempts + MaxExtraRefusals;
     const bool timeLeft = deadline_ - context_.runtime.now() > MinTimeLeft;
-    if (!timeLeft || !(nothingRan || mayRunAgain()) || sends_ >= route_->attempts + MaxExtraRefusals) {
+    if (sendingStopped_ || !timeLeft || !(nothingRan || mayRunAgain()) || sends_ >= route_->attempts + MaxExtraRefusals) {
         return false;
     }
     return context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server != nullptr;
--- a/packages/routing/tests/routingfixture.h
+++ b/packages/routing/tests/routingfixture.h
@@ -63,6 +63,59 @@
     BackendRequestId last_ = 0;
 };
 
+/// Other instances whose answers the test gives explicitly.
+class ManualPeers final : public PeerRequests
+{
+public:
+    struct Sent
+    {
+        PeerRequestId id = 0;
+        Peer peer;
+        std::shared_ptr<const ClientRequest> request;
+        PassOnTerms terms;
+        TimePoint deadline;
+        Callback done;
+    };
+
+    PeerRequestId
+    send(const Peer &peer, const std::shared_ptr<const ClientRequest> &request, const PassOnTerms &terms, TimePoint deadline, Callback done) override
+    {
+        ++all;
+        open.push_back({++last_, peer, request, terms, deadline, std::move(done)});
+        return last_;
+    }
+
+    void cancel(PeerRequestId id) override
+    {
+        const auto found = std::find_if(open.begin(), open.end(), [id](const Sent &sent) { return sent.id == id; });
+        if (found != open.end()) {
+            cancelled.push_back(found->peer.id.text());
+            open.erase(found);
+        }
+    }
+
+    void fetchConfig(const Peer &peer) override
+    {
+        fetchedFrom.push_back(peer.id.text());
+    }
+
+    /// Answers the oldest request in flight.
+    void answer(Result<PeerReply> reply)
+    {
+        const Sent sent = open.front();
+        open.erase(open.begin());
+        sent.done(std::move(reply));
+    }
+
+    std::vector<Sent> open;
+    std::vector<std::string> cancelled;
+    std::vector<std::string> fetchedFrom;
+    std::size_t all = 0;
+
+private:
+    PeerRequestId last_ = 0;
+};
+
 /// Creates a success with a body; the default signature is derived from the body.
 inline ServerReply success(const std::string &body, const std::string &signature = {})
 {
@@ -92,7 +145,13 @@
         decisions.emplace_back(event.decision);
     }
 
+    void notePassedOn(const PassOnEvent &event) override
+    {
+        passedOn.push_back(event.peer.text() + ' ' + std::string(event.outcome));
+    }
+
     std::vector<std::string> decisions;
+    std::vector<std::string> passedOn;
 };
 
 /// A request coordinator with fake servers and a manual clock.
@@ -113,6 +172,16 @@
         servers.put({ServerId(id), ServiceName(service), Address{"10.0.0.1", ++port}, DataCentre(zone), false, 4, Duration{0}, 1});
     }
 
+    /// Adds an instance that can help this one.
+    void addHelper(const std::string &id, std::size_t group = 0)
+    {
+        InstanceRecord record;
+        record.id = InstanceId(id);
+        record.peers = Address{"10.0.1.1", ++port};
+        helpers.resize(std::max(helpers.size(), group + 1));
+        helpers[group].push_back(record);
+    }
+
     static Route route(const std::string &service)
     {
         Route made;
@@ -149,7 +218,10 @@
         coordinator.setRoutes(std::make_shared<const RouteTable>(std::make_shared<const RoutingConfig>(std::move(config))));
     }
 
-    ServedRequestId sendRequest(const std::string &service, std::optional<Duration> clientTimeout = std::nullopt, const std::string &item = "x")
+    ServedRequestId sendRequest(const std::string &service,
+                                std::optional<Duration> clientTimeout = std::nullopt,
+                                const std::string &item = "x",
+                                std::optional<PassOnTerms> passedOn = std::nullopt)
     {
         ClientRequest request;
         request.id = "attempt";
@@ -158,6 +230,7 @@
         request.headers["host"] = "shop.example";
         request.arrived = runtime.now();
         request.clientTimeout = clientTimeout;
+        request.passedOn = std::move(passedOn);
         answer.reset();
         return coordinator.serve(std::move(request), [this](const Route *, ClientAnswer given) {
             CHECK_FALSE(answer);
@@ -191,8 +264,24 @@
                           if (change.cutOff) {
                               withdrawFailuresOfCut(context);
                           }
+                          coordinator.onReachChanged();
                       }};
-    RoutingContext context{runtime, backends, servers, choice, load, budget, crashes, reach, counters, journal};
+    ManualPeers peers;
+    /// The instances that can help this one, in groups.
+    std::vector<std::vector<InstanceRecord>> helpers;
+    PeerChoice peerChoice{[this] {
+                              std::vector<InstanceTable::Records> groups;
+                              for (const auto &group : helpers) {
+                                  groups.emplace_back();
+                                  for (const InstanceRecord &helper : group) {
+                                      groups.back().push_back(&helper);
+                                  }
+                              }
+                              return groups;
+                          },
+                          InstanceId("self"),
+                          7};
+    RoutingContext context{runtime, backends, servers, choice, load, budget, crashes, reach, counters, journal, peers, peerChoice};
     RequestCoordinator coordinator{context, 7};
     std::optional<ClientAnswer> answer;
     std::int64_t version = 0;
