Serve what is in progress when the servers get out of reach

Cause: hedges into the dead link had used up the repeat budget before the cut was noticed, so that passing on was denied. Those hedges arrived nowhere. Besides, what a peer had sent in the moments before it noticed its own cut counted as used attempts. And a refusal of a peer was final also where the request had arrived at no server: in the second cut the peers of the same data centre could not connect either, and in the first second the nearest peer had no connection left.

Change: passing on costs a repeat only at services where an attempt may have arrived, and not where a charged one was sent since the last response of any server. A peer reports the attempts that may have arrived, and says of a refused request that arrived at no server that another instance may serve it; the next one is asked, and that peer is used after the others for half a second. A request whose time is over at the peer is logged as late, not as a lost peer.

--- a/packages/router/src/clientendpoint.cpp
+++ b/packages/router/src/clientendpoint.cpp
@@ -150,7 +150,7 @@
     if (!terms) {
         request.passedOn = PassOnTerms();
         ClientAnswer answer = refusal(AnswerStatus::BadRequest, terms.error().message);
-        answer.unable = true;
+        answer.inability = ClientAnswer::Inability::Instance;
         responder->respond(makeResponse(request, answer));
         return;
     }
@@ -172,7 +172,7 @@
     const TimePoint arrived = request.arrived;
     if (arrived >= refusedFrom_) {
         ClientAnswer answer = refusal(AnswerStatus::Unavailable, "the instance is stopping", StoppingRetryAfter);
-        answer.unable = request.passedOn.has_value();
+        answer.inability = request.passedOn ? ClientAnswer::Inability::Instance : ClientAnswer::Inability::None;
         recordAnswer(loggedRequest, nullptr, answer, Duration{0});
         responder->respond(makeResponse(loggedRequest, answer));
         return;
--- a/packages/router/src/passonheaders.cpp
+++ b/packages/router/src/passonheaders.cpp
@@ -27,6 +27,8 @@
 constexpr std::array<const char *, 8> All{From, Config, Attempts, Counted, ClientAgeUs, Service, Outcome, Unable};
 
 constexpr const char *Yes = "1";
+/// The values of `Unable` in the order of ClientAnswer::Inability.
+constexpr std::array<std::string_view, 3> Inabilities{"", "request", "instance"};
 /// The outcomes in the order of ClientAnswer::Kind.
 constexpr std::array<std::string_view, 4> Outcomes{"passed", "gathered", "refused", "failed"};
 
@@ -135,8 +137,8 @@
     headers[Outcome] = Outcomes.at(static_cast<std::size_t>(answer.kind));
     headers[Config] = std::to_string(configVersion);
     headers[Attempts] = std::to_string(answer.attempts);
-    if (answer.unable) {
-        headers[Unable] = Yes;
+    if (answer.inability != ClientAnswer::Inability::None) {
+        headers[Unable] = Inabilities.at(static_cast<std::size_t>(answer.inability));
     }
 }
 
@@ -156,7 +158,8 @@
     answer.kind = static_cast<ClientAnswer::Kind>(outcome - Outcomes.begin());
     answer.status = response->status;
     answer.attempts = numberOf<std::uint32_t>(response->headers, Attempts).value_or(0);
-    answer.unable = valueOf(response->headers, Unable) == Yes;
+    const auto inability = std::find(Inabilities.begin(), Inabilities.end(), valueOf(response->headers, Unable));
+    answer.inability = inability == Inabilities.end() ? ClientAnswer::Inability::None : static_cast<ClientAnswer::Inability>(inability - Inabilities.begin());
     if (!answer.succeeded()) {
         answer.reason = messageOf(response->body);
         answer.retryAfter = retryAfterOf(response->headers);
--- a/packages/routing/include/burdock/routing/clientanswer.h
+++ b/packages/routing/include/burdock/routing/clientanswer.h
@@ -33,9 +33,16 @@
     Duration retryAfter{0};
     /// The cause, for the log and for the body of a refusal.
     std::string reason;
-    /// Set if the request was passed on to this instance, which cannot serve it although another instance may.
-    bool unable = false;
-    /// The maximum number of attempts per shard that ran or may have run.
+    /// Why an instance to which the request was passed on cannot serve it although another may.
+    enum class Inability {
+        None,
+        /// The request arrived at no server, since none could be connected to or had room for this instance.
+        Request,
+        /// The instance can serve no requests of others now.
+        Instance,
+    };
+    Inability inability = Inability::None;
+    /// The maximum number of attempts per shard that ran or may have run, of a request that was passed on.
     std::uint32_t attempts = 0;
 
     bool succeeded() const
--- a/packages/routing/include/burdock/routing/peerchoice.h
+++ b/packages/routing/include/burdock/routing/peerchoice.h
@@ -17,15 +17,17 @@
 /// Load: some or most instances of a region are cut off from the servers at the same time, while peers may be killed, suspended or
 /// cut off as well. Peers of the own region come first. Each instance uses a few peers only, others than its neighbours use, so that
 /// the number of connections stays small in a large system; among these it takes the one of two random ones with fewer of its
-/// requests in flight. A peer that cannot help or is lost is left out for a while.
+/// requests in flight. A peer that cannot help or is lost is left out for a while; one that had no room for a request, or is silent, is
+/// used only if there is no other.
 class PeerChoice
 {
 public:
     /// Returns the instances that can help, in groups in the order of preference.
     using Helpers = std::function<std::vector<InstanceTable::Records>()>;
 
-    /// How a request at a peer ended: with an answer, because the peer cannot help or was lost, or by this instance.
-    enum class Ending { Answered, Unable, Lost, Cancelled };
+    /// How a request at a peer ended: with an answer, since the peer had no room for it or cannot help, since it was lost, or by this
+    /// instance.
+    enum class Ending { Answered, NoRoom, Unable, Lost, Cancelled };
 
     PeerChoice(Helpers helpers, InstanceId self, std::uint64_t seed);
 
@@ -45,10 +47,13 @@
         /// When the peer last answered, or since when requests wait there if that is later.
         TimePoint heardAt{};
         TimePoint leftOutUntil{};
+        /// Until when others are preferred.
+        TimePoint noRoomUntil{};
     };
 
     std::uint32_t inFlight(const InstanceId &peer) const;
     bool isSilent(const InstanceId &peer, TimePoint now) const;
+    bool hasNoRoom(const InstanceId &peer, TimePoint now) const;
     bool canTake(const InstanceId &peer, TimePoint now) const;
     std::size_t rank(const InstanceId &peer) const;
     Peer chooseFrom(InstanceTable::Records candidates);
--- a/packages/routing/include/burdock/routing/requestcoordinator.h
+++ b/packages/routing/include/burdock/routing/requestcoordinator.h
@@ -82,6 +82,7 @@
     /// Passes on or ends a request in progress, since no server can be reached.
     void onCutOff(ServedRequestId id);
     RunProgress progressOf(const Entry &entry) const;
+    ClientAnswer::Inability inabilityOf(const Entry &entry, const ClientAnswer &answer) const;
     void finish(ServedRequestId id, Duration delay);
     /// Gives the request its answer.
     void answer(ServedRequestId id, ClientAnswer answer);
--- a/packages/routing/include/burdock/routing/requestrun.h
+++ b/packages/routing/include/burdock/routing/requestrun.h
@@ -18,13 +18,13 @@
     std::uint32_t attempts = 0;
     /// Whether the request has been counted in the repeat budget.
     bool counted = false;
-    /// The services at whose servers the request may have arrived.
-    std::vector<ServiceName> sentTo;
+    /// The services at which passing the request on costs a repeat.
+    std::vector<ServiceName> repeats;
     /// The service of a weighted split; empty for a route over shards.
     ServiceName service;
 
     /// Adds the progress of a call.
-    void add(const ServiceCall &call, TimePoint lastResponseAt);
+    void add(const ServiceCall &call, TimePoint lastResponse);
 };
 
 /// Processes one client request. The destructor cancels attempts in flight.
@@ -45,7 +45,7 @@
     virtual void stopSending() = 0;
 
     /// Returns what the run has done so far; see ServiceCall::attemptsUsed.
-    virtual RunProgress progress(TimePoint lastResponseAt = TimePoint::max()) const = 0;
+    virtual RunProgress progress(TimePoint lastResponse = TimePoint::max()) const = 0;
 };
 
 /// The parameters of a run.
--- a/packages/routing/include/burdock/routing/routingcontext.h
+++ b/packages/routing/include/burdock/routing/routingcontext.h
@@ -56,7 +56,7 @@
     /// Why the request was passed on.
     const std::string &reason;
     /// `passed`, `gathered`, `refused` or `failed` as the peer answered; `unable` if it could not help, `lost` if the connection to it
-    /// failed, or `cancelled`.
+    /// failed, `late` if it had not answered at the deadline, or `cancelled`.
     std::string_view outcome;
     /// The peer's reason, or that of the lost connection.
     const std::string &detail;
--- a/packages/routing/include/burdock/routing/servicecall.h
+++ b/packages/routing/include/burdock/routing/servicecall.h
@@ -56,18 +56,16 @@
 
     /// Returns the number of attempts that ran or may have run, without those that were sent after a time since which no server has
     /// responded: they did not arrive while the instance is cut off.
-    std::uint32_t attemptsUsed(TimePoint lastResponseAt) const;
+    std::uint32_t attemptsUsed(TimePoint lastResponse) const;
 
     bool started() const
     {
         return started_;
     }
 
-    /// Whether an attempt may have arrived at a server.
-    bool mayHaveArrived() const
-    {
-        return sends_ > notArrived_;
-    }
+    /// Whether passing the request on costs a repeat at the service: an attempt may have arrived there, and none that was charged to the
+    /// repeat budget was sent since the last response of any server.
+    bool needsRepeat(TimePoint lastResponse) const;
 
     const ServiceName &service() const
     {
@@ -133,6 +131,8 @@
     /// The number of attempts that ran or may have run, including those in flight, and when they were sent.
     std::uint32_t possiblyRan_ = 0;
     std::vector<TimePoint> possiblyRanSentAt_;
+    TimePoint firstSentAt_{};
+    TimePoint lastSentAt_{};
     bool started_ = false;
     bool sendingStopped_ = false;
     TimerId hedgeTimer_ = 0;
--- a/packages/routing/src/forwardrun.cpp
+++ b/packages/routing/src/forwardrun.cpp
@@ -35,10 +35,10 @@
         call_.stopSending();
     }
 
-    RunProgress progress(TimePoint lastResponseAt) const override
+    RunProgress progress(TimePoint lastResponse) const override
     {
         RunProgress progress;
-        progress.add(call_, lastResponseAt);
+        progress.add(call_, lastResponse);
         progress.service = call_.service();
         return progress;
     }
@@ -66,12 +66,12 @@
 
 } // namespace
 
-void RunProgress::add(const ServiceCall &call, TimePoint lastResponseAt)
+void RunProgress::add(const ServiceCall &call, TimePoint lastResponse)
 {
-    attempts = std::max(attempts, call.attemptsUsed(lastResponseAt));
+    attempts = std::max(attempts, call.attemptsUsed(lastResponse));
     counted = counted || call.started();
-    if (call.mayHaveArrived()) {
-        sentTo.push_back(call.service());
+    if (call.needsRepeat(lastResponse)) {
+        repeats.push_back(call.service());
     }
 }
 
--- a/packages/routing/src/gatherrun.cpp
+++ b/packages/routing/src/gatherrun.cpp
@@ -79,11 +79,11 @@
         }
     }
 
-    RunProgress progress(TimePoint lastResponseAt) const override
+    RunProgress progress(TimePoint lastResponse) const override
     {
         RunProgress progress;
         for (const auto &call : calls_) {
-            progress.add(*call, lastResponseAt);
+            progress.add(*call, lastResponse);
         }
         return progress;
     }
--- a/packages/routing/src/passonrun.cpp
+++ b/packages/routing/src/passonrun.cpp
@@ -1,6 +1,7 @@
 #include <burdock/routing/passonrun.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace Burdock
@@ -13,6 +14,12 @@
 /// The minimum time before the deadline for passing a request on; with less, it cannot be answered in time.
 constexpr Duration MinTimeLeft = std::chrono::milliseconds(10);
 
+PeerChoice::Ending endingOf(ClientAnswer::Inability inability)
+{
+    constexpr std::array<PeerChoice::Ending, 3> Endings{PeerChoice::Ending::Answered, PeerChoice::Ending::NoRoom, PeerChoice::Ending::Unable};
+    return Endings.at(static_cast<std::size_t>(inability));
+}
+
 /// Returns the services to which the request may be sent.
 std::vector<ServiceName> servicesOf(const Route &route, const ServiceName &chosen)
 {
@@ -89,7 +96,7 @@
         const bool expired = failure.code == Errc::DeadlineExceeded;
         context_.peerChoice.onEnded(peer_.id, expired ? PeerChoice::Ending::Cancelled : PeerChoice::Ending::Lost, now);
         ++context_.counters.passedOnFailed;
-        note("lost", failure.message);
+        note(expired ? "late" : "lost", failure.message);
         lastReason_ = failure.message;
         const bool reached = failure.verdict != Verdict::NotRun;
         nothingRan_ = nothingRan_ && !reached;
@@ -99,7 +106,8 @@
         return askNext();
     }
     ClientAnswer &answer = reply->answer;
-    context_.peerChoice.onEnded(peer_.id, answer.unable ? PeerChoice::Ending::Unable : PeerChoice::Ending::Answered, now);
+    const bool unable = answer.inability != ClientAnswer::Inability::None;
+    context_.peerChoice.onEnded(peer_.id, endingOf(answer.inability), now);
     if (reply->configVersion > passOn_.configVersion) {
         passOn_.configVersion = reply->configVersion;
         context_.peers.fetchConfig(peer_);
@@ -109,11 +117,11 @@
         return finish(std::move(answer));
     }
     ++context_.counters.passedOnFailed;
-    note(answer.unable ? "unable" : answer.kind == ClientAnswer::Kind::Refused ? "refused" : "failed", answer.reason);
+    note(unable ? "unable" : answer.kind == ClientAnswer::Kind::Refused ? "refused" : "failed", answer.reason);
     lastReason_ = answer.reason;
     const bool ran = answer.kind == ClientAnswer::Kind::Failed;
     nothingRan_ = nothingRan_ && !ran;
-    if (answer.unable && (!ran || mayAskAgain(answer.attempts))) {
+    if (unable && (!ran || mayAskAgain(answer.attempts))) {
         return askNext();
     }
     if (!nothingRan_ && !ran) {
@@ -129,6 +137,9 @@
     if (!terms_.route->repeatable || passOn_.attempts == 0 || tried_.size() >= MaxPeersAsked) {
         return false;
     }
+    if (attemptsUsed == 0) {
+        return true;
+    }
     passOn_.counted = true;
     return context_.budget.tryAcquireAll(servicesOf(*terms_.route, passOn_.service), context_.runtime.now());
 }
--- a/packages/routing/src/peerchoice.cpp
+++ b/packages/routing/src/peerchoice.cpp
@@ -11,8 +11,9 @@
 
 /// The number of peers of one region that an instance uses at the same time.
 constexpr std::size_t MaxPeers = 8;
-/// How long a peer that could not help is left out.
+/// How long a peer that could not help is left out, and how long one that had no room is used only if there is no other.
 constexpr Duration LeftOutTime = std::chrono::seconds(2);
+constexpr Duration NoRoomTime = std::chrono::milliseconds(500);
 /// A peer at which requests wait is silent if it has not answered any for this time.
 constexpr Duration SilenceTime = std::chrono::milliseconds(300);
 
@@ -52,20 +53,30 @@
 {
     forgetUnused(now);
     // Silent peers are the last resort: they may be suspended, or just work on long requests.
+    InstanceTable::Records full;
     InstanceTable::Records silent;
     for (const InstanceTable::Records &group : helpers_()) {
         InstanceTable::Records candidates;
         for (const InstanceRecord *record : group) {
             const bool wasTried = std::find(tried.begin(), tried.end(), record->id) != tried.end();
             if (!wasTried && canTake(record->id, now)) {
-                (isSilent(record->id, now) ? silent : candidates).push_back(record);
+                (isSilent(record->id, now) ? silent : hasNoRoom(record->id, now) ? full : candidates).push_back(record);
             }
         }
         if (!candidates.empty()) {
             return chooseFrom(std::move(candidates));
         }
     }
-    return silent.empty() ? std::nullopt : std::optional(chooseFrom(std::move(silent)));
+    if (full.empty() && silent.empty()) {
+        return std::nullopt;
+    }
+    return chooseFrom(std::move(full.empty() ? silent : full));
+}
+
+bool PeerChoice::hasNoRoom(const InstanceId &peer, TimePoint now) const
+{
+    const auto state = states_.find(peer);
+    return state != states_.end() && state->second.noRoomUntil > now;
 }
 
 Peer PeerChoice::chooseFrom(InstanceTable::Records candidates)
@@ -94,9 +105,12 @@
 {
     PeerState &state = states_[peer];
     state.inFlight -= std::min(state.inFlight, 1U);
-    if (ending == Ending::Answered || ending == Ending::Unable) {
+    if (ending != Ending::Lost && ending != Ending::Cancelled) {
         state.heardAt = now;
     }
+    if (ending == Ending::NoRoom) {
+        state.noRoomUntil = now + NoRoomTime;
+    }
     if (ending == Ending::Unable || ending == Ending::Lost) {
         state.leftOutUntil = now + LeftOutTime;
     }
@@ -105,7 +119,7 @@
 void PeerChoice::forgetUnused(TimePoint now)
 {
     for (auto state = states_.begin(); state != states_.end();) {
-        const bool unused = state->second.inFlight == 0 && state->second.leftOutUntil <= now;
+        const bool unused = state->second.inFlight == 0 && std::max(state->second.leftOutUntil, state->second.noRoomUntil) <= now;
         state = unused ? states_.erase(state) : std::next(state);
     }
 }
--- a/packages/routing/src/requestcoordinator.cpp
+++ b/packages/routing/src/requestcoordinator.cpp
@@ -91,7 +91,7 @@
         return std::nullopt;
     }
     ClientAnswer answer = refusal(AnswerStatus::Unavailable, std::move(reason));
-    answer.unable = true;
+    answer.inability = ClientAnswer::Inability::Instance;
     return answer;
 }
 
@@ -206,7 +206,7 @@
 
 bool RequestCoordinator::acquireRepeats(const RunProgress &progress)
 {
-    if (context_.budget.tryAcquireAll(progress.sentTo, context_.runtime.now())) {
+    if (context_.budget.tryAcquireAll(progress.repeats, context_.runtime.now())) {
         return true;
     }
     ++context_.counters.repeatsDenied;
@@ -298,14 +298,27 @@
     answer(id, failureAnswer(failure, !mayHaveRunHere, false, entry.terms.retryAfter));
 }
 
+ClientAnswer::Inability RequestCoordinator::inabilityOf(const Entry &entry, const ClientAnswer &answer) const
+{
+    if (answer.succeeded()) {
+        return ClientAnswer::Inability::None;
+    }
+    if (context_.reach.isCutOff()) {
+        return ClientAnswer::Inability::Instance;
+    }
+    // Connections and limits are divided among the instances, so another one may have room at the same servers.
+    const bool arrivedNowhere = answer.kind == ClientAnswer::Kind::Refused && entry.run->progress().repeats.empty();
+    return arrivedNowhere ? ClientAnswer::Inability::Request : ClientAnswer::Inability::None;
+}
+
 void RequestCoordinator::answer(ServedRequestId id, ClientAnswer answer)
 {
     Entry &entry = entries_.at(id);
     const auto route = entry.terms.route;
     const auto onAnswer = std::exchange(entry.onAnswer, nullptr);
     if (entry.terms.request->passedOn) {
-        answer.attempts = entry.run->progress().attempts;
-        answer.unable = !answer.succeeded() && context_.reach.isCutOff();
+        answer.attempts = progressOf(entry).attempts;
+        answer.inability = inabilityOf(entry, answer);
         context_.counters.servedForOthers += answer.succeeded() ? 1 : 0;
     }
     const bool byPeer = entry.passOn && entry.passOn->finished();
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -94,12 +94,18 @@
     context_.runtime.cancel(std::exchange(hedgeTimer_, 0));
 }
 
-std::uint32_t ServiceCall::attemptsUsed(TimePoint lastResponseAt) const
+std::uint32_t ServiceCall::attemptsUsed(TimePoint lastResponse) const
 {
-    const auto isUsed = [lastResponseAt](TimePoint sentAt) { return sentAt <= lastResponseAt; };
+    const auto isUsed = [lastResponse](TimePoint sentAt) { return sentAt <= lastResponse; };
     return static_cast<std::uint32_t>(std::count_if(possiblyRanSentAt_.begin(), possiblyRanSentAt_.end(), isUsed));
 }
 
+bool ServiceCall::needsRepeat(TimePoint lastResponse) const
+{
+    const bool mayHaveArrived = sends_ > notArrived_ && firstSentAt_ <= lastResponse;
+    return mayHaveArrived && lastSentAt_ <= lastResponse;
+}
+
 void ServiceCall::sendFirst()
 {
     if (!sendAttempt("send", {})) {
@@ -182,6 +188,8 @@
     const std::uint64_t number = ++sends_;
     ++possiblyRan_;
     possiblyRanSentAt_.push_back(now);
+    lastSentAt_ = now;
+    firstSentAt_ = first ? now : firstSentAt_;
     tried_.push_back(chosen.server->id);
     Attempt attempt{0, chosen.server, now, !first && !attempts_.empty(), 0};
     attempt.reachId = context_.reach.onSent(*chosen.server, context_.choice.overdueAfter(*route_, *chosen.server, now));
