Notice a cut also where few requests come, or all go to one service

An instance that gets a request now and then, or requests for one service only, never had failures of five servers of two services at the same time, and did not notice that it was cut off.

While two servers or more are silent or fail and no server has responded for 150 ms, ReachTrials now asks the health paths of five servers of several services, at most once in 2 s; they decide. Where other servers respond, nothing is asked.

The tests fail without the change (there were no such trials).

--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -153,7 +153,8 @@
     , choice_(servers_, latencies_, load_, limits_, notices_, settings.regions, settings.region, seed)
     , budget_(settings.repeats, loop.now())
     , crashes_([this](Duration clearingTime) { crashReports_.onChanged(clearingTime); })
-    , reach_(loop, servers_, [this](const ReachChange &change) { onReachChanged(change); })
+    , reach_(
+          loop, servers_, [this](const ReachChange &change) { onReachChanged(change); }, [this] { trials_.onSuspected(); })
     , trials_(
           loop,
           servers_,
@@ -623,8 +624,9 @@
     request.path = path;
     request.headers[dialect_.headers().targetServer] = server->id.text();
     request.timeout = timeout;
-    client_.send(std::move(request),
-                 [done = std::move(done)](const Result<HttpResponse> &response) { done(response ? ReachOutcome::Response : ReachOutcome::NoResponse); });
+    client_.send(std::move(request), [done = std::move(done)](const Result<HttpResponse> &response) {
+        done(response ? ReachOutcome::Response : reachOutcomeOf(response.error()));
+    });
 }
 
 void Router::onServerHints(const ServerEntry &server, const ServerHints &hints)
--- a/packages/routing/include/burdock/routing/reachtrials.h
+++ b/packages/routing/include/burdock/routing/reachtrials.h
@@ -2,6 +2,7 @@
 
 #include <burdock/routing/serverreach.h>
 
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -10,7 +11,8 @@
 {
 
 /// While the instance is cut off, asks one server after the other for a response, so that its recovery shows without clients'
-/// requests, which are served by other instances meanwhile.
+/// requests, which are served by other instances meanwhile. If that is only suspected, because few requests come or all go to one
+/// service, asks servers of several services at once.
 class ReachTrials
 {
 public:
@@ -28,13 +30,18 @@
     /// Starts or stops the trials after a change of the reach.
     void update();
 
+    /// Asks several servers, unless it has done so just before.
+    void onSuspected();
+
     std::uint64_t count() const
     {
         return count_;
     }
 
 private:
-    void ask();
+    void askNext();
+    void askServer(const ServerHandle &server, Duration overdueAfter);
+    std::vector<ServerHandle> askable();
     ServerHandle next();
 
     Runtime &runtime_;
@@ -47,6 +54,7 @@
     std::vector<ServerHandle> unasked_;
     std::uint64_t count_ = 0;
     TimerId timer_ = 0;
+    std::optional<TimePoint> suspectedAt_;
 };
 
 } // namespace Burdock
--- a/packages/routing/include/burdock/routing/serverreach.h
+++ b/packages/routing/include/burdock/routing/serverreach.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/routing/servertable.h>
+#include <burdock/values/failure.h>
 
 #include <cstdint>
 #include <functional>
@@ -23,6 +24,9 @@
     NoResponse,
 };
 
+/// Returns what a failed request to a server shows.
+ReachOutcome reachOutcomeOf(const Failure &failure);
+
 /// A change of whether the instance is cut off, and the evidence for it.
 struct ReachChange
 {
@@ -51,7 +55,10 @@
     using ChangeHandler = std::function<void(const ReachChange &)>;
     using AttemptId = std::uint64_t;
 
-    ServerReach(Runtime &runtime, const ServerTable &servers, ChangeHandler onChanged);
+    /// `onSuspected` is called while several servers fail or are silent and none responds, but they are too few, or all of one
+    /// service. Attempts at other servers then decide.
+    ServerReach(
+        Runtime &runtime, const ServerTable &servers, ChangeHandler onChanged, std::function<void()> onSuspected = [] {});
     ~ServerReach();
     ServerReach(const ServerReach &) = delete;
     ServerReach &operator=(const ServerReach &) = delete;
@@ -106,6 +113,9 @@
         std::map<ServerId, ServiceName> failed;
         /// How many of the failed ones failed other than by a broken connection.
         std::size_t notBroken = 0;
+
+        std::size_t servers() const;
+        std::size_t services() const;
     };
 
     void onResponse(TimePoint now);
@@ -115,13 +125,14 @@
     void startRounds();
     bool isRoundLate(TimePoint now) const;
     Evidence evidence(TimePoint now) const;
-    bool isEnough(const Evidence &evidence, TimePoint now) const;
+    bool isEnough(const Evidence &evidence) const;
     void setCutOff(bool cutOff, ReachChange change);
     void notify();
 
     Runtime &runtime_;
     const ServerTable &servers_;
     const ChangeHandler onChanged_;
+    const std::function<void()> onSuspected_;
     std::map<AttemptId, Attempt> open_;
     std::unordered_map<ServerId, FailedServer> failed_;
     std::unordered_map<ServerId, TimePoint> notConnectedAt_;
--- a/packages/routing/src/reachtrials.cpp
+++ b/packages/routing/src/reachtrials.cpp
@@ -1,6 +1,7 @@
 #include <burdock/routing/reachtrials.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Burdock
@@ -11,6 +12,10 @@
 
 constexpr Duration TrialInterval = std::chrono::milliseconds(500);
 constexpr Duration TrialTimeout = std::chrono::milliseconds(400);
+/// How many servers are asked on a suspicion, after which time one is silent, and how often that is done.
+constexpr std::size_t SuspicionTrials = 5;
+constexpr Duration SuspicionOverdue = std::chrono::milliseconds(150);
+constexpr Duration SuspicionInterval = std::chrono::seconds(2);
 
 } // namespace
 
@@ -44,43 +49,66 @@
         unasked_.clear();
         runtime_.cancel(std::exchange(timer_, 0));
     } else if (timer_ == 0) {
-        timer_ = runtime_.schedule(TrialInterval, [this] { ask(); });
+        timer_ = runtime_.schedule(TrialInterval, [this] { askNext(); });
     }
 }
 
+std::vector<ServerHandle> ReachTrials::askable()
+{
+    std::vector<ServerHandle> found = servers_.allUsable();
+    found.erase(std::remove_if(found.begin(), found.end(), [this](const ServerHandle &server) { return paths_.count(server->service) == 0; }), found.end());
+    std::shuffle(found.begin(), found.end(), random_);
+    return found;
+}
+
 ServerHandle ReachTrials::next()
 {
-    const auto isAskable = [this](const ServerHandle &server) { return paths_.count(server->service) > 0 && servers_.usable(*server); };
-    while (!unasked_.empty()) {
-        const ServerHandle server = std::move(unasked_.back());
-        unasked_.pop_back();
-        if (isAskable(server)) {
-            return server;
-        }
-    }
-    for (const ServerHandle &server : servers_.allUsable()) {
-        if (isAskable(server)) {
-            unasked_.push_back(server);
+    for (int pass = 0; pass < 2; ++pass) {
+        while (!unasked_.empty()) {
+            const ServerHandle server = std::move(unasked_.back());
+            unasked_.pop_back();
+            if (paths_.count(server->service) > 0 && servers_.usable(*server)) {
+                return server;
+            }
         }
+        unasked_ = askable();
     }
-    if (unasked_.empty()) {
-        return nullptr;
-    }
-    std::shuffle(unasked_.begin(), unasked_.end(), random_);
-    const ServerHandle server = std::move(unasked_.back());
-    unasked_.pop_back();
-    return server;
+    return nullptr;
 }
 
-void ReachTrials::ask()
+void ReachTrials::askNext()
 {
-    timer_ = runtime_.schedule(TrialInterval, [this] { ask(); });
+    timer_ = runtime_.schedule(TrialInterval, [this] { askNext(); });
     const ServerHandle server = next();
-    if (!server) {
+    if (server) {
+        askServer(server, TrialTimeout);
+    }
+}
+
+void ReachTrials::onSuspected()
+{
+    const TimePoint now = runtime_.now();
+    if (reach_.isCutOff() || (suspectedAt_ && now - *suspectedAt_ < SuspicionInterval)) {
         return;
     }
+    suspectedAt_ = now;
+    std::vector<ServerHandle> chosen;
+    std::vector<ServerHandle> others;
+    std::set<ServiceName> services;
+    for (const ServerHandle &server : askable()) {
+        (services.insert(server->service).second ? chosen : others).push_back(server);
+    }
+    chosen.insert(chosen.end(), others.begin(), others.end());
+    chosen.resize(std::min(chosen.size(), SuspicionTrials));
+    for (const ServerHandle &server : chosen) {
+        askServer(server, SuspicionOverdue);
+    }
+}
+
+void ReachTrials::askServer(const ServerHandle &server, Duration overdueAfter)
+{
     ++count_;
-    const ServerReach::AttemptId attempt = reach_.onSent(*server, TrialTimeout);
+    const ServerReach::AttemptId attempt = reach_.onSent(*server, overdueAfter);
     ask_(server, paths_.at(server->service), TrialTimeout, [this, attempt](ReachOutcome outcome) { reach_.onEnded(attempt, outcome); });
 }
 
--- a/packages/routing/src/serverreach.cpp
+++ b/packages/routing/src/serverreach.cpp
@@ -31,10 +31,26 @@
 
 } // namespace
 
-ServerReach::ServerReach(Runtime &runtime, const ServerTable &servers, ChangeHandler onChanged)
+ReachOutcome reachOutcomeOf(const Failure &failure)
+{
+    switch (failure.code) {
+    case Errc::Unavailable:
+        return ReachOutcome::NotConnected;
+    case Errc::ConnectionLost:
+        return ReachOutcome::Broken;
+    case Errc::Overloaded:
+    case Errc::NotFound:
+        return ReachOutcome::Response;
+    default:
+        return ReachOutcome::NoResponse;
+    }
+}
+
+ServerReach::ServerReach(Runtime &runtime, const ServerTable &servers, ChangeHandler onChanged, std::function<void()> onSuspected)
     : runtime_(runtime)
     , servers_(servers)
     , onChanged_(std::move(onChanged))
+    , onSuspected_(std::move(onSuspected))
     , lastResponse_(runtime.now())
 {
 }
@@ -98,7 +114,7 @@
 {
     roundTimer_ = 0;
     late_ = isRoundLate(runtime_.now());
-    if (open_.lower_bound(firstSinceResponse_) == open_.end()) {
+    if (failed_.empty() && open_.lower_bound(firstSinceResponse_) == open_.end()) {
         return;
     }
     startRounds();
@@ -133,20 +149,28 @@
     return found;
 }
 
-bool ServerReach::isEnough(const Evidence &evidence, TimePoint now) const
+std::size_t ServerReach::Evidence::servers() const
+{
+    const auto isOther = [this](const auto &each) { return silent.count(each.first) == 0; };
+    return silent.size() + static_cast<std::size_t>(std::count_if(failed.begin(), failed.end(), isOther));
+}
+
+std::size_t ServerReach::Evidence::services() const
 {
-    std::set<ServerId> servers;
     std::set<ServiceName> services;
-    for (const auto *each : {&evidence.silent, &evidence.failed}) {
+    for (const auto *each : {&silent, &failed}) {
         for (const auto &[server, service] : *each) {
-            servers.insert(server);
             services.insert(service);
         }
     }
+    return services.size();
+}
+
+bool ServerReach::isEnough(const Evidence &evidence) const
+{
     const ServerTable::Counts known = servers_.usableCounts();
-    const bool silentLongEnough = evidence.silent.empty() || now - lastResponse_ >= MinSilence;
-    return servers.size() >= std::clamp(known.servers, MinServersOfFew, MinServers) && services.size() >= std::min(known.services, MinServices)
-        && evidence.silent.size() + evidence.notBroken >= MinNotBroken && silentLongEnough;
+    return evidence.servers() >= std::clamp(known.servers, MinServersOfFew, MinServers) && evidence.services() >= std::min(known.services, MinServices)
+        && evidence.silent.size() + evidence.notBroken >= MinNotBroken;
 }
 
 void ServerReach::judge()
@@ -156,17 +180,14 @@
         return;
     }
     const Evidence found = evidence(now);
-    if (!isEnough(found, now)) {
-        return;
-    }
-    std::set<ServerId> servers;
-    for (const auto *each : {&found.silent, &found.failed}) {
-        for (const auto &[server, service] : *each) {
-            servers.insert(server);
-        }
+    const Duration sinceResponse = now - lastResponse_;
+    const bool silentLongEnough = found.silent.empty() || sinceResponse >= MinSilence;
+    if (isEnough(found) && silentLongEnough) {
+        cutOffAt_ = now;
+        setCutOff(true, {true, found.servers(), sinceResponse, found.silent.size() * 2 >= found.servers() ? "silent" : "failed", Duration{0}});
+    } else if (found.servers() >= MinServersOfFew && sinceResponse >= MinSilence) {
+        onSuspected_();
     }
-    cutOffAt_ = now;
-    setCutOff(true, {true, servers.size(), now - lastResponse_, found.silent.size() * 2 >= servers.size() ? "silent" : "failed", Duration{0}});
 }
 
 void ServerReach::setCutOff(bool cutOff, ReachChange change)
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -25,20 +25,7 @@
 
 ReachOutcome reachOutcomeOf(const Result<ServerReply> &reply)
 {
-    if (reply) {
-        return ReachOutcome::Response;
-    }
-    switch (reply.error().code) {
-    case Errc::Unavailable:
-        return ReachOutcome::NotConnected;
-    case Errc::ConnectionLost:
-        return ReachOutcome::Broken;
-    case Errc::Overloaded:
-    case Errc::NotFound:
-        return ReachOutcome::Response;
-    default:
-        return ReachOutcome::NoResponse;
-    }
+    return reply ? ReachOutcome::Response : Burdock::reachOutcomeOf(reply.error());
 }
 
 } // namespace
--- a/packages/routing/tests/serverreachtest.cpp
+++ b/packages/routing/tests/serverreachtest.cpp
@@ -60,7 +60,8 @@
     ManualRuntime runtime;
     ServerTable servers{[](const ServerEntry &, bool) {}};
     std::vector<ReachChange> changes;
-    ServerReach reach{runtime, servers, [this](const ReachChange &change) { changes.push_back(change); }};
+    int suspicions = 0;
+    ServerReach reach{runtime, servers, [this](const ReachChange &change) { changes.push_back(change); }, [this] { ++suspicions; }};
     std::uint16_t port = 8000;
 };
 
@@ -335,38 +336,52 @@
     CHECK_FALSE(fixture.reach.isCutOff());
 }
 
-TEST_CASE("While an instance is cut off it asks one server after the other until one responds", "[reach][trial]")
+namespace
+{
+
+/// The trials of an instance; the test ends each.
+struct TrialFixture : ReachFixture
 {
-    ReachFixture fixture;
     struct Asked
     {
         std::string server;
         std::string path;
         std::function<void(ReachOutcome)> done;
     };
-    std::vector<Asked> asked;
-    ReachTrials trials(
-        fixture.runtime,
-        fixture.servers,
-        fixture.reach,
-        [&asked](const ServerHandle &server, const std::string &path, Duration, std::function<void(ReachOutcome)> done) {
-            asked.push_back({server->id.text(), path, std::move(done)});
-        },
-        7);
-    std::vector<RoutedService> services;
-    for (int service = 0; service < 9; ++service) {
-        services.push_back({ServiceName("s" + std::to_string(service)), 0, "/ok"});
+
+    TrialFixture()
+    {
+        std::vector<RoutedService> described;
+        for (int service = 0; service < 9; ++service) {
+            described.push_back({ServiceName("s" + std::to_string(service)), 0, "/ok"});
+        }
+        trials.setServices(described);
     }
-    trials.setServices(services);
-    trials.update();
+
+    std::vector<Asked> asked;
+    ReachTrials trials{runtime,
+                       servers,
+                       reach,
+                       [this](const ServerHandle &server, const std::string &path, Duration, std::function<void(ReachOutcome)> done) {
+                           asked.push_back({server->id.text(), path, std::move(done)});
+                       },
+                       7};
+};
+
+} // namespace
+
+TEST_CASE("While an instance is cut off it asks one server after the other until one responds", "[reach][trial]")
+{
+    TrialFixture fixture;
+    fixture.trials.update();
     fixture.runtime.advance(seconds(2));
-    CHECK(asked.empty());
+    CHECK(fixture.asked.empty());
     fixture.cutOff();
-    trials.update();
+    fixture.trials.update();
     fixture.runtime.advance(seconds(9));
-    CHECK(asked.size() == 18);
+    CHECK(fixture.asked.size() == 18);
     std::set<std::string> distinct;
-    for (const Asked &each : asked) {
+    for (const auto &each : fixture.asked) {
         distinct.insert(each.server);
         CHECK(each.path == "/ok");
         CHECK(each.server.rfind("s9", 0) != 0);
@@ -374,17 +389,56 @@
     CHECK(distinct.size() == 18);
     SECTION("the first answer ends the cut and the trials")
     {
-        asked.back().done(ReachOutcome::Response);
+        fixture.asked.back().done(ReachOutcome::Response);
         CHECK_FALSE(fixture.reach.isCutOff());
-        trials.update();
+        fixture.trials.update();
         fixture.runtime.advance(seconds(2));
-        CHECK(asked.size() == 18);
+        CHECK(fixture.asked.size() == 18);
     }
     SECTION("a server that is gone is not asked again")
     {
         fixture.servers.remove(ServerId("s1-0"), false);
-        asked.clear();
+        fixture.asked.clear();
         fixture.runtime.advance(seconds(9));
-        CHECK(std::none_of(asked.begin(), asked.end(), [](const Asked &each) { return each.server == "s1-0"; }));
+        CHECK(std::none_of(fixture.asked.begin(), fixture.asked.end(), [](const auto &each) { return each.server == "s1-0"; }));
+    }
+}
+
+TEST_CASE("An instance that gets few requests, all for one service, notices a cut by asking servers of others", "[reach][trial]")
+{
+    TrialFixture fixture;
+    fixture.respond();
+    fixture.runtime.advance(seconds(3));
+    fixture.send(1, 0);
+    fixture.send(1, 1);
+    fixture.runtime.advance(milliseconds(160));
+    CHECK(fixture.suspicions > 0);
+    fixture.trials.onSuspected();
+    fixture.trials.onSuspected();
+    REQUIRE(fixture.asked.size() == 5);
+    SECTION("and is cut off if none responds")
+    {
+        fixture.runtime.advance(milliseconds(210));
+        CHECK(fixture.reach.isCutOff());
+    }
+    SECTION("and is not if one responds")
+    {
+        fixture.asked.back().done(ReachOutcome::Response);
+        const int before = fixture.suspicions;
+        fixture.runtime.advance(seconds(3));
+        CHECK_FALSE(fixture.reach.isCutOff());
+        CHECK(fixture.suspicions == before);
+    }
+}
+
+TEST_CASE("Failures of a few servers raise no suspicion while others respond", "[reach][trial]")
+{
+    ReachFixture fixture;
+    for (int round = 0; round < 50; ++round) {
+        fixture.respond();
+        fixture.reach.onEnded(fixture.send(1, 0), ReachOutcome::NotConnected);
+        fixture.reach.onEnded(fixture.send(1, 1), ReachOutcome::NotConnected);
+        fixture.runtime.advance(milliseconds(100));
     }
+    CHECK(fixture.suspicions == 0);
 }
