End the requests of a cut of which nothing was sent, and try no further servers

What callers saw: requests whose connections were still being made when an instance was cut off waited for their whole time, though it is certain that they did not run.

Cause: only the timeout of a call ended an attempt that hangs, and each failed attempt was followed by one at another server.

Change: when a cut is noticed, HttpClient::failUnsent ends the calls to servers of which nothing was written, as not run, whether they wait for their connection or for a free one. Kept connections that are idle are closed, as before. While the instance is cut off, requests are neither hedged nor tried again at other servers; the trials show when servers respond again.

The tests fail without the change.

--- a/packages/ctl/tests/ctltest.cpp
+++ b/packages/ctl/tests/ctltest.cpp
@@ -45,6 +45,9 @@
     void closeIdle() override
     {
     }
+    void failUnsent(const Address &) override
+    {
+    }
 
     void setLimits(const Address &, const ConnectionLimits &) override
     {
--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -64,8 +64,8 @@
     void onReachChanged(const ReachChange &change);
     /// Asks a server for a response at the path.
     void askServer(const ServerHandle &server, const std::string &path, Duration timeout, std::function<void(ReachOutcome)> done);
-    /// Closes the kept connections to servers; they may hang.
-    void closeIdleServerConnections();
+    /// Closes the kept connections to servers, which may hang, and ends the requests of which nothing was sent.
+    void leaveServerConnections();
     void onServerHints(const ServerEntry &server, const ServerHints &hints);
     void logLimit(const LimitReport &report);
     void updateConnectionLimits();
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -599,21 +599,31 @@
                    "servers.unreachable",
                    {{"servers", static_cast<std::int64_t>(change.servers)}, {"sinceAnswerMs", change.sinceResponse.count() / 1000}, {"how", change.how}});
         withdrawFailuresOfCut(context_);
-        closeIdleServerConnections();
     } else {
         log_.write(DecisionPriority::Change, "servers.reached", {{"forMs", change.lasted.count() / 1000}});
     }
     trials_.update();
     updateReadiness();
+    if (change.cutOff) {
+        leaveServerConnections();
+    }
 }
 
-void Router::closeIdleServerConnections()
+void Router::leaveServerConnections()
 {
     for (const auto &[id, server] : usableServers_) {
         const std::uint32_t share = choice_.connectionShare(server.service);
         client_.setLimits(server.address, ConnectionLimits{share, 0, MaxServerResponseBytes});
     }
     updateConnectionLimits();
+    std::vector<Address> addresses;
+    addresses.reserve(usableServers_.size());
+    for (const auto &[id, server] : usableServers_) {
+        addresses.push_back(server.address);
+    }
+    for (const Address &address : addresses) {
+        client_.failUnsent(address);
+    }
 }
 
 void Router::askServer(const ServerHandle &server, const std::string &path, Duration timeout, std::function<void(ReachOutcome)> done)
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -192,7 +192,7 @@
 void ServiceCall::sendHedge()
 {
     hedgeTimer_ = 0;
-    if (!mayRunAgain() || context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server == nullptr) {
+    if (context_.reach.isCutOff() || !mayRunAgain() || context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server == nullptr) {
         return;
     }
     if (!context_.budget.tryAcquire(service_, context_.runtime.now(), RetryReserveFraction)) {
@@ -299,6 +299,9 @@
 
 bool ServiceCall::canRetry() const
 {
+    if (context_.reach.isCutOff()) {
+        return false;
+    }
     const bool nothingRan = possiblyRan_ == 0 && sends_ < route_->attempts + MaxExtraRefusals;
     const bool timeLeft = deadline_ - context_.runtime.now() > MinTimeLeft;
     if (!timeLeft || !(nothingRan || mayRunAgain()) || sends_ >= route_->attempts + MaxExtraRefusals) {
--- a/packages/routing/tests/cutofftest.cpp
+++ b/packages/routing/tests/cutofftest.cpp
@@ -126,6 +126,21 @@
     }
 }
 
+TEST_CASE("A cut-off instance does not go on trying other servers for a request", "[reach][cutoff]")
+{
+    CutOffFixture fixture;
+    fixture.sendRequest("all");
+    fixture.answerAll([](int) { return notConnected(); });
+    REQUIRE(fixture.reach.isCutOff());
+    fixture.runtime.advance(Duration{0});
+    const std::size_t before = fixture.backends.all;
+    fixture.sendRequest("all", std::nullopt, "y");
+    CHECK(fixture.backends.all == before + ShardCount);
+    fixture.answerAll([](int) { return notConnected(); });
+    CHECK(fixture.backends.all == before + ShardCount);
+    CHECK(fixture.answer);
+}
+
 TEST_CASE("A retry after a refused connection is no arrival at a server and needs no repeat budget", "[reach][budget]")
 {
     RoutingFixture fixture;
--- a/packages/wire/include/burdock/wire/httpclient.h
+++ b/packages/wire/include/burdock/wire/httpclient.h
@@ -76,6 +76,9 @@
     /// Closes all idle connections to all addresses.
     virtual void closeIdle() = 0;
 
+    /// Ends the calls to the address of which nothing was written, with the code Unavailable and the verdict NotRun.
+    virtual void failUnsent(const Address &address) = 0;
+
     /// The number of open connections to the address.
     virtual std::uint32_t openConnections(const Address &address) const = 0;
 };
--- a/packages/wire/src/evhttpclient.cpp
+++ b/packages/wire/src/evhttpclient.cpp
@@ -96,6 +96,28 @@
         }
     }
 
+    void failUnsent(const Address &address) override
+    {
+        const auto found = peers_.find(address);
+        if (found == peers_.end()) {
+            return;
+        }
+        const Peer &peer = *found->second;
+        std::vector<HttpCallId> unsent(peer.queue.begin(), peer.queue.end());
+        for (const auto &[id, entry] : calls_) {
+            if (entry.peer == &peer && entry.connection != nullptr && !entry.connection->hasWritten()) {
+                unsent.push_back(id);
+            }
+        }
+        for (const HttpCallId id : unsent) {
+            // A callback may have cancelled it.
+            const RemovedCall removed = removeCall(id);
+            if (removed.call.done) {
+                removed.call.done(notRun(Errc::Unavailable, "nothing was sent to " + address.toString() + ", which cannot be reached"));
+            }
+        }
+    }
+
     std::uint32_t openConnections(const Address &address) const override
     {
         const auto found = peers_.find(address);
--- a/packages/wire/tests/httpclientfaulttest.cpp
+++ b/packages/wire/tests/httpclientfaulttest.cpp
@@ -287,6 +287,31 @@
     }
 }
 
+TEST_CASE("calls of which nothing was written do not wait for their timeout once they are ended", "[http][client]")
+{
+    Client client(nullptr);
+    std::vector<std::pair<std::string, Failure>> ended;
+    const auto send = [&](const std::string &name, HttpRequest request) {
+        client.client->send(std::move(request), [&ended, name](const Result<HttpResponse> &result) { ended.emplace_back(name, result.error()); });
+    };
+    send("written", client.request());
+    send("queued", client.request());
+    HttpRequest unconnected = client.request();
+    unconnected.address = {"192.0.2.1", 9};
+    send("unconnected", unconnected);
+    REQUIRE(client.until([&] { return !client.server.sockets.empty() && receivedWholeRequest(*client.server.sockets[0]); }));
+    client.client->failUnsent(client.server.address());
+    client.client->failUnsent(unconnected.address);
+    client.client->failUnsent({"192.0.2.1", 10});
+    REQUIRE(ended.size() == 2);
+    for (const auto &[name, failure] : ended) {
+        CHECK(name != "written");
+        CHECK(failure.code == Errc::Unavailable);
+        CHECK(failure.verdict == Verdict::NotRun);
+    }
+    CHECK(client.client->openConnections(client.server.address()) == 1);
+}
+
 TEST_CASE("a timeout after the request was written has the verdict MayHaveRun and closes the connection", "[http][client]")
 {
     Client client(nullptr);
