Do not take the time that requests hung in a cut for the slowness of their servers

After a cut a server with a request that had been left hanging looked overdue by the length of the cut, and was avoided until that request ended.

Once the instance is reached again, ServerLoad disregards how long the requests in flight have waited. They still count as in flight.

The test fails without the change.

--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -593,12 +593,12 @@
 
 void Router::onReachChanged(const ReachChange &change)
 {
+    disregardCut(context_, change);
     if (change.cutOff) {
         ++cutOffs_;
         log_.write(DecisionPriority::Change,
                    "servers.unreachable",
                    {{"servers", static_cast<std::int64_t>(change.servers)}, {"sinceAnswerMs", change.sinceResponse.count() / 1000}, {"how", change.how}});
-        withdrawFailuresOfCut(context_);
     } else {
         log_.write(DecisionPriority::Change, "servers.reached", {{"forMs", change.lasted.count() / 1000}});
     }
--- a/packages/routing/include/burdock/routing/routingcontext.h
+++ b/packages/routing/include/burdock/routing/routingcontext.h
@@ -64,11 +64,16 @@
     RoutingJournal &journal;
 };
 
-/// Takes back what failed since the last response of any server: the instance was cut off, and nothing of it is the servers'.
-inline void withdrawFailuresOfCut(const RoutingContext &context)
+/// After the instance was found to be cut off, takes back what failed since the last response of any server; once it is reached again,
+/// disregards how long requests have waited. Neither says anything about the servers.
+inline void disregardCut(const RoutingContext &context, const ReachChange &change)
 {
-    context.load.withdrawFailures();
-    context.crashes.withdrawSince(context.reach.lastResponse(), context.runtime.now());
+    if (change.cutOff) {
+        context.load.withdrawFailures();
+        context.crashes.withdrawSince(context.reach.lastResponse(), context.runtime.now());
+    } else {
+        context.load.disregardWaits(context.runtime.now());
+    }
 }
 
 } // namespace Burdock
--- a/packages/routing/include/burdock/routing/serverload.h
+++ b/packages/routing/include/burdock/routing/serverload.h
@@ -35,10 +35,16 @@
     /// Takes back the failures and refusals since the last response, because they were not the servers'.
     void withdrawFailures();
 
+    /// Disregards how long the requests in flight have waited so far, because it was not for the servers.
+    void disregardWaits(TimePoint now)
+    {
+        waitsCountFrom_ = now;
+    }
+
     /// Returns the number of requests in flight.
     std::uint32_t inFlight(const ServerId &server) const;
 
-    /// Returns the age of the oldest request in flight; zero if there is none.
+    /// Returns the age of the oldest request in flight; zero if there is none. Requests whose waits are disregarded are left out.
     Duration oldest(const ServerId &server, TimePoint now) const;
 
     /// Returns the share of recent requests, 0 to 1, that failed.
@@ -81,6 +87,7 @@
     std::unordered_map<ServerId, Server> servers_;
     /// The number of responses so far, from 1.
     std::uint64_t responses_ = 1;
+    TimePoint waitsCountFrom_{};
 };
 
 } // namespace Burdock
--- a/packages/routing/src/serverload.cpp
+++ b/packages/routing/src/serverload.cpp
@@ -98,10 +98,13 @@
 Duration ServerLoad::oldest(const ServerId &server, TimePoint now) const
 {
     const auto found = servers_.find(server);
-    if (found == servers_.end() || found->second.open.empty()) {
-        return Duration{0};
+    TimePoint first = now;
+    if (found != servers_.end()) {
+        for (const TimePoint sentAt : found->second.open) {
+            first = sentAt < waitsCountFrom_ ? first : std::min(first, sentAt);
+        }
     }
-    return now - *std::min_element(found->second.open.begin(), found->second.open.end());
+    return now - first;
 }
 
 double ServerLoad::failureRate(const ServerId &server, TimePoint now) const
--- a/packages/routing/tests/cutofftest.cpp
+++ b/packages/routing/tests/cutofftest.cpp
@@ -126,6 +126,22 @@
     }
 }
 
+TEST_CASE("Requests that a cut left hanging at a server do not keep it from being used after the cut", "[reach][cutoff]")
+{
+    CutOffFixture fixture;
+    fixture.sendRequest("all");
+    const ServerId hanging = fixture.backends.open.front().server->id;
+    fixture.runtime.advance(seconds(1));
+    REQUIRE(fixture.reach.isCutOff());
+    CHECK(fixture.load.oldest(hanging, fixture.runtime.now()) == seconds(1));
+    fixture.backends.open.back().done(success("[1]"));
+    fixture.backends.open.pop_back();
+    fixture.runtime.advance(milliseconds(10));
+    REQUIRE_FALSE(fixture.reach.isCutOff());
+    CHECK(fixture.load.inFlight(hanging) == 1);
+    CHECK(fixture.load.oldest(hanging, fixture.runtime.now()) == Duration{0});
+}
+
 TEST_CASE("A cut-off instance does not go on trying other servers for a request", "[reach][cutoff]")
 {
     CutOffFixture fixture;
--- a/packages/routing/tests/routingfixture.h
+++ b/packages/routing/tests/routingfixture.h
@@ -188,9 +188,7 @@
     std::vector<ReachChange> reachChanges;
     ServerReach reach{runtime, servers, [this](const ReachChange &change) {
                           reachChanges.push_back(change);
-                          if (change.cutOff) {
-                              withdrawFailuresOfCut(context);
-                          }
+                          disregardCut(context, change);
                       }};
     RoutingContext context{runtime, backends, servers, choice, load, budget, crashes, reach, counters, journal};
     RequestCoordinator coordinator{context, 7};
