Notice at once a cut that resets connections, and convict no request for it

Cause: new connections were made and then reset too, which counted as nothing more than the kept ones being reset. Rounds that came late were skipped, and where the processor is throttled each one was. A request whose serial retries broke off was convicted on the spot.

Change: three servers that break off attempts sent after the first break are evidence like refused connections; a request that crashes servers breaks off two at most. After a late round another one follows 5 ms later, by when waiting responses have been read; after one that is 300 ms late, only what is sent from then on counts.

--- a/packages/routing/include/burdock/routing/serverreach.h
+++ b/packages/routing/include/burdock/routing/serverreach.h
@@ -46,8 +46,8 @@
 /// servers; all connections reset at once. None of these cuts an instance off, since some server still responds. Only what happened
 /// since the last response of any server is evidence, and it must concern several servers and more than one service.
 ///
-/// Silence counts from when a response is overdue. It is judged on a timer, and not when that timer fires late: the responses
-/// may wait in the event loop.
+/// Silence counts from when a response is overdue. It is judged on a timer. If that fires late, the responses may wait in the event
+/// loop, and are read first; after a suspension, only what is sent from then on counts.
 class ServerReach
 {
 public:
@@ -105,14 +105,17 @@
         ReachOutcome outcome = ReachOutcome::NoResponse;
         /// The first attempt that was sent after the failure.
         AttemptId nextAttempt = 0;
+        /// Whether the connection broke, and the attempt had been sent after another connection broke.
+        bool brokenAgain = false;
     };
 
     struct Evidence
     {
         std::map<ServerId, ServiceName> silent;
         std::map<ServerId, ServiceName> failed;
-        /// How many of the failed ones failed other than by a broken connection.
-        std::size_t notBroken = 0;
+        /// How many of the failed ones could not be connected to, and how many broke off after another one had.
+        std::size_t notConnected = 0;
+        std::size_t brokenAgain = 0;
 
         std::size_t servers() const;
         std::size_t services() const;
@@ -122,8 +125,9 @@
     void noteNotConnected(const ServerId &server, TimePoint now);
     void judge();
     void onRound();
-    void startRounds();
+    void startRounds(Duration delay);
     bool isRoundLate(TimePoint now) const;
+    void forgetEvidence();
     Evidence evidence(TimePoint now) const;
     bool isEnough(const Evidence &evidence) const;
     void setCutOff(bool cutOff, ReachChange change);
@@ -139,6 +143,8 @@
     AttemptId lastAttempt_ = 0;
     /// The first attempt that was sent after the last response; earlier ones are no evidence.
     AttemptId firstSinceResponse_ = 1;
+    /// The first attempt that was sent after a connection had broken since the last response.
+    std::optional<AttemptId> firstSinceBreak_;
     TimePoint lastResponse_;
     bool cutOff_ = false;
     bool notified_ = false;
@@ -148,7 +154,7 @@
     std::optional<TimePoint> reachedAt_;
     TimerId roundTimer_ = 0;
     TimePoint roundDue_{};
-    /// Whether the last round was late. Until one is on time, responses may wait in the event loop.
+    /// Whether the last round was late, and responses may wait in the event loop.
     bool late_ = false;
     TimerId notifyTimer_ = 0;
 };
--- a/packages/routing/src/crashguard.cpp
+++ b/packages/routing/src/crashguard.cpp
@@ -66,7 +66,8 @@
     if (found == cases_.end()) {
         return Verdict::Clear;
     }
-    const bool guilty = found->second.alone() >= CrashesOfGuilty;
+    const bool doubtful = found->second.doubtful && now - found->second.evidenceAt < ShortClearingTime;
+    const bool guilty = found->second.alone() >= CrashesOfGuilty && !doubtful;
     if (isExpired(found->second, now)) {
         return guilty ? Verdict::Suspect : Verdict::Clear;
     }
--- a/packages/routing/src/serverreach.cpp
+++ b/packages/routing/src/serverreach.cpp
@@ -15,14 +15,19 @@
 constexpr std::size_t MinServers = 5;
 constexpr std::size_t MinServersOfFew = 2;
 constexpr std::size_t MinServices = 2;
-/// Broken connections alone may have been reset by the network while new ones can be made.
-constexpr std::size_t MinNotBroken = 2;
+/// Broken connections alone may have been reset by the network while new ones can be made. A request that crashes servers breaks off
+/// two more after the first ones.
+constexpr std::size_t MinNotConnectedOrSilent = 2;
+constexpr std::size_t MinBrokenAgain = 3;
 /// A server is silent no earlier than this after the attempt, and silence is evidence no earlier than this after the last response.
 constexpr Duration MinOverdue = std::chrono::milliseconds(100);
 constexpr Duration MinSilence = std::chrono::milliseconds(150);
-/// The interval at which silence is judged. A round that is later than the slack is skipped.
+/// The interval at which silence is judged. A round that is later than the slack is repeated after the delay, by when waiting
+/// responses have been read. If it is much later, the instance was suspended.
 constexpr Duration RoundInterval = std::chrono::milliseconds(50);
 constexpr Duration LateSlack = std::chrono::milliseconds(25);
+constexpr Duration LateDelay = std::chrono::milliseconds(5);
+constexpr Duration MinSuspension = std::chrono::milliseconds(300);
 /// The servers that could not be connected to, and the time for which they count.
 constexpr std::size_t MinNotConnected = 2;
 constexpr Duration NotConnectedTime = std::chrono::seconds(1);
@@ -65,7 +70,7 @@
 {
     const AttemptId id = ++lastAttempt_;
     open_.emplace(id, Attempt{server.id, server.service, runtime_.now() + std::max(overdueAfter, MinOverdue)});
-    startRounds();
+    startRounds(RoundInterval);
     return id;
 }
 
@@ -87,37 +92,52 @@
     if (early || node.key() < firstSinceResponse_) {
         return;
     }
-    failed_.try_emplace(ended.server, FailedServer{ended.service, outcome, lastAttempt_ + 1});
+    const bool broken = outcome == ReachOutcome::Broken;
+    const bool brokenAgain = broken && firstSinceBreak_ && node.key() >= *firstSinceBreak_;
+    failed_.try_emplace(ended.server, FailedServer{ended.service, outcome, lastAttempt_ + 1, brokenAgain});
+    if (broken && !firstSinceBreak_) {
+        firstSinceBreak_ = lastAttempt_ + 1;
+    }
     judge();
 }
 
 void ServerReach::onResponse(TimePoint now)
 {
     const Duration sinceResponse = now - std::exchange(lastResponse_, now);
-    firstSinceResponse_ = lastAttempt_ + 1;
-    failed_.clear();
+    forgetEvidence();
     if (cutOff_) {
         reachedAt_ = now;
         setCutOff(false, {false, 0, sinceResponse, "", now - cutOffAt_});
     }
 }
 
-void ServerReach::startRounds()
+void ServerReach::forgetEvidence()
+{
+    firstSinceResponse_ = lastAttempt_ + 1;
+    firstSinceBreak_.reset();
+    failed_.clear();
+}
+
+void ServerReach::startRounds(Duration delay)
 {
     if (roundTimer_ == 0) {
-        roundDue_ = runtime_.now() + RoundInterval;
-        roundTimer_ = runtime_.schedule(RoundInterval, [this] { onRound(); });
+        roundDue_ = runtime_.now() + delay;
+        roundTimer_ = runtime_.schedule(delay, [this] { onRound(); });
     }
 }
 
 void ServerReach::onRound()
 {
     roundTimer_ = 0;
-    late_ = isRoundLate(runtime_.now());
+    // After a late round, the next one is good whenever it comes: what had arrived was read before it.
+    late_ = !late_ && isRoundLate(runtime_.now());
+    if (runtime_.now() - roundDue_ >= MinSuspension) {
+        forgetEvidence();
+    }
     if (failed_.empty() && open_.lower_bound(firstSinceResponse_) == open_.end()) {
         return;
     }
-    startRounds();
+    startRounds(late_ ? LateDelay : RoundInterval);
     judge();
 }
 
@@ -143,7 +163,8 @@
         } else if (failure.nextAttempt <= firstUndecided) {
             // An attempt that was in flight at the failure may still be answered, and only that server be down.
             found.failed.emplace(server, failure.service);
-            found.notBroken += failure.outcome == ReachOutcome::Broken ? 0 : 1;
+            found.notConnected += failure.outcome == ReachOutcome::NotConnected ? 1 : 0;
+            found.brokenAgain += failure.brokenAgain ? 1 : 0;
         }
     }
     return found;
@@ -170,7 +191,7 @@
 {
     const ServerTable::Counts known = servers_.usableCounts();
     return evidence.servers() >= std::clamp(known.servers, MinServersOfFew, MinServers) && evidence.services() >= std::min(known.services, MinServices)
-        && evidence.silent.size() + evidence.notBroken >= MinNotBroken;
+        && (evidence.silent.size() + evidence.notConnected >= MinNotConnectedOrSilent || evidence.brokenAgain >= MinBrokenAgain);
 }
 
 void ServerReach::judge()
