--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -182,7 +182,8 @@
     , choice_(servers_, latencies_, load_, limits_, notices_, settings.regions, settings.region, seed)
     , budget_(settings.repeats, loop.now())
     , crashes_([this](Duration clearingTime) { crashReports_.onChanged(clearingTime); })
-    , reach_(loop, servers_, [this](const ReachChange &change) { onReachChanged(change); })
+    , reach_(
+          loop, servers_, [this](const ReachChange &change) { onReachChanged(change); }, [this] { trials_.onSuspected(); })
     , trials_(
           loop,
           servers_,
@@ -629,28 +630,38 @@
 
 void Router::onReachChanged(const ReachChange &change)
 {
+    disregardCut(context_, change);
     if (change.cutOff) {
         ++cutOffs_;
         log_.write(DecisionPriority::Change,
                    "servers.unreachable",
                    {{"servers", static_cast<std::int64_t>(change.servers)}, {"sinceAnswerMs", change.sinceResponse.count() / 1000}, {"how", change.how}});
-        withdrawFailuresOfCut(context_);
-        closeIdleServerConnections();
     } else {
         log_.write(DecisionPriority::Change, "servers.reached", {{"forMs", change.lasted.count() / 1000}});
     }
     coordinator_.onReachChanged();
     trials_.update();
     updateReadiness();
+    if (change.cutOff) {
+        leaveServerConnections();
+    }
 }
 
-void Router::closeIdleServerConnections()
+void Router::leaveServerConnections()
 {
     for (const auto &[id, server] : usableServers_) {
         const std::uint32_t share = choice_.connectionShare(server.service);
         client_.setLimits(server.address, ConnectionLimits{share, 0, MaxServerResponseBytes});
     }
     updateConnectionLimits();
+    std::vector<Address> addresses;
+    addresses.reserve(usableServers_.size());
+    for (const auto &[id, server] : usableServers_) {
+        addresses.push_back(server.address);
+    }
+    for (const Address &address : addresses) {
+        client_.failUnsent(address);
+    }
 }
 
 void Router::askServer(const ServerHandle &server, const std::string &path, Duration timeout, std::function<void(ReachOutcome)> done)
@@ -661,8 +672,9 @@
     request.path = path;
     request.headers[dialect_.headers().targetServer] = server->id.text();
     request.timeout = timeout;
-    client_.send(std::move(request),
-                 [done = std::move(done)](const Result<HttpResponse> &response) { done(response ? ReachOutcome::Response : ReachOutcome::NoResponse); });
+    client_.send(std::move(request), [done = std::move(done)](const Result<HttpResponse> &response) {
+        done(response ? ReachOutcome::Response : reachOutcomeOf(response.error()));
+    });
 }
 
 void Router::onServerHints(const ServerEntry &server, const ServerHints &hints)
--- a/packages/routing/include/burdock/routing/serverreach.h
+++ b/packages/routing/include/burdock/routing/serverreach.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/routing/servertable.h>
+#include <burdock/values/failure.h>
 
 #include <cstdint>
 #include <functional>
@@ -23,6 +24,9 @@
     NoResponse,
 };
 
+/// Returns what a failed request to a server shows.
+ReachOutcome reachOutcomeOf(const Failure &failure);
+
 /// A change of whether the instance is cut off, and the evidence for it.
 struct ReachChange
 {
@@ -42,8 +46,8 @@
 /// servers; all connections reset at once. None of these cuts an instance off, since some server still responds. Only what happened
 /// since the last response of any server is evidence, and it must concern several servers and more than one service.
 ///
-/// Silence counts from when a response is overdue. It is judged on a timer, and not when that timer fires late: the responses
-/// may wait in the event loop.
+/// Silence counts from when a response is overdue. It is judged on a timer. If that fires late, the responses may wait in the event
+/// loop, and are read first; after a suspension, only what is sent from then on counts.
 class ServerReach
 {
 public:
@@ -51,7 +55,10 @@
     using ChangeHandler = std::function<void(const ReachChange &)>;
     using AttemptId = std::uint64_t;
 
-    ServerReach(Runtime &runtime, const ServerTable &servers, ChangeHandler onChanged);
+    /// `onSuspected` is called while several servers fail or are silent and none responds, but they are too few, or all of one
+    /// service. Attempts at other servers then decide.
+    ServerReach(
+        Runtime &runtime, const ServerTable &servers, ChangeHandler onChanged, std::function<void()> onSuspected = [] {});
     ~ServerReach();
     ServerReach(const ServerReach &) = delete;
     ServerReach &operator=(const ServerReach &) = delete;
@@ -98,36 +105,46 @@
         ReachOutcome outcome = ReachOutcome::NoResponse;
         /// The first attempt that was sent after the failure.
         AttemptId nextAttempt = 0;
+        /// Whether the connection broke, and the attempt had been sent after another connection broke.
+        bool brokenAgain = false;
     };
 
     struct Evidence
     {
         std::map<ServerId, ServiceName> silent;
         std::map<ServerId, ServiceName> failed;
-        /// How many of the failed ones failed other than by a broken connection.
-        std::size_t notBroken = 0;
+        /// How many of the failed ones could not be connected to, and how many broke off after another one had.
+        std::size_t notConnected = 0;
+        std::size_t brokenAgain = 0;
+
+        std::size_t servers() const;
+        std::size_t services() const;
     };
 
     void onResponse(TimePoint now);
     void noteNotConnected(const ServerId &server, TimePoint now);
     void judge();
     void onRound();
-    void startRounds();
+    void startRounds(Duration delay);
     bool isRoundLate(TimePoint now) const;
+    void forgetEvidence();
     Evidence evidence(TimePoint now) const;
-    bool isEnough(const Evidence &evidence, TimePoint now) const;
+    bool isEnough(const Evidence &evidence) const;
     void setCutOff(bool cutOff, ReachChange change);
     void notify();
 
     Runtime &runtime_;
     const ServerTable &servers_;
     const ChangeHandler onChanged_;
+    const std::function<void()> onSuspected_;
     std::map<AttemptId, Attempt> open_;
     std::unordered_map<ServerId, FailedServer> failed_;
     std::unordered_map<ServerId, TimePoint> notConnectedAt_;
     AttemptId lastAttempt_ = 0;
     /// The first attempt that was sent after the last response; earlier ones are no evidence.
     AttemptId firstSinceResponse_ = 1;
+    /// The first attempt that was sent after a connection had broken since the last response.
+    std::optional<AttemptId> firstSinceBreak_;
     TimePoint lastResponse_;
     bool cutOff_ = false;
     bool notified_ = false;
@@ -137,7 +154,7 @@
     std::optional<TimePoint> reachedAt_;
     TimerId roundTimer_ = 0;
     TimePoint roundDue_{};
-    /// Whether the last round was late. Until one is on time, responses may wait in the event loop.
+    /// Whether the last round was late, and responses may wait in the event loop.
     bool late_ = false;
     TimerId notifyTimer_ = 0;
 };
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -25,20 +25,7 @@
 
 ReachOutcome reachOutcomeOf(const Result<ServerReply> &reply)
 {
-    if (reply) {
-        return ReachOutcome::Response;
-    }
-    switch (reply.error().code) {
-    case Errc::Unavailable:
-        return ReachOutcome::NotConnected;
-    case Errc::ConnectionLost:
-        return ReachOutcome::Broken;
-    case Errc::Overloaded:
-    case Errc::NotFound:
-        return ReachOutcome::Response;
-    default:
-        return ReachOutcome::NoResponse;
-    }
+    return reply ? ReachOutcome::Response : Burdock::reachOutcomeOf(reply.error());
 }
 
 } // namespace
@@ -232,7 +219,7 @@
 void ServiceCall::sendHedge()
 {
     hedgeTimer_ = 0;
-    if (!mayRunAgain() || context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server == nullptr) {
+    if (context_.reach.isCutOff() || !mayRunAgain() || context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server == nullptr) {
         return;
     }
     if (!context_.budget.tryAcquire(service_, context_.runtime.now(), RetryReserveFraction)) {
@@ -340,6 +327,9 @@
 
 bool ServiceCall::canRetry() const
 {
+    if (context_.reach.isCutOff()) {
+        return false;
+    }
     const bool nothingRan = possiblyRan_ == 0 && sends_ < route_->attempts + MaxExtraRefusals;
     const bool timeLeft = deadline_ - context_.runtime.now() > MinTimeLeft;
     if (sendingStopped_ || !timeLeft || !(nothingRan || mayRunAgain()) || sends_ >= route_->attempts + MaxExtraRefusals) {
--- a/packages/routing/tests/routingfixture.h
+++ b/packages/routing/tests/routingfixture.h
@@ -261,9 +261,7 @@
     std::vector<ReachChange> reachChanges;
     ServerReach reach{runtime, servers, [this](const ReachChange &change) {
                           reachChanges.push_back(change);
-                          if (change.cutOff) {
-                              withdrawFailuresOfCut(context);
-                          }
+                          disregardCut(context, change);
                           coordinator.onReachChanged();
                       }};
     ManualPeers peers;
