--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -6,6 +6,7 @@
 #include <burdock/router/decisionlog.h>
 #include <burdock/router/dialect.h>
 #include <burdock/router/httpbackends.h>
+#include <burdock/router/httppeers.h>
 #include <burdock/router/relayedstore.h>
 #include <burdock/router/routermetrics.h>
 #include <burdock/router/routersettings.h>
@@ -13,6 +14,7 @@
 #include <burdock/routing/instancelease.h>
 #include <burdock/routing/instancerole.h>
 #include <burdock/routing/loopdelay.h>
+#include <burdock/routing/reachtrials.h>
 #include <burdock/wire/eventloop.h>
 
 #include <memory>
@@ -49,7 +51,7 @@
     Result<void> listen(HttpServer &server, const char *what, const Address &address);
     void serveReadiness(const HttpServerRequest &incoming, const std::shared_ptr<HttpResponder> &responder);
     void serveDirectory(const HttpServerRequest &incoming, const std::shared_ptr<HttpResponder> &responder);
-    void servePeers(const HttpServerRequest &incoming, const std::shared_ptr<HttpResponder> &responder);
+    void servePeers(HttpServerRequest incoming, const std::shared_ptr<HttpResponder> &responder);
     void onRoutesChanged(const std::shared_ptr<const RouteTable> &routes);
     void onInstancesChanged();
     void onHistoryLost(std::int64_t history);
@@ -61,6 +63,11 @@
     void askPeersForConfig();
     void servePeerConfig(const std::shared_ptr<HttpResponder> &responder) const;
     void onServerChanged(const ServerEntry &server, bool usable);
+    void onReachChanged(const ReachChange &change);
+    /// Asks a server for a response at the path.
+    void askServer(const ServerHandle &server, const std::string &path, Duration timeout, std::function<void(ReachOutcome)> done);
+    /// Closes the kept connections to servers, which may hang, and ends the requests of which nothing was sent.
+    void leaveServerConnections();
     void onServerHints(const ServerEntry &server, const ServerHints &hints);
     void logLimit(const LimitReport &report);
     void updateConnectionLimits();
@@ -76,6 +83,8 @@
     void updateRole();
     void closeListeners();
     void stopIfIdle();
+    /// Whether a request of a client or of another instance has no complete answer yet.
+    bool hasWork() const;
     void registerMetrics();
 
     EventLoop &loop_;
@@ -96,7 +105,12 @@
     ServerChoice choice_;
     RepeatBudget budget_;
     CrashGuard crashes_;
+    ServerReach reach_;
+    ReachTrials trials_;
+    std::uint64_t cutOffs_ = 0;
     HttpBackends backends_;
+    HttpPeers peerRequests_;
+    PeerChoice peerChoice_;
     RoutingContext context_;
     RelayChoice relays_;
     RelayedStore store_;
@@ -127,6 +141,7 @@
     bool leaving_ = false;
     /// Set once the time to stop is over: until when the last responses are sent.
     std::optional<TimePoint> lastAnswersUntil_;
+    bool wasBusy_ = true;
     TimePoint leavingSince_{};
     std::function<void()> onStopped_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -2,6 +2,7 @@
 
 #include <burdock/router/crashreportcodec.h>
 #include <burdock/router/instancecodec.h>
+#include <burdock/router/passonheaders.h>
 #include <burdock/router/relaycodec.h>
 #include <burdock/routing/dataage.h>
 #include <burdock/wire/factories.h>
@@ -56,6 +57,10 @@
 /// The fraction of the file descriptors for clients' connections; the rest is for servers and the store.
 constexpr double ClientDescriptorFraction = 0.6;
 constexpr std::uint32_t MaxInternalConnections = 200;
+/// The fraction of the file descriptors for other instances' connections, which poll, and pass on requests.
+constexpr double PeerDescriptorFraction = 0.25;
+/// The headers that instances add to the requests that they pass on.
+constexpr std::size_t PassOnHeaderBytes = 4096;
 /// The maximum size of a server's response. Several servers may send bytes without end at the same time, each on several connections,
 /// and the smallest instances have 160 MB.
 constexpr std::size_t MaxServerResponseBytes = std::size_t{4} << 20;
@@ -81,6 +86,16 @@
     return out;
 }
 
+/// Requests that are passed on are limited as clients' requests are.
+HttpServerLimits peerLimits(const ClientLimits &limits, std::uint32_t descriptors)
+{
+    HttpServerLimits out = internalLimits();
+    out.headerBytes = limits.headerBytes + PassOnHeaderBytes;
+    out.bodyBytes = std::max(limits.bodyBytes, out.bodyBytes);
+    out.connections = std::max(MaxInternalConnections, static_cast<std::uint32_t>(descriptors * PeerDescriptorFraction));
+    return out;
+}
+
 /// Instances that start together list the others at slightly different times.
 Duration firstListingDelay(const RouterSettings &settings)
 {
@@ -123,6 +138,20 @@
                     {"ageUs", event.age.count()}});
     }
 
+    void notePassedOn(const PassOnEvent &event) override
+    {
+        const bool served = event.outcome == "passed" || event.outcome == "gathered";
+        log_.write(served ? DecisionPriority::Routine : DecisionPriority::Problem,
+                   "request.passedOn",
+                   {{"request", event.request},
+                    {"to", event.peer.text()},
+                    {"why", event.reason},
+                    {"outcome", event.outcome},
+                    {"reason", event.detail},
+                    {"tookUs", event.took.count()},
+                    {"ageUs", event.age.count()}});
+    }
+
 private:
     static std::string_view nameOf(std::string_view decision)
     {
@@ -154,9 +183,21 @@
     , choice_(servers_, latencies_, load_, limits_, notices_, settings.regions, settings.region, seed)
     , budget_(settings.repeats, loop.now())
     , crashes_([this](Duration clearingTime) { crashReports_.onChanged(clearingTime); })
+    , reach_(
+          loop, servers_, [this](const ReachChange &change) { onReachChanged(change); }, [this] { trials_.onSuspected(); })
+    , trials_(
+          loop,
+          servers_,
+          reach_,
+          [this](const ServerHandle &server, const std::string &path, Duration timeout, std::function<void(ReachOutcome)> done) {
+              askServer(server, path, timeout, std::move(done));
+          },
+          seed)
     , backends_(
           loop, client, dialect.headers(), [this](const ServerEntry &server, const ServerHints &hints) { onServerHints(server, hints); }, log)
-    , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, counters_, *journal_}
+    , peerRequests_(loop, client, dialect.headers(), settings.id, [this](const Peer &peer) { inquiry_.ask(peer.address); })
+    , peerChoice_([this] { return instances_.helpersFor(self_); }, settings.id, seed)
+    , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, reach_, counters_, *journal_, peerRequests_, peerChoice_}
     , relays_(settings.id)
     , store_(loop, client, store, relays_, dialect.instancesPrefix(), log, firstListingDelay(settings))
     , lease_(
@@ -201,14 +242,14 @@
     , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
     , readiness_(makeHttpServer(loop, internalLimits()))
     , directory_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
-    , peers_(makeHttpServer(loop, internalLimits()))
+    , peers_(makeHttpServer(loop, peerLimits({}, settings.descriptors)))
     , suspended_(loop.suspended())
     , startedAt_(loop.now())
 {
     clients_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { clientEndpoint_.serve(std::move(in), out); });
     readiness_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveReadiness(in, out); });
     directory_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveDirectory(in, out); });
-    peers_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { servePeers(in, out); });
+    peers_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { servePeers(std::move(in), out); });
     registerMetrics();
 }
 
@@ -277,16 +318,21 @@
 
 void Router::updateReadiness()
 {
-    const bool unchanged = self_.ready == isReady() && self_.crowded == loopDelay_.crowded();
+    const bool cutOff = reach_.isUnstable(loop_.now());
+    const bool unchanged = self_.ready == isReady() && self_.crowded == loopDelay_.crowded() && self_.cutOff == cutOff;
     if (unchanged) {
         return;
     }
     self_.ready = isReady();
     self_.crowded = loopDelay_.crowded();
-    log_.write(
-        DecisionPriority::Change,
-        "readiness.changed",
-        {{"ready", self_.ready ? 1 : 0}, {"crowded", self_.crowded ? 1 : 0}, {"loopDelayUs", loopDelay_.smoothed().count()}, {"config", feed_.version()}});
+    self_.cutOff = cutOff;
+    log_.write(DecisionPriority::Change,
+               "readiness.changed",
+               {{"ready", self_.ready ? 1 : 0},
+                {"crowded", self_.crowded ? 1 : 0},
+                {"cutOff", self_.cutOff ? 1 : 0},
+                {"loopDelayUs", loopDelay_.smoothed().count()},
+                {"config", feed_.version()}});
     onInstancesChanged();
     if (self_.ready) {
         publishRecord();
@@ -396,8 +442,13 @@
     responder->respond(dialect_.directoryAnswer(addresses, settings_.directoryTtl));
 }
 
-void Router::servePeers(const HttpServerRequest &incoming, const std::shared_ptr<HttpResponder> &responder)
+void Router::servePeers(HttpServerRequest incoming, const std::shared_ptr<HttpResponder> &responder)
 {
+    // Before the paths, since a client's request may have any.
+    if (PassOnHeaders::isPassedOn(incoming.headers)) {
+        clientEndpoint_.servePassedOn(std::move(incoming), responder);
+        return;
+    }
     if (incoming.path == RelayService::ChangesPath || incoming.path == RelayService::EntriesPath) {
         relay_.serve(incoming, responder);
         return;
@@ -417,8 +468,10 @@
 {
     clientEndpoint_.setConfigVersion(routes->config().version);
     choice_.setConnections(routes->config().services);
+    trials_.setServices(routes->config().services);
     coordinator_.setRoutes(routes);
     clients_->setLimits(clientLimits(routes->config().limits, settings_.descriptors));
+    peers_->setLimits(peerLimits(routes->config().limits, settings_.descriptors));
     updateConnectionLimits();
     updateReadiness();
 }
@@ -576,6 +629,55 @@
     }
 }
 
+void Router::onReachChanged(const ReachChange &change)
+{
+    disregardCut(context_, change);
+    if (change.cutOff) {
+        ++cutOffs_;
+        log_.write(DecisionPriority::Change,
+                   "servers.unreachable",
+                   {{"servers", static_cast<std::int64_t>(change.servers)}, {"sinceAnswerMs", change.sinceResponse.count() / 1000}, {"how", change.how}});
+    } else {
+        log_.write(DecisionPriority::Change, "servers.reached", {{"forMs", change.lasted.count() / 1000}});
+    }
+    coordinator_.onReachChanged();
+    trials_.update();
+    updateReadiness();
+    if (change.cutOff) {
+        leaveServerConnections();
+    }
+}
+
+void Router::leaveServerConnections()
+{
+    for (const auto &[id, server] : usableServers_) {
+        const std::uint32_t share = choice_.connectionShare(server.service);
+        client_.setLimits(server.address, ConnectionLimits{share, 0, MaxServerResponseBytes});
+    }
+    updateConnectionLimits();
+    std::vector<Address> addresses;
+    addresses.reserve(usableServers_.size());
+    for (const auto &[id, server] : usableServers_) {
+        addresses.push_back(server.address);
+    }
+    for (const Address &address : addresses) {
+        client_.failUnsent(address);
+    }
+}
+
+void Router::askServer(const ServerHandle &server, const std::string &path, Duration timeout, std::function<void(ReachOutcome)> done)
+{
+    HttpRequest request;
+    request.address = server->address;
+    request.method = "GET";
+    request.path = path;
+    request.headers[dialect_.headers().targetServer] = server->id.text();
+    request.timeout = timeout;
+    client_.send(std::move(request), [done = std::move(done)](const Result<HttpResponse> &response) {
+        done(response ? ReachOutcome::Response : reachOutcomeOf(response.error()));
+    });
+}
+
 void Router::onServerHints(const ServerEntry &server, const ServerHints &hints)
 {
     const TimePoint now = loop_.now();
@@ -647,13 +749,15 @@
     const TimePoint now = loop_.now();
     if (!lastAnswersUntil_ && leavingSince_ + settings_.stopTime - now < StopMargin) {
         lastAnswersUntil_ = now + LastAnswersTime;
-        if (clients_->requestsInFlight() > 0) {
+        if (hasWork()) {
             log_.write(DecisionPriority::Change, "unfinished", {{"requests", static_cast<std::int64_t>(coordinator_.pendingRequests())}});
             coordinator_.failAll("the instance is stopping, and its time is over");
         }
     }
     const bool deadlinePassed = lastAnswersUntil_ && now >= *lastAnswersUntil_;
-    if (deadlinePassed || (clients_->requestsInFlight() == 0 && clients_->openConnections() == 0)) {
+    // The last answers to other instances are sent by the next check.
+    const bool idle = !std::exchange(wasBusy_, hasWork()) && !wasBusy_ && clients_->openConnections() == 0;
+    if (deadlinePassed || idle) {
         log_.write(DecisionPriority::Change, "stopped", {{"unanswered", static_cast<std::int64_t>(clients_->requestsInFlight())}});
         log_.flush();
         onStopped_();
@@ -662,6 +766,11 @@
     loop_.schedule(IdleCheckInterval, [this] { stopIfIdle(); });
 }
 
+bool Router::hasWork() const
+{
+    return clients_->requestsInFlight() > 0 || coordinator_.pendingRequests() > 0;
+}
+
 void Router::registerMetrics()
 {
     const auto counter = [this](const char *name, const char *help, const std::uint64_t *value) {
@@ -679,6 +788,14 @@
     counter("burdock_accepts_failed_total", "Attempts to accept clients' connections that failed, as for lack of descriptors.", &clients.failedAccepts);
     counter("burdock_connections_timed_out_total", "Clients' connections that were closed since they sent or read too slowly.", &clients.timedOut);
     counter("burdock_answers_dropped_total", "Answers whose clients had closed their connections.", &clients.droppedAnswers);
+    counter("burdock_cut_offs_total", "Times that no server could be reached.", &cutOffs_);
+    metrics_.addValue("burdock_cut_off", "gauge", "Whether no server can be reached.", [this] { return reach_.isCutOff() ? 1.0 : 0.0; });
+    metrics_.addValue("burdock_reach_trials_total", "counter", "Requests to servers' health paths while none can be reached.", [this] {
+        return static_cast<double>(trials_.count());
+    });
+    counter("burdock_passed_on_total", "Requests passed on to another instance, once for each instance asked.", &counters_.passedOn);
+    counter("burdock_passed_on_failed_total", "Requests passed on to another instance that did not serve them.", &counters_.passedOnFailed);
+    counter("burdock_served_for_others_total", "Requests served that another instance had passed on.", &counters_.servedForOthers);
     metrics_.addValue("burdock_loop_delay_microseconds", "gauge", "How late the loop gets to its work, smoothed over a second.", [this] {
         return static_cast<double>(loopDelay_.smoothed().count());
     });
--- a/packages/routing/include/burdock/routing/backendrequests.h
+++ b/packages/routing/include/burdock/routing/backendrequests.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/routing/passonterms.h>
 #include <burdock/routing/servertable.h>
 #include <burdock/values/failure.h>
 
@@ -25,6 +26,8 @@
     TimePoint arrived{};
     /// How long the client waits for the answer, in microseconds; unset if the client does not state it.
     std::optional<Duration> clientTimeout;
+    /// Set if another instance passed the request on to this one.
+    std::optional<PassOnTerms> passedOn{};
 };
 
 /// A complete response of a backend server.
@@ -49,8 +52,9 @@
 
 /// Sends requests to servers.
 ///
-/// A failure has the verdict NotRun if the server reported that or if nothing was sent. Malformed responses are reported as
-/// ConnectionLost. The callback is never called from within `send`.
+/// A failure has the verdict NotRun if the server reported that or if nothing was sent. Its code is Unavailable if nothing was sent
+/// since there was no connection, ConnectionLost if the connection broke later or the response is malformed, DeadlineExceeded if
+/// the time is over, Overloaded or NotFound if the server responded that it did not run the request. The callback is never called from within `send`.
 class BackendRequests
 {
 public:
--- a/packages/routing/include/burdock/routing/clientanswer.h
+++ b/packages/routing/include/burdock/routing/clientanswer.h
@@ -33,6 +33,22 @@
     Duration retryAfter{0};
     /// The cause, for the log and for the body of a refusal.
     std::string reason;
+    /// Why an instance to which the request was passed on cannot serve it although another may.
+    enum class Inability {
+        None,
+        /// The request arrived at no server, since none could be connected to or had room for this instance.
+        Request,
+        /// The instance can serve no requests of others now.
+        Instance,
+    };
+    Inability inability = Inability::None;
+    /// The maximum number of attempts per shard that ran or may have run, of a request that was passed on.
+    std::uint32_t attempts = 0;
+
+    bool succeeded() const
+    {
+        return kind == Kind::Passed || kind == Kind::Gathered;
+    }
 };
 
 /// HTTP status codes that an instance sets itself.
--- a/packages/routing/include/burdock/routing/routingcontext.h
+++ b/packages/routing/include/burdock/routing/routingcontext.h
@@ -2,12 +2,15 @@
 
 #include <burdock/routing/backendrequests.h>
 #include <burdock/routing/crashguard.h>
+#include <burdock/routing/peerchoice.h>
 #include <burdock/routing/repeatbudget.h>
 #include <burdock/routing/routingconfig.h>
 #include <burdock/routing/serverchoice.h>
+#include <burdock/routing/serverreach.h>
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace Burdock
 {
@@ -23,6 +26,11 @@
     std::uint64_t failedAtServers = 0;
     std::uint64_t clientsGone = 0;
     std::uint64_t refusedAsGuilty = 0;
+    /// Requests that were passed on to a peer, and those among them that the peer did not serve.
+    std::uint64_t passedOn = 0;
+    std::uint64_t passedOnFailed = 0;
+    /// Requests that other instances passed on to this one and that were served.
+    std::uint64_t servedForOthers = 0;
 };
 
 /// One routing decision for a request, for the log.
@@ -40,12 +48,30 @@
     Duration age{0};
 };
 
+/// One request that was passed on to a peer, for the log.
+struct PassOnEvent
+{
+    const std::string &request;
+    const InstanceId &peer;
+    /// Why the request was passed on.
+    const std::string &reason;
+    /// `passed`, `gathered`, `refused` or `failed` as the peer answered; `unable` if it could not help, `lost` if the connection to it
+    /// failed, `late` if it had not answered at the deadline, or `cancelled`.
+    std::string_view outcome;
+    /// The peer's reason, or that of the lost connection.
+    const std::string &detail;
+    Duration took{0};
+    /// The time since the request arrived.
+    Duration age{0};
+};
+
 /// Receives the routing decisions for requests.
 class RoutingJournal
 {
 public:
     virtual ~RoutingJournal() = default;
     virtual void note(const RoutingEvent &event) = 0;
+    virtual void notePassedOn(const PassOnEvent &event) = 0;
 };
 
 /// The objects that all requests of an instance share.
@@ -58,8 +84,23 @@
     ServerLoad &load;
     RepeatBudget &budget;
     CrashGuard &crashes;
+    ServerReach &reach;
     RoutingCounters &counters;
     RoutingJournal &journal;
+    PeerRequests &peers;
+    PeerChoice &peerChoice;
 };
 
+/// After the instance was found to be cut off, takes back what failed since the last response of any server; once it is reached again,
+/// disregards how long requests have waited. Neither says anything about the servers.
+inline void disregardCut(const RoutingContext &context, const ReachChange &change)
+{
+    if (change.cutOff) {
+        context.load.withdrawFailures();
+        context.crashes.withdrawSince(context.reach.lastResponse(), context.runtime.now());
+    } else {
+        context.load.disregardWaits(context.runtime.now());
+    }
+}
+
 } // namespace Burdock
--- a/packages/routing/include/burdock/routing/serverload.h
+++ b/packages/routing/include/burdock/routing/serverload.h
@@ -26,10 +26,25 @@
     /// Removes an abandoned request without recording an outcome.
     void onAbandoned(const ServerId &server, TimePoint sentAt);
 
+    /// Any server has responded, so what failed before counts for the servers where it failed.
+    void onResponse()
+    {
+        ++responses_;
+    }
+
+    /// Takes back the failures and refusals since the last response, because they were not the servers'.
+    void withdrawFailures();
+
+    /// Disregards how long the requests in flight have waited so far, because it was not for the servers.
+    void disregardWaits(TimePoint now)
+    {
+        waitsCountFrom_ = now;
+    }
+
     /// Returns the number of requests in flight.
     std::uint32_t inFlight(const ServerId &server) const;
 
-    /// Returns the age of the oldest request in flight; zero if there is none.
+    /// Returns the age of the oldest request in flight; zero if there is none. Requests whose waits are disregarded are left out.
     Duration oldest(const ServerId &server, TimePoint now) const;
 
     /// Returns the share of recent requests, 0 to 1, that failed.
@@ -48,19 +63,31 @@
     void forget(const ServerId &server);
 
 private:
-    struct Server
+    struct Failures
     {
-        std::vector<TimePoint> open;
-        double failureRate = 0;
-        TimePoint failureRateAt{};
+        double rate = 0;
+        TimePoint rateAt{};
         std::uint32_t consecutiveRefusals = 0;
         TimePoint backoffUntil{};
+    };
+
+    struct Server
+    {
+        std::vector<TimePoint> open;
+        Failures failures;
+        /// The failures before the first one since the given number of responses.
+        Failures before;
+        std::uint64_t beforeAt = 0;
         TimePoint coldUntil{};
     };
 
+    void keepForWithdrawal(Server &server) const;
     void finishRequest(Server &server, TimePoint sentAt, double failure, TimePoint now);
 
     std::unordered_map<ServerId, Server> servers_;
+    /// The number of responses so far, from 1.
+    std::uint64_t responses_ = 1;
+    TimePoint waitsCountFrom_{};
 };
 
 } // namespace Burdock
--- a/packages/routing/include/burdock/routing/servicecall.h
+++ b/packages/routing/include/burdock/routing/servicecall.h
@@ -51,6 +51,22 @@
     /// Stops the call: sends no more attempts and does not call `done`. Attempts in flight may finish and are measured.
     void stop();
 
+    /// Sends no more attempts; those in flight may still be answered.
+    void stopSending();
+
+    /// Returns the number of attempts that ran or may have run, without those that were sent after a time since which no server has
+    /// responded: they did not arrive while the instance is cut off.
+    std::uint32_t attemptsUsed(TimePoint lastResponse) const;
+
+    bool started() const
+    {
+        return started_;
+    }
+
+    /// Whether passing the request on costs a repeat at the service: an attempt may have arrived there, and none that was charged to the
+    /// repeat budget was sent since the last response of any server.
+    bool needsRepeat(TimePoint lastResponse) const;
+
     const ServiceName &service() const
     {
         return service_;
@@ -73,6 +89,7 @@
         ServerHandle server;
         TimePoint sentAt;
         bool hedge = false;
+        ServerReach::AttemptId reachId = 0;
     };
 
     /// Sends the first attempt, or ends the call if no server can take it.
@@ -93,8 +110,8 @@
     bool mayRunAgain() const;
     std::string reasonOf(const Result<ServerReply> &reply) const;
     /// Whether the attempt ended as it does when the server crashes.
-    bool isCrash(const Result<ServerReply> &reply) const;
-    RequestTrial::Outcome outcomeOf(const Result<ServerReply> &reply) const;
+    bool isCrash(const Attempt &attempt, const Result<ServerReply> &reply) const;
+    RequestTrial::Outcome outcomeOf(const Attempt &attempt, const Result<ServerReply> &reply) const;
     void finish(Result<ServerReply> reply);
 
     RoutingContext &context_;
@@ -109,8 +126,15 @@
     std::map<std::uint64_t, Attempt> attempts_;
     std::vector<ServerId> tried_;
     std::uint32_t sends_ = 0;
-    /// The number of attempts that ran or may have run, including those in flight.
+    /// The number of attempts that certainly did not arrive at a server.
+    std::uint32_t notArrived_ = 0;
+    /// The number of attempts that ran or may have run, including those in flight, and when they were sent.
     std::uint32_t possiblyRan_ = 0;
+    std::vector<TimePoint> possiblyRanSentAt_;
+    TimePoint firstSentAt_{};
+    TimePoint lastSentAt_{};
+    bool started_ = false;
+    bool sendingStopped_ = false;
     TimerId hedgeTimer_ = 0;
     /// The outcome of the last attempt while the call waits to send another one.
     std::optional<Result<ServerReply>> lastReply_;
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -23,6 +23,11 @@
 /// The minimum time before the deadline for another attempt; with less, it cannot be answered in time.
 constexpr Duration MinTimeLeft = std::chrono::milliseconds(10);
 
+ReachOutcome reachOutcomeOf(const Result<ServerReply> &reply)
+{
+    return reply ? ReachOutcome::Response : Burdock::reachOutcomeOf(reply.error());
+}
+
 } // namespace
 
 ServiceCall::ServiceCall(RoutingContext &context,
@@ -47,21 +52,47 @@
     context_.runtime.cancel(hedgeTimer_);
     for (const auto &[number, attempt] : attempts_) {
         context_.backends.cancel(attempt.id);
+        context_.reach.onEnded(attempt.reachId, ReachOutcome::NoResponse);
         trial_->onEnded(attempt.server->id, RequestTrial::Outcome::Other, context_.runtime.now());
-        context_.choice.onAbandoned(*route_, *attempt.server, attempt.sentAt, context_.runtime.now());
+        if (context_.reach.wasCutOffSince(attempt.sentAt)) {
+            context_.load.onAbandoned(attempt.server->id, attempt.sentAt);
+        } else {
+            context_.choice.onAbandoned(*route_, *attempt.server, attempt.sentAt, context_.runtime.now());
+        }
     }
 }
 
 void ServiceCall::start(Done done)
 {
     done_ = std::move(done);
-    context_.budget.onFirstSend(service_, context_.runtime.now());
+    started_ = true;
+    if (!request_->passedOn || !request_->passedOn->counted) {
+        context_.budget.onFirstSend(service_, context_.runtime.now());
+    }
     if (trial_->mayStart()) {
         return sendFirst();
     }
     trial_->wait([this] { resume(); });
 }
 
+void ServiceCall::stopSending()
+{
+    sendingStopped_ = true;
+    context_.runtime.cancel(std::exchange(hedgeTimer_, 0));
+}
+
+std::uint32_t ServiceCall::attemptsUsed(TimePoint lastResponse) const
+{
+    const auto isUsed = [lastResponse](TimePoint sentAt) { return sentAt <= lastResponse; };
+    return static_cast<std::uint32_t>(std::count_if(possiblyRanSentAt_.begin(), possiblyRanSentAt_.end(), isUsed));
+}
+
+bool ServiceCall::needsRepeat(TimePoint lastResponse) const
+{
+    const bool mayHaveArrived = sends_ > notArrived_ && firstSentAt_ <= lastResponse;
+    return mayHaveArrived && lastSentAt_ <= lastResponse;
+}
+
 void ServiceCall::sendFirst()
 {
     if (!sendAttempt("send", {})) {
@@ -132,6 +163,9 @@
 
 bool ServiceCall::sendAttempt(const char *kind, const std::string &reason)
 {
+    if (sendingStopped_) {
+        return false;
+    }
     const TimePoint now = context_.runtime.now();
     const ChosenServer chosen = chooseServer(now);
     if (!chosen.server) {
@@ -140,8 +174,12 @@
     const bool first = sends_ == 0;
     const std::uint64_t number = ++sends_;
     ++possiblyRan_;
+    possiblyRanSentAt_.push_back(now);
+    lastSentAt_ = now;
+    firstSentAt_ = first ? now : firstSentAt_;
     tried_.push_back(chosen.server->id);
-    Attempt attempt{0, chosen.server, now, !first && !attempts_.empty()};
+    Attempt attempt{0, chosen.server, now, !first && !attempts_.empty(), 0};
+    attempt.reachId = context_.reach.onSent(*chosen.server, context_.choice.overdueAfter(*route_, *chosen.server, now));
     context_.choice.onSent(*route_, *chosen.server, now, !first);
     attempt.id =
         context_.backends.send(chosen.server, request_, deadline_, [this, number](Result<ServerReply> reply) { onAttemptFinished(number, std::move(reply)); });
@@ -158,7 +196,7 @@
 
 bool ServiceCall::mayRunAgain() const
 {
-    return route_->repeatable && possiblyRan_ < route_->attempts && deadline_ - context_.runtime.now() > MinTimeLeft;
+    return !sendingStopped_ && route_->repeatable && possiblyRan_ < route_->attempts && deadline_ - context_.runtime.now() > MinTimeLeft;
 }
 
 void ServiceCall::scheduleHedge(const ChosenServer &chosen)
@@ -181,7 +219,7 @@
 void ServiceCall::sendHedge()
 {
     hedgeTimer_ = 0;
-    if (!mayRunAgain() || context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server == nullptr) {
+    if (context_.reach.isCutOff() || !mayRunAgain() || context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server == nullptr) {
         return;
     }
     if (!context_.budget.tryAcquire(service_, context_.runtime.now(), RetryReserveFraction)) {
@@ -201,7 +239,13 @@
 void ServiceCall::recordOutcome(const Attempt &attempt, const Result<ServerReply> &reply)
 {
     const TimePoint now = context_.runtime.now();
-    if (isSuccess(reply)) {
+    if (reachOutcomeOf(reply) == ReachOutcome::Response) {
+        context_.load.onResponse();
+    }
+    if (context_.reach.wasCutOffSince(attempt.sentAt)) {
+        // Neither the failure nor the time that it took is the server's.
+        context_.load.onAbandoned(attempt.server->id, attempt.sentAt);
+    } else if (isSuccess(reply)) {
         context_.choice.onAnswered(*route_, *attempt.server, attempt.sentAt, now);
         if (sends_ == 1) {
             context_.choice.onNotHedged(*route_);
@@ -218,16 +262,24 @@
 void ServiceCall::onAttemptFinished(std::uint64_t number, Result<ServerReply> reply)
 {
     const auto node = attempts_.extract(number);
-    const ServerId server = node.mapped().server->id;
-    recordOutcome(node.mapped(), reply);
-    if (isCrash(reply)) {
+    const Attempt &attempt = node.mapped();
+    const ServerId server = attempt.server->id;
+    const ReachOutcome reached = reachOutcomeOf(reply);
+    context_.reach.onEnded(attempt.reachId, reached);
+    notArrived_ += reached == ReachOutcome::NotConnected ? 1 : 0;
+    recordOutcome(attempt, reply);
+    if (!reply && reply.error().verdict == Verdict::NotRun) {
+        --possiblyRan_;
+        possiblyRanSentAt_.erase(std::find(possiblyRanSentAt_.begin(), possiblyRanSentAt_.end(), attempt.sentAt));
+    }
+    if (isCrash(attempt, reply)) {
         context_.journal.note(
             {"crash", request_->id, service_.text(), server.text(), trial_->fingerprint().text(), context_.runtime.now() - request_->arrived});
     }
     if (reply) {
-        context_.crashes.onServerAnswered(server, node.mapped().sentAt);
+        context_.crashes.onServerAnswered(server, attempt.sentAt);
     }
-    trial_->onEnded(server, outcomeOf(reply), context_.runtime.now());
+    trial_->onEnded(server, outcomeOf(attempt, reply), context_.runtime.now());
     // The calls that wait are resumed after this one, which holds the trial until then.
     const auto trial = trial_;
     handleReply(std::move(reply));
@@ -236,9 +288,6 @@
 
 void ServiceCall::handleReply(Result<ServerReply> reply)
 {
-    if (!reply && reply.error().verdict == Verdict::NotRun) {
-        --possiblyRan_;
-    }
     if (!done_) {
         return;
     }
@@ -265,21 +314,25 @@
     return reply ? "status " + std::to_string(reply->status) : reply.error().message;
 }
 
-bool ServiceCall::isCrash(const Result<ServerReply> &reply) const
+bool ServiceCall::isCrash(const Attempt &attempt, const Result<ServerReply> &reply) const
 {
-    return !reply && reply.error().verdict == Verdict::MayHaveRun && reply.error().code == Errc::ConnectionLost;
+    const bool broken = !reply && reply.error().verdict == Verdict::MayHaveRun && reply.error().code == Errc::ConnectionLost;
+    return broken && !context_.reach.wasCutOffSince(attempt.sentAt);
 }
 
-RequestTrial::Outcome ServiceCall::outcomeOf(const Result<ServerReply> &reply) const
+RequestTrial::Outcome ServiceCall::outcomeOf(const Attempt &attempt, const Result<ServerReply> &reply) const
 {
-    return reply ? RequestTrial::Outcome::Answered : isCrash(reply) ? RequestTrial::Outcome::Crashed : RequestTrial::Outcome::Other;
+    return reply ? RequestTrial::Outcome::Answered : isCrash(attempt, reply) ? RequestTrial::Outcome::Crashed : RequestTrial::Outcome::Other;
 }
 
 bool ServiceCall::canRetry() const
 {
+    if (context_.reach.isCutOff()) {
+        return false;
+    }
     const bool nothingRan = possiblyRan_ == 0 && sends_ < route_->attempts + MaxExtraRefusals;
     const bool timeLeft = deadline_ - context_.runtime.now() > MinTimeLeft;
-    if (!timeLeft || !(nothingRan || mayRunAgain()) || sends_ >= route_->attempts + MaxExtraRefusals) {
+    if (sendingStopped_ || !timeLeft || !(nothingRan || mayRunAgain()) || sends_ >= route_->attempts + MaxExtraRefusals) {
         return false;
     }
     return context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server != nullptr;
@@ -290,7 +343,9 @@
     if (!canRetry()) {
         return false;
     }
-    if (!context_.budget.tryAcquire(service_, context_.runtime.now(), 0)) {
+    // The budget is for arrivals at servers beyond the first.
+    const bool isFirstArrival = sends_ == notArrived_;
+    if (!isFirstArrival && !context_.budget.tryAcquire(service_, context_.runtime.now(), 0)) {
         ++context_.counters.repeatsDenied;
         return false;
     }
