--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -188,7 +188,7 @@
 InstanceTable::Records InstanceTable::directedFrom(const Region &region, const InstanceRecord &self) const
 {
     const Records connected = this->connected(self);
-    const Records here = chosenOf(filter(connected, [&region](const InstanceRecord *record) { return record->region == region; }));
+    Records here = chosenOf(filter(connected, [&region](const InstanceRecord *record) { return record->region == region; }));
     if (!here.empty()) {
         return here;
     }
--- a/packages/routing/src/reachtrials.cpp
+++ b/packages/routing/src/reachtrials.cpp
@@ -65,7 +65,7 @@
 {
     for (int pass = 0; pass < 2; ++pass) {
         while (!unasked_.empty()) {
-            const ServerHandle server = std::move(unasked_.back());
+            ServerHandle server = std::move(unasked_.back());
             unasked_.pop_back();
             if (paths_.count(server->service) > 0 && servers_.usable(*server)) {
                 return server;
