Ask other servers before failed ones count as a cut

Cause: five servers that had crashed together refused or broke off before any other answered, 75 to 155 ms after the last response. Ruled out: late loops, silent servers; each line said "failed".

Change: where fewer than five servers are silent, the failures of the others are confirmed by trials: the health paths of five servers of several services, of which two at least must fail and none respond. Where no service names a health path, the failures decide alone.

--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -154,7 +154,7 @@
     , budget_(settings.repeats, loop.now())
     , crashes_([this](Duration clearingTime) { crashReports_.onChanged(clearingTime); })
     , reach_(
-          loop, servers_, [this](const ReachChange &change) { onReachChanged(change); }, [this] { trials_.onSuspected(); })
+          loop, servers_, [this](const ReachChange &change) { onReachChanged(change); }, [this] { return trials_.onSuspected(); })
     , trials_(
           loop,
           servers_,
--- a/packages/routing/include/burdock/routing/reachtrials.h
+++ b/packages/routing/include/burdock/routing/reachtrials.h
@@ -30,8 +30,8 @@
     /// Starts or stops the trials after a change of the reach.
     void update();
 
-    /// Asks several servers, unless it has done so just before.
-    void onSuspected();
+    /// Asks several servers, unless it has done so just before. Returns whether there are any to ask.
+    bool onSuspected();
 
     std::uint64_t count() const
     {
--- a/packages/routing/include/burdock/routing/serverreach.h
+++ b/packages/routing/include/burdock/routing/serverreach.h
@@ -56,15 +56,16 @@
     using AttemptId = std::uint64_t;
 
     /// `onSuspected` is called while several servers fail or are silent and none responds, but they are too few, or all of one
-    /// service. Attempts at other servers then decide.
+    /// service, or have failed, as servers that crash together do. It sends trials, which then decide, and returns whether it can.
     ServerReach(
-        Runtime &runtime, const ServerTable &servers, ChangeHandler onChanged, std::function<void()> onSuspected = [] {});
+        Runtime &runtime, const ServerTable &servers, ChangeHandler onChanged, std::function<bool()> onSuspected = [] { return false; });
     ~ServerReach();
     ServerReach(const ServerReach &) = delete;
     ServerReach &operator=(const ServerReach &) = delete;
 
-    /// Records an attempt at a server, whose response is overdue after the given time.
-    AttemptId onSent(const ServerEntry &server, Duration overdueAfter);
+    /// Records an attempt at a server, whose response is overdue after the given time. A trial is one that is sent to learn whether
+    /// servers can be reached.
+    AttemptId onSent(const ServerEntry &server, Duration overdueAfter, bool trial = false);
 
     /// Records how an attempt ended.
     void onEnded(AttemptId attempt, ReachOutcome outcome);
@@ -96,6 +97,7 @@
         ServerId server;
         ServiceName service;
         TimePoint overdueAt{};
+        bool trial = false;
     };
 
     /// The first failure at a server since the last response of any server.
@@ -116,6 +118,8 @@
         /// How many of the failed ones could not be connected to, and how many broke off after another one had.
         std::size_t notConnected = 0;
         std::size_t brokenAgain = 0;
+        std::size_t failedTrials = 0;
+        std::size_t undecidedTrials = 0;
 
         std::size_t servers() const;
         std::size_t services() const;
@@ -136,9 +140,10 @@
     Runtime &runtime_;
     const ServerTable &servers_;
     const ChangeHandler onChanged_;
-    const std::function<void()> onSuspected_;
+    const std::function<bool()> onSuspected_;
     std::map<AttemptId, Attempt> open_;
     std::unordered_map<ServerId, FailedServer> failed_;
+    std::size_t failedTrials_ = 0;
     std::unordered_map<ServerId, TimePoint> notConnectedAt_;
     AttemptId lastAttempt_ = 0;
     /// The first attempt that was sent after the last response; earlier ones are no evidence.
--- a/packages/routing/src/reachtrials.cpp
+++ b/packages/routing/src/reachtrials.cpp
@@ -15,7 +15,7 @@
 /// How many servers are asked on a suspicion, after which time one is silent, and how often that is done.
 constexpr std::size_t SuspicionTrials = 5;
 constexpr Duration SuspicionOverdue = std::chrono::milliseconds(150);
-constexpr Duration SuspicionInterval = std::chrono::seconds(2);
+constexpr Duration SuspicionInterval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -85,11 +85,11 @@
     }
 }
 
-void ReachTrials::onSuspected()
+bool ReachTrials::onSuspected()
 {
     const TimePoint now = runtime_.now();
-    if (reach_.isCutOff() || (suspectedAt_ && now - *suspectedAt_ < SuspicionInterval)) {
-        return;
+    if (suspectedAt_ && now - *suspectedAt_ < SuspicionInterval) {
+        return true;
     }
     suspectedAt_ = now;
     std::vector<ServerHandle> chosen;
@@ -103,12 +103,13 @@
     for (const ServerHandle &server : chosen) {
         askServer(server, SuspicionOverdue);
     }
+    return !chosen.empty();
 }
 
 void ReachTrials::askServer(const ServerHandle &server, Duration overdueAfter)
 {
     ++count_;
-    const ServerReach::AttemptId attempt = reach_.onSent(*server, overdueAfter);
+    const ServerReach::AttemptId attempt = reach_.onSent(*server, overdueAfter, true);
     ask_(server, paths_.at(server->service), TrialTimeout, [this, attempt](ReachOutcome outcome) { reach_.onEnded(attempt, outcome); });
 }
 
--- a/packages/routing/src/serverreach.cpp
+++ b/packages/routing/src/serverreach.cpp
@@ -19,6 +19,8 @@
 /// two more after the first ones.
 constexpr std::size_t MinNotConnectedOrSilent = 2;
 constexpr std::size_t MinBrokenAgain = 3;
+/// The trials that must have failed where servers failed rather than were silent.
+constexpr std::size_t MinFailedTrials = 2;
 /// A server is silent no earlier than this after the attempt, and silence is evidence no earlier than this after the last response.
 constexpr Duration MinOverdue = std::chrono::milliseconds(100);
 constexpr Duration MinSilence = std::chrono::milliseconds(150);
@@ -51,7 +53,7 @@
     }
 }
 
-ServerReach::ServerReach(Runtime &runtime, const ServerTable &servers, ChangeHandler onChanged, std::function<void()> onSuspected)
+ServerReach::ServerReach(Runtime &runtime, const ServerTable &servers, ChangeHandler onChanged, std::function<bool()> onSuspected)
     : runtime_(runtime)
     , servers_(servers)
     , onChanged_(std::move(onChanged))
@@ -66,10 +68,10 @@
     runtime_.cancel(notifyTimer_);
 }
 
-ServerReach::AttemptId ServerReach::onSent(const ServerEntry &server, Duration overdueAfter)
+ServerReach::AttemptId ServerReach::onSent(const ServerEntry &server, Duration overdueAfter, bool trial)
 {
     const AttemptId id = ++lastAttempt_;
-    open_.emplace(id, Attempt{server.id, server.service, runtime_.now() + std::max(overdueAfter, MinOverdue)});
+    open_.emplace(id, Attempt{server.id, server.service, runtime_.now() + std::max(overdueAfter, MinOverdue), trial});
     startRounds(RoundInterval);
     return id;
 }
@@ -92,6 +94,7 @@
     if (early || node.key() < firstSinceResponse_) {
         return;
     }
+    failedTrials_ += ended.trial ? 1 : 0;
     const bool broken = outcome == ReachOutcome::Broken;
     const bool brokenAgain = broken && firstSinceBreak_ && node.key() >= *firstSinceBreak_;
     failed_.try_emplace(ended.server, FailedServer{ended.service, outcome, lastAttempt_ + 1, brokenAgain});
@@ -116,6 +119,7 @@
     firstSinceResponse_ = lastAttempt_ + 1;
     firstSinceBreak_.reset();
     failed_.clear();
+    failedTrials_ = 0;
 }
 
 void ServerReach::startRounds(Duration delay)
@@ -149,11 +153,14 @@
 ServerReach::Evidence ServerReach::evidence(TimePoint now) const
 {
     Evidence found;
+    found.failedTrials = failedTrials_;
     AttemptId firstUndecided = lastAttempt_ + 1;
     for (auto attempt = open_.lower_bound(firstSinceResponse_); attempt != open_.end(); ++attempt) {
         if (attempt->second.overdueAt <= now) {
             found.silent.emplace(attempt->second.server, attempt->second.service);
+            found.failedTrials += attempt->second.trial ? 1 : 0;
         } else {
+            found.undecidedTrials += attempt->second.trial ? 1 : 0;
             firstUndecided = std::min(firstUndecided, attempt->first);
         }
     }
@@ -203,11 +210,14 @@
     const Evidence found = evidence(now);
     const Duration sinceResponse = now - lastResponse_;
     const bool silentLongEnough = found.silent.empty() || sinceResponse >= MinSilence;
-    if (isEnough(found) && silentLongEnough) {
+    const bool enough = isEnough(found) && silentLongEnough;
+    // Servers that fail may have crashed together, and others be about to respond.
+    const bool confirmed = found.silent.size() >= MinServers || (found.failedTrials >= MinFailedTrials && found.undecidedTrials == 0);
+    const bool suspected = enough ? !confirmed : found.servers() >= MinServersOfFew && sinceResponse >= MinSilence;
+    const bool awaitsTrials = suspected && onSuspected_();
+    if (enough && !awaitsTrials) {
         cutOffAt_ = now;
         setCutOff(true, {true, found.servers(), sinceResponse, found.silent.size() * 2 >= found.servers() ? "silent" : "failed", Duration{0}});
-    } else if (found.servers() >= MinServersOfFew && sinceResponse >= MinSilence) {
-        onSuspected_();
     }
 }
 
--- a/packages/routing/tests/serverreachtest.cpp
+++ b/packages/routing/tests/serverreachtest.cpp
@@ -61,7 +61,14 @@
     ServerTable servers{[](const ServerEntry &, bool) {}};
     std::vector<ReachChange> changes;
     int suspicions = 0;
-    ServerReach reach{runtime, servers, [this](const ReachChange &change) { changes.push_back(change); }, [this] { ++suspicions; }};
+    std::function<bool()> onSuspected = [] { return false; };
+    ServerReach reach{runtime,
+                      servers,
+                      [this](const ReachChange &change) { changes.push_back(change); },
+                      [this] {
+                          ++suspicions;
+                          return onSuspected();
+                      }};
     std::uint16_t port = 8000;
 };
 
@@ -468,6 +475,25 @@
     }
 }
 
+TEST_CASE("Servers that crash together do not make an instance count as cut off before other servers were asked", "[reach][trial][crash]")
+{
+    TrialFixture fixture;
+    fixture.onSuspected = [&fixture] { return fixture.trials.onSuspected(); };
+    fixture.respond();
+    for (const auto attempt : fixture.sendToEach(8)) {
+        fixture.reach.onEnded(attempt, ReachOutcome::NotConnected);
+    }
+    CHECK_FALSE(fixture.reach.isCutOff());
+    REQUIRE(fixture.asked.size() == 5);
+    for (std::size_t trial = 0; trial < 4; ++trial) {
+        fixture.asked.at(trial).done(ReachOutcome::NotConnected);
+        CHECK_FALSE(fixture.reach.isCutOff());
+    }
+    const bool responds = GENERATE(true, false);
+    fixture.asked.at(4).done(responds ? ReachOutcome::Response : ReachOutcome::NotConnected);
+    CHECK(fixture.reach.isCutOff() == !responds);
+}
+
 TEST_CASE("Failures of a few servers raise no suspicion while others respond", "[reach][trial]")
 {
     ReachFixture fixture;
