Let a cut-off instance recover also if no service has a health path

Callers: an instance without servers stayed cut off for good after the cut had ended, if the configuration names no health path. Requests were passed on for ever, or refused if all instances had been cut off.

Cause: trials were the only way back, and they ask health paths. An instance that cannot ask any now takes a cut to be over after the time of one trial, and clients' requests show whether it is. The stand-in servers answer their health path, which the test configuration names as the users' does.

--- a/packages/fakes/include/burdock/fakes/fakeroutedserver.h
+++ b/packages/fakes/include/burdock/fakes/fakeroutedserver.h
@@ -64,6 +64,8 @@
 {
 public:
     static constexpr const char *DeadlyWord = "deadly";
+    /// Requests for this path get an answer at once, without a slot, unless the server is paused.
+    static constexpr const char *HealthPath = "/health";
 
     FakeRoutedServer(Runtime &runtime, FakeRoutedServerDeclaration declaration, std::uint64_t seed);
     ~FakeRoutedServer();
@@ -141,6 +143,8 @@
     };
     using JobPtr = std::shared_ptr<Job>;
 
+    /// Answers the requests for the health path that wait.
+    void answerHealth();
     /// Adds the headers that each response has.
     HttpServerResponse completed(HttpServerResponse response) const;
     void startNext();
@@ -160,6 +164,7 @@
     std::mt19937_64 random_;
     std::deque<JobPtr> queue_;
     std::set<JobPtr> running_;
+    std::vector<std::shared_ptr<FakeResponder>> waitingHealth_;
     std::map<std::string, std::uint32_t> executions_;
     std::map<std::string, std::uint32_t> crashes_;
     std::function<void()> onCrash_ = [] {};
--- a/packages/fakes/src/fakeroutedserver.cpp
+++ b/packages/fakes/src/fakeroutedserver.cpp
@@ -63,6 +63,11 @@
 
 void FakeRoutedServer::handle(const HttpServerRequest &request, const std::shared_ptr<FakeResponder> &responder)
 {
+    if (request.path == HealthPath) {
+        waitingHealth_.push_back(responder);
+        answerHealth();
+        return;
+    }
     ++arrived_;
     const auto refuse = [&responder, this](int status) {
         responder->respond(completed(HttpServerResponse{status, {{"Not-Executed", "1"}, {"Instance-Id", declaration_.id}}, "{}", true}));
@@ -101,9 +106,21 @@
         limitedSince_ = runtime_.now();
     }
     behaviour_ = behaviour;
+    answerHealth();
     startNext();
 }
 
+void FakeRoutedServer::answerHealth()
+{
+    if (behaviour_.paused) {
+        return;
+    }
+    const int status = behaviour_.replaced ? MisdirectedStatus : behaviour_.full || behaviour_.leaving ? UnavailableStatus : OkStatus;
+    for (const auto &responder : std::exchange(waitingHealth_, {})) {
+        responder->respond(completed(HttpServerResponse{status, {{"Instance-Id", declaration_.id}}, "{}", true}));
+    }
+}
+
 HttpServerResponse FakeRoutedServer::completed(HttpServerResponse response) const
 {
     if (behaviour_.limit) {
--- a/packages/routing/include/burdock/routing/reachtrials.h
+++ b/packages/routing/include/burdock/routing/reachtrials.h
@@ -24,7 +24,8 @@
     ReachTrials(const ReachTrials &) = delete;
     ReachTrials &operator=(const ReachTrials &) = delete;
 
-    /// Sets the services' health paths. Servers of services without one are not asked.
+    /// Sets the services' health paths. Servers of services without one are not asked. If there is none to ask, a cut is taken to be
+    /// over after the time of one trial, and clients' requests show whether it is.
     void setServices(const std::vector<RoutedService> &services);
 
     /// Starts or stops the trials after a change of the reach.
--- a/packages/routing/include/burdock/routing/serverreach.h
+++ b/packages/routing/include/burdock/routing/serverreach.h
@@ -70,6 +70,9 @@
     /// Records how an attempt ended.
     void onEnded(AttemptId attempt, ReachOutcome outcome);
 
+    /// Ends the cut without a response, so that clients' requests show whether servers can be reached.
+    void assumeReached();
+
     bool isCutOff() const
     {
         return cutOff_;
@@ -127,7 +130,8 @@
 
     void onResponse(TimePoint now);
     void noteNotConnected(const ServerId &server, TimePoint now);
-    void judge();
+    /// Decides by what is known, and returns whether trials decide later.
+    bool judge();
     void onRound();
     void startRounds(Duration delay);
     bool isRoundLate(TimePoint now) const;
--- a/packages/routing/src/reachtrials.cpp
+++ b/packages/routing/src/reachtrials.cpp
@@ -82,6 +82,8 @@
     const ServerHandle server = next();
     if (server) {
         askServer(server, TrialTimeout);
+    } else {
+        reach_.assumeReached();
     }
 }
 
--- a/packages/routing/src/serverreach.cpp
+++ b/packages/routing/src/serverreach.cpp
@@ -114,6 +114,13 @@
     }
 }
 
+void ServerReach::assumeReached()
+{
+    if (cutOff_) {
+        onResponse(runtime_.now());
+    }
+}
+
 void ServerReach::forgetEvidence()
 {
     firstSinceResponse_ = lastAttempt_ + 1;
@@ -138,11 +145,10 @@
     if (runtime_.now() - roundDue_ >= MinSuspension) {
         forgetEvidence();
     }
-    if (failed_.empty() && open_.lower_bound(firstSinceResponse_) == open_.end()) {
-        return;
+    const bool awaitsTrials = judge();
+    if (late_ || awaitsTrials || open_.lower_bound(firstSinceResponse_) != open_.end()) {
+        startRounds(late_ ? LateDelay : RoundInterval);
     }
-    startRounds(late_ ? LateDelay : RoundInterval);
-    judge();
 }
 
 bool ServerReach::isRoundLate(TimePoint now) const
@@ -201,11 +207,11 @@
         && (evidence.silent.size() + evidence.notConnected >= MinNotConnectedOrSilent || evidence.brokenAgain >= MinBrokenAgain);
 }
 
-void ServerReach::judge()
+bool ServerReach::judge()
 {
     const TimePoint now = runtime_.now();
     if (cutOff_ || late_ || (roundTimer_ != 0 && isRoundLate(now)) || open_.size() + failed_.size() < MinServersOfFew) {
-        return;
+        return false;
     }
     const Evidence found = evidence(now);
     const Duration sinceResponse = now - lastResponse_;
@@ -219,6 +225,7 @@
         cutOffAt_ = now;
         setCutOff(true, {true, found.servers(), sinceResponse, found.silent.size() * 2 >= found.servers() ? "silent" : "failed", Duration{0}});
     }
+    return awaitsTrials;
 }
 
 void ServerReach::setCutOff(bool cutOff, ReachChange change)
--- a/packages/routing/tests/serverreachtest.cpp
+++ b/packages/routing/tests/serverreachtest.cpp
@@ -448,6 +448,20 @@
     }
 }
 
+TEST_CASE("An instance that was cut off recovers also if no service has a health path", "[reach][trial]")
+{
+    TrialFixture fixture;
+    fixture.trials.setServices({{ServiceName("s0"), 0, ""}});
+    fixture.cutOff();
+    fixture.trials.update();
+    fixture.runtime.advance(milliseconds(400));
+    CHECK(fixture.reach.isCutOff());
+    fixture.runtime.advance(milliseconds(200));
+    CHECK_FALSE(fixture.reach.isCutOff());
+    CHECK(fixture.asked.empty());
+    CHECK(fixture.reach.isUnstable(fixture.runtime.now()));
+}
+
 TEST_CASE("An instance that gets few requests, all for one service, notices a cut by asking servers of others", "[reach][trial]")
 {
     TrialFixture fixture;
--- a/tests/testbed/routertestbed.cpp
+++ b/tests/testbed/routertestbed.cpp
@@ -300,9 +300,9 @@
     once["service"] = "one";
     Json all = route("r-all", "/all/", "safe");
     all.update({{"fanoutServices", shards}, {"resultLimit", 4}, {"minShardShare", 0.6}});
-    Json services = Json::array({{{"name", "one"}, {"maxConnections", 40}}});
+    Json services = Json::array({{{"name", "one"}, {"maxConnections", 40}, {"healthPath", "/health"}}});
     for (const std::string &shard : shards) {
-        services.push_back({{"name", shard}, {"maxConnections", 40}});
+        services.push_back({{"name", shard}, {"maxConnections", 40}, {"healthPath", "/health"}});
     }
     Json routes = Json::array({one, once});
     if (!shards.empty()) {
