End requests at once that were in progress when the servers went down for all

Callers of an instance whose servers were all down waited for their whole time if the request was in progress when the instance noticed it: since no other instance could take it, it was left to wait for a server that is merely slow.

Where other instances are ready and none of them reaches a server either, the servers are down for all: repeatable requests in progress fail at once, as new ones are refused. Where no other instance is known they go on waiting. An answer that ends other requests in progress, within its own callback, no longer breaks the loop over them.

--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -196,7 +196,7 @@
     , backends_(
           loop, client, dialect.headers(), [this](const ServerEntry &server, const ServerHints &hints) { onServerHints(server, hints); }, log)
     , peerRequests_(loop, client, dialect.headers(), settings.id, [this](const Peer &peer) { inquiry_.ask(peer.address); })
-    , peerChoice_([this] { return instances_.helpersFor(self_); }, settings.id, seed)
+    , peerChoice_([this] { return instances_.helpersFor(self_); }, [this] { return instances_.hasOtherReady(self_); }, settings.id, seed)
     , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, reach_, counters_, *journal_, peerRequests_, peerChoice_}
     , relays_(settings.id)
     , store_(loop, client, store, relays_, dialect.instancesPrefix(), log, firstListingDelay(settings))
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -89,6 +89,9 @@
     /// the other ready ones of its region, then those of other regions. None is cut off, and no group is empty.
     std::vector<Records> helpersFor(const InstanceRecord &self) const;
 
+    /// Whether another instance is ready, be it cut off or not.
+    bool hasOtherReady(const InstanceRecord &self) const;
+
     /// Counts the chosen instances of all regions; the count is at least 1.
     Senders chosen(const InstanceRecord &self) const;
 
--- a/packages/routing/include/burdock/routing/peerchoice.h
+++ b/packages/routing/include/burdock/routing/peerchoice.h
@@ -24,16 +24,21 @@
 public:
     /// Returns the instances that can help, in groups in the order of preference.
     using Helpers = std::function<std::vector<InstanceTable::Records>()>;
+    /// Returns whether other instances take clients, though they may not be able to help.
+    using HasOthers = std::function<bool()>;
 
     /// How a request at a peer ended: with an answer, since the peer had no room for it or cannot help, since it was lost, or by this
     /// instance.
     enum class Ending { Answered, NoRoom, Unable, Lost, Cancelled };
 
-    PeerChoice(Helpers helpers, InstanceId self, std::uint64_t seed);
+    PeerChoice(Helpers helpers, HasOthers hasOthers, InstanceId self, std::uint64_t seed);
 
     /// Returns a peer that is not in `tried`, or nothing if none can help.
     std::optional<Peer> choose(const std::vector<InstanceId> &tried, TimePoint now);
 
+    /// Whether no other instance that takes clients can reach the servers either: they are down for all.
+    bool isNoOneConnected() const;
+
     void onSent(const InstanceId &peer, TimePoint now);
     void onEnded(const InstanceId &peer, Ending ending, TimePoint now);
 
@@ -60,6 +65,7 @@
     void forgetUnused(TimePoint now);
 
     const Helpers helpers_;
+    const HasOthers hasOthers_;
     const InstanceId self_;
     std::mt19937_64 random_;
     std::unordered_map<InstanceId, PeerState> states_;
--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -207,6 +207,11 @@
     return groups;
 }
 
+bool InstanceTable::hasOtherReady(const InstanceRecord &self) const
+{
+    return std::any_of(records_.begin(), records_.end(), [&self](const auto &entry) { return entry.first != self.id && entry.second.ready; });
+}
+
 std::vector<Address> InstanceTable::addressesFor(const Region &region, const InstanceRecord &self, std::size_t maxCount)
 {
     Records chosen = directedFrom(region, self);
--- a/packages/routing/src/peerchoice.cpp
+++ b/packages/routing/src/peerchoice.cpp
@@ -19,8 +19,9 @@
 
 } // namespace
 
-PeerChoice::PeerChoice(Helpers helpers, InstanceId self, std::uint64_t seed)
+PeerChoice::PeerChoice(Helpers helpers, HasOthers hasOthers, InstanceId self, std::uint64_t seed)
     : helpers_(std::move(helpers))
+    , hasOthers_(std::move(hasOthers))
     , self_(std::move(self))
     , random_(seed)
 {
@@ -93,6 +94,11 @@
     return {chosen->id, chosen->peers};
 }
 
+bool PeerChoice::isNoOneConnected() const
+{
+    return hasOthers_() && helpers_().empty();
+}
+
 void PeerChoice::onSent(const InstanceId &peer, TimePoint now)
 {
     PeerState &state = states_[peer];
--- a/packages/routing/src/requestcoordinator.cpp
+++ b/packages/routing/src/requestcoordinator.cpp
@@ -271,19 +271,24 @@
         }
     }
     for (const ServedRequestId id : unanswered) {
-        onCutOff(id);
+        // The answers before it may have ended this one.
+        const auto found = entries_.find(id);
+        if (found != entries_.end() && !found->second.answered) {
+            onCutOff(id);
+        }
     }
 }
 
 void RequestCoordinator::onCutOff(ServedRequestId id)
 {
     Entry &entry = entries_.at(id);
-    if (!entry.terms.request->passedOn && !context_.peerChoice.choose({}, context_.runtime.now())) {
-        // Nobody else could serve it, and a server may still respond.
+    const bool canPassOn = context_.peerChoice.choose({}, context_.runtime.now()).has_value();
+    if (!entry.terms.request->passedOn && !canPassOn && !context_.peerChoice.isNoOneConnected()) {
+        // Nobody else could serve it, and a server that is merely slow may still respond.
         return;
     }
     const RunProgress progress = progressOf(entry);
-    if (mayPassOn(entry, progress) && acquireRepeats(progress)) {
+    if (canPassOn && mayPassOn(entry, progress) && acquireRepeats(progress)) {
         entry.run->stopSending();
         passOn(id, progress, CutOffReason);
         return;
--- a/packages/routing/tests/passontest.cpp
+++ b/packages/routing/tests/passontest.cpp
@@ -584,6 +584,17 @@
     CHECK(fixture.answer->body == "belt");
 }
 
+TEST_CASE("A request in progress does not wait for its deadline when the servers are down for all instances", "[passing]")
+{
+    PassOnFixture fixture(0);
+    fixture.othersReady = true;
+    fixture.silenceServers();
+    fixture.sendRequest("parts");
+    fixture.cutOff();
+    REQUIRE(fixture.answer);
+    CHECK(fixture.answer->kind == ClientAnswer::Kind::Failed);
+}
+
 TEST_CASE("A peer that could have served a request gives its final answer", "[passing]")
 {
     PassOnFixture fixture;
@@ -796,7 +807,7 @@
     }
     std::map<std::string, std::set<std::string>> usersOf;
     for (int user = 0; user < 100; ++user) {
-        PeerChoice choice([&helpers] { return helpers; }, InstanceId("u" + std::to_string(user)), 1);
+        PeerChoice choice([&helpers] { return helpers; }, [] { return true; }, InstanceId("u" + std::to_string(user)), 1);
         std::set<std::string> used;
         for (int number = 0; number < 200; ++number) {
             const auto peer = choice.choose({}, TimePoint{});
--- a/packages/routing/tests/routingfixture.h
+++ b/packages/routing/tests/routingfixture.h
@@ -267,6 +267,8 @@
     ManualPeers peers;
     /// The instances that can help this one, in groups.
     std::vector<std::vector<InstanceRecord>> helpers;
+    /// Whether other instances are ready, be they able to help or not.
+    bool othersReady = false;
     PeerChoice peerChoice{[this] {
                               std::vector<InstanceTable::Records> groups;
                               for (const auto &group : helpers) {
@@ -277,6 +279,7 @@
                               }
                               return groups;
                           },
+                          [this] { return othersReady; },
                           InstanceId("self"),
                           7};
     RoutingContext context{runtime, backends, servers, choice, load, budget, crashes, reach, counters, journal, peers, peerChoice};
