Failing test: a call that ends while it connects still reaches the server

An abandoned connection lives until the loop reaps it. If its connect is completed before that, libevent writes the whole request, although the call was reported as NotRun, so that a request that may run once can be passed on as well.

--- a/packages/wire/tests/httpclientfaulttest.cpp
+++ b/packages/wire/tests/httpclientfaulttest.cpp
@@ -312,6 +312,26 @@
     CHECK(client.client->openConnections(client.server.address()) == 1);
 }
 
+TEST_CASE("a call that ends before its connection is made never reaches the server", "[http][client]")
+{
+    Client client(nullptr);
+    std::optional<Result<HttpResponse>> ended;
+    const HttpCallId id = client.client->send(client.request(), [&](Result<HttpResponse> result) { ended = std::move(result); });
+    SECTION("failed as unsent")
+    {
+        client.client->failUnsent(client.server.address());
+        REQUIRE(ended);
+        CHECK(ended->error().verdict == Verdict::NotRun);
+    }
+    SECTION("cancelled")
+    {
+        client.client->cancel(id);
+    }
+    REQUIRE(client.until([&] { return client.client->openConnections(client.server.address()) == 0; }));
+    REQUIRE(client.until([&] { return !client.server.sockets.empty() && client.server.sockets[0]->closedByPeer; }));
+    CHECK(client.server.sockets[0]->received.empty());
+}
+
 TEST_CASE("a timeout after the request was written has the verdict MayHaveRun and closes the connection", "[http][client]")
 {
     Client client(nullptr);
