Close the connection of a call that ends at once, so that nothing of it is sent later

Callers: a request that may run once could run twice, rarely. A call that was reported as not run, by failUnsent, its time-out or its cancellation, kept its connection until the next turn of the loop; if the connect was completed before, the whole request was written. While an instance is cut off such a request is passed on to another instance, which runs it as well. Besides, what the kernel had not delivered when a call was given up was delivered when a cut ended: work for clients that had left, and arrivals that no budget counted.

Cause: abandoning only marked the connection. It is now freed at once, except within its own callbacks, and closed abortively, so that the kernel drops what the server has not acknowledged.

Found by review; wiretest 'a call that ends before its connection is made never reaches the server' failed in both sections before and passes now. The other cases of wiretest pass but for the known red one.

--- a/packages/wire/src/clientconnection.cpp
+++ b/packages/wire/src/clientconnection.cpp
@@ -127,8 +127,35 @@
 
 ClientConnection::~ClientConnection()
 {
-    evhttp_connection_set_closecb(connection_, nullptr, nullptr);
-    evhttp_connection_free(connection_);
+    release();
+}
+
+class ClientConnection::CallbackScope
+{
+public:
+    explicit CallbackScope(ClientConnection &connection)
+        : connection_(connection)
+    {
+        ++connection_.runningCallbacks_;
+    }
+    ~CallbackScope()
+    {
+        --connection_.runningCallbacks_;
+    }
+    CallbackScope(const CallbackScope &) = delete;
+    CallbackScope &operator=(const CallbackScope &) = delete;
+
+private:
+    ClientConnection &connection_;
+};
+
+void ClientConnection::release()
+{
+    if (connection_ != nullptr) {
+        evhttp_connection_set_closecb(connection_, nullptr, nullptr);
+        evhttp_connection_free(std::exchange(connection_, nullptr));
+        stream_ = nullptr;
+    }
 }
 
 tl::expected<void, Failure> ClientConnection::start(const HttpCall &call, std::size_t bodyLimit)
@@ -189,6 +216,15 @@
 {
     call_ = nullptr;
     closed_ = true;
+    if (connection_ == nullptr) {
+        return;
+    }
+    // With an ordinary close the kernel would go on sending what the server has not acknowledged.
+    const linger abortive{1, 0};
+    setsockopt(bufferevent_getfd(stream_), SOL_SOCKET, SO_LINGER, &abortive, sizeof(abortive));
+    if (runningCallbacks_ == 0) {
+        release();
+    }
 }
 
 void ClientConnection::markClosed()
@@ -215,6 +251,7 @@
 void ClientConnection::onResponse(evhttp_request *request, void *context)
 {
     auto *self = static_cast<ClientConnection *>(context);
+    const CallbackScope scope(*self);
     if (self->starting_) {
         // The connect failed at once; `start` reports it.
         self->closed_ = true;
@@ -247,6 +284,7 @@
 void ClientConnection::onBodyChunk(evhttp_request *request, void *context)
 {
     auto *self = static_cast<ClientConnection *>(context);
+    const CallbackScope scope(*self);
     std::string chunk = drain(evhttp_request_get_input_buffer(request));
     if (!self->isBusy()) {
         return;
@@ -269,6 +307,7 @@
 void ClientConnection::onClose(evhttp_connection *, void *context)
 {
     auto *self = static_cast<ClientConnection *>(context);
+    const CallbackScope scope(*self);
     self->closed_ = true;
     if (!self->isBusy()) {
         self->events_.onIdleClose();
--- a/packages/wire/src/evhttpclient.cpp
+++ b/packages/wire/src/evhttpclient.cpp
@@ -38,7 +38,8 @@
 /// An HttpClient that uses libevent's evhttp connections.
 ///
 /// A connection that is marked closed is destroyed in the next iteration of the loop, because one of its callbacks may be
-/// running. Until then it counts towards the limit of its address.
+/// running. Until then it counts towards the limit of its address. The socket of an abandoned call is closed before, so that
+/// nothing of a call that has ended is sent.
 class EvhttpClient final : public HttpClient
 {
 public:
--- a/packages/wire/src/internal/clientconnection.h
+++ b/packages/wire/src/internal/clientconnection.h
@@ -42,7 +42,8 @@
     /// bytes. The call must stay at its address until it has finished or was abandoned.
     tl::expected<void, Failure> start(const HttpCall &call, std::size_t bodyLimit);
 
-    /// Drops the call in progress without a callback and marks the connection as closed.
+    /// Drops the call in progress without a callback and closes the connection, within one of its own callbacks a little later.
+    /// Nothing more of the call is sent from then on, not even what the kernel has not sent yet.
     void abandon();
 
     /// Prevents further calls on an idle connection.
@@ -77,6 +78,11 @@
     }
 
 private:
+    /// Notes that a callback of the connection is running.
+    class CallbackScope;
+
+    /// Frees libevent's connection, which closes the socket.
+    void release();
     static void onOutput(evbuffer *buffer, const evbuffer_cb_info *info, void *context);
     static void onResponse(evhttp_request *request, void *context);
     static void onBodyChunk(evhttp_request *request, void *context);
@@ -103,6 +109,7 @@
     /// Whether a request is being made, during which libevent may call back.
     bool starting_ = false;
     bool closed_ = false;
+    int runningCallbacks_ = 0;
 };
 
 } // namespace Burdock
