Ask again for a newer configuration that was heard of while asking for one

An instance that hears of newer configurations from two peers within one inquiry dropped the second, and since it knew of that version already, did not ask for it again. If the store was late too, it would have gone back to an older version once it reached servers again. Found by review, by reading; no case was seen and no test shows it.

--- a/packages/router/include/burdock/router/configinquiry.h
+++ b/packages/router/include/burdock/router/configinquiry.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace Burdock
@@ -64,6 +65,8 @@
     std::size_t told_ = 0;
     /// Whether an instance is being asked because its configuration is newer.
     bool asking_ = false;
+    /// The instance that told of a newer configuration meanwhile.
+    std::optional<Address> askLater_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/packages/router/src/configinquiry.cpp
+++ b/packages/router/src/configinquiry.cpp
@@ -66,11 +66,15 @@
 void ConfigInquiry::ask(const Address &peer)
 {
     if (std::exchange(asking_, true)) {
+        askLater_ = peer;
         return;
     }
     send(peer, [this, peer](const Result<HttpResponse> &response) {
         asking_ = false;
         takeAnswer(peer, response);
+        if (const auto next = std::exchange(askLater_, std::nullopt)) {
+            ask(*next);
+        }
     });
 }
 
