Count a request that several peers have no room for once in the repeat budgets

While most instances are cut off and the others are full, a request that one peer refused for lack of room went to the next as if nobody had counted it: up to three counts for one request, and repeats for each. A peer that had no room has counted it; the next is told so. Found by review. passontest 'A request that several peers have no room for ...' failed before.

--- a/packages/routing/src/passonrun.cpp
+++ b/packages/routing/src/passonrun.cpp
@@ -121,6 +121,8 @@
     lastReason_ = answer.reason;
     const bool ran = answer.kind == ClientAnswer::Kind::Failed;
     nothingRan_ = nothingRan_ && !ran;
+    // A peer that had no room for the request has counted it.
+    passOn_.counted = passOn_.counted || answer.inability == ClientAnswer::Inability::Request;
     if (unable && (!ran || mayAskAgain(answer.attempts))) {
         return askNext();
     }
--- a/packages/routing/tests/passontest.cpp
+++ b/packages/routing/tests/passontest.cpp
@@ -668,6 +668,19 @@
     CHECK(fixture.answer->body == "belt");
 }
 
+TEST_CASE("A request that several peers have no room for is counted in the budget of one of them only", "[passing][budget]")
+{
+    PassOnFixture fixture;
+    fixture.cutOff();
+    fixture.sendRequest("parts");
+    CHECK_FALSE(fixture.peers.open.front().terms.counted);
+    PeerReply full = *refused();
+    full.answer.inability = ClientAnswer::Inability::Request;
+    fixture.peers.answer(full);
+    REQUIRE(fixture.peers.open.size() == 1);
+    CHECK(fixture.peers.open.front().terms.counted);
+}
+
 TEST_CASE("An instance says of what arrived at no server that another may serve it", "[passing]")
 {
     PassOnFixture fixture;
