Keep peers in use after a request that cannot be sent to any

One client whose request the own HTTP client refuses to send, for example for a path with bytes that HTTP does not allow, took up to three peers out of use for 2 s at a cut-off instance: the failure was charged to the peers. Such a request is refused, and says nothing about them. Found by review. passontest 'A request that cannot be sent to any instance ...' failed before.

--- a/packages/routing/src/passonrun.cpp
+++ b/packages/routing/src/passonrun.cpp
@@ -94,13 +94,15 @@
     if (!reply) {
         const Failure &failure = reply.error();
         const bool expired = failure.code == Errc::DeadlineExceeded;
-        context_.peerChoice.onEnded(peer_.id, expired ? PeerChoice::Ending::Cancelled : PeerChoice::Ending::Lost, now);
+        // The request cannot be sent to any instance, which says nothing about this one.
+        const bool malformed = failure.code == Errc::BadRequest;
+        context_.peerChoice.onEnded(peer_.id, expired || malformed ? PeerChoice::Ending::Cancelled : PeerChoice::Ending::Lost, now);
         ++context_.counters.passedOnFailed;
         note(expired ? "late" : "lost", failure.message);
         lastReason_ = failure.message;
         const bool reached = failure.verdict != Verdict::NotRun;
         nothingRan_ = nothingRan_ && !reached;
-        if (expired || (reached && !mayAskAgain(granted_))) {
+        if (expired || malformed || (reached && !mayAskAgain(granted_))) {
             return finish(failureAnswer(failure, nothingRan_, now >= terms_.deadline, terms_.retryAfter));
         }
         return askNext();
--- a/packages/routing/tests/passontest.cpp
+++ b/packages/routing/tests/passontest.cpp
@@ -681,6 +681,21 @@
     CHECK(fixture.peers.open.front().terms.counted);
 }
 
+TEST_CASE("A request that cannot be sent to any instance does not keep others from their peers", "[passing]")
+{
+    PassOnFixture fixture;
+    fixture.cutOff();
+    fixture.sendRequest("parts");
+    fixture.peers.answer(notRun(Errc::BadRequest, "the path is not one that HTTP allows"));
+    REQUIRE(fixture.answer);
+    CHECK(fixture.answer->kind == ClientAnswer::Kind::Refused);
+    CHECK(fixture.peers.all == 1);
+    for (int number = 0; number < 3; ++number) {
+        fixture.sendRequest("parts");
+    }
+    CHECK(fixture.peers.open.size() == 3);
+}
+
 TEST_CASE("An instance says of what arrived at no server that another may serve it", "[passing]")
 {
     PassOnFixture fixture;
