Ask peers that are late with a configuration again soon

When a configuration changes during a cut, the cut-off instance may have it before its peers. Each that refused for its older configuration was left out for 2 s, as one that can help with nothing, though it has the new one within a fraction of a second. It now counts as one that had no room. The check of the refusal in passontest names the new reason, as strictly as the old one.

--- a/packages/router/src/passonheaders.cpp
+++ b/packages/router/src/passonheaders.cpp
@@ -28,7 +28,7 @@
 
 constexpr const char *Yes = "1";
 /// The values of `Unable` in the order of ClientAnswer::Inability.
-constexpr std::array<std::string_view, 3> Inabilities{"", "request", "instance"};
+constexpr std::array<std::string_view, 4> Inabilities{"", "request", "instance", "configuration"};
 /// The outcomes in the order of ClientAnswer::Kind.
 constexpr std::array<std::string_view, 4> Outcomes{"passed", "gathered", "refused", "failed"};
 
--- a/packages/routing/include/burdock/routing/clientanswer.h
+++ b/packages/routing/include/burdock/routing/clientanswer.h
@@ -40,6 +40,8 @@
         Request,
         /// The instance can serve no requests of others now.
         Instance,
+        /// The instance has an older configuration than the one that passed the request on, and will soon have the same.
+        Configuration,
     };
     Inability inability = Inability::None;
     /// The maximum number of attempts per shard that ran or may have run, of a request that was passed on.
--- a/packages/routing/src/passonrun.cpp
+++ b/packages/routing/src/passonrun.cpp
@@ -16,7 +16,8 @@
 
 PeerChoice::Ending endingOf(ClientAnswer::Inability inability)
 {
-    constexpr std::array<PeerChoice::Ending, 3> Endings{PeerChoice::Ending::Answered, PeerChoice::Ending::NoRoom, PeerChoice::Ending::Unable};
+    constexpr std::array<PeerChoice::Ending, 4> Endings{
+        PeerChoice::Ending::Answered, PeerChoice::Ending::NoRoom, PeerChoice::Ending::Unable, PeerChoice::Ending::NoRoom};
     return Endings.at(static_cast<std::size_t>(inability));
 }
 
--- a/packages/routing/src/requestcoordinator.cpp
+++ b/packages/routing/src/requestcoordinator.cpp
@@ -81,17 +81,19 @@
         return std::nullopt;
     }
     std::string reason;
+    auto inability = ClientAnswer::Inability::Instance;
     if (!routes_) {
         reason = "no configuration is known yet";
     } else if (routes_->config().version < request.passedOn->configVersion) {
         reason = "the configuration here is older, " + std::to_string(routes_->config().version);
+        inability = ClientAnswer::Inability::Configuration;
     } else if (context_.reach.isCutOff()) {
         reason = "this instance cannot reach a server either";
     } else {
         return std::nullopt;
     }
     ClientAnswer answer = refusal(AnswerStatus::Unavailable, std::move(reason));
-    answer.inability = ClientAnswer::Inability::Instance;
+    answer.inability = inability;
     return answer;
 }
 
--- a/packages/routing/tests/passontest.cpp
+++ b/packages/routing/tests/passontest.cpp
@@ -622,9 +622,27 @@
         fixture.sendRequest("parts", {}, "x", fixture.fromOther(2));
         REQUIRE(fixture.answer);
         CHECK(fixture.answer->kind == ClientAnswer::Kind::Refused);
-        CHECK(fixture.answer->inability == ClientAnswer::Inability::Instance);
+        CHECK(fixture.answer->inability == ClientAnswer::Inability::Configuration);
         CHECK(fixture.backends.all == 0);
     }
+    SECTION("instances that are late with a configuration are asked again soon")
+    {
+        fixture.cutOff();
+        PeerReply late = *refused();
+        late.answer.inability = ClientAnswer::Inability::Configuration;
+        for (int number = 0; number < 2; ++number) {
+            fixture.sendRequest("parts");
+            for (int peer = 0; peer < 3; ++peer) {
+                REQUIRE(fixture.peers.open.size() == 1);
+                fixture.peers.answer(late);
+            }
+            fixture.runtime.advance(milliseconds(100));
+        }
+        fixture.sendRequest("parts");
+        REQUIRE(fixture.peers.open.size() == 1);
+        fixture.peers.answer(served("belt"));
+        CHECK(fixture.answer->body == "belt");
+    }
     SECTION("an instance that hears of a newer configuration fetches it, and asks for nothing older any more")
     {
         fixture.cutOff();
