--- a/packages/routing/src/passonrun.cpp
+++ b/packages/routing/src/passonrun.cpp
@@ -16,7 +16,8 @@
 
 PeerChoice::Ending endingOf(ClientAnswer::Inability inability)
 {
-    constexpr std::array<PeerChoice::Ending, 3> Endings{PeerChoice::Ending::Answered, PeerChoice::Ending::NoRoom, PeerChoice::Ending::Unable};
+    constexpr std::array<PeerChoice::Ending, 4> Endings{
+        PeerChoice::Ending::Answered, PeerChoice::Ending::NoRoom, PeerChoice::Ending::Unable, PeerChoice::Ending::NoRoom};
     return Endings.at(static_cast<std::size_t>(inability));
 }
 
@@ -94,13 +95,15 @@
     if (!reply) {
         const Failure &failure = reply.error();
         const bool expired = failure.code == Errc::DeadlineExceeded;
-        context_.peerChoice.onEnded(peer_.id, expired ? PeerChoice::Ending::Cancelled : PeerChoice::Ending::Lost, now);
+        // The request cannot be sent to any instance, which says nothing about this one.
+        const bool malformed = failure.code == Errc::BadRequest;
+        context_.peerChoice.onEnded(peer_.id, expired || malformed ? PeerChoice::Ending::Cancelled : PeerChoice::Ending::Lost, now);
         ++context_.counters.passedOnFailed;
         note(expired ? "late" : "lost", failure.message);
         lastReason_ = failure.message;
         const bool reached = failure.verdict != Verdict::NotRun;
         nothingRan_ = nothingRan_ && !reached;
-        if (expired || (reached && !mayAskAgain(granted_))) {
+        if (expired || malformed || (reached && !mayAskAgain(granted_))) {
             return finish(failureAnswer(failure, nothingRan_, now >= terms_.deadline, terms_.retryAfter));
         }
         return askNext();
@@ -121,6 +124,8 @@
     lastReason_ = answer.reason;
     const bool ran = answer.kind == ClientAnswer::Kind::Failed;
     nothingRan_ = nothingRan_ && !ran;
+    // A peer that had no room for the request has counted it.
+    passOn_.counted = passOn_.counted || answer.inability == ClientAnswer::Inability::Request;
     if (unable && (!ran || mayAskAgain(answer.attempts))) {
         return askNext();
     }
