--- a/packages/routing/src/requestcoordinator.cpp
+++ b/packages/routing/src/requestcoordinator.cpp
@@ -100,7 +100,7 @@
 std::shared_ptr<const Route> RequestCoordinator::routeFor(const ClientRequest &request) const
 {
     const auto host = request.headers.find("host");
-    const auto route = host == request.headers.end() ? nullptr : routes_->find(host->second, pathOf(request.target));
+    auto route = host == request.headers.end() ? nullptr : routes_->find(host->second, pathOf(request.target));
     if (!route || !request.passedOn) {
         return route;
     }
