--- a/tests/router/endedprocesstest.cpp
+++ b/tests/router/endedprocesstest.cpp
@@ -47,6 +47,7 @@
     bed.process("i1").signal(number);
     constexpr int SignalExitBase = 128;
     CHECK(bed.process("i1").wait() == SignalExitBase + number);
+    CHECK(bed.takeFaultyEnds() == std::vector<std::string>{"i1 exited with code " + std::to_string(SignalExitBase + number)});
     const json line = lastLineOf(bed.log("i1"), "ended");
     INFO(line.dump());
     REQUIRE(line.is_object());
