Play the shortage of descriptors without sanitizers only

The new test failed in the sanitized build: to look at an object's type the undefined-behaviour sanitizer opens a pipe, and without a descriptor it reports the object as broken ('memory cannot be printed') and ends the process. The plain build, which has the real shortage, runs the test as it is.

--- a/tests/router/faultsprocesstest.cpp
+++ b/tests/router/faultsprocesstest.cpp
@@ -129,6 +129,8 @@
     CHECK(first.answered() > 0);
 }
 
+#ifndef __SANITIZE_ADDRESS__
+// The sanitizers open a pipe to look at an object, and report it as broken without a descriptor.
 TEST_CASE("Clients that use up the descriptors end no instance, and each request that was read is answered", "[router][faults]")
 {
     Deployment deployment;
@@ -158,6 +160,7 @@
     CHECK(metrics->body.find("\nburdock_accepts_failed_total ") != std::string::npos);
     CHECK(metrics->body.find("\nburdock_accepts_failed_total 0\n") == std::string::npos);
 }
+#endif
 
 TEST_CASE("A configuration that drops routes, services and all servers of one ends no request in progress", "[router][faults][drop]")
 {
