Ask peers that were lost or are stopping when there is no other

By the logs 'no other instance can help': a peer that had been killed was left out for 2 s though it was back after 0.6 s, and one that stops was not asked any more though it serves its clients for 3 s.

Peers that were left out are now asked if there is no other, and then those that were listed until just before. What they cannot serve they refuse at once.

passontest 'Requests are still passed on while the only peers that reach the servers are restarted' failed before in both sections.

--- a/packages/routing/include/burdock/routing/peerchoice.h
+++ b/packages/routing/include/burdock/routing/peerchoice.h
@@ -4,6 +4,7 @@
 #include <burdock/routing/peerrequests.h>
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <random>
 #include <unordered_map>
@@ -18,7 +19,8 @@
 /// cut off as well. Peers of the own region come first. Each instance uses a few peers only, others than its neighbours use, so that
 /// the number of connections stays small in a large system; among these it takes the one of two random ones with fewer of its
 /// requests in flight. A peer that cannot help or is lost is left out for a while; one that had no room for a request, or is silent, is
-/// used only if there is no other.
+/// used only if there is no other. If there is none at all, which is so when the few that reach the servers are restarted, those that
+/// were left out are tried, and then those that were listed until just before: an instance that stops still serves for a while.
 class PeerChoice
 {
 public:
@@ -56,10 +58,19 @@
         TimePoint noRoomUntil{};
     };
 
+    /// A peer that was listed, and until when.
+    struct ListedPeer
+    {
+        Peer peer;
+        TimePoint until{};
+    };
+
+    /// Returns the peer with the fewest requests in flight among those that were left out, or else among those not listed any more.
+    std::optional<Peer> lastResort(const InstanceTable::Records &leftOut, const std::vector<InstanceId> &tried, TimePoint now);
     std::uint32_t inFlight(const InstanceId &peer) const;
     bool isSilent(const InstanceId &peer, TimePoint now) const;
     bool hasNoRoom(const InstanceId &peer, TimePoint now) const;
-    bool canTake(const InstanceId &peer, TimePoint now) const;
+    bool isLeftOut(const InstanceId &peer, TimePoint now) const;
     std::size_t rank(const InstanceId &peer) const;
     Peer chooseFrom(InstanceTable::Records candidates);
     void forgetUnused(TimePoint now);
@@ -69,6 +80,7 @@
     const InstanceId self_;
     std::mt19937_64 random_;
     std::unordered_map<InstanceId, PeerState> states_;
+    std::map<InstanceId, ListedPeer> listed_;
 };
 
 } // namespace Burdock
--- a/packages/routing/src/peerchoice.cpp
+++ b/packages/routing/src/peerchoice.cpp
@@ -16,6 +16,8 @@
 constexpr Duration NoRoomTime = std::chrono::milliseconds(500);
 /// A peer at which requests wait is silent if it has not answered any for this time.
 constexpr Duration SilenceTime = std::chrono::milliseconds(300);
+/// An instance that stops serves requests for about this time after its record is gone.
+constexpr Duration StoppingTime = std::chrono::seconds(3);
 
 } // namespace
 
@@ -39,10 +41,10 @@
     return state != states_.end() && state->second.inFlight > 0 && now - state->second.heardAt > SilenceTime;
 }
 
-bool PeerChoice::canTake(const InstanceId &peer, TimePoint now) const
+bool PeerChoice::isLeftOut(const InstanceId &peer, TimePoint now) const
 {
     const auto state = states_.find(peer);
-    return state == states_.end() || (state->second.leftOutUntil <= now && state->second.inFlight < MaxInFlight);
+    return state != states_.end() && state->second.leftOutUntil > now;
 }
 
 std::size_t PeerChoice::rank(const InstanceId &peer) const
@@ -56,24 +58,45 @@
     // Silent peers are the last resort: they may be suspended, or just work on long requests.
     InstanceTable::Records full;
     InstanceTable::Records silent;
-    for (const InstanceTable::Records &group : helpers_()) {
+    InstanceTable::Records leftOut;
+    for (const InstanceTable::Records &helpers : helpers_()) {
         InstanceTable::Records candidates;
-        for (const InstanceRecord *record : group) {
+        for (const InstanceRecord *record : helpers) {
+            listed_[record->id] = {{record->id, record->peers}, now};
             const bool wasTried = std::find(tried.begin(), tried.end(), record->id) != tried.end();
-            if (!wasTried && canTake(record->id, now)) {
-                (isSilent(record->id, now) ? silent : hasNoRoom(record->id, now) ? full : candidates).push_back(record);
+            if (wasTried || inFlight(record->id) >= MaxInFlight) {
+                continue;
             }
+            auto &group = isLeftOut(record->id, now) ? leftOut : isSilent(record->id, now) ? silent : hasNoRoom(record->id, now) ? full : candidates;
+            group.push_back(record);
         }
         if (!candidates.empty()) {
             return chooseFrom(std::move(candidates));
         }
     }
     if (full.empty() && silent.empty()) {
-        return std::nullopt;
+        return lastResort(leftOut, tried, now);
     }
     return chooseFrom(std::move(full.empty() ? silent : full));
 }
 
+std::optional<Peer> PeerChoice::lastResort(const InstanceTable::Records &leftOut, const std::vector<InstanceId> &tried, TimePoint now)
+{
+    if (!leftOut.empty()) {
+        return chooseFrom(leftOut);
+    }
+    const ListedPeer *best = nullptr;
+    const auto cost = [this, now](const InstanceId &id) { return std::make_pair(isLeftOut(id, now), inFlight(id)); };
+    for (const auto &[id, listed] : listed_) {
+        const bool wasTried = std::find(tried.begin(), tried.end(), id) != tried.end();
+        const bool isStopping = listed.until < now && now - listed.until <= StoppingTime;
+        if (!wasTried && isStopping && inFlight(id) < MaxInFlight && (best == nullptr || cost(id) < cost(best->peer.id))) {
+            best = &listed;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(best->peer);
+}
+
 bool PeerChoice::hasNoRoom(const InstanceId &peer, TimePoint now) const
 {
     const auto state = states_.find(peer);
@@ -128,6 +151,9 @@
         const bool unused = state->second.inFlight == 0 && std::max(state->second.leftOutUntil, state->second.noRoomUntil) <= now;
         state = unused ? states_.erase(state) : std::next(state);
     }
+    for (auto listed = listed_.begin(); listed != listed_.end();) {
+        listed = now - listed->second.until > StoppingTime ? listed_.erase(listed) : std::next(listed);
+    }
 }
 
 } // namespace Burdock
--- a/packages/routing/tests/passontest.cpp
+++ b/packages/routing/tests/passontest.cpp
@@ -516,6 +516,34 @@
     CHECK(asked > 0);
 }
 
+TEST_CASE("Requests are still passed on while the only peers that reach the servers are restarted", "[passing]")
+{
+    PassOnFixture fixture(1);
+    fixture.cutOff();
+    SECTION("a peer that was lost is asked again, since there is no other")
+    {
+        fixture.sendRequest("parts");
+        fixture.peers.answer(lostBeforeSending());
+        REQUIRE(fixture.answer);
+    }
+    SECTION("a peer that stops is asked for a while after its record is gone")
+    {
+        fixture.sendRequest("parts");
+        fixture.peers.answer(served("belt"));
+        fixture.helpers.clear();
+        fixture.runtime.advance(seconds(1));
+    }
+    fixture.sendRequest("parts");
+    REQUIRE(fixture.peersAsked() == std::vector<std::string>{"h1"});
+    fixture.peers.answer(served("belt"));
+    CHECK(fixture.answer->body == "belt");
+    fixture.helpers.clear();
+    fixture.runtime.advance(seconds(4));
+    fixture.sendRequest("parts");
+    CHECK(fixture.peers.open.empty());
+    CHECK(fixture.answer->kind == ClientAnswer::Kind::Refused);
+}
+
 TEST_CASE("A killed peer does not cost a repeatable request that has attempts left", "[passing]")
 {
     PassOnFixture fixture(3, 3);
