Close idle connections for new ones when descriptors or the limit are used up

Callers saw: an instance whose descriptors (or connections) were used up by kept connections left new clients waiting until connections reached the end of their idle time, 15 s or more, and while clients went on using their kept connections it served no other.

Cause: a failed accept only paused, and a connection over the limit was closed at once, whatever the others did.

Change: for lack of descriptors or at the limit the connection that has been idle longest, for a second or more, is closed for the new one, and responses carry "Connection: close" for a second, so that clients take turns. A failed accept that freed a descriptor is tried again at once. The number is in the metrics.

Ruled out: an instance that hangs (samples of its sockets show 14 and 44 kept connections and 156 to 264 in the queue of the kernel), ends of processes, the abortive close of abandoned calls. Connections that have just become idle are not closed: they may be about to carry a request.

--- a/packages/daemon/src/instancemetrics.cpp
+++ b/packages/daemon/src/instancemetrics.cpp
@@ -69,6 +69,7 @@
 const CounterRow<HttpServerCounters> ServerRows[] = {
     {"http_accepted", "Callers' connections accepted.", &HttpServerCounters::accepted},
     {"http_refused_connections", "Callers' connections refused at the limit.", &HttpServerCounters::refusedConnections},
+    {"http_replaced_connections", "Callers' idle connections closed for new ones.", &HttpServerCounters::replacedConnections},
     {"http_requests", "Callers' requests read.", &HttpServerCounters::requests},
     {"http_bad_requests", "Requests that were not HTTP.", &HttpServerCounters::badRequests},
     {"http_too_large", "Requests over the size limits.", &HttpServerCounters::tooLarge},
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -786,6 +786,7 @@
     const HttpServerCounters &clients = clients_->counters();
     counter("burdock_connections_refused_total", "Clients' connections that were closed at once, since there were too many.", &clients.refusedConnections);
     counter("burdock_accepts_failed_total", "Attempts to accept clients' connections that failed, as for lack of descriptors.", &clients.failedAccepts);
+    counter("burdock_connections_replaced_total", "Clients' idle connections that were closed for new ones.", &clients.replacedConnections);
     counter("burdock_connections_timed_out_total", "Clients' connections that were closed since they sent or read too slowly.", &clients.timedOut);
     counter("burdock_answers_dropped_total", "Answers whose clients had closed their connections.", &clients.droppedAnswers);
     counter("burdock_cut_offs_total", "Times that no server could be reached.", &cutOffs_);
--- a/packages/wire/include/burdock/wire/httpserver.h
+++ b/packages/wire/include/burdock/wire/httpserver.h
@@ -59,6 +59,8 @@
 {
     std::size_t headerBytes = 16384;
     std::size_t bodyBytes = 1048576;
+    /// At the limit, and for lack of descriptors, the connection that has been idle longest is closed for a new one, and responses
+    /// carry `Connection: close`.
     std::uint32_t connections = 1000;
     /// A connection is closed if a request is incomplete this long after its first byte.
     Duration requestTime = std::chrono::seconds(10);
@@ -78,6 +80,8 @@
     std::uint64_t droppedAnswers = 0;
     /// Attempts to accept connections that failed, as for lack of descriptors. The connections wait in the kernel.
     std::uint64_t failedAccepts = 0;
+    /// Idle connections that were closed for a new one, at the limit or for lack of descriptors.
+    std::uint64_t replacedConnections = 0;
 };
 
 /// An HTTP/1.1 server on the process's event loop. Pipelined requests are answered in order.
--- a/packages/wire/src/eventhttpserver.cpp
+++ b/packages/wire/src/eventhttpserver.cpp
@@ -19,6 +19,10 @@
 constexpr int SweepsPerLimit = 4;
 constexpr Duration MinSweepInterval = std::chrono::milliseconds(5);
 constexpr Duration MaxSweepInterval = std::chrono::seconds(1);
+/// A connection that has been idle for less than this time may be about to carry a request, and is not closed for another.
+constexpr Duration MinReplacedIdleTime = std::chrono::seconds(1);
+/// After a lack of connections, responses close theirs for this time.
+constexpr Duration CrowdedTime = std::chrono::seconds(1);
 
 /// An HttpServer that uses libevhtp's parser and libevent's buffers. Accepts and counts connections, and closes overdue ones.
 class EventHttpServer final : public HttpServer
@@ -27,7 +31,7 @@
     EventHttpServer(EventLoop &loop, const HttpServerLimits &limits)
         : context_(loop, limits)
         , listener_(std::make_unique<Listener>(
-              loop, [this](int socket) { accept(socket); }, [this] { ++context_.counters->failedAccepts; }))
+              loop, [this](int socket) { accept(socket); }, [this] { return onAcceptFailed(); }))
         , sweepInterval_(std::clamp(std::min(limits.requestTime, limits.idleTime) / SweepsPerLimit, MinSweepInterval, MaxSweepInterval))
     {
         sweep();
@@ -94,7 +98,7 @@
 private:
     void accept(int socket)
     {
-        if (openConnections() >= context_.limits.connections) {
+        if (openConnections() >= context_.limits.connections && !replaceIdle()) {
             ++context_.counters->refusedConnections;
             evutil_closesocket(socket);
             return;
@@ -105,6 +109,32 @@
         context_.connections.emplace(key, std::move(connection));
     }
 
+    /// Returns whether a descriptor was freed, so that the next attempt may succeed.
+    bool onAcceptFailed()
+    {
+        ++context_.counters->failedAccepts;
+        return replaceIdle();
+    }
+
+    /// Closes the connection that has been idle longest, and returns whether there was one. Kept connections would otherwise leave
+    /// new clients waiting until the end of their idle time.
+    bool replaceIdle()
+    {
+        const TimePoint now = context_.loop.now();
+        context_.crowdedUntil = now + CrowdedTime;
+        ServerConnection *oldest = nullptr;
+        Duration longest = MinReplacedIdleTime;
+        for (const auto &[key, connection] : context_.connections) {
+            if (connection->idleTime(now) >= longest) {
+                oldest = connection.get();
+                longest = connection->idleTime(now);
+            }
+        }
+        const bool replaced = oldest != nullptr && oldest->closeIfIdle();
+        context_.counters->replacedConnections += replaced ? 1 : 0;
+        return replaced;
+    }
+
     /// Calls the action for each connection. The action may close it.
     template<class Action>
     void forEachConnection(Action action)
--- a/packages/wire/src/internal/listener.h
+++ b/packages/wire/src/internal/listener.h
@@ -18,9 +18,9 @@
     /// Called for each accepted socket, whose ownership it takes.
     using Handler = std::function<void(int socket)>;
 
-    /// `onFailed` is called for each attempt to accept that failed; it is tried again after a pause.
+    /// `onFailed` is called for each attempt to accept that failed. The next follows after a pause, or at once if it returns true.
     Listener(
-        EventLoop &loop, Handler handler, std::function<void()> onFailed = [] {});
+        EventLoop &loop, Handler handler, std::function<bool()> onFailed = [] { return false; });
     ~Listener();
     Listener(const Listener &) = delete;
     Listener &operator=(const Listener &) = delete;
@@ -35,7 +35,7 @@
 
     EventLoop &loop_;
     Handler handler_;
-    std::function<void()> onFailed_;
+    std::function<bool()> onFailed_;
     evconnlistener *listener_ = nullptr;
     TimerId retryTimer_ = 0;
 };
--- a/packages/wire/src/internal/serverconnection.h
+++ b/packages/wire/src/internal/serverconnection.h
@@ -26,12 +26,17 @@
     ServerContext(const ServerContext &) = delete;
     ServerContext &operator=(const ServerContext &) = delete;
 
+    /// Returns whether a connection is closed after its next response.
+    bool closesAfterAnswers() const;
+
     EventLoop &loop;
     HttpServerLimits limits;
     /// Owned jointly with the responders, which may outlive the server.
     std::shared_ptr<HttpServerCounters> counters = std::make_shared<HttpServerCounters>();
     HttpServer::Handler handler;
     bool closing = false;
+    /// Clients wait for a connection until this time, so that responses close theirs.
+    TimePoint crowdedUntil{};
     std::uint32_t inFlight = 0;
     std::unordered_map<const ServerConnection *, std::unique_ptr<ServerConnection>> connections;
     std::unordered_map<const LingeringClose *, std::unique_ptr<LingeringClose>> lingering;
@@ -79,8 +84,12 @@
     /// Closes the connection if it is idle, receives a request or cannot write for longer than the limits allow.
     void closeIfOverdue(TimePoint now);
 
-    /// Closes the connection unless a request is being received or handled, or output is pending.
-    void closeIfIdle();
+    /// Closes the connection unless a request is being received or handled, or output is pending. Returns whether it did, which ends
+    /// the life of this object.
+    bool closeIfIdle();
+
+    /// How long the connection has been idle; zero if it is not.
+    Duration idleTime(TimePoint now) const;
 
 private:
     enum class State {
--- a/packages/wire/src/listener.cpp
+++ b/packages/wire/src/listener.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-Listener::Listener(EventLoop &loop, Handler handler, std::function<void()> onFailed)
+Listener::Listener(EventLoop &loop, Handler handler, std::function<bool()> onFailed)
     : loop_(loop)
     , handler_(std::move(handler))
     , onFailed_(std::move(onFailed))
@@ -57,10 +57,10 @@
 void Listener::onError(evconnlistener *listener, void *context)
 {
     auto *self = static_cast<Listener *>(context);
-    self->onFailed_();
+    const Duration delay = self->onFailed_() ? Duration{0} : AcceptRetryDelay;
     evconnlistener_disable(listener);
     self->loop_.cancel(self->retryTimer_);
-    self->retryTimer_ = self->loop_.schedule(AcceptRetryDelay, [self] { evconnlistener_enable(self->listener_); });
+    self->retryTimer_ = self->loop_.schedule(delay, [self] { evconnlistener_enable(self->listener_); });
 }
 
 void Listener::onAccept(evconnlistener *, int socket, sockaddr *, int, void *context)
--- a/packages/wire/src/serverconnection.cpp
+++ b/packages/wire/src/serverconnection.cpp
@@ -45,6 +45,11 @@
 
 ServerContext::~ServerContext() = default;
 
+bool ServerContext::closesAfterAnswers() const
+{
+    return closing || loop.now() < crowdedUntil;
+}
+
 ServerConnection::ServerConnection(ServerContext &context, int socket)
     : context_(context)
     , stream_(bufferevent_socket_new(context.loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
@@ -143,7 +148,7 @@
 
 void ServerConnection::answer(const HttpServerResponse &answer)
 {
-    closeAfterAnswer_ = closeAfterAnswer_ || context_.closing;
+    closeAfterAnswer_ = closeAfterAnswer_ || context_.closesAfterAnswers();
     write(responseHead(answer.status, answer.headers, answer.body.size(), closeAfterAnswer_, answer.jsonByDefault));
     if (!isHeadRequest_) {
         write(answer.body);
@@ -155,7 +160,7 @@
 {
     if (!std::exchange(chunked_, true)) {
         // For an HTTP/1.0 client the end of the connection marks the end of the response.
-        closeAfterAnswer_ = closeAfterAnswer_ || context_.closing || !parser_.supportsChunked();
+        closeAfterAnswer_ = closeAfterAnswer_ || context_.closesAfterAnswers() || !parser_.supportsChunked();
         const std::map<std::string, std::string> framing{{"Transfer-Encoding", "chunked"}};
         write(responseHead(OkStatus, parser_.supportsChunked() ? framing : std::map<std::string, std::string>(), {}, closeAfterAnswer_));
     }
@@ -241,7 +246,7 @@
 {
     const bool notReading = backlog() > 0 && now - lastWriteProgress_ > context_.limits.requestTime;
     const bool slow = state_ == State::ReceivingRequest && now - stateSince_ > context_.limits.requestTime;
-    const bool idle = state_ == State::Idle && backlog() == 0 && now - stateSince_ > context_.limits.idleTime;
+    const bool idle = idleTime(now) > context_.limits.idleTime;
     if (notReading || slow) {
         ++context_.counters->timedOut;
     }
@@ -250,13 +255,20 @@
     }
 }
 
-void ServerConnection::closeIfIdle()
+bool ServerConnection::closeIfIdle()
 {
     char byte = 0;
     const bool arriving = recv(bufferevent_getfd(stream_), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-    if (state_ == State::Idle && backlog() == 0 && !arriving) {
+    const bool idle = state_ == State::Idle && backlog() == 0 && !arriving;
+    if (idle) {
         close();
     }
+    return idle;
+}
+
+Duration ServerConnection::idleTime(TimePoint now) const
+{
+    return state_ == State::Idle && backlog() == 0 ? now - stateSince_ : Duration{0};
 }
 
 void ServerConnection::onClientDisconnected()
--- a/packages/wire/tests/httpserverfaulttest.cpp
+++ b/packages/wire/tests/httpserverfaulttest.cpp
@@ -292,6 +292,57 @@
     CHECK(server.until([&] { return !fourth.received.empty(); }));
 }
 
+TEST_CASE("a new connection in excess of the limit takes the place of the one that has been idle longest", "[http][server]")
+{
+    HttpServerLimits limits = Server::smallLimits();
+    limits.connections = 3;
+    Server server(limits);
+    RawSocket busy(server.loop, server.port);
+    busy.send(get("/late"));
+    REQUIRE(server.until([&] { return server.waiting.size() == 1; }));
+    RawSocket idle(server.loop, server.port);
+    RawSocket recent(server.loop, server.port);
+    idle.send(get("/now"));
+    recent.send(get("/now"));
+    REQUIRE(server.until([&] { return !idle.received.empty() && !recent.received.empty(); }));
+    server.loop.runUntil([] { return false; }, 600ms);
+    recent.send(get("/now"));
+    server.loop.runUntil([] { return false; }, 600ms);
+    RawSocket added(server.loop, server.port);
+    added.send(get("/now"));
+    CHECK(server.until([&] { return idle.closedByPeer && !added.received.empty(); }));
+    CHECK_FALSE(recent.closedByPeer);
+    CHECK_FALSE(busy.closedByPeer);
+    CHECK(server.server->counters().replacedConnections == 1);
+    CHECK(server.server->counters().refusedConnections == 0);
+}
+
+TEST_CASE("responses close their connections while others are refused at the limit", "[http][server]")
+{
+    HttpServerLimits limits = Server::smallLimits();
+    limits.connections = 1;
+    Server server(limits);
+    RawSocket client(server.loop, server.port);
+    client.send(get("/now"));
+    REQUIRE(server.until([&] { return !client.received.empty(); }));
+    CHECK(client.received.find("Connection: close") == std::string::npos);
+    RawSocket refused(server.loop, server.port);
+    REQUIRE(server.until([&] { return refused.closedByPeer; }));
+    client.received.clear();
+    client.send(get("/now"));
+    CHECK(server.until([&] { return client.closedByPeer; }));
+    CHECK(client.received.find("Connection: close") != std::string::npos);
+    SECTION("and are kept again a second later")
+    {
+        client.close();
+        server.loop.runUntil([] { return false; }, 1100ms);
+        RawSocket later(server.loop, server.port);
+        later.send(get("/now"));
+        REQUIRE(server.until([&] { return !later.received.empty(); }));
+        CHECK(later.received.find("Connection: close") == std::string::npos);
+    }
+}
+
 TEST_CASE("closeConnectionsAfterAnswers completes all requests", "[http][server]")
 {
     Server server;
--- a/tests/router/faultsprocesstest.cpp
+++ b/tests/router/faultsprocesstest.cpp
@@ -153,8 +153,9 @@
     CHECK(callers.lost().empty());
     CHECK(others.lost().empty());
     CHECK(callers.answered() > 0);
-    // The descriptors are free again.
-    CHECK(deployment.bed.eventually([&] { return deployment.bed.sendRequest("i1", "/one/after", "after").has_value(); }));
+    // Clients that come later are answered too, although the first keep their connections open.
+    CHECK(others.answered() > 0);
+    CHECK(deployment.bed.sendRequest("i1", "/one/after", "after").has_value());
     const auto metrics = deployment.bed.call(deployment.bed.peers("i1"), "GET", "/metrics");
     REQUIRE(metrics);
     CHECK(metrics->body.find("\nburdock_accepts_failed_total ") != std::string::npos);
