Replace the next idle connection if a request is arriving on the one that has been idle longest

Callers saw: nothing so far; found by review. At the limit, a new client was refused although others had been idle for seconds, if bytes were just arriving on the connection that had been idle longest.

Cause: only that one was tried. Change: the idle ones are tried in their order.

Measured: the new test failed in 4 checks before, passes now; wiretest "*connection*" passes in 5 of 5.

--- a/packages/wire/src/eventhttpserver.cpp
+++ b/packages/wire/src/eventhttpserver.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <event2/util.h>
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -116,21 +117,20 @@
         return replaceIdle();
     }
 
-    /// Closes the connection that has been idle longest, and returns whether there was one. Kept connections would otherwise leave
-    /// new clients waiting until the end of their idle time.
+    /// Closes the connection that has been idle longest and on which nothing arrives, and returns whether there was one. Kept
+    /// connections would otherwise leave new clients waiting until the end of their idle time.
     bool replaceIdle()
     {
         const TimePoint now = context_.loop.now();
         context_.crowdedUntil = now + CrowdedTime;
-        ServerConnection *oldest = nullptr;
-        Duration longest = MinReplacedIdleTime;
+        std::vector<std::pair<Duration, ServerConnection *>> idle;
         for (const auto &[key, connection] : context_.connections) {
-            if (connection->idleTime(now) >= longest) {
-                oldest = connection.get();
-                longest = connection->idleTime(now);
+            if (connection->idleTime(now) >= MinReplacedIdleTime) {
+                idle.emplace_back(connection->idleTime(now), connection.get());
             }
         }
-        const bool replaced = oldest != nullptr && oldest->closeIfIdle();
+        std::sort(idle.begin(), idle.end(), std::greater<>());
+        const bool replaced = std::any_of(idle.begin(), idle.end(), [](const auto &candidate) { return candidate.second->closeIfIdle(); });
         context_.counters->replacedConnections += replaced ? 1 : 0;
         return replaced;
     }
--- a/packages/wire/tests/httpserverfaulttest.cpp
+++ b/packages/wire/tests/httpserverfaulttest.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <random>
+#include <unistd.h>
 
 using namespace Burdock;
 using namespace std::chrono_literals;
@@ -317,6 +318,31 @@
     CHECK(server.server->counters().refusedConnections == 0);
 }
 
+TEST_CASE("a new connection takes the place of the next one if a request is arriving on the one that has been idle longest", "[http][server]")
+{
+    HttpServerLimits limits = Server::smallLimits();
+    limits.connections = 2;
+    Server server(limits);
+    const int oldest = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in address = loopback(server.port);
+    REQUIRE(connect(oldest, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0);
+    REQUIRE(server.until([&] { return server.server->openConnections() == 1; }));
+    RawSocket other(server.loop, server.port);
+    REQUIRE(server.until([&] { return server.server->openConnections() == 2; }));
+    server.loop.runUntil([] { return false; }, 1200ms);
+    // The server accepts the new connection before it reads the request.
+    RawSocket added(server.loop, server.port);
+    const std::string request = get("/now");
+    REQUIRE(send(oldest, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
+    added.send(request);
+    CHECK(server.until([&] { return !server.paths.empty() && (!added.received.empty() || added.closedByPeer); }));
+    CHECK_FALSE(added.received.empty());
+    CHECK(other.closedByPeer);
+    CHECK(server.server->counters().replacedConnections == 1);
+    CHECK(server.server->counters().refusedConnections == 0);
+    close(oldest);
+}
+
 TEST_CASE("responses close their connections while others are refused at the limit", "[http][server]")
 {
     HttpServerLimits limits = Server::smallLimits();
