Read the head of a response strictly, from its first byte on

Seen by callers: the beginning of a late, broken copy of a refusal became the head of the next response on the connection. A request that had run was answered 503, or counted as not run and was sent to a second server. Statuses that are none (2, 20, 2000, 103) were passed on.

Cause: stray bytes were told only before a request is sent and when a response is complete. Bytes that come in between were read with the response by libevent, which accepts "HTTP/1.1 503 Service UnavHTTP/1.1 200 OK" as a status line and a status line within a header's value.

Change: ResponseHeadReader reads the raw bytes before libevent does. A head counts only if its status line is exact, each name is a token, the length of the body is stated once, and no reason phrase or value contains the beginning of a status line, which every late beginning that is followed by a response brings about. Anything else fails the call with MayHaveRun and closes the connection. libevent gets only the status and what frames the body, and nothing before the head is complete. Interim responses are skipped, and trailers no longer become headers.

Ruled out: a check of the head as libevent has parsed it, which no longer shows what preceded it; a filter before the socket, which evhttp cannot connect through.

--- a/packages/wire/src/clientconnection.cpp
+++ b/packages/wire/src/clientconnection.cpp
@@ -114,6 +114,7 @@
     , events_(std::move(events))
     , stream_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE))
     , connection_(evhttp_connection_base_bufferevent_new(loop.base(), nullptr, stream_, address.host.c_str(), address.port))
+    , head_(ResponseHeaderBytes)
 {
     if (connection_ == nullptr) {
         throw std::bad_alloc();
@@ -123,6 +124,7 @@
     // EVHTTP_CON_READ_ON_WRITE_ERROR is not set, because with it libevent 2.1.12 never reports a truncated response.
     evhttp_connection_set_closecb(connection_, &ClientConnection::onClose, this);
     evbuffer_add_cb(bufferevent_get_output(stream_), &ClientConnection::onOutput, this);
+    evbuffer_add_cb(bufferevent_get_input(stream_), &ClientConnection::onInput, this);
 }
 
 ClientConnection::~ClientConnection()
@@ -164,6 +166,8 @@
     written_ = false;
     error_ = EVREQ_HTTP_EOF;
     errorBody_.clear();
+    head_.reset();
+    readingHead_ = true;
     evhttp_request *request = makeRequest();
     if (request == nullptr) {
         return notRun(Errc::BadRequest, "the method, the path or a header is not one that HTTP allows");
@@ -248,6 +252,37 @@
     }
 }
 
+void ClientConnection::onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *context)
+{
+    auto *self = static_cast<ClientConnection *>(context);
+    // What arrives on an idle connection is left to libevent, which then closes it.
+    if (info->n_added > 0 && self->isBusy() && self->readingHead_) {
+        self->readHead(buffer);
+    }
+}
+
+/// libevent accepts much that is no head. It therefore gets nothing before the head is complete, and then only what it needs
+/// to read the body.
+void ClientConnection::readHead(evbuffer *buffer)
+{
+    // libevent finds that an empty line is no status line, and fails the call.
+    constexpr std::string_view NoHead = "\r\n";
+    const std::string bytes = drain(buffer);
+    std::string_view rest = bytes;
+    const ResponseHeadReader::Status status = head_.read(rest);
+    if (status == ResponseHeadReader::Status::Incomplete) {
+        return;
+    }
+    readingHead_ = false;
+    if (status == ResponseHeadReader::Status::Malformed) {
+        evbuffer_add(buffer, NoHead.data(), NoHead.size());
+        return;
+    }
+    const std::string &framing = head_.head().framing;
+    evbuffer_add(buffer, framing.data(), framing.size());
+    evbuffer_add(buffer, rest.data(), rest.size());
+}
+
 void ClientConnection::onResponse(evhttp_request *request, void *context)
 {
     auto *self = static_cast<ClientConnection *>(context);
@@ -317,14 +352,8 @@
 HttpResponse ClientConnection::readResponse(evhttp_request *request)
 {
     HttpResponse response;
-    response.status = evhttp_request_get_response_code(request);
-    const evkeyvalq *headers = evhttp_request_get_input_headers(request);
-    for (const evkeyval *header = headers->tqh_first; header != nullptr; header = header->next.tqe_next) {
-        const auto [place, added] = response.headers.emplace(lowerCase(header->key), header->value);
-        if (!added) {
-            place->second.append(", ").append(header->value);
-        }
-    }
+    response.status = head_.head().status;
+    response.headers = head_.head().headers;
     updateKeepAlive(response);
     response.body = std::move(errorBody_);
     errorBody_.clear();
--- a/packages/wire/src/internal/clientconnection.h
+++ b/packages/wire/src/internal/clientconnection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "responsehead.h"
+
 #include <burdock/wire/eventloop.h>
 #include <burdock/wire/httpclient.h>
 
@@ -84,12 +86,14 @@
     /// Frees libevent's connection, which closes the socket.
     void release();
     static void onOutput(evbuffer *buffer, const evbuffer_cb_info *info, void *context);
+    static void onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *context);
     static void onResponse(evhttp_request *request, void *context);
     static void onBodyChunk(evhttp_request *request, void *context);
     static void onError(evhttp_request_error error, void *context);
     static void onClose(evhttp_connection *connection, void *context);
 
     evhttp_request *makeRequest();
+    void readHead(evbuffer *buffer);
     void finish(Result<HttpResponse> result);
     Failure connectionFailure() const;
     HttpResponse readResponse(evhttp_request *request);
@@ -100,6 +104,9 @@
     Events events_;
     bufferevent *stream_;
     evhttp_connection *connection_;
+    /// The head of the response to the call in progress.
+    ResponseHeadReader head_;
+    bool readingHead_ = false;
     const HttpCall *call_ = nullptr;
     std::string errorBody_;
     evhttp_request_error error_ = EVREQ_HTTP_EOF;
--- a/packages/wire/tests/rawsocket.h
+++ b/packages/wire/tests/rawsocket.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
 #include <vector>
@@ -45,6 +46,9 @@
     {
         bufferevent_setcb(stream_, &RawSocket::onRead, nullptr, &RawSocket::onEvent, this);
         bufferevent_enable(stream_, EV_READ | EV_WRITE);
+        // Without this a second small piece waits until the first was acknowledged.
+        const int on = 1;
+        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     }
 
     ~RawSocket()
