Count a response only if each header that decides something is there once

Seen by callers: nothing so far. A header that came twice was joined by a comma, and what read it decided: two ids matched none, two refusal marks were one, two signatures were passed on as one.

Cause: the HTTP client told nobody that a header was repeated, and the router looked only at the echoed id.

Change: HttpResponse names the headers that are repeated. A server's response with a repeated id, signature, refusal mark, server id, limit, leaving mark or time to come back belongs to no request, and neither does a peer's with a repeated header of the instances: the connection is closed, and the request may have run. Other headers may be repeated as before.

Ruled out: refusing every repeated header, as cookies and many others may be.

--- a/packages/router/include/burdock/router/httpbackends.h
+++ b/packages/router/include/burdock/router/httpbackends.h
@@ -39,6 +39,9 @@
     BackendRequestId send(const ServerHandle &server, const std::shared_ptr<const ClientRequest> &request, TimePoint deadline, Callback done) override;
     void cancel(BackendRequestId id) override;
 
+    /// Whether a response belongs to the request and states each thing that decides something once.
+    static bool answersRequest(const HeaderNames &names, const std::string &requestId, const HttpResponse &response);
+
     /// Converts a server's response to its reply, or to a failure that states whether the request may have run.
     static Result<ServerReply> interpretResponse(const HeaderNames &names, const ServerEntry &server, Result<HttpResponse> response);
 
--- a/packages/router/include/burdock/router/passonheaders.h
+++ b/packages/router/include/burdock/router/passonheaders.h
@@ -30,6 +30,9 @@
     /// Adds what the answer's status and other headers do not tell.
     static void writeOutcome(Headers &headers, const ClientAnswer &answer, std::int64_t configVersion);
 
+    /// Whether a peer's response has each of these headers once at most.
+    static bool areStatedOnce(const HttpResponse &response);
+
     /// Converts a peer's response to its answer, or to a failure that states whether the request may have run.
     static Result<PeerReply> readReply(const HeaderNames &names, Result<HttpResponse> response);
 };
--- a/packages/router/src/httpbackends.cpp
+++ b/packages/router/src/httpbackends.cpp
@@ -15,6 +15,7 @@
 constexpr int MisdirectedRequest = 421;
 constexpr int UnavailableStatus = 503;
 constexpr const char *Yes = "1";
+constexpr const char *RetryAfter = "retry-after";
 /// A server that asks for more is asked again after this time.
 constexpr Duration MaxPause = std::chrono::hours(1);
 constexpr std::array<const char *, 11> ConnectionHeaders{"connection",
@@ -82,10 +83,7 @@
     out.headers[names_.targetServer] = server->id.text();
     out.body = request->body;
     out.timeout = left;
-    out.isReplyToRequest = [names = &names_, request](const HttpResponse &response) {
-        const auto echoed = response.headers.find(names->requestId);
-        return echoed == response.headers.end() || echoed->second == request->id;
-    };
+    out.isReplyToRequest = [names = &names_, request](const HttpResponse &response) { return answersRequest(*names, request->id, response); };
     return client_.send(std::move(out), [this, server, done = std::move(done)](Result<HttpResponse> response) {
         if (response) {
             noteHints(*server, *response);
@@ -94,6 +92,23 @@
     });
 }
 
+bool HttpBackends::answersRequest(const HeaderNames &names, const std::string &requestId, const HttpResponse &response)
+{
+    const std::array<const char *, 7> deciding{names.requestId.c_str(),
+                                               names.signature.c_str(),
+                                               names.notRun.c_str(),
+                                               names.answeringServer.c_str(),
+                                               names.serverLimit.c_str(),
+                                               names.serverLeaving.c_str(),
+                                               RetryAfter};
+    const bool isAmbiguous = std::any_of(deciding.begin(), deciding.end(), [&response](const char *name) { return response.repeatedHeaders.count(name) > 0; });
+    if (isAmbiguous) {
+        return false;
+    }
+    const auto echoed = response.headers.find(names.requestId);
+    return echoed == response.headers.end() || echoed->second == requestId;
+}
+
 void HttpBackends::cancel(BackendRequestId id)
 {
     client_.cancel(id);
@@ -115,7 +130,7 @@
 
 Result<std::optional<Duration>> HttpBackends::readPause(const HttpResponse &response)
 {
-    const std::string text = valueOf(response.headers, "retry-after");
+    const std::string text = valueOf(response.headers, RetryAfter);
     if (response.status != UnavailableStatus || text.empty()) {
         return std::optional<Duration>();
     }
--- a/packages/router/src/httppeers.cpp
+++ b/packages/router/src/httppeers.cpp
@@ -1,5 +1,6 @@
 #include <burdock/router/httppeers.h>
 
+#include <burdock/router/httpbackends.h>
 #include <burdock/router/passonheaders.h>
 #include <burdock/routing/peerchoice.h>
 
@@ -42,8 +43,7 @@
     out.body = request->body;
     out.timeout = left;
     out.isReplyToRequest = [names = &names_, request](const HttpResponse &response) {
-        const auto echoed = response.headers.find(names->requestId);
-        return echoed == response.headers.end() || echoed->second == request->id;
+        return PassOnHeaders::areStatedOnce(response) && HttpBackends::answersRequest(*names, request->id, response);
     };
     client_.setLimits(peer.address, PeerConnections);
     return client_.send(std::move(out),
--- a/packages/router/src/passonheaders.cpp
+++ b/packages/router/src/passonheaders.cpp
@@ -142,6 +142,11 @@
     }
 }
 
+bool PassOnHeaders::areStatedOnce(const HttpResponse &response)
+{
+    return std::none_of(All.begin(), All.end(), [&response](const char *name) { return response.repeatedHeaders.count(name) > 0; });
+}
+
 Result<PeerReply> PassOnHeaders::readReply(const HeaderNames &names, Result<HttpResponse> response)
 {
     if (!response) {
--- a/packages/router/tests/passonheaderstest.cpp
+++ b/packages/router/tests/passonheaderstest.cpp
@@ -258,3 +258,16 @@
     CHECK(fixture.routing.backends.open.empty());
     CHECK(fixture.routing.backends.cancelled == std::vector<std::string>{"p1"});
 }
+
+TEST_CASE("A peer's response counts only if each header of the instances is there once", "[passing][late]")
+{
+    PeersFixture fixture;
+    const auto isReply = fixture.passOn(PeersFixture::terms()).isReplyToRequest;
+    HttpResponse response{200, {{"x-id", "7"}, {"x-sign", "s"}, {"burdock-outcome", "passed"}, {"burdock-attempts", "1"}}, ""};
+    CHECK(isReply(response));
+    for (const char *name : {"x-id", "x-sign", "burdock-outcome", "burdock-attempts", "burdock-config", "burdock-unable"}) {
+        INFO(name);
+        response.repeatedHeaders = {name};
+        CHECK_FALSE(isReply(response));
+    }
+}
--- a/packages/router/tests/serverreplytest.cpp
+++ b/packages/router/tests/serverreplytest.cpp
@@ -160,3 +160,27 @@
         CHECK(heard.size() == 2);
     }
 }
+
+TEST_CASE("A response counts only if each header that decides something is there once", "[backends][late]")
+{
+    ManualRuntime runtime;
+    ManualClient client;
+    DecisionLog log{runtime, STDERR_FILENO, "test"};
+    HttpBackends backends(
+        runtime, client, Names, [](const ServerEntry &, const ServerHints &) {}, log);
+    const auto server = std::make_shared<const ServerEntry>(Server);
+    const auto request = std::make_shared<const ClientRequest>(ClientRequest{"1", "POST", "/parts/x", {{"x-id", "1"}}, "", runtime.now(), {}});
+    backends.send(server, request, runtime.now() + std::chrono::seconds(1), [](const Result<ServerReply> &) {});
+    const auto isReply = client.calls.begin()->second.first.isReplyToRequest;
+    const HttpResponse success{200, {{"x-id", "1"}, {"x-sign", "s"}, {"set-cookie", "a, b"}}, "", {"set-cookie"}};
+    CHECK(isReply(success));
+    for (const char *name : {"x-id", "x-sign", "x-notrun", "x-server", "x-limit", "x-leaving", "retry-after"}) {
+        INFO(name);
+        HttpResponse twice = success;
+        twice.headers.emplace(name, "1, 1");
+        twice.repeatedHeaders.insert(name);
+        CHECK_FALSE(isReply(twice));
+    }
+    CHECK_FALSE(isReply({200, {{"x-id", "2"}, {"x-sign", "s"}}, ""}));
+    CHECK_FALSE(isReply({200, {{"x-id", ""}, {"x-sign", "s"}}, ""}));
+}
--- a/packages/wire/include/burdock/wire/httpclient.h
+++ b/packages/wire/include/burdock/wire/httpclient.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 namespace Burdock
@@ -40,6 +41,8 @@
     int status = 0;
     std::map<std::string, std::string> headers;
     std::string body;
+    /// The names of the headers that the response has more than once.
+    std::set<std::string> repeatedHeaders{};
 };
 
 /// The client's limits for one address.
--- a/packages/wire/src/clientconnection.cpp
+++ b/packages/wire/src/clientconnection.cpp
@@ -354,6 +354,7 @@
     HttpResponse response;
     response.status = head_.head().status;
     response.headers = head_.head().headers;
+    response.repeatedHeaders = head_.head().repeatedHeaders;
     updateKeepAlive(response);
     response.body = std::move(errorBody_);
     errorBody_.clear();
--- a/packages/wire/src/internal/responsehead.h
+++ b/packages/wire/src/internal/responsehead.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,7 @@
     int status = 0;
     /// Names in lower case; the values of a repeated header are joined by commas.
     std::map<std::string, std::string> headers;
+    std::set<std::string> repeatedHeaders;
     /// The status and what frames the body, written in the one way that every parser reads alike.
     std::string framing;
 };
--- a/packages/wire/src/responsehead.cpp
+++ b/packages/wire/src/responsehead.cpp
@@ -172,6 +172,7 @@
     const auto [place, added] = head_.headers.emplace(lowerCase(std::string(name)), value);
     if (!added) {
         place->second.append(", ").append(value);
+        head_.repeatedHeaders.insert(place->first);
     }
     return true;
 }
