Count a refusal only if it names the request that was refused

Seen by callers: nothing so far. A refusal without an id that arrived late was taken for the answer to the next request on the connection, which counted as not run, or was sent to a second server, although it ran.

Cause: a response without an id was taken for any request's. A success still needs a signature; a refusal had nothing that tells whose it is.

Change: a response that says that the request was not run, or that another server has the address, must have the request's id; without it the connection is closed and the request may have run. The protocol says that servers echo the id. A request without an id can still be refused. The stand-in of the servers, which left the id out of its refusals, echoes it like the others.

Ruled out: the same for all responses, as those of shards may lack the id.

--- a/packages/fakes/src/fakeroutedserver.cpp
+++ b/packages/fakes/src/fakeroutedserver.cpp
@@ -69,11 +69,12 @@
         return;
     }
     ++arrived_;
-    const auto refuse = [&responder, this](int status) {
-        responder->respond(completed(HttpServerResponse{status, {{"Not-Executed", "1"}, {"Instance-Id", declaration_.id}}, "{}", true}));
-    };
     const std::string target = headerOf(request, "target-instance");
     const std::string attempt = headerOf(request, "attempt-id");
+    const auto refusal = [&attempt, this](int status) {
+        return HttpServerResponse{status, {{"Attempt-Id", attempt}, {"Not-Executed", "1"}, {"Instance-Id", declaration_.id}}, "{}", true};
+    };
+    const auto refuse = [&](int status) { responder->respond(completed(refusal(status))); };
     if ((target.empty() || attempt.empty() || headerOf(request, "timeout-remaining").empty()) && protocolErrors_.size() < MaxProtocolErrors) {
         protocolErrors_.push_back("a request without id, target or time left: " + request.method + " " + request.path);
     }
@@ -85,7 +86,7 @@
         return refuse(MisdirectedStatus);
     }
     if (behaviour_.pause) {
-        HttpServerResponse response{UnavailableStatus, {{"Not-Executed", "1"}, {"Instance-Id", declaration_.id}}, "{}", true};
+        HttpServerResponse response = refusal(UnavailableStatus);
         response.headers["Retry-After"] = std::to_string(*behaviour_.pause);
         responder->respond(completed(std::move(response)));
         return;
--- a/packages/router/include/burdock/router/httpbackends.h
+++ b/packages/router/include/burdock/router/httpbackends.h
@@ -39,7 +39,8 @@
     BackendRequestId send(const ServerHandle &server, const std::shared_ptr<const ClientRequest> &request, TimePoint deadline, Callback done) override;
     void cancel(BackendRequestId id) override;
 
-    /// Whether a response belongs to the request and states each thing that decides something once.
+    /// Whether a response belongs to the request and has each header that decides something once. A refusal must name the
+    /// request, as the sender would otherwise not be known to mean this one.
     static bool answersRequest(const HeaderNames &names, const std::string &requestId, const HttpResponse &response);
 
     /// Converts a server's response to its reply, or to a failure that states whether the request may have run.
--- a/packages/router/src/httpbackends.cpp
+++ b/packages/router/src/httpbackends.cpp
@@ -50,6 +50,12 @@
     return found == headers.end() ? std::string() : found->second;
 }
 
+/// Whether the response says that its sender did not run the request.
+bool isRefusal(const HeaderNames &names, const HttpResponse &response)
+{
+    return response.status == MisdirectedRequest || response.headers.count(names.notRun) > 0;
+}
+
 } // namespace
 
 void removeConnectionHeaders(std::map<std::string, std::string> &headers)
@@ -106,7 +112,11 @@
         return false;
     }
     const auto echoed = response.headers.find(names.requestId);
-    return echoed == response.headers.end() || echoed->second == requestId;
+    if (echoed != response.headers.end()) {
+        return echoed->second == requestId;
+    }
+    // A success without an id still has a signature, but a refusal could be one of an earlier request.
+    return requestId.empty() || !isRefusal(names, response);
 }
 
 void HttpBackends::cancel(BackendRequestId id)
@@ -180,7 +190,7 @@
     if (response->status == MisdirectedRequest) {
         return notRun(Errc::NotFound, "another server has the address: " + valueOf(response->headers, names.answeringServer));
     }
-    if (response->headers.count(names.notRun) > 0) {
+    if (isRefusal(names, *response)) {
         return notRun(Errc::Overloaded, "the server did not run it, status " + std::to_string(response->status));
     }
     ServerReply reply;
--- a/packages/router/tests/serverreplytest.cpp
+++ b/packages/router/tests/serverreplytest.cpp
@@ -184,3 +184,30 @@
     CHECK_FALSE(isReply({200, {{"x-id", "2"}, {"x-sign", "s"}}, ""}));
     CHECK_FALSE(isReply({200, {{"x-id", ""}, {"x-sign", "s"}}, ""}));
 }
+
+TEST_CASE("A refusal counts only if it names the request that was refused", "[backends][late]")
+{
+    ManualRuntime runtime;
+    ManualClient client;
+    DecisionLog log{runtime, STDERR_FILENO, "test"};
+    HttpBackends backends(
+        runtime, client, Names, [](const ServerEntry &, const ServerHints &) {}, log);
+    const auto server = std::make_shared<const ServerEntry>(Server);
+    const auto send = [&](const std::string &id) {
+        client.calls.clear();
+        const auto request = std::make_shared<const ClientRequest>(ClientRequest{id, "POST", "/parts/x", {}, "", runtime.now(), {}});
+        backends.send(server, request, runtime.now() + std::chrono::seconds(1), [](const Result<ServerReply> &) {});
+        return client.calls.begin()->second.first.isReplyToRequest;
+    };
+    auto isReply = send("1");
+    for (const HttpResponse &refusal : {HttpResponse{503, {{"x-notrun", "1"}}, ""}, HttpResponse{421, {{"x-server", "p9"}}, ""}}) {
+        CHECK_FALSE(isReply(refusal));
+        HttpResponse naming = refusal;
+        naming.headers["x-id"] = "1";
+        CHECK(isReply(naming));
+    }
+    CHECK(isReply({200, {{"x-sign", "s"}}, ""}));
+    // A request without an id is refused without one.
+    isReply = send("");
+    CHECK(isReply({400, {{"x-notrun", "1"}}, ""}));
+}
