Read request bodies in chunks strictly, on either kind of char

Seen by clients: on arm64 a chunk size that is no number, such as "zz", was answered 413 tooLarge instead of 400 badRequest.

Cause: libevhtp compares the value of a hexadecimal digit, a plain char, with -1, which never matches where char is unsigned.

Change: ChunkedBodyReader reads the body once libevhtp's parser has read the head. A size is hexadecimal digits, maybe an extension; lines end with CRLF; sizes are checked against the limit before content is taken. The line with a size, and all trailers together, are bounded by the limit of the head.

Ruled out: another build of the library, which the platform's packages do not have.

--- a/packages/wire/src/httprequestparser.cpp
+++ b/packages/wire/src/httprequestparser.cpp
@@ -57,6 +57,7 @@
     : headerLimit_(headerLimit)
     , bodyLimit_(bodyLimit)
     , parser_(nullptr, &std::free)
+    , chunks_(headerLimit, bodyLimit)
 {
 }
 
@@ -69,7 +70,6 @@
         hooks.hdr_key = &HttpRequestParser::onHeaderName;
         hooks.hdr_val = &HttpRequestParser::onHeaderValue;
         hooks.on_hdrs_complete = &HttpRequestParser::onHeadersDone;
-        hooks.on_new_chunk = &HttpRequestParser::onNewChunk;
         hooks.body = &HttpRequestParser::onBody;
         hooks.on_msg_complete = &HttpRequestParser::onDone;
         return hooks;
@@ -89,6 +89,8 @@
     status_ = Status::Incomplete;
     headerName_.clear();
     contentLengthCount_ = 0;
+    chunks_.reset();
+    isChunked_ = false;
     unknownEncoding_ = false;
     headComplete_ = false;
     expectsContinue_ = false;
@@ -137,7 +139,32 @@
 
 void HttpRequestParser::readBody(evbuffer *input)
 {
-    run(input, evbuffer_get_contiguous_space(input));
+    if (isChunked_) {
+        readChunks(input);
+    } else {
+        run(input, evbuffer_get_contiguous_space(input));
+    }
+}
+
+void HttpRequestParser::readChunks(evbuffer *input)
+{
+    const std::size_t length = evbuffer_get_contiguous_space(input);
+    std::string_view bytes(reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length))), length);
+    const ChunkedBodyReader::Status status = chunks_.read(bytes, request_.body);
+    evbuffer_drain(input, length - bytes.size());
+    switch (status) {
+    case ChunkedBodyReader::Status::Incomplete:
+        break;
+    case ChunkedBodyReader::Status::Complete:
+        status_ = Status::Complete;
+        break;
+    case ChunkedBodyReader::Status::Malformed:
+        status_ = Status::Malformed;
+        break;
+    case ChunkedBodyReader::Status::TooLarge:
+        status_ = Status::TooLarge;
+        break;
+    }
 }
 
 void HttpRequestParser::run(evbuffer *input, std::size_t length)
@@ -238,18 +265,12 @@
         return self.stop(Status::Malformed);
     }
     self.request_.method = method;
+    self.isChunked_ = self.request_.headers.count("transfer-encoding") > 0;
     const auto expect = self.request_.headers.find("expect");
     self.expectsContinue_ = expect != self.request_.headers.end() && lowerCase(expect->second) == "100-continue";
     return htparser_get_content_length(parser) > self.bodyLimit_ ? self.stop(Status::TooLarge) : 0;
 }
 
-int HttpRequestParser::onNewChunk(htparser *parser)
-{
-    // The parser reports the size of the chunk as the content length.
-    HttpRequestParser &self = fromParser(parser);
-    return htparser_get_content_length(parser) > self.bodyLimit_ ? self.stop(Status::TooLarge) : 0;
-}
-
 int HttpRequestParser::onBody(htparser *parser, const char *bytes, std::size_t length)
 {
     HttpRequestParser &self = fromParser(parser);
--- a/packages/wire/src/internal/httprequestparser.h
+++ b/packages/wire/src/internal/httprequestparser.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "chunkedbody.h"
+
 #include <burdock/wire/httpserver.h>
 
 #include <evhtp/parser.h>
@@ -13,7 +15,8 @@
 /// Parses the bytes of a connection into requests, one at a time, with libevhtp's parser. Enforces the limits.
 ///
 /// libevhtp's parser reads one byte beyond its input if that ends within the method or the query. It is therefore given the
-/// complete head of a request at once. The body is passed on as it arrives.
+/// complete head of a request at once. The body is passed on as it arrives. A body in chunks is read by ChunkedBodyReader,
+/// because libevhtp's parser accepts sizes that are no numbers where `char` is unsigned.
 class HttpRequestParser
 {
 public:
@@ -58,7 +61,6 @@
     static int onHeaderName(htparser *parser, const char *text, std::size_t length);
     static int onHeaderValue(htparser *parser, const char *text, std::size_t length);
     static int onHeadersDone(htparser *parser);
-    static int onNewChunk(htparser *parser);
     static int onBody(htparser *parser, const char *bytes, std::size_t length);
     static int onDone(htparser *parser);
 
@@ -69,6 +71,7 @@
     void readHead(evbuffer *input);
     void readTarget(evbuffer *input, std::size_t length);
     void readBody(evbuffer *input);
+    void readChunks(evbuffer *input);
     void run(evbuffer *input, std::size_t length);
     Status errorStatus() const;
     bool hasAmbiguousFraming() const;
@@ -81,6 +84,8 @@
     std::string headerName_;
     Status status_ = Status::Incomplete;
     std::size_t contentLengthCount_ = 0;
+    ChunkedBodyReader chunks_;
+    bool isChunked_ = false;
     /// Whether the body has a transfer encoding that the library does not understand.
     bool unknownEncoding_ = false;
     bool headComplete_ = false;
