Let instances that serve for others hold more connections to servers

An instance that leaves stopped counting as a sender, and then used one connection to each server, though no other instance reached the servers.

Change: ConnectionShares divides the connections. A cut-off instance counts half, for itself and for the others; leaving instances keep a share while all that clients are directed to are cut off; one that reaches the servers again counts the others in full until their records say so too. Without cut-off instances the shares are what they were.

Ruled out: the directory (clients are directed to the cut-off instances then, since the leaving one closes soon); waiting for a new instance (no request was refused for lack of a peer); limits that servers name (none did).

--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -70,6 +70,7 @@
     void leaveServerConnections();
     void onServerHints(const ServerEntry &server, const ServerHints &hints);
     void logLimit(const LimitReport &report);
+    void updateConnectionFraction();
     void updateConnectionLimits();
     void tick();
     /// Logs when this instance starts or stops serving its data to other instances.
@@ -102,6 +103,7 @@
     ServerLoad load_;
     ServerLimits limits_;
     ServerNotices notices_;
+    ConnectionShares connectionShares_;
     ServerChoice choice_;
     RepeatBudget budget_;
     CrashGuard crashes_;
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -180,6 +180,7 @@
     , servers_([this](const ServerEntry &server, bool usable) { onServerChanged(server, usable); })
     , instances_(seed)
     , limits_(settings.id, [this](const LimitReport &report) { logLimit(report); })
+    , connectionShares_(settings.id)
     , choice_(servers_, latencies_, load_, limits_, notices_, settings.regions, settings.region, seed)
     , budget_(settings.repeats, loop.now())
     , crashes_([this](Duration clearingTime) { crashReports_.onChanged(clearingTime); })
@@ -386,6 +387,7 @@
     relay_.endStalePolls();
     logRelayFreshness();
     updateReadiness();
+    updateConnectionFraction();
     updateRole();
     tickDue_ = loop_.now() + TickInterval;
     tickTimer_ = loop_.schedule(TickInterval, [this] { tick(); });
@@ -478,14 +480,14 @@
 
 void Router::onInstancesChanged()
 {
-    const Senders chosen = instances_.chosen(self_);
-    choice_.setInstances(instances_.chosenIn(self_.region, self_).size(), chosen.count, chosen.self);
+    choice_.setInstances(instances_.chosenIn(self_.region, self_).size());
+    connectionShares_.setHolders(instances_.connectionHolders(self_), loop_.now());
+    updateConnectionFraction();
     const Senders senders = instances_.senders(self_);
     budget_.setInstances(senders.self ? senders.count : instances_.count(self_) * OutsiderBudgetDivisor, loop_.now());
     limits_.setSenders(feed_.hasInstances() ? instances_.senderIds(self_) : std::vector<InstanceId>(), loop_.now());
     relays_.setInstances(instances_.recordsIn(self_.region));
     store_.setAnswerInterval(relays_.hasChildren() ? DataAge::storeAnswerInterval(relays_.depth()) : Duration::max());
-    updateConnectionLimits();
     updateRole();
     askPeersForConfig();
 }
@@ -593,6 +595,18 @@
     });
 }
 
+void Router::updateConnectionFraction()
+{
+    const double fraction = connectionShares_.fraction(loop_.now());
+    if (fraction == choice_.connectionFraction()) {
+        return;
+    }
+    constexpr double Thousandths = 1000;
+    choice_.setConnectionFraction(fraction);
+    log_.write(DecisionPriority::Change, "connections.shared", {{"perThousand", static_cast<std::int64_t>(fraction * Thousandths)}});
+    updateConnectionLimits();
+}
+
 void Router::updateConnectionLimits()
 {
     for (const auto &[id, server] : usableServers_) {
--- a/packages/routing/include/burdock/routing/instancerole.h
+++ b/packages/routing/include/burdock/routing/instancerole.h
@@ -7,6 +7,9 @@
 namespace Burdock
 {
 
+/// An instance that stops serves requests for about this time after its record is gone.
+constexpr Duration StoppingTime = std::chrono::seconds(3);
+
 /// What the other instances need an instance for.
 enum class InstanceRole {
     /// Clients are not directed to it, and no instance uses it as a relay.
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/routing/connectionshares.h>
 #include <burdock/routing/withdrawnentries.h>
 #include <burdock/values/address.h>
 #include <burdock/values/names.h>
@@ -95,6 +96,9 @@
     /// Counts the chosen instances of all regions; the count is at least 1.
     Senders chosen(const InstanceRecord &self) const;
 
+    /// Returns the chosen instances of all regions, among which the connections to servers are divided.
+    std::vector<ConnectionHolder> connectionHolders(const InstanceRecord &self) const;
+
     /// Estimates the instances that send many requests to servers: the chosen ones, or those that would be chosen if all were
     /// ready, whichever is more. Just after a restart of many instances, few are ready but all are about to send.
     Senders senders(const InstanceRecord &self) const;
--- a/packages/routing/include/burdock/routing/serverchoice.h
+++ b/packages/routing/include/burdock/routing/serverchoice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/routing/connectionshares.h>
 #include <burdock/routing/hedgethreshold.h>
 #include <burdock/routing/latencytracker.h>
 #include <burdock/routing/serverlimits.h>
@@ -38,8 +39,16 @@
                  Region ownRegion,
                  std::uint64_t seed);
 
-    /// Sets the number of instances that send requests to servers, in this region and in total, and whether this is one of them.
-    void setInstances(std::size_t inRegion, std::size_t all, bool chosen);
+    /// Sets the number of instances in this region that send requests to servers.
+    void setInstances(std::size_t inRegion);
+
+    /// Sets the fraction of each server's connections that this instance may hold; it holds one at least.
+    void setConnectionFraction(double fraction);
+
+    double connectionFraction() const
+    {
+        return connectionFraction_;
+    }
 
     /// Adds a server that is listed, is listed again or has restarted; statistics of an earlier process are dropped.
     void onListed(const ServerEntry &server, TimePoint now);
@@ -105,8 +114,7 @@
     HedgeThreshold hedgeThreshold_;
     std::mt19937_64 random_;
     std::size_t instancesInRegion_ = 1;
-    std::size_t allInstances_ = 1;
-    bool selfChosen_ = true;
+    double connectionFraction_ = ConnectionShares::UsedFraction;
     std::unordered_map<ServiceName, std::uint32_t> connections_;
 };
 
--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -151,6 +151,17 @@
     return {std::max<std::size_t>(chosen.count, 1), chosen.self};
 }
 
+std::vector<ConnectionHolder> InstanceTable::connectionHolders(const InstanceRecord &self) const
+{
+    std::vector<ConnectionHolder> holders;
+    for (const auto &[region, records] : byRegion(self)) {
+        for (const InstanceRecord *record : chosenOf(readyOf(records))) {
+            holders.push_back({record->id, record->cutOff});
+        }
+    }
+    return holders;
+}
+
 Senders InstanceTable::senders(const InstanceRecord &self) const
 {
     Senders allReady;
--- a/packages/routing/src/peerchoice.cpp
+++ b/packages/routing/src/peerchoice.cpp
@@ -1,5 +1,7 @@
 #include <burdock/routing/peerchoice.h>
 
+#include <burdock/routing/instancerole.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -16,8 +18,6 @@
 constexpr Duration NoRoomTime = std::chrono::milliseconds(500);
 /// A peer at which requests wait is silent if it has not answered any for this time.
 constexpr Duration SilenceTime = std::chrono::milliseconds(300);
-/// An instance that stops serves requests for about this time after its record is gone.
-constexpr Duration StoppingTime = std::chrono::seconds(3);
 
 } // namespace
 
--- a/packages/routing/src/serverchoice.cpp
+++ b/packages/routing/src/serverchoice.cpp
@@ -25,9 +25,8 @@
 constexpr double ColdLatencyFactor = 1.5;
 /// Breaks ties between servers of equal cost.
 constexpr double MaxJitter = 0.05;
-/// The fraction of a server's connections that the chosen instances use; the rest covers instances that start or stop, and those
-/// that clients are no longer directed to but may still use.
-constexpr double UsedConnectionFraction = 0.8;
+/// Keeps the product of a number of connections and a fraction from falling just below a whole number.
+constexpr double RoundingMargin = 1e-6;
 /// The number of connections per server if the service sets no limit.
 constexpr std::uint32_t DefaultConnections = 8;
 
@@ -52,11 +51,14 @@
 {
 }
 
-void ServerChoice::setInstances(std::size_t inRegion, std::size_t all, bool chosen)
+void ServerChoice::setInstances(std::size_t inRegion)
 {
-    selfChosen_ = chosen;
     instancesInRegion_ = std::max<std::size_t>(inRegion, 1);
-    allInstances_ = std::max<std::size_t>(all, 1);
+}
+
+void ServerChoice::setConnectionFraction(double fraction)
+{
+    connectionFraction_ = fraction;
 }
 
 void ServerChoice::onListed(const ServerEntry &server, TimePoint now)
@@ -85,12 +87,9 @@
 
 std::uint32_t ServerChoice::connectionShare(const ServiceName &service) const
 {
-    if (!selfChosen_) {
-        return 1;
-    }
     const auto found = connections_.find(service);
     const std::uint32_t bound = found == connections_.end() || found->second == 0 ? DefaultConnections : found->second;
-    return std::max(1U, static_cast<std::uint32_t>(bound * UsedConnectionFraction / static_cast<double>(allInstances_)));
+    return std::max(1U, static_cast<std::uint32_t>(bound * connectionFraction_ + RoundingMargin));
 }
 
 Distance ServerChoice::distance(const ServerEntry &server) const
--- a/packages/routing/tests/choicetest.cpp
+++ b/packages/routing/tests/choicetest.cpp
@@ -188,7 +188,7 @@
     RoutingFixture fixture;
     fixture.addServer("near1", "parts");
     fixture.choice.setConnections({{ServiceName("parts"), 20}});
-    fixture.choice.setInstances(2, 4, true);
+    fixture.choice.setConnectionFraction(0.8 / 4);
     CHECK(fixture.choice.connectionShare(ServiceName("parts")) == 4);
     const Route route = RoutingFixture::route("parts");
     for (int request = 0; request < 4; ++request) {
@@ -199,7 +199,7 @@
     CHECK_FALSE(fixture.choice.choose(route, ServiceName("parts"), {}, fixture.runtime.now()).server);
     SECTION("an instance that clients are not directed to uses one connection")
     {
-        fixture.choice.setInstances(2, 4, false);
+        fixture.choice.setConnectionFraction(0);
         CHECK(fixture.choice.connectionShare(ServiceName("parts")) == 1);
     }
 }
--- a/tests/router/cutoffprocesstest.cpp
+++ b/tests/router/cutoffprocesstest.cpp
@@ -60,11 +60,17 @@
         outcomes.clear();
     }
 
-    std::size_t known(const std::string &instance, const std::string &letter)
+    /// The addresses that an instance directs the clients of a region to.
+    std::vector<std::string> directedTo(const std::string &instance, const std::string &letter)
     {
         const auto answer =
             bed.call(bed.directory(instance), "GET", "/burdocklanding/resolve?name=shop.example&region=region-" + letter + "&zone=zone-" + letter);
-        return answer && answer->status == OkStatus ? json::parse(answer->body).at("addrs").size() : 0;
+        return answer && answer->status == OkStatus ? json::parse(answer->body).at("addrs").get<std::vector<std::string>>() : std::vector<std::string>();
+    }
+
+    std::size_t known(const std::string &instance, const std::string &letter)
+    {
+        return directedTo(instance, letter).size();
     }
 
     void send(const std::string &instance, const std::string &prefix)
@@ -230,6 +236,30 @@
     deployment.checkRuns();
 }
 
+TEST_CASE("Requests at a cut-off instance are served while all others are leaving", "[router][cutoff]")
+{
+    Deployment deployment;
+    RouterTestbed &bed = deployment.bed;
+    bed.cut({"i1"}, "hang");
+    deployment.load({"i1"}, FirstSecond);
+    deployment.outcomes.clear();
+    bed.process("i2").signal(SIGTERM);
+    bed.process("i3").signal(SIGTERM);
+    REQUIRE(bed.eventually([&deployment] { return deployment.directedTo("i1", "a") == std::vector<std::string>{deployment.bed.clients("i1").toString()}; }));
+    // The leaving instances have to learn of each other.
+    deployment.load({"i1"}, std::chrono::milliseconds(500));
+    deployment.outcomes.clear();
+    // Each request takes about 90 ms, and half of them can run at once.
+    constexpr double SlowFactor = 30;
+    bed.control("POST", "/fake/faults", {{"target", "server"}, {"conduct", {{"slowFactor", SlowFactor}}}});
+    constexpr int Requests = 32;
+    for (int request = 0; request < Requests; ++request) {
+        deployment.send("i1", "/one/");
+    }
+    REQUIRE(bed.eventually([&deployment] { return deployment.inFlight == 0; }, std::chrono::seconds(5)));
+    CHECK(deployment.fractionServed({"i1"}, TimePoint{}, Duration{0}, Duration::max() / 2) >= MinLaterFractionServed);
+}
+
 TEST_CASE("The servers' work for a client of a cut-off instance ends when the client leaves", "[router][cutoff]")
 {
     Deployment deployment;
