Know leaving peers of all regions, and those that were never asked

An instance that is cut off after its last peer began to leave refused what that peer could still serve.

Cause: PeerChoice remembered peers while it chose among them, and stopped at the first group with a candidate, so it knew neither those of other regions nor any peer before the first request was passed on.

Change: it takes note of all instances that can help whenever the records change. A peer counts as stopping only if its record is gone; one that says that it is cut off too is no longer asked as a last resort.

--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -197,7 +197,11 @@
     , backends_(
           loop, client, dialect.headers(), [this](const ServerEntry &server, const ServerHints &hints) { onServerHints(server, hints); }, log)
     , peerRequests_(loop, client, dialect.headers(), settings.id, [this](const Peer &peer) { inquiry_.ask(peer.address); })
-    , peerChoice_([this] { return instances_.helpersFor(self_); }, [this] { return instances_.hasOtherReady(self_); }, settings.id, seed)
+    , peerChoice_([this] { return instances_.helpersFor(self_); },
+                  [this] { return instances_.hasOtherReady(self_); },
+                  [this](const InstanceId &id) { return instances_.contains(id); },
+                  settings.id,
+                  seed)
     , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, reach_, counters_, *journal_, peerRequests_, peerChoice_}
     , relays_(settings.id)
     , store_(loop, client, store, relays_, dialect.instancesPrefix(), log, firstListingDelay(settings))
@@ -483,6 +487,7 @@
     choice_.setInstances(instances_.chosenIn(self_.region, self_).size());
     connectionShares_.setHolders(instances_.connectionHolders(self_), loop_.now());
     updateConnectionFraction();
+    peerChoice_.onHelpersChanged(loop_.now());
     const Senders senders = instances_.senders(self_);
     budget_.setInstances(senders.self ? senders.count : instances_.count(self_) * OutsiderBudgetDivisor, loop_.now());
     limits_.setSenders(feed_.hasInstances() ? instances_.senderIds(self_) : std::vector<InstanceId>(), loop_.now());
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -90,6 +90,9 @@
     /// the other ready ones of its region, then those of other regions. None is cut off, and no group is empty.
     std::vector<Records> helpersFor(const InstanceRecord &self) const;
 
+    /// Whether the instance has a record.
+    bool contains(const InstanceId &id) const;
+
     /// Whether another instance is ready, be it cut off or not.
     bool hasOtherReady(const InstanceRecord &self) const;
 
--- a/packages/routing/include/burdock/routing/peerchoice.h
+++ b/packages/routing/include/burdock/routing/peerchoice.h
@@ -28,12 +28,17 @@
     using Helpers = std::function<std::vector<InstanceTable::Records>()>;
     /// Returns whether other instances take clients, though they may not be able to help.
     using HasOthers = std::function<bool()>;
+    /// Returns whether an instance has a record; one that stops has none.
+    using HasRecord = std::function<bool(const InstanceId &)>;
 
     /// How a request at a peer ended: with an answer, since the peer had no room for it or cannot help, since it was lost, or by this
     /// instance.
     enum class Ending { Answered, NoRoom, Unable, Lost, Cancelled };
 
-    PeerChoice(Helpers helpers, HasOthers hasOthers, InstanceId self, std::uint64_t seed);
+    PeerChoice(Helpers helpers, HasOthers hasOthers, HasRecord hasRecord, InstanceId self, std::uint64_t seed);
+
+    /// Takes note of the instances that can help, since those that stop serve for a while after they are no longer among them.
+    void onHelpersChanged(TimePoint now);
 
     /// Returns a peer that is not in `tried`, or nothing if none can help.
     std::optional<Peer> choose(const std::vector<InstanceId> &tried, TimePoint now);
@@ -58,11 +63,11 @@
         TimePoint noRoomUntil{};
     };
 
-    /// A peer that was listed, and until when.
+    /// A peer that could help, and since when it no longer can.
     struct ListedPeer
     {
         Peer peer;
-        TimePoint until{};
+        std::optional<TimePoint> goneSince;
     };
 
     /// Returns the peer with the fewest requests in flight among those that were left out, or else among those not listed any more.
@@ -77,6 +82,7 @@
 
     const Helpers helpers_;
     const HasOthers hasOthers_;
+    const HasRecord hasRecord_;
     const InstanceId self_;
     std::mt19937_64 random_;
     std::unordered_map<InstanceId, PeerState> states_;
--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -218,6 +218,11 @@
     return groups;
 }
 
+bool InstanceTable::contains(const InstanceId &id) const
+{
+    return records_.count(id) > 0;
+}
+
 bool InstanceTable::hasOtherReady(const InstanceRecord &self) const
 {
     return std::any_of(records_.begin(), records_.end(), [&self](const auto &entry) { return entry.first != self.id && entry.second.ready; });
--- a/packages/routing/src/peerchoice.cpp
+++ b/packages/routing/src/peerchoice.cpp
@@ -21,9 +21,10 @@
 
 } // namespace
 
-PeerChoice::PeerChoice(Helpers helpers, HasOthers hasOthers, InstanceId self, std::uint64_t seed)
+PeerChoice::PeerChoice(Helpers helpers, HasOthers hasOthers, HasRecord hasRecord, InstanceId self, std::uint64_t seed)
     : helpers_(std::move(helpers))
     , hasOthers_(std::move(hasOthers))
+    , hasRecord_(std::move(hasRecord))
     , self_(std::move(self))
     , random_(seed)
 {
@@ -52,6 +53,23 @@
     return std::hash<std::string>()(self_.text() + '/' + peer.text());
 }
 
+void PeerChoice::onHelpersChanged(TimePoint now)
+{
+    std::map<InstanceId, ListedPeer> next;
+    for (const InstanceTable::Records &helpers : helpers_()) {
+        for (const InstanceRecord *record : helpers) {
+            next[record->id] = {{record->id, record->peers}, std::nullopt};
+        }
+    }
+    for (auto &[id, listed] : listed_) {
+        const TimePoint goneSince = listed.goneSince.value_or(now);
+        if (!hasRecord_(id) && now - goneSince <= StoppingTime) {
+            next.try_emplace(id, ListedPeer{std::move(listed.peer), goneSince});
+        }
+    }
+    listed_ = std::move(next);
+}
+
 std::optional<Peer> PeerChoice::choose(const std::vector<InstanceId> &tried, TimePoint now)
 {
     forgetUnused(now);
@@ -62,7 +80,6 @@
     for (const InstanceTable::Records &helpers : helpers_()) {
         InstanceTable::Records candidates;
         for (const InstanceRecord *record : helpers) {
-            listed_[record->id] = {{record->id, record->peers}, now};
             const bool wasTried = std::find(tried.begin(), tried.end(), record->id) != tried.end();
             if (wasTried || inFlight(record->id) >= MaxInFlight) {
                 continue;
@@ -89,7 +106,8 @@
     const auto cost = [this, now](const InstanceId &id) { return std::make_pair(isLeftOut(id, now), inFlight(id)); };
     for (const auto &[id, listed] : listed_) {
         const bool wasTried = std::find(tried.begin(), tried.end(), id) != tried.end();
-        const bool isStopping = listed.until < now && now - listed.until <= StoppingTime;
+        // That the record is gone may not have been noted yet.
+        const bool isStopping = !hasRecord_(id) && now - listed.goneSince.value_or(now) <= StoppingTime;
         if (!wasTried && isStopping && inFlight(id) < MaxInFlight && (best == nullptr || cost(id) < cost(best->peer.id))) {
             best = &listed;
         }
@@ -151,9 +169,6 @@
         const bool unused = state->second.inFlight == 0 && std::max(state->second.leftOutUntil, state->second.noRoomUntil) <= now;
         state = unused ? states_.erase(state) : std::next(state);
     }
-    for (auto listed = listed_.begin(); listed != listed_.end();) {
-        listed = now - listed->second.until > StoppingTime ? listed_.erase(listed) : std::next(listed);
-    }
 }
 
 } // namespace Burdock
--- a/packages/routing/tests/passontest.cpp
+++ b/packages/routing/tests/passontest.cpp
@@ -530,20 +530,51 @@
     {
         fixture.sendRequest("parts");
         fixture.peers.answer(served("belt"));
-        fixture.helpers.clear();
+        fixture.removeHelpers();
+        fixture.runtime.advance(seconds(1));
+    }
+    SECTION("also if it was not asked before")
+    {
+        fixture.runtime.advance(seconds(60));
+        fixture.removeHelpers();
         fixture.runtime.advance(seconds(1));
     }
     fixture.sendRequest("parts");
     REQUIRE(fixture.peersAsked() == std::vector<std::string>{"h1"});
     fixture.peers.answer(served("belt"));
     CHECK(fixture.answer->body == "belt");
-    fixture.helpers.clear();
+    fixture.removeHelpers();
     fixture.runtime.advance(seconds(4));
     fixture.sendRequest("parts");
     CHECK(fixture.peers.open.empty());
     CHECK(fixture.answer->kind == ClientAnswer::Kind::Refused);
 }
 
+TEST_CASE("Peers of another region that stop are asked if the instances of the own region are lost", "[passing]")
+{
+    PassOnFixture fixture(1);
+    fixture.addHelper("far", 1);
+    fixture.cutOff();
+    fixture.sendRequest("parts");
+    REQUIRE(fixture.peersAsked() == std::vector<std::string>{"h1"});
+    fixture.removeHelpers();
+    fixture.runtime.advance(seconds(1));
+    fixture.peers.answer(lostBeforeSending());
+    CHECK(fixture.peersAsked() == std::vector<std::string>{"far"});
+}
+
+TEST_CASE("A peer that says that it is cut off too is not asked as one that stops", "[passing]")
+{
+    PassOnFixture fixture(2);
+    fixture.helpersKeepRecords = true;
+    fixture.othersReady = true;
+    fixture.cutOff();
+    fixture.removeHelpers();
+    fixture.sendRequest("parts");
+    CHECK(fixture.peers.open.empty());
+    CHECK(fixture.answer->kind == ClientAnswer::Kind::Refused);
+}
+
 TEST_CASE("A killed peer does not cost a repeatable request that has attempts left", "[passing]")
 {
     PassOnFixture fixture(3, 3);
@@ -881,7 +912,8 @@
     }
     std::map<std::string, std::set<std::string>> usersOf;
     for (int user = 0; user < 100; ++user) {
-        PeerChoice choice([&helpers] { return helpers; }, [] { return true; }, InstanceId("u" + std::to_string(user)), 1);
+        PeerChoice choice(
+            [&helpers] { return helpers; }, [] { return true; }, [](const InstanceId &) { return true; }, InstanceId("u" + std::to_string(user)), 1);
         std::set<std::string> used;
         for (int number = 0; number < 200; ++number) {
             const auto peer = choice.choose({}, TimePoint{});
--- a/packages/routing/tests/routingfixture.h
+++ b/packages/routing/tests/routingfixture.h
@@ -180,6 +180,13 @@
         record.peers = Address{"10.0.1.1", ++port};
         helpers.resize(std::max(helpers.size(), group + 1));
         helpers[group].push_back(record);
+        peerChoice.onHelpersChanged(runtime.now());
+    }
+
+    void removeHelpers()
+    {
+        helpers.clear();
+        peerChoice.onHelpersChanged(runtime.now());
     }
 
     static Route route(const std::string &service)
@@ -269,6 +276,8 @@
     std::vector<std::vector<InstanceRecord>> helpers;
     /// Whether other instances are ready, be they able to help or not.
     bool othersReady = false;
+    /// Whether instances that can no longer help still have a record, as those that are cut off.
+    bool helpersKeepRecords = false;
     PeerChoice peerChoice{[this] {
                               std::vector<InstanceTable::Records> groups;
                               for (const auto &group : helpers) {
@@ -280,6 +289,7 @@
                               return groups;
                           },
                           [this] { return othersReady; },
+                          [this](const InstanceId &) { return helpersKeepRecords; },
                           InstanceId("self"),
                           7};
     RoutingContext context{runtime, backends, servers, choice, load, budget, crashes, reach, counters, journal, peers, peerChoice};
