--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -180,6 +180,7 @@
     , servers_([this](const ServerEntry &server, bool usable) { onServerChanged(server, usable); })
     , instances_(seed)
     , limits_(settings.id, [this](const LimitReport &report) { logLimit(report); })
+    , connectionShares_(settings.id)
     , choice_(servers_, latencies_, load_, limits_, notices_, settings.regions, settings.region, seed)
     , budget_(settings.repeats, loop.now())
     , crashes_([this](Duration clearingTime) { crashReports_.onChanged(clearingTime); })
@@ -196,7 +197,11 @@
     , backends_(
           loop, client, dialect.headers(), [this](const ServerEntry &server, const ServerHints &hints) { onServerHints(server, hints); }, log)
     , peerRequests_(loop, client, dialect.headers(), settings.id, [this](const Peer &peer) { inquiry_.ask(peer.address); })
-    , peerChoice_([this] { return instances_.helpersFor(self_); }, [this] { return instances_.hasOtherReady(self_); }, settings.id, seed)
+    , peerChoice_([this] { return instances_.helpersFor(self_); },
+                  [this] { return instances_.hasOtherReady(self_); },
+                  [this](const InstanceId &id) { return instances_.contains(id); },
+                  settings.id,
+                  seed)
     , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, reach_, counters_, *journal_, peerRequests_, peerChoice_}
     , relays_(settings.id)
     , store_(loop, client, store, relays_, dialect.instancesPrefix(), log, firstListingDelay(settings))
@@ -386,6 +391,7 @@
     relay_.endStalePolls();
     logRelayFreshness();
     updateReadiness();
+    updateConnectionFraction();
     updateRole();
     tickDue_ = loop_.now() + TickInterval;
     tickTimer_ = loop_.schedule(TickInterval, [this] { tick(); });
@@ -478,14 +484,15 @@
 
 void Router::onInstancesChanged()
 {
-    const Senders chosen = instances_.chosen(self_);
-    choice_.setInstances(instances_.chosenIn(self_.region, self_).size(), chosen.count, chosen.self);
+    choice_.setInstances(instances_.chosenIn(self_.region, self_).size());
+    connectionShares_.setHolders(instances_.connectionHolders(self_), loop_.now());
+    updateConnectionFraction();
+    peerChoice_.onHelpersChanged(loop_.now());
     const Senders senders = instances_.senders(self_);
     budget_.setInstances(senders.self ? senders.count : instances_.count(self_) * OutsiderBudgetDivisor, loop_.now());
     limits_.setSenders(feed_.hasInstances() ? instances_.senderIds(self_) : std::vector<InstanceId>(), loop_.now());
     relays_.setInstances(instances_.recordsIn(self_.region));
     store_.setAnswerInterval(relays_.hasChildren() ? DataAge::storeAnswerInterval(relays_.depth()) : Duration::max());
-    updateConnectionLimits();
     updateRole();
     askPeersForConfig();
 }
@@ -593,6 +600,18 @@
     });
 }
 
+void Router::updateConnectionFraction()
+{
+    const double fraction = connectionShares_.fraction(loop_.now());
+    if (fraction == choice_.connectionFraction()) {
+        return;
+    }
+    constexpr double Thousandths = 1000;
+    choice_.setConnectionFraction(fraction);
+    log_.write(DecisionPriority::Change, "connections.shared", {{"perThousand", static_cast<std::int64_t>(fraction * Thousandths)}});
+    updateConnectionLimits();
+}
+
 void Router::updateConnectionLimits()
 {
     for (const auto &[id, server] : usableServers_) {
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/routing/connectionshares.h>
 #include <burdock/routing/withdrawnentries.h>
 #include <burdock/values/address.h>
 #include <burdock/values/names.h>
@@ -89,12 +90,18 @@
     /// the other ready ones of its region, then those of other regions. None is cut off, and no group is empty.
     std::vector<Records> helpersFor(const InstanceRecord &self) const;
 
+    /// Whether the instance has a record.
+    bool contains(const InstanceId &id) const;
+
     /// Whether another instance is ready, be it cut off or not.
     bool hasOtherReady(const InstanceRecord &self) const;
 
     /// Counts the chosen instances of all regions; the count is at least 1.
     Senders chosen(const InstanceRecord &self) const;
 
+    /// Returns the chosen instances of all regions, among which the connections to servers are divided.
+    std::vector<ConnectionHolder> connectionHolders(const InstanceRecord &self) const;
+
     /// Estimates the instances that send many requests to servers: the chosen ones, or those that would be chosen if all were
     /// ready, whichever is more. Just after a restart of many instances, few are ready but all are about to send.
     Senders senders(const InstanceRecord &self) const;
