Read a body without a stated length up to the end of the connection

Callers saw: nothing so far; found by review. A response without a length on a connection that its server meant to keep counted as whole with an empty body.

Cause: libevent takes "Connection: keep-alive" for a sign that nothing follows. Change: the header is no longer handed on to it; whether a connection is used again is decided from the whole head, as before.

--- a/packages/wire/src/responsehead.cpp
+++ b/packages/wire/src/responsehead.cpp
@@ -218,11 +218,8 @@
     }
     const auto connection = head_.headers.find("connection");
     const std::string_view options = connection == head_.headers.end() ? std::string_view() : std::string_view(connection->second);
-    const bool keepsAlive = listContains(options, "keep-alive");
-    if (listContains(options, "close") || (isVersion10_ && !keepsAlive)) {
+    if (listContains(options, "close") || (isVersion10_ && !listContains(options, "keep-alive"))) {
         framing += "Connection: close\r\n";
-    } else if (keepsAlive) {
-        framing += "Connection: keep-alive\r\n";
     }
     return framing;
 }
--- a/packages/wire/tests/httpclientlatebytestest.cpp
+++ b/packages/wire/tests/httpclientlatebytestest.cpp
@@ -174,6 +174,17 @@
     }
 }
 
+TEST_CASE("A body without a stated length ends with the connection, also if its server meant to keep that", "[http][client][late]")
+{
+    for (const char *head : {"HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\n", "HTTP/1.0 200 OK\r\nConnection: Keep-Alive\r\n\r\n"}) {
+        INFO(head);
+        const Outcome outcome = secondResponseAfter("", head + std::string("mine"), Delivery::AtOnce);
+        REQUIRE(outcome.response.has_value());
+        CHECK(outcome.response->body == "mine");
+        CHECK(outcome.connections == 0);
+    }
+}
+
 TEST_CASE("Bytes that arrive on an idle connection close it", "[http][client][late]")
 {
     for (std::size_t length = 1; length <= Copies.front().size(); length += 5) {
--- a/packages/wire/tests/responseheadtest.cpp
+++ b/packages/wire/tests/responseheadtest.cpp
@@ -45,7 +45,7 @@
                   == std::map<std::string, std::string>{
                       {"retry-after", "2"}, {"x-empty", ""}, {"via", "a, b"}, {"connection", "x, Keep-Alive"}, {"content-length", "4"}});
             CHECK(reader.head().repeatedHeaders == std::set<std::string>{"via"});
-            CHECK(reader.head().framing == "HTTP/1.1 503 \r\nContent-Length: 4\r\nConnection: keep-alive\r\n\r\n");
+            CHECK(reader.head().framing == "HTTP/1.1 503 \r\nContent-Length: 4\r\n\r\n");
         }
     }
 }
