Count all instances in full for a while after an instance reaches the servers again

Callers saw: nothing so far; found by review. Three instances that were cut off for about a second and heard of the others' cuts only after the end of their own divided a server's connections as if the others were still cut off, and together could hold 1.2 times as many as the server accepts.

Cause: only those known as cut off at the moment of the return were counted in full. Change: for three seconds all are. One check of the shares after such a return expected half the weight of an instance that is cut off at once; it now expects the whole weight for three seconds and half of it after them.

Ruled out: doing without the flags of those that were cut off at the return: listings can be later than three seconds.

Measured: the new test summed up to 1.2 before; routingtest "[connections]" passes.

--- a/packages/routing/include/burdock/routing/connectionshares.h
+++ b/packages/routing/include/burdock/routing/connectionshares.h
@@ -50,7 +50,7 @@
     /// Returns the fraction of an instance that has left.
     double fractionAfterLeaving() const;
     /// Returns the sum of the holders' weights.
-    double weights() const;
+    double weights(TimePoint now) const;
 
     const InstanceId self_;
     /// Whether each of the instances is cut off.
@@ -59,7 +59,7 @@
     std::map<InstanceId, TimePoint> left_;
     /// Those that were cut off when this instance reached the servers again, and have not said since that they do too.
     std::set<InstanceId> unconfirmed_;
-    /// Until when instances that have left may still take this one for cut off.
+    /// Until when the others may still take this instance for cut off.
     TimePoint reconnectedUntil_{};
 };
 
--- a/packages/routing/src/connectionshares.cpp
+++ b/packages/routing/src/connectionshares.cpp
@@ -62,11 +62,13 @@
     return left_.count(self_) > 0 ? fractionAfterLeaving() : 0;
 }
 
-double ConnectionShares::weights() const
+double ConnectionShares::weights(TimePoint now) const
 {
+    // Others may have come back as well, also those whose cuts this instance hears of only now.
+    const bool reconnected = now < reconnectedUntil_;
     double sum = 0;
     for (const auto &[id, cutOff] : holders_) {
-        sum += cutOff && unconfirmed_.count(id) == 0 ? CutOffWeight : 1;
+        sum += cutOff && !reconnected && unconfirmed_.count(id) == 0 ? CutOffWeight : 1;
     }
     return sum;
 }
@@ -75,9 +77,9 @@
 {
     const auto left = static_cast<double>(left_.size());
     if (cutOff) {
-        return CutOffWeight / (weights() + left * CutOffWeight);
+        return CutOffWeight / (weights(now) + left * CutOffWeight);
     }
-    return 1 / (weights() + (now < reconnectedUntil_ ? left : 0));
+    return 1 / (weights(now) + (now < reconnectedUntil_ ? left : 0));
 }
 
 double ConnectionShares::fractionAfterLeaving() const
--- a/packages/routing/tests/connectionsharestest.cpp
+++ b/packages/routing/tests/connectionsharestest.cpp
@@ -143,8 +143,11 @@
         setAll(fleet, 1, 2, State::Connected);
         fleet.hear();
         CHECK(fleet.fraction(0) == Approx(Used / 6));
+        // Others may have come back too, whatever it hears of them in the next seconds.
         fleet.set(1, State::CutOff);
         fleet.hear();
+        CHECK(fleet.fraction(0) == Approx(Used / 6));
+        fleet.wait(seconds(3));
         CHECK(fleet.fraction(0) == Approx(Used / 5.5));
     }
 }
@@ -224,3 +227,25 @@
         }
     }
 }
+
+TEST_CASE("A server's connections are not exceeded if instances hear of the others' cuts only after their own has ended", "[connections][cutoff]")
+{
+    constexpr std::size_t Count = 3;
+    double sum = 0;
+    for (std::size_t self = 0; self < Count; ++self) {
+        const auto holders = [self](bool selfCutOff, bool othersCutOff) {
+            std::vector<ConnectionHolder> all;
+            for (std::size_t index = 0; index < Count; ++index) {
+                all.push_back({InstanceId("i" + std::to_string(index)), index == self ? selfCutOff : othersCutOff});
+            }
+            return all;
+        };
+        ConnectionShares shares(InstanceId("i" + std::to_string(self)));
+        shares.setHolders(holders(false, false), TimePoint(seconds(100)));
+        shares.setHolders(holders(true, false), TimePoint(seconds(101)));
+        shares.setHolders(holders(false, false), TimePoint(milliseconds(102100)));
+        shares.setHolders(holders(false, true), TimePoint(milliseconds(102200)));
+        sum += shares.fraction(TimePoint(milliseconds(102300)));
+    }
+    CHECK(sum <= 1);
+}
