Give instances that serve for larger ones in a cut a share of the connections

Callers saw: nothing so far; found by review. While all instances that clients are normally directed to are cut off, clients and passed-on requests go to others, as smaller ones of the region. These held one connection to each server, so most requests found no room.

Cause: connections were divided among the instances that are chosen while none is cut off. Change: those that clients are directed to instead count as well.

Measured: the new test of the table found no share before; a second one sums up the shares of five instances after such a cut, whoever has heard of its end. routingtest passes.

--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -99,7 +99,8 @@
     /// Counts the chosen instances of all regions; the count is at least 1.
     Senders chosen(const InstanceRecord &self) const;
 
-    /// Returns the chosen instances of all regions, among which the connections to servers are divided.
+    /// Returns the instances among which the connections to servers are divided: the chosen ones of all regions, and those that clients
+    /// are directed to instead while chosen ones are cut off.
     std::vector<ConnectionHolder> connectionHolders(const InstanceRecord &self) const;
 
     /// Estimates the instances that send many requests to servers: the chosen ones, or those that would be chosen if all were
--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -153,12 +153,16 @@
 
 std::vector<ConnectionHolder> InstanceTable::connectionHolders(const InstanceRecord &self) const
 {
-    std::vector<ConnectionHolder> holders;
+    std::map<InstanceId, bool> cutOff;
     for (const auto &[region, records] : byRegion(self)) {
-        for (const InstanceRecord *record : chosenOf(readyOf(records))) {
-            holders.push_back({record->id, record->cutOff});
+        for (const Records &senders : {chosenOf(readyOf(records)), directedFrom(region, self)}) {
+            for (const InstanceRecord *record : senders) {
+                cutOff[record->id] = record->cutOff;
+            }
         }
     }
+    std::vector<ConnectionHolder> holders;
+    std::transform(cutOff.begin(), cutOff.end(), std::back_inserter(holders), [](const auto &entry) { return ConnectionHolder{entry.first, entry.second}; });
     return holders;
 }
 
--- a/packages/routing/tests/connectionsharestest.cpp
+++ b/packages/routing/tests/connectionsharestest.cpp
@@ -1,6 +1,8 @@
 #include <burdock/routing/connectionshares.h>
+#include <burdock/routing/instancetable.h>
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -13,6 +15,13 @@
 
 constexpr double Used = ConnectionShares::UsedFraction;
 
+InstanceRecord recordOf(const std::string &id, double cores, bool cutOff)
+{
+    InstanceRecord record{InstanceId(id), Address{"10.0.0.1", 9000}, Address{"10.0.0.2", 9000}, Region("r"), DataCentre("a"), true, cores, false};
+    record.cutOff = cutOff;
+    return record;
+}
+
 /// Instances that hear of each other's changes when the test says so.
 class Fleet
 {
@@ -249,3 +258,51 @@
     }
     CHECK(sum <= 1);
 }
+
+TEST_CASE("An instance that clients are directed to only since all larger ones are cut off holds a share of the connections", "[connections][cutoff]")
+{
+    InstanceTable table(1);
+    for (const char *id : {"large1", "large2", "large3"}) {
+        table.put(recordOf(id, 4, true));
+    }
+    table.put(recordOf("small2", 1, false));
+    const InstanceRecord self = recordOf("small1", 1, false);
+    // Clients use the two small ones.
+    REQUIRE(table.addressesFor(self.region, self, 10).size() == 2);
+    ConnectionShares shares(self.id);
+    shares.setHolders(table.connectionHolders(self), TimePoint(seconds(100)));
+    CHECK(shares.fraction(TimePoint(seconds(100))) > 0);
+}
+
+TEST_CASE("A server's connections are not exceeded after smaller instances have served for larger ones that were cut off", "[connections][cutoff]")
+{
+    constexpr std::size_t Large = 3;
+    constexpr std::size_t Count = 5;
+    for (unsigned informed = 0; informed < 1U << Count; ++informed) {
+        INFO("informed: " << informed);
+        double sum = 0;
+        for (std::size_t self = 0; self < Count; ++self) {
+            const bool isInformed = (informed >> self & 1U) != 0;
+            InstanceTable table(1);
+            ConnectionShares shares(InstanceId("i" + std::to_string(self)));
+            const auto hear = [&](bool selfCutOff, bool othersCutOff, TimePoint now) {
+                std::optional<InstanceRecord> own;
+                for (std::size_t index = 0; index < Count; ++index) {
+                    const bool cutOff = index < Large && (index == self ? selfCutOff : othersCutOff);
+                    const InstanceRecord record = recordOf("i" + std::to_string(index), index < Large ? 4 : 1, cutOff);
+                    if (index == self) {
+                        own = record;
+                    } else {
+                        table.put(record);
+                    }
+                }
+                shares.setHolders(table.connectionHolders(*own), now);
+            };
+            hear(false, false, TimePoint(seconds(100)));
+            hear(true, true, TimePoint(seconds(101)));
+            hear(false, !isInformed, TimePoint(seconds(110)));
+            sum += shares.fraction(TimePoint(seconds(110)));
+        }
+        CHECK(sum <= 1);
+    }
+}
