Test clients that read slowly over a longer time, with longer limits

The case gave a client 60 ms without progress, and client and server share a thread in it: once, with sanitizers and a load of 28, a client that read was closed. Traced by reading only: when a callback of the test takes longer than the limit, the time counts for the client.

The limit of the case is 500 ms now, and the client that reads pauses so often that its response takes longer than that. Before, no pause came near the limit and a limit on the whole response would have passed.

--- a/packages/wire/tests/httpserverfaulttest.cpp
+++ b/packages/wire/tests/httpserverfaulttest.cpp
@@ -250,7 +250,7 @@
 TEST_CASE("a connection is closed only if the client does not read a large response", "[http][server]")
 {
     HttpServerLimits limits = Server::smallLimits();
-    limits.requestTime = 60ms;
+    limits.requestTime = 500ms;
     Server server(limits);
     RawSocket client(server.loop, server.port);
     client.send(get("/late"));
@@ -263,9 +263,16 @@
         CHECK(server.until([&] { return server.server->openConnections() == 0; }));
         CHECK(server.server->counters().timedOut == 1);
     }
-    SECTION("reads")
+    SECTION("reads, but not all within the limit")
     {
         server.waiting[0]->respond({200, {}, large});
+        constexpr std::size_t PieceBytes = 2000000;
+        for (std::size_t bytes = PieceBytes; bytes < large.size() / 2; bytes += PieceBytes) {
+            REQUIRE(server.until([&] { return client.received.size() > bytes; }));
+            client.stopReading();
+            server.loop.runUntil([] { return false; }, 150ms);
+            client.startReading();
+        }
         CHECK(server.until([&] { return client.received.size() > large.size(); }));
         CHECK(server.server->counters().timedOut == 0);
     }
