--- a/packages/wire/tests/httpserverfaulttest.cpp
+++ b/packages/wire/tests/httpserverfaulttest.cpp
@@ -323,6 +323,8 @@
     CHECK_FALSE(busy.closedByPeer);
     CHECK(server.server->counters().replacedConnections == 1);
     CHECK(server.server->counters().refusedConnections == 0);
+    server.waiting[0]->respond({200, {}, "late"});
+    CHECK(server.until([&] { return busy.received.find("late") != std::string::npos; }));
 }
 
 TEST_CASE("a new connection takes the place of the next one if a request is arriving on the one that has been idle longest", "[http][server]")
