Keep exceptions out of the event loop, each ends one request

Cause: nothing between a callback and libevent caught anything. Change: ExceptionBoundary, one for each Runtime. Every callback that libevent runs (timers, signals, accepts, connections, calls, links, datagrams, lingering closes) runs within it. Timers and calls remember the work that made them; the request of a server's connection is such work. An exception is logged (callback.failed), counted, and ends that request: 500 with the verdict mayHaveRun, its attempts are cancelled, the connection serves the next request. A response that has begun is broken off. Other instances are told burdock-outcome: failed, since a response without an outcome means to every build that the request was not run.

What a swallowed exception would leave behind: chains that end without a word. Periodic work schedules its next turn first (PeriodicTimer); a watch whose change cannot be handled ends with a failure, so that its follower lists again, ever more slowly; one request's answer that throws keeps no other from its answer when all are ended; an attempt whose sending throws is recorded before, so that its counts end with it.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -4,6 +4,7 @@
 #include <burdock/daemon/log.h>
 #include <burdock/daemon/settings.h>
 #include <burdock/wire/crashlog.h>
+#include <burdock/wire/json.h>
 
 #include <csignal>
 #include <iostream>
@@ -32,7 +33,7 @@
 void printListening(const ListedInstance &self)
 {
     const nlohmann::json line{{"instance", self.id.text()}, {"callers", self.callers.toString()}, {"peers", self.peers.toString()}};
-    std::cout << "listening " << line.dump() << std::endl;
+    std::cout << "listening " << writeJson(line) << std::endl;
 }
 
 int serve(const Settings &settings)
@@ -40,6 +41,9 @@
     initializeLogging(settings.logFormat, settings.logLevel);
     CrashLog::install(STDERR_FILENO, settings.id.text());
     EventLoop loop;
+    loop.boundary().setHandler([](std::string_view place, std::string_view reason) {
+        logWarning("callback", "failed", {{"place", std::string(place)}, {"reason", std::string(reason)}});
+    });
     const auto incarnation = static_cast<std::uint64_t>(loop.wallNow().time_since_epoch().count());
     Instance instance(loop, settings, incarnation);
     const Result<void> started = instance.start();
--- a/packages/router/include/burdock/router/passonheaders.h
+++ b/packages/router/include/burdock/router/passonheaders.h
@@ -3,6 +3,7 @@
 #include <burdock/router/headernames.h>
 #include <burdock/routing/peerrequests.h>
 #include <burdock/wire/httpclient.h>
+#include <burdock/wire/httpserver.h>
 
 #include <map>
 #include <string>
@@ -30,6 +31,9 @@
     /// Adds what the answer's status and other headers do not tell.
     static void writeOutcome(Headers &headers, const ClientAnswer &answer, std::int64_t configVersion);
 
+    /// Returns the response to a request whose handling threw: it may have run.
+    static HttpServerResponse failureResponse();
+
     /// Whether a peer's response has each of these headers once at most.
     static bool areStatedOnce(const HttpResponse &response);
 
--- a/packages/router/include/burdock/router/relayedstore.h
+++ b/packages/router/include/burdock/router/relayedstore.h
@@ -95,6 +95,7 @@
     void watchStore(std::uint64_t id);
     void trySwitchToRelay(std::uint64_t id);
     void onRelayFailed(std::uint64_t id, const Address &relay, const std::string &reason);
+    void endWatch(std::uint64_t id, const Failure &failure);
     void logRelayFailure(const Address &relay, const std::string &key, std::int64_t revision, const std::string &reason);
     /// Notes the time up to which the data under a key are complete.
     void confirm(const std::string &key, TimePoint completeUntil);
--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -15,6 +15,7 @@
 #include <burdock/routing/instancerole.h>
 #include <burdock/routing/loopdelay.h>
 #include <burdock/routing/reachtrials.h>
+#include <burdock/values/periodictimer.h>
 #include <burdock/wire/eventloop.h>
 
 #include <memory>
@@ -83,7 +84,8 @@
     /// Sets the lease and the record by what the other instances need this one for.
     void updateRole();
     void closeListeners();
-    void stopIfIdle();
+    /// Stops if nothing is left to do, or the time to stop is over.
+    void checkStop();
     /// Whether a request of a client or of another instance has no complete answer yet.
     bool hasWork() const;
     void registerMetrics();
@@ -132,8 +134,9 @@
     LoopDelay loopDelay_;
     TimePoint tickDue_{};
     Duration suspended_{0};
-    TimerId tickTimer_ = 0;
-    TimerId stateTimer_ = 0;
+    PeriodicTimer tickTimer_;
+    PeriodicTimer stateTimer_;
+    PeriodicTimer stopTimer_;
     TimerId publishTimer_ = 0;
     TimerId rewriteTimer_ = 0;
     bool recordPublished_ = false;
--- a/packages/router/src/clientendpoint.cpp
+++ b/packages/router/src/clientendpoint.cpp
@@ -2,11 +2,11 @@
 
 #include <burdock/router/httpbackends.h>
 #include <burdock/router/passonheaders.h>
+#include <burdock/wire/json.h>
 
 #include <array>
 #include <charconv>
 #include <cstdio>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace Burdock
@@ -97,7 +97,7 @@
         out.body = answer.body;
     } else {
         const char *verdict = answer.kind == ClientAnswer::Kind::Refused ? "notRun" : "mayHaveRun";
-        out.body = nlohmann::json{{"error", {{"message", answer.reason}, {"verdict", verdict}}}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        out.body = writeJson(nlohmann::json{{"error", {{"message", answer.reason}, {"verdict", verdict}}}});
     }
     if (answer.kind == ClientAnswer::Kind::Gathered) {
         out.headers[names_.partSignatures] = join(answer.signatures);
@@ -177,11 +177,15 @@
         responder->respond(makeResponse(loggedRequest, answer));
         return;
     }
-    const ServedRequestId id =
-        coordinator_.serve(std::move(request), [this, responder, loggedRequest, arrived](const Route *route, const ClientAnswer &answer) {
+    ExceptionBoundary &boundary = runtime_.boundary();
+    // Also called from code that runs for other requests, or for none.
+    const auto onAnswer = [this, &boundary, work = boundary.work(), responder, loggedRequest, arrived](const Route *route, const ClientAnswer &answer) {
+        boundary.runFor(work, "answer", [&] {
             recordAnswer(loggedRequest, route, answer, runtime_.now() - arrived);
             responder->respond(makeResponse(loggedRequest, answer));
         });
+    };
+    const ServedRequestId id = coordinator_.serve(std::move(request), onAnswer);
     responder->setDisconnectHandler([this, id, loggedRequest] {
         coordinator_.onClientDisconnected(id);
         const bool byPeer = loggedRequest.passedOn.has_value();
--- a/packages/router/src/passonheaders.cpp
+++ b/packages/router/src/passonheaders.cpp
@@ -1,6 +1,7 @@
 #include <burdock/router/passonheaders.h>
 
 #include <burdock/router/httpbackends.h>
+#include <burdock/wire/json.h>
 
 #include <algorithm>
 #include <array>
@@ -142,6 +143,15 @@
     }
 }
 
+HttpServerResponse PassOnHeaders::failureResponse()
+{
+    HttpServerResponse out;
+    out.status = AnswerStatus::InternalError;
+    out.headers[Outcome] = Outcomes.at(static_cast<std::size_t>(ClientAnswer::Kind::Failed));
+    out.body = writeJson(nlohmann::json{{"error", {{"message", "an internal error ended the request"}, {"verdict", "mayHaveRun"}}}});
+    return out;
+}
+
 bool PassOnHeaders::areStatedOnce(const HttpResponse &response)
 {
     return std::none_of(All.begin(), All.end(), [&response](const char *name) { return response.repeatedHeaders.count(name) > 0; });
@@ -153,6 +163,10 @@
         return tl::make_unexpected(response.error());
     }
     const auto outcome = std::find(Outcomes.begin(), Outcomes.end(), valueOf(response->headers, Outcome));
+    const bool isFailure = response->status == AnswerStatus::InternalError || !valueOf(response->headers, Outcome).empty();
+    if (outcome == Outcomes.end() && isFailure) {
+        return mayHaveRun(Errc::Internal, "the peer failed, status " + std::to_string(response->status));
+    }
     if (outcome == Outcomes.end()) {
         // The answer of a program that does not know these headers, or an error of the HTTP server, which has not read the request.
         return notRun(Errc::Unavailable, "the peer did not take the request, status " + std::to_string(response->status));
--- a/packages/router/src/relayedstore.cpp
+++ b/packages/router/src/relayedstore.cpp
@@ -323,15 +323,29 @@
     ++answeredPolls_;
     relays_.onAnswered();
     const auto age = ageOf(*response);
-    if (!announceAnswer(id, age ? sentAt - *age : TimePoint{})) {
-        return;
-    }
-    for (const StoreEntry &entry : *entries) {
-        if (!deliver(id, entry)) {
-            return;
+    bool goesOn = false;
+    const bool delivered = runtime_.boundary().run("relayed watch", [&] {
+        goesOn = announceAnswer(id, age ? sentAt - *age : TimePoint{});
+        for (auto entry = entries->begin(); goesOn && entry != entries->end(); ++entry) {
+            goesOn = deliver(id, *entry);
         }
+    });
+    if (!delivered) {
+        return endWatch(id, Failure{Errc::Internal, Verdict::NotRun, "a change could not be handled", Duration{0}});
+    }
+    if (goesOn) {
+        startWatch(id);
+    }
+}
+
+void RelayedStore::endWatch(std::uint64_t id, const Failure &failure)
+{
+    auto node = watches_.extract(id);
+    if (!node.empty()) {
+        node.mapped().storeWatch = 0;
+        cancelCalls(node.mapped());
+        node.mapped().ended(failure);
     }
-    startWatch(id);
 }
 
 void RelayedStore::onRelayFailed(std::uint64_t id, const Address &relay, const std::string &reason)
@@ -355,14 +369,7 @@
         watch.prefix,
         watch.revision,
         [this, id](const StoreEntry &entry) { deliver(id, entry); },
-        [this, id](const Failure &failure) {
-            auto node = watches_.extract(id);
-            if (!node.empty()) {
-                node.mapped().storeWatch = 0;
-                cancelCalls(node.mapped());
-                node.mapped().ended(failure);
-            }
-        });
+        [this, id](const Failure &failure) { endWatch(id, failure); });
     store_.setAnswerHandler(watch.storeWatch, [this, id](TimePoint completeUntil) { announceAnswer(id, completeUntil); });
     watch.timer = runtime_.schedule(RelayRetryInterval, [this, id] { trySwitchToRelay(id); });
 }
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -249,11 +249,15 @@
     , directory_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
     , peers_(makeHttpServer(loop, peerLimits({}, settings.descriptors)))
     , suspended_(loop.suspended())
+    , tickTimer_(loop, TickInterval, [this] { tick(); })
+    , stateTimer_(loop, StateLogInterval, [this] { logState(); })
+    , stopTimer_(loop, IdleCheckInterval, [this] { checkStop(); })
     , startedAt_(loop.now())
 {
     clients_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { clientEndpoint_.serve(std::move(in), out); });
     readiness_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveReadiness(in, out); });
     directory_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveDirectory(in, out); });
+    peers_->setFailureResponse(PassOnHeaders::failureResponse());
     peers_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { servePeers(std::move(in), out); });
     registerMetrics();
 }
@@ -261,8 +265,6 @@
 Router::~Router()
 {
     *alive_ = false;
-    loop_.cancel(tickTimer_);
-    loop_.cancel(stateTimer_);
     loop_.cancel(publishTimer_);
     loop_.cancel(rewriteTimer_);
 }
@@ -301,7 +303,8 @@
     }
     tickDue_ = loop_.now();
     tick();
-    stateTimer_ = loop_.schedule(StateLogInterval, [this] { logState(); });
+    tickTimer_.start();
+    stateTimer_.start();
     return {};
 }
 
@@ -379,6 +382,7 @@
 void Router::tick()
 {
     loopDelay_.onTimerFired(tickDue_, loop_.now());
+    tickDue_ = loop_.now() + TickInterval;
     const Duration suspended = loop_.suspended();
     if (suspended - suspended_ > MinSuspension) {
         log_.write(DecisionPriority::Change, "machine.woke", {{"suspendedMs", (suspended - suspended_).count() / 1000}});
@@ -393,8 +397,6 @@
     updateReadiness();
     updateConnectionFraction();
     updateRole();
-    tickDue_ = loop_.now() + TickInterval;
-    tickTimer_ = loop_.schedule(TickInterval, [this] { tick(); });
 }
 
 void Router::logRelayFreshness()
@@ -415,7 +417,6 @@
             log_.write(DecisionPriority::Routine, "state", {{"value", name}, {"is", static_cast<std::int64_t>(value)}});
         }
     });
-    stateTimer_ = loop_.schedule(StateLogInterval, [this] { logState(); });
 }
 
 void Router::addMetric(std::string name, std::string kind, std::string help, std::function<double()> read)
@@ -760,10 +761,11 @@
     clients_->stopAccepting();
     clients_->closeConnectionsAfterAnswers();
     log_.write(DecisionPriority::Change, "closing", {{"waiting", static_cast<std::int64_t>(coordinator_.pendingRequests())}});
-    stopIfIdle();
+    stopTimer_.start();
+    checkStop();
 }
 
-void Router::stopIfIdle()
+void Router::checkStop()
 {
     const TimePoint now = loop_.now();
     if (!lastAnswersUntil_ && leavingSince_ + settings_.stopTime - now < StopMargin) {
@@ -779,10 +781,9 @@
     if (deadlinePassed || idle) {
         log_.write(DecisionPriority::Change, "stopped", {{"unanswered", static_cast<std::int64_t>(clients_->requestsInFlight())}});
         log_.flush();
+        stopTimer_.stop();
         onStopped_();
-        return;
     }
-    loop_.schedule(IdleCheckInterval, [this] { stopIfIdle(); });
 }
 
 bool Router::hasWork() const
--- a/packages/router/tests/clientendpointtest.cpp
+++ b/packages/router/tests/clientendpointtest.cpp
@@ -51,6 +51,41 @@
     CHECK(nlohmann::json::parse(responder->body).at("error").at("verdict") == "notRun");
 }
 
+TEST_CASE("An answer that cannot be written costs no other request its answer", "[endpoint][boundary]")
+{
+    /// Fails as a response does for which there is no memory.
+    struct ThrowingResponder final : HttpResponder
+    {
+        void respond(HttpServerResponse) override
+        {
+            throw std::runtime_error("thrown by a test");
+        }
+        void sendChunk(const std::string &) override
+        {
+        }
+        void finish() override
+        {
+        }
+        void setDisconnectHandler(std::function<void()>) override
+        {
+        }
+    };
+    EndpointFixture fixture;
+    fixture.routing.runtime.boundary().setHandler([](std::string_view, std::string_view) {});
+    const auto first = fixture.send();
+    HttpServerRequest incoming;
+    incoming.method = "GET";
+    incoming.target = "/parts/x";
+    incoming.headers = {{"host", "shop.example"}, {"x-id", "2"}};
+    fixture.endpoint.serve(incoming, std::make_shared<ThrowingResponder>());
+    const auto last = fixture.send();
+    fixture.routing.coordinator.failAll("the instance is stopping");
+    CHECK(first->status == 502);
+    CHECK(last->status == 502);
+    CHECK(fixture.routing.coordinator.pendingRequests() == 0);
+    CHECK(fixture.routing.runtime.boundary().caught() == 1);
+}
+
 TEST_CASE("Requests that arrive after the time at which an instance stops are refused and not run", "[endpoint]")
 {
     EndpointFixture fixture;
--- a/packages/router/tests/passonheaderstest.cpp
+++ b/packages/router/tests/passonheaderstest.cpp
@@ -236,6 +236,22 @@
     CHECK(lost.error().verdict == Verdict::MayHaveRun);
 }
 
+TEST_CASE("A request whose handling throws at a peer may have run, whichever build the peer runs", "[passing][headers][boundary]")
+{
+    const HttpServerResponse sent = PassOnHeaders::failureResponse();
+    const auto reply = PassOnHeaders::readReply(Names, HttpResponse{sent.status, sent.headers, sent.body});
+    REQUIRE(reply);
+    CHECK(reply->answer.kind == ClientAnswer::Kind::Failed);
+    CHECK(reply->answer.inability == ClientAnswer::Inability::None);
+    CHECK_FALSE(reply->answer.reason.empty());
+    const auto unmarked = PassOnHeaders::readReply(Names, HttpResponse{500, {}, {}});
+    REQUIRE_FALSE(unmarked);
+    CHECK(unmarked.error().verdict == Verdict::MayHaveRun);
+    const auto unknown = PassOnHeaders::readReply(Names, HttpResponse{503, {{"burdock-outcome", "of a later build"}}, {}});
+    REQUIRE_FALSE(unknown);
+    CHECK(unknown.error().verdict == Verdict::MayHaveRun);
+}
+
 TEST_CASE("An instance that stops refuses late requests of other instances, which ask the next one", "[passing][stop]")
 {
     PeersFixture fixture;
--- a/packages/routing/include/burdock/routing/clientanswer.h
+++ b/packages/routing/include/burdock/routing/clientanswer.h
@@ -59,6 +59,7 @@
     static constexpr int Ok = 200;
     static constexpr int BadRequest = 400;
     static constexpr int NotFound = 404;
+    static constexpr int InternalError = 500;
     static constexpr int BadGateway = 502;
     static constexpr int Unavailable = 503;
     static constexpr int GatewayTimeout = 504;
--- a/packages/routing/include/burdock/routing/requestcoordinator.h
+++ b/packages/routing/include/burdock/routing/requestcoordinator.h
@@ -61,10 +61,14 @@
         std::optional<ClientAnswer> ownAnswer;
         RunTerms terms;
         AnswerCallback onAnswer;
+        /// What an exception ends that is thrown for the request.
+        std::weak_ptr<GuardedWork> work;
         TimerId removal = 0;
         bool answered = false;
     };
 
+    /// Starts the run of a new entry, or passes the request on.
+    void start(ServedRequestId id);
     /// Returns the refusal of a request of another instance that this one cannot serve, or nothing.
     std::optional<ClientAnswer> refuseForOther(const ClientRequest &request) const;
     /// Returns the route as it holds for the request.
--- a/packages/routing/include/burdock/routing/storefollower.h
+++ b/packages/routing/include/burdock/routing/storefollower.h
@@ -60,6 +60,7 @@
     void pause();
     void endWatch();
     void onRangeRead(Result<StoreRange> range);
+    void takeListing(const StoreRange &range);
     void onWatchEnded(const Failure &failure);
     void onReachable();
     void onUnreachable(const Failure &failure);
--- a/packages/routing/src/requestcoordinator.cpp
+++ b/packages/routing/src/requestcoordinator.cpp
@@ -153,14 +153,26 @@
     Entry &entry = entries_[id];
     entry.terms = RunTerms{route, shared, shared->arrived + effectiveTimeout, retryAfter(*route), trial, clientAge};
     entry.onAnswer = std::move(onAnswer);
+    entry.work = context_.runtime.boundary().work();
     ++pending_;
+    try {
+        start(id);
+    } catch (...) {
+        // The caller gets no id by which it could end the request.
+        onClientDisconnected(id);
+        throw;
+    }
+    return id;
+}
+
+void RequestCoordinator::start(ServedRequestId id)
+{
     if (context_.reach.isCutOff()) {
-        passOn(id, {}, CutOffReason);
-        return id;
+        return passOn(id, {}, CutOffReason);
     }
+    Entry &entry = entries_.at(id);
     entry.run = makeRun(entry.terms);
     entry.run->start([this, id](ClientAnswer given) { onRunAnswered(id, std::move(given)); });
-    return id;
 }
 
 void RequestCoordinator::onRunAnswered(ServedRequestId id, ClientAnswer given)
@@ -276,7 +288,7 @@
         // The answers before it may have ended this one.
         const auto found = entries_.find(id);
         if (found != entries_.end() && !found->second.answered) {
-            onCutOff(id);
+            context_.runtime.boundary().runFor(found->second.work, "cut-off", [this, id] { onCutOff(id); });
         }
     }
 }
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -181,10 +181,11 @@
     Attempt attempt{0, chosen.server, now, !first && !attempts_.empty(), 0};
     attempt.reachId = context_.reach.onSent(*chosen.server, context_.choice.overdueAfter(*route_, *chosen.server, now));
     context_.choice.onSent(*route_, *chosen.server, now, !first);
-    attempt.id =
-        context_.backends.send(chosen.server, request_, deadline_, [this, number](Result<ServerReply> reply) { onAttemptFinished(number, std::move(reply)); });
-    attempts_.emplace(number, std::move(attempt));
     trial_->onSent(chosen.server->id);
+    // Before sending, which may throw: what was counted above ends with the attempt.
+    attempts_.emplace(number, std::move(attempt));
+    attempts_.at(number).id =
+        context_.backends.send(chosen.server, request_, deadline_, [this, number](Result<ServerReply> reply) { onAttemptFinished(number, std::move(reply)); });
     if (first) {
         ++context_.counters.firstSends;
     } else {
--- a/packages/routing/src/storefollower.cpp
+++ b/packages/routing/src/storefollower.cpp
@@ -76,15 +76,25 @@
         chartRun_.handle("broken");
         return;
     }
+    const Duration retryDelay = retryDelay_;
     onReachable();
-    if (range->revision >= revision_) {
-        revision_ = range->revision;
-        hasListing_ = true;
-        events_.onListed(range->entries, range->revision);
-    } else {
-        events_.onOlderListing(range->revision, revision_);
+    const bool taken = runtime_.boundary().run("store listing", [this, &range] { takeListing(*range); });
+    if (!taken) {
+        // The next listing may fail in the same way.
+        retryDelay_ = retryDelay;
     }
-    chartRun_.handle("listed");
+    chartRun_.handle(taken ? "listed" : "broken");
+}
+
+void StoreFollower::takeListing(const StoreRange &range)
+{
+    if (range.revision < revision_) {
+        events_.onOlderListing(range.revision, revision_);
+        return;
+    }
+    revision_ = range.revision;
+    hasListing_ = true;
+    events_.onListed(range.entries, range.revision);
 }
 
 void StoreFollower::startWatch()
--- a/packages/routing/tests/routingfixture.h
+++ b/packages/routing/tests/routingfixture.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,9 @@
 
     BackendRequestId send(const ServerHandle &server, const std::shared_ptr<const ClientRequest> &request, TimePoint deadline, Callback done) override
     {
+        if (throws) {
+            throw std::runtime_error("thrown by a test");
+        }
         ++all;
         open.push_back({++last_, server, request, deadline, std::move(done)});
         return last_;
@@ -58,6 +62,8 @@
     std::vector<Sent> open;
     std::vector<std::string> cancelled;
     std::size_t all = 0;
+    /// Whether sending throws.
+    bool throws = false;
 
 private:
     BackendRequestId last_ = 0;
--- a/packages/routing/tests/storefollowertest.cpp
+++ b/packages/routing/tests/storefollowertest.cpp
@@ -42,6 +42,36 @@
     }
 };
 
+/// A follower whose listings cannot be handled, as for lack of memory.
+struct ThrowingFollower
+{
+    ThrowingFollower()
+    {
+        runtime.boundary().setHandler([](std::string_view, std::string_view) {});
+    }
+
+    void list()
+    {
+        store.reply(store.ranges, Result<StoreRange>(StoreRange{{{"k", "v", 7, 0, false}}, 10}));
+    }
+
+    ManualRuntime runtime;
+    ManualStore store;
+    bool throws = true;
+    int listed = 0;
+    StoreFollower follower{runtime,
+                           store,
+                           "servers/",
+                           {[this](const std::vector<StoreEntry> &, std::int64_t) {
+                                if (throws) {
+                                    throw std::runtime_error("thrown by a test");
+                                }
+                                ++listed;
+                            },
+                            [](const StoreEntry &) {},
+                            [](const Failure *) {}}};
+};
+
 struct LeaseFixture
 {
     ManualRuntime runtime;
@@ -62,6 +92,25 @@
 
 } // namespace
 
+TEST_CASE("A listing that cannot be handled is read again, each time after a longer pause", "[follower][boundary]")
+{
+    ThrowingFollower fixture;
+    fixture.follower.start();
+    fixture.list();
+    CHECK(fixture.store.ranges.empty());
+    fixture.runtime.advance(milliseconds(100));
+    REQUIRE(fixture.store.ranges.size() == 1);
+    fixture.list();
+    fixture.runtime.advance(milliseconds(100));
+    CHECK(fixture.store.ranges.empty());
+    fixture.runtime.advance(milliseconds(100));
+    REQUIRE(fixture.store.ranges.size() == 1);
+    fixture.throws = false;
+    fixture.list();
+    CHECK(fixture.listed == 1);
+    CHECK(fixture.store.watches.size() == 1);
+}
+
 TEST_CASE("A follower lists all keys once and watches from that revision", "[follower]")
 {
     FollowerFixture fixture;
--- a/packages/values/include/burdock/values/runtime.h
+++ b/packages/values/include/burdock/values/runtime.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <burdock/values/exceptionboundary.h>
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -43,6 +45,15 @@
 
     /// Cancels a scheduled call. Unknown or already fired timers are ignored.
     virtual void cancel(TimerId timer) = 0;
+
+    /// The boundary within which the callbacks of the loop run.
+    ExceptionBoundary &boundary()
+    {
+        return boundary_;
+    }
+
+private:
+    ExceptionBoundary boundary_;
 };
 
 } // namespace Burdock
--- a/packages/wire/include/burdock/wire/httpserver.h
+++ b/packages/wire/include/burdock/wire/httpserver.h
@@ -50,7 +50,8 @@
     /// Ends a chunked response.
     virtual void finish() = 0;
 
-    /// Sets a function that is called once if the client disconnects before the response was sent.
+    /// Sets a function that is called once if the client disconnects before the response was sent, or if the server has answered since
+    /// the code that handles the request threw.
     virtual void setDisconnectHandler(std::function<void()> gone) = 0;
 };
 
@@ -99,6 +100,9 @@
     /// Sets the function that is called for each request.
     virtual void setHandler(Handler handler) = 0;
 
+    /// Sets the response to requests whose handling threw: such a request may have run. By default status 500 with the code `internal`.
+    virtual void setFailureResponse(HttpServerResponse response) = 0;
+
     /// Changes the limits. New limits on the size of a request apply only to connections that are accepted afterwards.
     virtual void setLimits(const HttpServerLimits &limits) = 0;
 
--- a/packages/wire/include/burdock/wire/json.h
+++ b/packages/wire/include/burdock/wire/json.h
@@ -12,4 +12,8 @@
 /// of a megabyte can be nested half a million times, and would take many times its size.
 Result<nlohmann::json> parseJson(const std::string &text);
 
+/// Writes JSON on one line. Bytes that are not UTF-8 are replaced: texts that came from elsewhere may contain any.
+std::string writeJson(const nlohmann::json &value);
+std::string writeJson(const nlohmann::ordered_json &value);
+
 } // namespace Burdock
--- a/packages/wire/src/clientconnection.cpp
+++ b/packages/wire/src/clientconnection.cpp
@@ -33,6 +33,9 @@
 /// One year. Calls have their own timers, and libevent's must not fire earlier, not even for a watch that waits for hours.
 constexpr timeval LibraryTimeout{31536000, 0};
 
+/// libevent finds that an empty line is no status line, and fails the call.
+constexpr std::string_view NoHead = "\r\n";
+
 struct Method
 {
     std::string_view name;
@@ -256,8 +259,10 @@
 {
     auto *self = static_cast<ClientConnection *>(context);
     // What arrives on an idle connection is left to libevent, which then closes it.
-    if (info->n_added > 0 && self->isBusy() && self->readingHead_) {
-        self->readHead(buffer);
+    if (info->n_added > 0 && self->isBusy() && self->readingHead_ && !self->loop_.boundary().run("response head", [&] { self->readHead(buffer); })) {
+        self->readingHead_ = false;
+        evbuffer_drain(buffer, evbuffer_get_length(buffer));
+        evbuffer_add(buffer, NoHead.data(), NoHead.size());
     }
 }
 
@@ -265,8 +270,6 @@
 /// to read the body.
 void ClientConnection::readHead(evbuffer *buffer)
 {
-    // libevent finds that an empty line is no status line, and fails the call.
-    constexpr std::string_view NoHead = "\r\n";
     const std::string bytes = drain(buffer);
     std::string_view rest = bytes;
     const ResponseHeadReader::Status status = head_.read(rest);
@@ -292,48 +295,67 @@
         self->closed_ = true;
         return;
     }
-    if (!self->isBusy()) {
-        return;
+    if (self->isBusy() && !self->loop_.boundary().run("response", [self, request] { self->handleResponse(request); })) {
+        self->failCall();
     }
+}
+
+void ClientConnection::handleResponse(evhttp_request *request)
+{
     if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
-        self->closed_ = true;
-        self->finish(tl::make_unexpected(self->connectionFailure()));
+        closed_ = true;
+        finish(tl::make_unexpected(connectionFailure()));
         return;
     }
     // Bytes after the response belong to no request and must not be read as the response to the next one.
-    const bool extraBytes = evbuffer_get_length(bufferevent_get_input(self->stream_)) > 0;
+    const bool extraBytes = evbuffer_get_length(bufferevent_get_input(stream_)) > 0;
     // The response arrived before the whole request was sent. The server must not read the rest as the next request.
-    const bool unsent = evbuffer_get_length(bufferevent_get_output(self->stream_)) > 0;
+    const bool unsent = evbuffer_get_length(bufferevent_get_output(stream_)) > 0;
     if (extraBytes || unsent) {
-        self->closed_ = true;
+        closed_ = true;
     }
-    HttpResponse response = self->readResponse(request);
-    if (self->call_->request.isReplyToRequest && !self->call_->request.isReplyToRequest(response)) {
-        self->closed_ = true;
-        self->finish(mayHaveRun(Errc::ConnectionLost, "the response answers another request, " + self->address_.toString()));
+    HttpResponse response = readResponse(request);
+    if (call_->request.isReplyToRequest && !call_->request.isReplyToRequest(response)) {
+        closed_ = true;
+        finish(mayHaveRun(Errc::ConnectionLost, "the response answers another request, " + address_.toString()));
         return;
     }
-    self->finish(std::move(response));
+    finish(std::move(response));
 }
 
 void ClientConnection::onBodyChunk(evhttp_request *request, void *context)
 {
     auto *self = static_cast<ClientConnection *>(context);
     const CallbackScope scope(*self);
+    if (!self->loop_.boundary().run("response body", [self, request] { self->handleBodyChunk(request); })) {
+        self->failCall();
+    }
+}
+
+void ClientConnection::handleBodyChunk(evhttp_request *request)
+{
     std::string chunk = drain(evhttp_request_get_input_buffer(request));
-    if (!self->isBusy()) {
+    if (!isBusy()) {
         return;
     }
     // The body limit applies to each chunk, because a watch runs for hours.
     request->body_size = 0;
     if (evhttp_request_get_response_code(request) != OkStatus) {
-        self->errorBody_ += chunk;
+        errorBody_ += chunk;
         return;
     }
-    const auto onBodyChunk = self->call_->request.onBodyChunk;
+    const auto onBodyChunk = call_->request.onBodyChunk;
     onBodyChunk(chunk);
 }
 
+void ClientConnection::failCall()
+{
+    closed_ = true;
+    if (isBusy()) {
+        loop_.boundary().run("response", [this] { finish(mayHaveRun(Errc::Internal, "an internal error ended the call, " + address_.toString())); });
+    }
+}
+
 void ClientConnection::onError(evhttp_request_error error, void *context)
 {
     static_cast<ClientConnection *>(context)->error_ = error;
@@ -345,7 +367,7 @@
     const CallbackScope scope(*self);
     self->closed_ = true;
     if (!self->isBusy()) {
-        self->events_.onIdleClose();
+        self->loop_.boundary().run("close", self->events_.onIdleClose);
     }
 }
 
--- a/packages/wire/src/datagramsocket.cpp
+++ b/packages/wire/src/datagramsocket.cpp
@@ -88,7 +88,7 @@
                 return;
             }
             if (handler_ && static_cast<std::size_t>(size) <= buffer.size()) {
-                handler_(addressOf(from), std::string(buffer.data(), static_cast<std::size_t>(size)));
+                loop_.boundary().run("datagram", [&] { handler_(addressOf(from), std::string(buffer.data(), static_cast<std::size_t>(size))); });
             }
         }
     }
--- a/packages/wire/src/eventhttpserver.cpp
+++ b/packages/wire/src/eventhttpserver.cpp
@@ -2,6 +2,7 @@
 #include "internal/listener.h"
 #include "internal/serverconnection.h"
 
+#include <burdock/values/periodictimer.h>
 #include <burdock/wire/factories.h>
 
 #include <algorithm>
@@ -33,14 +34,14 @@
         : context_(loop, limits)
         , listener_(std::make_unique<Listener>(
               loop, [this](int socket) { accept(socket); }, [this] { return onAcceptFailed(); }))
-        , sweepInterval_(std::clamp(std::min(limits.requestTime, limits.idleTime) / SweepsPerLimit, MinSweepInterval, MaxSweepInterval))
+        , sweepTimer_(
+              loop, std::clamp(std::min(limits.requestTime, limits.idleTime) / SweepsPerLimit, MinSweepInterval, MaxSweepInterval), [this] { closeOverdue(); })
     {
-        sweep();
+        sweepTimer_.start();
     }
 
     ~EventHttpServer() override
     {
-        context_.loop.cancel(sweepTimer_);
         context_.loop.cancel(stopTimer_);
         forEachConnection([this](const ServerConnection &connection) { context_.connections.erase(&connection); });
     }
@@ -58,6 +59,11 @@
         context_.handler = std::move(handler);
     }
 
+    void setFailureResponse(HttpServerResponse response) override
+    {
+        context_.failureResponse = std::move(response);
+    }
+
     void setLimits(const HttpServerLimits &limits) override
     {
         context_.limits = limits;
@@ -149,17 +155,15 @@
         }
     }
 
-    void sweep()
+    void closeOverdue()
     {
         const TimePoint now = context_.loop.now();
         forEachConnection([now](ServerConnection &connection) { connection.closeIfOverdue(now); });
-        sweepTimer_ = context_.loop.schedule(sweepInterval_, [this] { sweep(); });
     }
 
     ServerContext context_;
     std::unique_ptr<Listener> listener_;
-    const Duration sweepInterval_;
-    TimerId sweepTimer_ = 0;
+    PeriodicTimer sweepTimer_;
     TimerId stopTimer_ = 0;
 };
 
--- a/packages/wire/src/eventloop.cpp
+++ b/packages/wire/src/eventloop.cpp
@@ -56,16 +56,19 @@
         TimerId id = 0;
         event handle{};
         std::function<void()> callback;
+        std::weak_ptr<GuardedWork> work;
     };
 
     struct Signal
     {
+        ExceptionBoundary *boundary = nullptr;
         event *handle = nullptr;
         std::function<void()> callback;
     };
 
-    Private()
-        : base_(newBase())
+    explicit Private(ExceptionBoundary &boundary)
+        : boundary_(boundary)
+        , base_(newBase())
     {
     }
 
@@ -87,16 +90,18 @@
     {
         auto *timer = static_cast<Timer *>(context);
         // Remove the timer before the call, because the callback may schedule or cancel timers, including this one.
-        const auto node = timer->owner->timers_.extract(timer->id);
-        const auto callback = std::move(node.mapped()->callback);
-        callback();
+        Private &owner = *timer->owner;
+        const auto node = owner.timers_.extract(timer->id);
+        owner.boundary_.runFor(node.mapped()->work, "timer", node.mapped()->callback);
     }
 
     static void onSignal(evutil_socket_t, short, void *context)
     {
-        static_cast<Signal *>(context)->callback();
+        auto *signal = static_cast<Signal *>(context);
+        signal->boundary->run("signal", signal->callback);
     }
 
+    ExceptionBoundary &boundary_;
     event_base *base_;
     TimerId lastId_ = 0;
     std::unordered_map<TimerId, std::unique_ptr<Timer>> timers_;
@@ -104,7 +109,7 @@
 };
 
 EventLoop::EventLoop()
-    : d_(std::make_unique<Private>())
+    : d_(std::make_unique<Private>(boundary()))
 {
     // Writing to a connection that the peer has closed must fail with an error instead of ending the process.
     std::signal(SIGPIPE, SIG_IGN);
@@ -133,6 +138,7 @@
     timer->owner = d_.get();
     timer->id = ++d_->lastId_;
     timer->callback = std::move(callback);
+    timer->work = boundary().work();
     evtimer_assign(&timer->handle, d_->base_, &Private::onTimer, timer.get());
     const timeval wait = toTimeval(std::max(delay, Duration{0}));
     // libevent counts from its cached time, which stands still during a callback: without this, timers fire early by as much as
@@ -177,6 +183,7 @@
 void EventLoop::addSignalHandler(int signal, std::function<void()> handler)
 {
     auto entry = std::make_unique<Private::Signal>();
+    entry->boundary = &boundary();
     entry->callback = std::move(handler);
     entry->handle = evsignal_new(d_->base_, signal, &Private::onSignal, entry.get());
     event_add(entry->handle, nullptr);
--- a/packages/wire/src/evhttpclient.cpp
+++ b/packages/wire/src/evhttpclient.cpp
@@ -64,7 +64,7 @@
     {
         const HttpCallId id = ++lastId_;
         Peer &peer = peerOf(request.address);
-        CallEntry entry{{id, std::move(request), std::move(done), 0}, &peer, nullptr};
+        CallEntry entry{{id, std::move(request), std::move(done), 0, loop_.boundary().work()}, &peer, nullptr};
         entry.call.timer = loop_.schedule(entry.call.request.timeout, [this, id] { expire(id); });
         calls_.emplace(id, std::move(entry));
         peer.queue.push_back(id);
@@ -114,7 +114,7 @@
             // A callback may have cancelled it.
             const RemovedCall removed = removeCall(id);
             if (removed.call.done) {
-                removed.call.done(notRun(Errc::Unavailable, "nothing was sent to " + address.toString() + ", which cannot be reached"));
+                report(removed.call, notRun(Errc::Unavailable, "nothing was sent to " + address.toString() + ", which cannot be reached"));
             }
         }
     }
@@ -204,17 +204,25 @@
         if (calls_.at(id).connection->isClosed()) {
             scheduleReap(peer);
         }
-        dispatch(peer);
-        closeExcess(peer);
+        loop_.boundary().runFor({}, "next call", [this, &peer] {
+            dispatch(peer);
+            closeExcess(peer);
+        });
         finishCall(id, std::move(result));
     }
 
+    /// Reports the result of a call that was removed.
+    void report(const HttpCall &call, Result<HttpResponse> result)
+    {
+        loop_.boundary().runFor(call.work, "response", [&call, &result] { call.done(std::move(result)); });
+    }
+
     void finishCall(HttpCallId id, Result<HttpResponse> result)
     {
         const auto node = calls_.extract(id);
         HttpCall &call = node.mapped().call;
         loop_.cancel(call.timer);
-        call.done(std::move(result));
+        report(call, std::move(result));
     }
 
     void expire(HttpCallId id)
@@ -222,9 +230,9 @@
         const RemovedCall removed = removeCall(id);
         const std::string what = "no answer within the timeout from " + removed.call.request.address.toString();
         if (removed.written) {
-            removed.call.done(mayHaveRun(Errc::DeadlineExceeded, what));
+            report(removed.call, mayHaveRun(Errc::DeadlineExceeded, what));
         } else {
-            removed.call.done(notRun(Errc::DeadlineExceeded, what));
+            report(removed.call, notRun(Errc::DeadlineExceeded, what));
         }
     }
 
--- a/packages/wire/src/httpexchange.cpp
+++ b/packages/wire/src/httpexchange.cpp
@@ -41,6 +41,18 @@
     }
 }
 
+void HttpExchange::fail(const std::string &)
+{
+    if (connection_ == nullptr) {
+        return;
+    }
+    const auto handler = std::exchange(disconnectHandler_, nullptr);
+    connection_->fail();
+    if (handler) {
+        handler();
+    }
+}
+
 void HttpExchange::complete()
 {
     connection_ = nullptr;
--- a/packages/wire/src/httptext.cpp
+++ b/packages/wire/src/httptext.cpp
@@ -1,6 +1,7 @@
 #include "internal/httptext.h"
 
 #include <burdock/values/failure.h>
+#include <burdock/wire/json.h>
 
 #include <algorithm>
 #include <array>
@@ -55,11 +56,20 @@
 {
     Errc code;
     const char *message;
+    Verdict verdict;
 };
 
-constexpr int TooLargeStatus = 413;
-constexpr ErrorDescription TooLarge{Errc::TooLarge, "the request's header or body is over the limit; send less"};
-constexpr ErrorDescription Malformed{Errc::BadRequest, "the request is not well-formed HTTP/1.1"};
+struct StatusDescription
+{
+    int status;
+    ErrorDescription error;
+};
+
+constexpr std::array<StatusDescription, 2> StatusDescriptions{{
+    {413, {Errc::TooLarge, "the request's header or body is over the limit; send less", Verdict::NotRun}},
+    {500, {Errc::Internal, "an internal error ended the request", Verdict::MayHaveRun}},
+}};
+constexpr ErrorDescription Malformed{Errc::BadRequest, "the request is not well-formed HTTP/1.1", Verdict::NotRun};
 
 } // namespace
 
@@ -93,9 +103,11 @@
 
 std::string errorBody(int status)
 {
-    const ErrorDescription &description = status == TooLargeStatus ? TooLarge : Malformed;
-    const nlohmann::json error{{"code", errcName(description.code)}, {"message", description.message}, {"verdict", verdictName(Verdict::NotRun)}};
-    return nlohmann::json{{"error", error}}.dump();
+    const auto *found =
+        std::find_if(StatusDescriptions.begin(), StatusDescriptions.end(), [status](const StatusDescription &known) { return known.status == status; });
+    const ErrorDescription &description = found == StatusDescriptions.end() ? Malformed : found->error;
+    const nlohmann::json error{{"code", errcName(description.code)}, {"message", description.message}, {"verdict", verdictName(description.verdict)}};
+    return writeJson(nlohmann::json{{"error", error}});
 }
 
 } // namespace Burdock
--- a/packages/wire/src/internal/clientconnection.h
+++ b/packages/wire/src/internal/clientconnection.h
@@ -6,6 +6,7 @@
 #include <burdock/wire/httpclient.h>
 
 #include <event2/http.h>
+#include <memory>
 #include <optional>
 
 struct bufferevent;
@@ -22,6 +23,8 @@
     HttpRequest request;
     HttpClient::Callback done;
     TimerId timer = 0;
+    /// The work that made the call.
+    std::weak_ptr<GuardedWork> work;
 };
 
 /// A persistent connection that carries one call at a time. It never sends a request twice.
@@ -94,6 +97,10 @@
 
     evhttp_request *makeRequest();
     void readHead(evbuffer *buffer);
+    void handleResponse(evhttp_request *request);
+    void handleBodyChunk(evhttp_request *request);
+    /// Ends the call in progress, if there still is one, since code that ran for it threw.
+    void failCall();
     void finish(Result<HttpResponse> result);
     Failure connectionFailure() const;
     HttpResponse readResponse(evhttp_request *request);
--- a/packages/wire/src/internal/link.h
+++ b/packages/wire/src/internal/link.h
@@ -3,10 +3,12 @@
 #include <burdock/values/address.h>
 #include <burdock/wire/eventloop.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 
 struct bufferevent;
+struct evbuffer;
 
 namespace Burdock
 {
@@ -85,6 +87,9 @@
     static void onWritten(bufferevent *stream, void *context);
     static void onEvent(bufferevent *stream, short events, void *context);
 
+    /// Runs the action; if it throws, the link ends.
+    void guard(const std::function<void()> &action);
+    void read(evbuffer *input);
     void startWebSocket();
     void finish(LinkEndReason end);
 
--- a/packages/wire/src/internal/serverconnection.h
+++ b/packages/wire/src/internal/serverconnection.h
@@ -34,6 +34,8 @@
     /// Owned jointly with the responders, which may outlive the server.
     std::shared_ptr<HttpServerCounters> counters = std::make_shared<HttpServerCounters>();
     HttpServer::Handler handler;
+    /// The response to a request whose handling threw.
+    HttpServerResponse failureResponse;
     bool closing = false;
     /// Clients wait for a connection until this time, so that responses close theirs.
     TimePoint crowdedUntil{};
@@ -43,7 +45,7 @@
 };
 
 /// The responder of one request. Refers to its connection until the response is complete or the connection is closed.
-class HttpExchange final : public HttpResponder
+class HttpExchange final : public HttpResponder, public GuardedWork
 {
 public:
     HttpExchange(ServerConnection &connection, std::shared_ptr<HttpServerCounters> counters);
@@ -53,6 +55,9 @@
     void finish() override;
     void setDisconnectHandler(std::function<void()> handler) override;
 
+    /// Answers with the server's response to a failure, since the code that handles the request threw, and ends what it has started.
+    void fail(const std::string &reason) override;
+
     /// Marks the response as complete; later ones are dropped.
     void complete();
 
@@ -81,6 +86,9 @@
     void sendChunk(const std::string &chunk);
     void finish();
 
+    /// Answers the request in progress, whose handling threw; a response that has begun is broken off.
+    void fail();
+
     /// Closes the connection if it is idle, receives a request or cannot write for longer than the limits allow.
     void closeIfOverdue(TimePoint now);
 
@@ -106,7 +114,12 @@
     static void onOutput(evbuffer *buffer, const evbuffer_cb_info *info, void *context);
 
     void setState(State state);
+    /// Runs a callback's action; if it throws, the connection is closed.
+    template<class Action>
+    void guard(const Action &action);
     void handleInput();
+    void handleWritten();
+    void handleEvent(short events);
     bool canParse() const;
     void parse();
     void dispatchRequest();
--- a/packages/wire/src/json.cpp
+++ b/packages/wire/src/json.cpp
@@ -7,6 +7,18 @@
 
 using Json = nlohmann::json;
 
+namespace
+{
+
+template<class Value>
+std::string writeReplacing(const Value &value)
+{
+    constexpr int NoIndent = -1;
+    return value.dump(NoIndent, ' ', false, Value::error_handler_t::replace);
+}
+
+} // namespace
+
 Result<Json> parseJson(const std::string &text)
 {
     NestingCheck check;
@@ -16,4 +28,14 @@
     return Json::parse(text);
 }
 
+std::string writeJson(const Json &value)
+{
+    return writeReplacing(value);
+}
+
+std::string writeJson(const nlohmann::ordered_json &value)
+{
+    return writeReplacing(value);
+}
+
 } // namespace Burdock
--- a/packages/wire/src/lingeringclose.cpp
+++ b/packages/wire/src/lingeringclose.cpp
@@ -39,7 +39,8 @@
 
 void LingeringClose::onEvent(bufferevent *, short, void *context)
 {
-    static_cast<LingeringClose *>(context)->finish();
+    auto *self = static_cast<LingeringClose *>(context);
+    self->loop_.boundary().run("close", [self] { self->finish(); });
 }
 
 void LingeringClose::finish()
--- a/packages/wire/src/link.cpp
+++ b/packages/wire/src/link.cpp
@@ -187,15 +187,19 @@
 void Link::onRead(bufferevent *stream, void *context)
 {
     auto *self = static_cast<Link *>(context);
-    self->lastActivity_ = self->loop_.now();
-    evbuffer *input = bufferevent_get_input(stream);
-    while (!self->d_->ended_ && !self->d_->closing_ && evbuffer_get_length(input) > 0) {
+    self->guard([self, stream] { self->read(bufferevent_get_input(stream)); });
+}
+
+void Link::read(evbuffer *input)
+{
+    lastActivity_ = loop_.now();
+    while (!d_->ended_ && !d_->closing_ && evbuffer_get_length(input) > 0) {
         const std::size_t length = evbuffer_get_contiguous_space(input);
         const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length)));
-        const std::size_t taken = self->d_->connection_->read_all(bytes, length);
+        const std::size_t taken = d_->connection_->read_all(bytes, length);
         evbuffer_drain(input, length);
         if (taken < length) {
-            self->finish(LinkEndReason::Malformed);
+            finish(LinkEndReason::Malformed);
         }
     }
 }
@@ -203,23 +207,35 @@
 void Link::onWritten(bufferevent *, void *context)
 {
     auto *self = static_cast<Link *>(context);
-    if (!self->d_->closing_) {
-        self->owner_.onWritable(*self);
-    } else if (self->backlog() == 0) {
-        self->finish(LinkEndReason::Flushed);
-    }
+    self->guard([self] {
+        if (!self->d_->closing_) {
+            self->owner_.onWritable(*self);
+        } else if (self->backlog() == 0) {
+            self->finish(LinkEndReason::Flushed);
+        }
+    });
 }
 
 void Link::onEvent(bufferevent *, short events, void *context)
 {
     auto *self = static_cast<Link *>(context);
-    if ((events & BEV_EVENT_CONNECTED) != 0) {
-        self->startWebSocket();
-    } else if (self->d_->connection_) {
-        self->d_->connection_->eof();
-        self->finish(LinkEndReason::Lost);
-    } else {
-        self->finish(LinkEndReason::Lost);
+    self->guard([self, events] {
+        if ((events & BEV_EVENT_CONNECTED) != 0) {
+            self->startWebSocket();
+        } else if (self->d_->connection_) {
+            self->d_->connection_->eof();
+            self->finish(LinkEndReason::Lost);
+        } else {
+            self->finish(LinkEndReason::Lost);
+        }
+    });
+}
+
+void Link::guard(const std::function<void()> &action)
+{
+    ExceptionBoundary &boundary = loop_.boundary();
+    if (!boundary.run("link", action)) {
+        boundary.run("link", [this] { finish(LinkEndReason::Lost); });
     }
 }
 
--- a/packages/wire/src/listener.cpp
+++ b/packages/wire/src/listener.cpp
@@ -65,7 +65,8 @@
 
 void Listener::onAccept(evconnlistener *, int socket, sockaddr *, int, void *context)
 {
-    static_cast<Listener *>(context)->handler_(socket);
+    auto *self = static_cast<Listener *>(context);
+    self->loop_.boundary().run("accept", [self, socket] { self->handler_(socket); });
 }
 
 } // namespace Burdock
--- a/packages/wire/src/serverconnection.cpp
+++ b/packages/wire/src/serverconnection.cpp
@@ -21,6 +21,7 @@
 constexpr int OkStatus = 200;
 constexpr int BadRequestStatus = 400;
 constexpr int TooLargeStatus = 413;
+constexpr int InternalErrorStatus = 500;
 
 /// Pipelined requests are not parsed while this many bytes of responses are unsent.
 constexpr std::size_t MaxBacklogBytes = 1048576;
@@ -40,6 +41,7 @@
 ServerContext::ServerContext(EventLoop &eventLoop, const HttpServerLimits &serverLimits)
     : loop(eventLoop)
     , limits(serverLimits)
+    , failureResponse{InternalErrorStatus, {}, errorBody(InternalErrorStatus)}
 {
 }
 
@@ -78,9 +80,20 @@
     stateSince_ = context_.loop.now();
 }
 
+template<class Action>
+void ServerConnection::guard(const Action &action)
+{
+    ServerContext &context = context_;
+    ExceptionBoundary &boundary = context.loop.boundary();
+    if (!boundary.run("connection", action) && context.connections.count(this) > 0) {
+        boundary.run("connection", [this] { close(); });
+    }
+}
+
 void ServerConnection::onRead(bufferevent *, void *context)
 {
-    static_cast<ServerConnection *>(context)->handleInput();
+    auto *self = static_cast<ServerConnection *>(context);
+    self->guard([self] { self->handleInput(); });
 }
 
 void ServerConnection::handleInput()
@@ -133,7 +146,8 @@
     closeAfterAnswer_ = !parser_.keepAlive();
     inHandler_ = true;
     // The connection may be closed before the handler responds, so the handler shares ownership of the responder.
-    context_.handler(std::move(request), std::shared_ptr<HttpResponder>(exchange_));
+    context_.loop.boundary().runFor(
+        exchange_, "request", [this, &request] { context_.handler(std::move(request), std::shared_ptr<HttpResponder>(exchange_)); });
     inHandler_ = false;
 }
 
@@ -180,6 +194,16 @@
     onAnswerComplete();
 }
 
+void ServerConnection::fail()
+{
+    if (chunked_) {
+        // The end of the connection shows that the response is not complete.
+        shutdown(bufferevent_getfd(stream_), SHUT_RDWR);
+        return;
+    }
+    answer(context_.failureResponse);
+}
+
 void ServerConnection::onAnswerComplete()
 {
     std::exchange(exchange_, nullptr)->complete();
@@ -223,23 +247,33 @@
 void ServerConnection::onWritten(bufferevent *, void *context)
 {
     auto *self = static_cast<ServerConnection *>(context);
-    if (self->state_ == State::Closing) {
-        self->closeLingering();
-    } else if (!self->inHandler_) {
-        self->parse();
+    self->guard([self] { self->handleWritten(); });
+}
+
+void ServerConnection::handleWritten()
+{
+    if (state_ == State::Closing) {
+        closeLingering();
+    } else if (!inHandler_) {
+        parse();
     }
 }
 
 void ServerConnection::onEvent(bufferevent *, short events, void *context)
 {
     auto *self = static_cast<ServerConnection *>(context);
+    self->guard([self, events] { self->handleEvent(events); });
+}
+
+void ServerConnection::handleEvent(short events)
+{
     const bool ended = (events & BEV_EVENT_EOF) != 0;
     // A client may shut down its sending side and still read the responses in transit.
-    if (ended && self->state_ != State::HandlingRequest && self->backlog() > 0) {
-        self->setState(State::Closing);
+    if (ended && state_ != State::HandlingRequest && backlog() > 0) {
+        setState(State::Closing);
         return;
     }
-    self->close();
+    close();
 }
 
 void ServerConnection::closeIfOverdue(TimePoint now)
@@ -275,7 +309,8 @@
 {
     if (exchange_) {
         --context_.inFlight;
-        std::exchange(exchange_, nullptr)->onClientDisconnected();
+        const auto exchange = std::exchange(exchange_, nullptr);
+        context_.loop.boundary().runFor({}, "disconnect", [&exchange] { exchange->onClientDisconnected(); });
     }
 }
 
--- a/packages/wire/src/websocketpeerlinks.cpp
+++ b/packages/wire/src/websocketpeerlinks.cpp
@@ -155,7 +155,7 @@
             return;
         }
         ++counters_.messagesReceived;
-        onMessage_(from, std::move(message));
+        loop_.boundary().run("peer message", [&] { onMessage_(from, std::move(message)); });
     }
 }
 
@@ -187,7 +187,7 @@
     }
     for (const InstanceId &id : std::exchange(lostPeers_, {})) {
         if (onLost_) {
-            onLost_(id);
+            loop_.boundary().run("lost peer", [&] { onLost_(id); });
         }
     }
     for (const InstanceId &id : std::exchange(peersToFlush_, {})) {
