Refuse keys of commands that are no visible ASCII

Callers of burdockd: a repeatable command with the header Idempotency-Key: \xff was passed on to the holder of its server, which writes the key as JSON; the holder, another instance, ended by an exception with all its requests. Keys of unrepeatable commands were checked by the claims, those of repeatable ones by nothing.

The entry now refuses such a key with 400, not run, before anything is passed on. callerjsontest "A command whose key is no visible ASCII ..." accepts all of them without the check.

--- a/packages/daemon/src/callerjson.cpp
+++ b/packages/daemon/src/callerjson.cpp
@@ -1,5 +1,7 @@
 #include <burdock/daemon/callerjson.h>
+#include <burdock/wire/json.h>
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -107,7 +109,7 @@
 
 HttpServerResponse jsonResponse(int status, const json &body)
 {
-    return HttpServerResponse{status, {{"Content-Type", "application/json"}}, body.dump(-1, ' ', false, json::error_handler_t::replace)};
+    return HttpServerResponse{status, {{"Content-Type", "application/json"}}, writeJson(body)};
 }
 
 int httpStatusOf(Errc code)
@@ -192,6 +194,10 @@
     if (command.key.size() > MaxNameBytes) {
         body.recordFault("the header Idempotency-Key is longer than " + std::to_string(MaxNameBytes) + " bytes");
     }
+    // The key is passed on as JSON, which cannot hold other bytes.
+    if (!std::all_of(command.key.begin(), command.key.end(), [](char letter) { return letter > ' ' && letter <= '~'; })) {
+        body.recordFault("the header Idempotency-Key may hold visible ASCII characters only");
+    }
     if (!body.firstFault().empty()) {
         return notRun(Errc::BadRequest, body.firstFault());
     }
--- a/packages/daemon/tests/callerjsontest.cpp
+++ b/packages/daemon/tests/callerjsontest.cpp
@@ -60,6 +60,18 @@
     CHECK(readCommand(post(R"({"command":"invoice"})")).error().message.find("'payload'") != std::string::npos);
 }
 
+TEST_CASE("A command whose key is no visible ASCII is refused as not run, since the key is passed on as JSON", "[daemon][json]")
+{
+    const std::string body = R"({"command":"invoice","payload":"x"})";
+    CHECK(readCommand(post(body, {{"x-caller", "technician"}, {"idempotency-key", "1764900000-a"}})));
+    for (const char *key : {"\xff\xfe", "1764900000-\xc3", "a b"}) {
+        const auto command = readCommand(post(body, {{"x-caller", "technician"}, {"idempotency-key", key}}));
+        REQUIRE_FALSE(command);
+        CHECK(command.error().code == Errc::BadRequest);
+        CHECK(command.error().verdict == Verdict::NotRun);
+    }
+}
+
 TEST_CASE("A failure response has the status, code, verdict and Retry-After", "[daemon][json]")
 {
     const HttpServerResponse answer = writeFailure(Failure{Errc::Overloaded, Verdict::NotRun, "come back", std::chrono::milliseconds(1200)});
