--- a/packages/ctl/src/declarationcommands.cpp
+++ b/packages/ctl/src/declarationcommands.cpp
@@ -2,6 +2,7 @@
 
 #include <burdock/declarations/checkdeclarations.h>
 #include <burdock/declarations/collector.h>
+#include <burdock/wire/json.h>
 
 #include <filesystem>
 #include <fstream>
@@ -37,7 +38,7 @@
         list.push_back(std::move(entry));
     }
     if (json) {
-        context.out() << Json{{"faults", list}}.dump() << '\n';
+        context.out() << writeJson(Json{{"faults", list}}) << '\n';
     } else {
         context.out() << faults.size() << (faults.size() == 1 ? " fault\n" : " faults\n");
     }
@@ -71,7 +72,7 @@
         return ExitCode::ProblemsFound;
     }
     if (values.on("json")) {
-        context.out() << Json{{"faults", Json::array()}, {"hash", set->hash()}}.dump() << '\n';
+        context.out() << writeJson(Json{{"faults", Json::array()}, {"hash", set->hash()}}) << '\n';
     } else {
         context.out() << set->files().size() << " files: " << checked->fleets.size() << " fleets, " << checked->indexes.size() << " indexes, "
                       << checked->commands.size() << " commands; no faults\n";
@@ -89,7 +90,7 @@
         return reportFailure(context, {Errc::Unavailable, Verdict::MayHaveRun, "cannot write into " + values.text("into"), Duration{0}});
     }
     if (values.on("json")) {
-        context.out() << Json{{"hash", set->hash()}, {"files", set->hashes()}}.dump() << '\n';
+        context.out() << writeJson(Json{{"hash", set->hash()}, {"files", set->hashes()}}) << '\n';
         return ExitCode::Ok;
     }
     for (const auto &[name, file] : set->files()) {
--- a/packages/ctl/src/instancecommands.cpp
+++ b/packages/ctl/src/instancecommands.cpp
@@ -1,4 +1,5 @@
 #include <burdock/ctl/subcommand.h>
+#include <burdock/wire/json.h>
 
 #include <iomanip>
 #include <map>
@@ -106,7 +107,7 @@
     if (!object.is_object() || !object.contains(field)) {
         return "-";
     }
-    return object[field].is_string() ? object[field].get<std::string>() : object[field].dump();
+    return object[field].is_string() ? object[field].get<std::string>() : writeJson(object[field]);
 }
 
 void printStatuses(ToolContext &context, const std::vector<InstanceStatus> &statuses)
@@ -133,7 +134,7 @@
                         {"answered", status.answered},
                         {"configuration", status.configuration}});
     }
-    context.out() << Json{{"instances", list}}.dump() << '\n';
+    context.out() << writeJson(Json{{"instances", list}}) << '\n';
 }
 
 Result<HttpRequest> makeAskRequest(const OptionValues &values)
@@ -165,7 +166,7 @@
     if (!values.text("key").empty()) {
         request.headers["Idempotency-Key"] = values.text("key");
     }
-    request.body = body.dump();
+    request.body = writeJson(body);
     request.timeout = millisecondsOf(values, "timeout-ms");
     return request;
 }
@@ -236,7 +237,7 @@
         return reportFailure(context, answer.error());
     }
     if (values.on("json")) {
-        context.out() << answer->dump() << '\n';
+        context.out() << writeJson(*answer) << '\n';
         return ExitCode::Ok;
     }
     for (const Json &entry : (*answer)["entries"]) {
--- a/packages/ctl/src/storecommands.cpp
+++ b/packages/ctl/src/storecommands.cpp
@@ -4,6 +4,7 @@
 #include <burdock/declarations/collector.h>
 #include <burdock/declarations/publisher.h>
 #include <burdock/declarations/setdiff.h>
+#include <burdock/wire/json.h>
 
 #include <algorithm>
 #include <cstdio>
@@ -90,7 +91,7 @@
     static constexpr const char *Names[] = {"accepted", "unchanged", "conflict"};
     const char *name = Names[static_cast<std::size_t>(report.outcome)];
     if (values.on("json")) {
-        context.out() << Json{{"outcome", name}, {"version", report.version}, {"publishId", request.publishId}, {"diff", report.diff}}.dump() << '\n';
+        context.out() << writeJson(Json{{"outcome", name}, {"version", report.version}, {"publishId", request.publishId}, {"diff", report.diff}}) << '\n';
     } else if (report.outcome == PublishOutcome::Conflict) {
         context.out() << "conflict: the store is at version " << report.version << ", these files were changed from version " << request.base
                       << ". Nothing was written. Diff from the store's files to these:\n"
@@ -171,7 +172,7 @@
     }
     const std::string diff = diffText(*stored, *set);
     if (values.on("json")) {
-        context.out() << Json{{"version", head->head.version}, {"diff", diff}}.dump() << '\n';
+        context.out() << writeJson(Json{{"version", head->head.version}, {"diff", diff}}) << '\n';
     } else {
         context.out() << "from version " << head->head.version << (diff.empty() ? ": no difference\n" : "\n") << diff;
     }
@@ -208,7 +209,7 @@
         }
     }
     if (values.on("json")) {
-        context.out() << Json{{"version", last}, {"records", list}}.dump() << '\n';
+        context.out() << writeJson(Json{{"version", last}, {"records", list}}) << '\n';
     }
     return ExitCode::Ok;
 }
--- a/packages/daemon/src/backendadapter.cpp
+++ b/packages/daemon/src/backendadapter.cpp
@@ -1,6 +1,7 @@
 #include <burdock/daemon/backendadapter.h>
 
 #include <burdock/daemon/backendcodec.h>
+#include <burdock/wire/json.h>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -80,7 +81,7 @@
     request.method = "POST";
     request.path = "/cancel";
     request.headers = {{"Content-Type", "application/json"}};
-    request.body = nlohmann::json{{"requestId", formatRequestId(id)}}.dump();
+    request.body = writeJson(nlohmann::json{{"requestId", formatRequestId(id)}});
     request.timeout = CancelTimeout;
     client_.send(std::move(request), [](const Result<HttpResponse> &) {});
 }
--- a/packages/daemon/src/backendcodec.cpp
+++ b/packages/daemon/src/backendcodec.cpp
@@ -1,4 +1,5 @@
 #include <burdock/daemon/backendcodec.h>
+#include <burdock/wire/json.h>
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -113,20 +114,19 @@
                     {"Content-Type", "application/json"}};
     if (request.kind == SubRequestKind::Command) {
         http.path = "/execute";
-        http.body = json{{"command", request.command.text()}, {"key", request.key}, {"payload", request.text}}.dump();
+        http.body = writeJson(json{{"command", request.command.text()}, {"key", request.key}, {"payload", request.text}});
         return http;
     }
     http.path = "/search";
-    http.body = json{{"index", request.snapshot.index.text()},
-                     {"version", request.snapshot.version},
-                     {"mapGeneration", request.snapshot.mapGeneration},
-                     {"shard", request.shard.text()},
-                     {"begin", request.range.begin},
-                     {"end", request.range.end},
-                     {"query", request.text},
-                     {"offset", request.offset},
-                     {"limit", request.limit}}
-                    .dump();
+    http.body = writeJson(json{{"index", request.snapshot.index.text()},
+                               {"version", request.snapshot.version},
+                               {"mapGeneration", request.snapshot.mapGeneration},
+                               {"shard", request.shard.text()},
+                               {"begin", request.range.begin},
+                               {"end", request.range.end},
+                               {"query", request.text},
+                               {"offset", request.offset},
+                               {"limit", request.limit}});
     return http;
 }
 
--- a/packages/daemon/src/claimstoreadapter.cpp
+++ b/packages/daemon/src/claimstoreadapter.cpp
@@ -1,4 +1,5 @@
 #include <burdock/daemon/claimstoreadapter.h>
+#include <burdock/wire/json.h>
 
 #include <algorithm>
 #include <array>
@@ -100,7 +101,7 @@
     if (record.state == ClaimState::Ran) {
         object["outcome"] = record.outcome;
     }
-    return object.dump(-1, ' ', false, json::error_handler_t::replace);
+    return writeJson(object);
 }
 
 ClaimRecord decodeClaimRecord(const std::string &text)
@@ -138,7 +139,7 @@
     const std::string key = claimFloorStoreKey(found.command);
     StoreTransaction transaction;
     transaction.conditions = {StoreCondition{key, found.revision}};
-    transaction.writes = {StoreWrite{key, json{{"bucket", bucket}}.dump(), 0, {}},
+    transaction.writes = {StoreWrite{key, writeJson(json{{"bucket", bucket}}), 0, {}},
                           StoreWrite{bucketPrefix(found.command, 0), std::nullopt, 0, bucketPrefix(found.command, bucket)}};
     transaction.readOnConflict = {key};
     store_.commit(std::move(transaction), [found, bucket, key, done = std::move(done)](const Result<StoreCommit> &result) {
--- a/packages/daemon/src/configdistributor.cpp
+++ b/packages/daemon/src/configdistributor.cpp
@@ -1,4 +1,5 @@
 #include <burdock/daemon/configdistributor.h>
+#include <burdock/wire/json.h>
 
 #include <nlohmann/json.hpp>
 
@@ -94,7 +95,7 @@
     if (!status.unusableFault.empty()) {
         json["unusable"] = {{"version", status.unusableVersion}, {"fault", status.unusableFault}};
     }
-    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return writeJson(json);
 }
 
 // Store access.
--- a/packages/daemon/src/log.cpp
+++ b/packages/daemon/src/log.cpp
@@ -1,4 +1,5 @@
 #include <burdock/daemon/log.h>
+#include <burdock/wire/json.h>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -23,7 +24,7 @@
         for (const LogField &field : fields) {
             line[field.name] = field.value;
         }
-        return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        return writeJson(line);
     }
     std::string line = subject + ": " + change;
     for (const LogField &field : fields) {
--- a/packages/daemon/src/statuspage.cpp
+++ b/packages/daemon/src/statuspage.cpp
@@ -1,4 +1,5 @@
 #include <burdock/daemon/statuspage.h>
+#include <burdock/wire/json.h>
 
 #include <nlohmann/json.hpp>
 
@@ -46,7 +47,7 @@
                     {"members", std::move(members)},
                     {"holds", std::move(holds)},
                     {"requestsInFlight", status.requestsInFlight}};
-    return page.dump(-1, ' ', false, json::error_handler_t::replace);
+    return writeJson(page);
 }
 
 } // namespace Burdock
--- a/packages/daemon/tests/backendcodectest.cpp
+++ b/packages/daemon/tests/backendcodectest.cpp
@@ -32,6 +32,19 @@
     CHECK(reply.versions.at(0).second == VersionWindow{6, 8});
 }
 
+TEST_CASE("Bytes of another instance that are no text end no process when they are sent to a server", "[daemon][backend][boundary]")
+{
+    SubRequest request = searchRequest();
+    request.kind = SubRequestKind::Command;
+    request.command = CommandName("\xff");
+    request.key = "1764900000-\xc3";
+    request.text = "\xfe";
+    CHECK_NOTHROW(encodeBackendRequest(request, Address{"127.0.0.1", 1}, std::chrono::seconds(1)));
+    request = searchRequest();
+    request.text = "\xfe";
+    CHECK_NOTHROW(encodeBackendRequest(request, Address{"127.0.0.1", 1}, std::chrono::seconds(1)));
+}
+
 TEST_CASE("Only a refusal that is marked as not run gets the verdict NotRun", "[daemon][backend][verdict]")
 {
     struct Row
--- a/packages/declarations/src/confighead.cpp
+++ b/packages/declarations/src/confighead.cpp
@@ -1,6 +1,7 @@
 #include <burdock/declarations/confighead.h>
 
 #include <burdock/declarations/declarationset.h>
+#include <burdock/wire/json.h>
 
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -26,7 +27,7 @@
 
 std::string dump(const Json &json)
 {
-    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return writeJson(json);
 }
 
 } // namespace
--- a/packages/router/src/crashreportcodec.cpp
+++ b/packages/router/src/crashreportcodec.cpp
@@ -24,7 +24,7 @@
     for (const CrashReport &report : reports) {
         list.push_back({{"request", report.request.text()}, {"crashes", report.crashes}, {"alone", report.alone}});
     }
-    return Json{{"atMs", at.time_since_epoch() / std::chrono::milliseconds(1)}, {"reports", std::move(list)}}.dump();
+    return writeJson(Json{{"atMs", at.time_since_epoch() / std::chrono::milliseconds(1)}, {"reports", std::move(list)}});
 }
 
 Result<std::vector<CrashReport>> readCrashReports(const std::string &value, WallTime now)
--- a/packages/router/src/instancecodec.cpp
+++ b/packages/router/src/instancecodec.cpp
@@ -9,18 +9,17 @@
 
 std::string writeInstance(const InstanceRecord &record)
 {
-    return Json{{"id", record.id.text()},
-                {"address", record.address.toString()},
-                {"peers", record.peers.toString()},
-                {"region", record.region.text()},
-                {"dataCentre", record.dataCentre.text()},
-                {"ready", record.ready},
-                {"cores", record.cores},
-                {"crowded", record.crowded},
-                {"born", record.edition.born},
-                {"sequence", record.edition.sequence},
-                {"cutOff", record.cutOff}}
-        .dump();
+    return writeJson(Json{{"id", record.id.text()},
+                          {"address", record.address.toString()},
+                          {"peers", record.peers.toString()},
+                          {"region", record.region.text()},
+                          {"dataCentre", record.dataCentre.text()},
+                          {"ready", record.ready},
+                          {"cores", record.cores},
+                          {"crowded", record.crowded},
+                          {"born", record.edition.born},
+                          {"sequence", record.edition.sequence},
+                          {"cutOff", record.cutOff}});
 }
 
 Result<InstanceRecord> readInstance(const std::string &value)
--- a/packages/store/src/etcdstore.cpp
+++ b/packages/store/src/etcdstore.cpp
@@ -3,6 +3,7 @@
 #include "gatewayjson.h"
 
 #include <burdock/store/factories.h>
+#include <burdock/wire/json.h>
 
 #include <algorithm>
 
@@ -154,7 +155,7 @@
     request.method = "POST";
     request.path = path;
     request.headers["Content-Type"] = "application/json";
-    request.body = body.dump();
+    request.body = writeJson(body);
     request.timeout = timeout_;
     client_.send(std::move(request), [self = self_, done = std::move(done)](const Result<HttpResponse> &response) {
         if (*self != nullptr) {
@@ -234,7 +235,7 @@
     request.method = "POST";
     request.path = "/v3/watch";
     request.headers["Content-Type"] = "application/json";
-    request.body = GatewayJson::watchRequest(key, prefix, fromRevision).dump();
+    request.body = writeJson(GatewayJson::watchRequest(key, prefix, fromRevision));
     request.timeout = MaxWatchDuration;
     request.onBodyChunk = [this, id](const std::string &chunk) { readChunk(id, chunk); };
     watch->call = client_.send(std::move(request), [this, id](const Result<HttpResponse> &response) {
