--- a/packages/wire/src/link.cpp
+++ b/packages/wire/src/link.cpp
@@ -113,8 +113,11 @@
         finish(LinkEndReason::Lost);
         return;
     }
-    // A failure is reported to onEvent.
-    bufferevent_socket_connect(d_->stream_, reinterpret_cast<const sockaddr *>(&*socketAddress), static_cast<int>(socketAddressLength(*socketAddress)));
+    // libevent reports a failure at once only here, and not to onEvent.
+    const int length = static_cast<int>(socketAddressLength(*socketAddress));
+    if (bufferevent_socket_connect(d_->stream_, reinterpret_cast<const sockaddr *>(&*socketAddress), length) != 0) {
+        finish(LinkEndReason::Lost);
+    }
 }
 
 void Link::startWebSocket()
