Close idle connections only if an accept failed for lack of descriptors

Callers: a failed accept of any kind closed the connection that had been idle longest, made all answers of the next second close theirs, and kept others waiting for 100 ms. Linux reports errors of the new connection, and a firewall's, as those of accept; such a connection is gone and says nothing about room.

--- a/packages/wire/include/burdock/wire/httpserver.h
+++ b/packages/wire/include/burdock/wire/httpserver.h
@@ -81,6 +81,8 @@
     std::uint64_t droppedAnswers = 0;
     /// Attempts to accept connections that failed, as for lack of descriptors. The connections wait in the kernel.
     std::uint64_t failedAccepts = 0;
+    /// Those of them for which descriptors or memory were lacking.
+    std::uint64_t shortages = 0;
     /// Idle connections that were closed for a new one, at the limit or for lack of descriptors.
     std::uint64_t replacedConnections = 0;
 };
--- a/packages/wire/src/eventhttpserver.cpp
+++ b/packages/wire/src/eventhttpserver.cpp
@@ -33,7 +33,7 @@
     EventHttpServer(EventLoop &loop, const HttpServerLimits &limits)
         : context_(loop, limits)
         , listener_(std::make_unique<Listener>(
-              loop, [this](int socket) { accept(socket); }, [this] { return onAcceptFailed(); }))
+              loop, [this](int socket) { accept(socket); }, [this](AcceptError error) { return onAcceptFailed(error); }))
         , sweepTimer_(
               loop, std::clamp(std::min(limits.requestTime, limits.idleTime) / SweepsPerLimit, MinSweepInterval, MaxSweepInterval), [this] { closeOverdue(); })
     {
@@ -117,9 +117,13 @@
     }
 
     /// Returns whether a descriptor was freed, so that the next attempt may succeed.
-    bool onAcceptFailed()
+    bool onAcceptFailed(AcceptError error)
     {
         ++context_.counters->failedAccepts;
+        if (error != AcceptError::Shortage) {
+            return false;
+        }
+        ++context_.counters->shortages;
         return replaceIdle();
     }
 
--- a/packages/wire/src/internal/listener.h
+++ b/packages/wire/src/internal/listener.h
@@ -11,6 +11,16 @@
 namespace Burdock
 {
 
+/// Why a connection could not be accepted.
+enum class AcceptError {
+    /// Descriptors or memory are used up.
+    Shortage,
+    /// This connection failed before it was accepted, or a firewall forbids it; others can be accepted.
+    Connection,
+    /// Anything else, which may concern all connections.
+    Other,
+};
+
 /// A listening TCP socket on the event loop.
 class Listener
 {
@@ -18,9 +28,10 @@
     /// Called for each accepted socket, whose ownership it takes.
     using Handler = std::function<void(int socket)>;
 
-    /// `onFailed` is called for each attempt to accept that failed. The next follows after a pause, or at once if it returns true.
+    /// `onFailed` is called for each attempt to accept that failed. Unless only this connection failed, the next follows after a pause,
+    /// or at once if it returns true.
     Listener(
-        EventLoop &loop, Handler handler, std::function<bool()> onFailed = [] { return false; });
+        EventLoop &loop, Handler handler, std::function<bool(AcceptError)> onFailed = [](AcceptError) { return false; });
     ~Listener();
     Listener(const Listener &) = delete;
     Listener &operator=(const Listener &) = delete;
@@ -35,7 +46,7 @@
 
     EventLoop &loop_;
     Handler handler_;
-    std::function<bool()> onFailed_;
+    std::function<bool(AcceptError)> onFailed_;
     evconnlistener *listener_ = nullptr;
     TimerId retryTimer_ = 0;
 };
--- a/packages/wire/src/listener.cpp
+++ b/packages/wire/src/listener.cpp
@@ -2,6 +2,9 @@
 
 #include "internal/sockets.h"
 
+#include <algorithm>
+#include <array>
+#include <cerrno>
 #include <event2/listener.h>
 #include <utility>
 
@@ -16,9 +19,28 @@
 /// The pause before accepting again after an error, such as a lack of file descriptors.
 constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(100);
 
+constexpr std::array<int, 4> ShortageErrors{EMFILE, ENFILE, ENOBUFS, ENOMEM};
+/// Linux reports errors of the new connection as those of the call.
+constexpr std::array<int, 11> ConnectionErrors{
+    ECONNABORTED, ECONNRESET, EHOSTDOWN, EHOSTUNREACH, ENETDOWN, ENETUNREACH, ENONET, ENOPROTOOPT, EPERM, EPROTO, ETIMEDOUT};
+
+template<std::size_t Count>
+bool contains(const std::array<int, Count> &errors, int error)
+{
+    return std::find(errors.begin(), errors.end(), error) != errors.end();
+}
+
+AcceptError acceptErrorOf(int error)
+{
+    if (contains(ShortageErrors, error)) {
+        return AcceptError::Shortage;
+    }
+    return contains(ConnectionErrors, error) ? AcceptError::Connection : AcceptError::Other;
+}
+
 } // namespace
 
-Listener::Listener(EventLoop &loop, Handler handler, std::function<bool()> onFailed)
+Listener::Listener(EventLoop &loop, Handler handler, std::function<bool(AcceptError)> onFailed)
     : loop_(loop)
     , handler_(std::move(handler))
     , onFailed_(std::move(onFailed))
@@ -56,8 +78,14 @@
 
 void Listener::onError(evconnlistener *listener, void *context)
 {
+    const AcceptError error = acceptErrorOf(errno);
     auto *self = static_cast<Listener *>(context);
-    const Duration delay = self->onFailed_() ? Duration{0} : AcceptRetryDelay;
+    bool freed = false;
+    self->loop_.boundary().run("accept", [&] { freed = self->onFailed_(error); });
+    if (error == AcceptError::Connection) {
+        return;
+    }
+    const Duration delay = freed ? Duration{0} : AcceptRetryDelay;
     evconnlistener_disable(listener);
     self->loop_.cancel(self->retryTimer_);
     self->retryTimer_ = self->loop_.schedule(delay, [self] { evconnlistener_enable(self->listener_); });
