Let the servers of a process share its connections

Callers: idle connections of clients that had used up the descriptors kept the directory, the readiness check and the other instances out until their idle time was over, although the instance served those clients; and connects to servers failed meanwhile. Each of the four servers closed only idle connections of its own for a new one, and their limits add up to more than there are descriptors.

They now share a ConnectionPool: for lack of a descriptor, or with three quarters of all descriptors in use, an idle connection of the server that has most is closed; each listener but that of the clients keeps a reserve of 16. A call that cannot connect for lack of a descriptor frees one in the same way and is tried once more. Metric: burdock_descriptor_shortages_total.

Not covered: connections that are all busy, and connects to servers that use up the descriptors by themselves.

--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -16,6 +16,7 @@
 #include <burdock/routing/loopdelay.h>
 #include <burdock/routing/reachtrials.h>
 #include <burdock/values/periodictimer.h>
+#include <burdock/wire/connectionpool.h>
 #include <burdock/wire/eventloop.h>
 
 #include <memory>
@@ -126,6 +127,8 @@
     /// Destroyed before the members above, because requests that end with the process still report to them.
     RequestCoordinator coordinator_;
     ClientEndpoint clientEndpoint_;
+    /// The connections of the servers below.
+    std::shared_ptr<ConnectionPool> connections_;
     std::unique_ptr<HttpServer> clients_;
     std::unique_ptr<HttpServer> readiness_;
     std::unique_ptr<HttpServer> directory_;
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -59,6 +59,10 @@
 constexpr std::uint32_t MaxInternalConnections = 200;
 /// The fraction of the file descriptors for other instances' connections, which poll, and pass on requests.
 constexpr double PeerDescriptorFraction = 0.25;
+/// The fraction of the file descriptors for connections from clients and other instances together.
+constexpr double PooledDescriptorFraction = 0.75;
+/// How many connections each listener but that of the clients may have whatever the others hold.
+constexpr std::uint32_t ReservedConnections = 16;
 /// The headers that instances add to the requests that they pass on.
 constexpr std::size_t PassOnHeaderBytes = 4096;
 /// The maximum size of a server's response. Several servers may send bytes without end at the same time, each on several connections,
@@ -82,10 +86,18 @@
 {
     HttpServerLimits out;
     out.connections = MaxInternalConnections;
+    out.reserved = ReservedConnections;
     out.idleTime = InternalIdleTime;
     return out;
 }
 
+HttpServerLimits directoryLimits(std::uint32_t descriptors)
+{
+    HttpServerLimits out = clientLimits({}, descriptors);
+    out.reserved = ReservedConnections;
+    return out;
+}
+
 /// Requests that are passed on are limited as clients' requests are.
 HttpServerLimits peerLimits(const ClientLimits &limits, std::uint32_t descriptors)
 {
@@ -244,10 +256,11 @@
     , inquiry_(loop, client, log, {[this](const StoreEntry &config) { feed_.offerConfig(config); }, [this] { updateReadiness(); }})
     , coordinator_(context_, seed)
     , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
-    , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
-    , readiness_(makeHttpServer(loop, internalLimits()))
-    , directory_(makeHttpServer(loop, clientLimits({}, settings.descriptors)))
-    , peers_(makeHttpServer(loop, peerLimits({}, settings.descriptors)))
+    , connections_(std::make_shared<ConnectionPool>(static_cast<std::uint32_t>(settings.descriptors * PooledDescriptorFraction)))
+    , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors), connections_))
+    , readiness_(makeHttpServer(loop, internalLimits(), connections_))
+    , directory_(makeHttpServer(loop, directoryLimits(settings.descriptors), connections_))
+    , peers_(makeHttpServer(loop, peerLimits({}, settings.descriptors), connections_))
     , suspended_(loop.suspended())
     , tickTimer_(loop, TickInterval, [this] { tick(); })
     , stateTimer_(loop, StateLogInterval, [this] { logState(); })
@@ -257,6 +270,7 @@
     clients_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { clientEndpoint_.serve(std::move(in), out); });
     readiness_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveReadiness(in, out); });
     directory_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveDirectory(in, out); });
+    client_.setShortageHandler([connections = connections_] { return connections->closeIdle(); });
     peers_->setFailureResponse(PassOnHeaders::failureResponse());
     peers_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { servePeers(std::move(in), out); });
     registerMetrics();
@@ -806,6 +820,7 @@
     const HttpServerCounters &clients = clients_->counters();
     counter("burdock_connections_refused_total", "Clients' connections that were closed at once, since there were too many.", &clients.refusedConnections);
     counter("burdock_accepts_failed_total", "Attempts to accept clients' connections that failed, as for lack of descriptors.", &clients.failedAccepts);
+    counter("burdock_descriptor_shortages_total", "Clients' connections that waited since descriptors or memory were used up.", &clients.shortages);
     counter("burdock_connections_replaced_total", "Clients' idle connections that were closed for new ones.", &clients.replacedConnections);
     counter("burdock_connections_timed_out_total", "Clients' connections that were closed since they sent or read too slowly.", &clients.timedOut);
     counter("burdock_answers_dropped_total", "Answers whose clients had closed their connections.", &clients.droppedAnswers);
--- a/packages/wire/include/burdock/wire/factories.h
+++ b/packages/wire/include/burdock/wire/factories.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/values/names.h>
+#include <burdock/wire/connectionpool.h>
 #include <burdock/wire/datagramsocket.h>
 #include <burdock/wire/eventloop.h>
 #include <burdock/wire/httpclient.h>
@@ -16,8 +17,8 @@
 std::unique_ptr<HttpClient> makeHttpClient(EventLoop &loop, const ConnectionLimits &defaults);
 
 /// Creates an HttpServer that uses libevhtp's parser and libevent's buffers. docs/notes/links.md explains why it does not use
-/// libevhtp's server.
-std::unique_ptr<HttpServer> makeHttpServer(EventLoop &loop, const HttpServerLimits &limits);
+/// libevhtp's server. A `pool` is shared with the other servers of the process.
+std::unique_ptr<HttpServer> makeHttpServer(EventLoop &loop, const HttpServerLimits &limits, std::shared_ptr<ConnectionPool> pool = nullptr);
 
 /// Creates PeerLinks that use websocketpp over libevent's buffers. `self` and `incarnation` are sent in Hello.
 std::unique_ptr<PeerLinks> makePeerLinks(EventLoop &loop, const InstanceId &self, std::uint64_t incarnation);
--- a/packages/wire/include/burdock/wire/httpclient.h
+++ b/packages/wire/include/burdock/wire/httpclient.h
@@ -76,6 +76,12 @@
     /// Sets the limits of one address. Open connections in excess of them are closed when they become idle.
     virtual void setLimits(const Address &address, const ConnectionLimits &limits) = 0;
 
+    /// Sets a function that is called when a connect fails for lack of descriptors. If it returns true, it has closed one, and the call
+    /// is tried once more.
+    virtual void setShortageHandler(const std::function<bool()> & /*onShortage*/)
+    {
+    }
+
     /// Closes all idle connections to all addresses.
     virtual void closeIdle() = 0;
 
--- a/packages/wire/include/burdock/wire/httpserver.h
+++ b/packages/wire/include/burdock/wire/httpserver.h
@@ -63,6 +63,8 @@
     /// At the limit, and for lack of descriptors, the connection that has been idle longest is closed for a new one, and responses
     /// carry `Connection: close`.
     std::uint32_t connections = 1000;
+    /// So many connections are accepted also while the server's pool is full.
+    std::uint32_t reserved = 0;
     /// A connection is closed if a request is incomplete this long after its first byte.
     Duration requestTime = std::chrono::seconds(10);
     /// A connection without requests is closed after this time.
--- a/packages/wire/src/eventhttpserver.cpp
+++ b/packages/wire/src/eventhttpserver.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <event2/util.h>
 #include <functional>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -27,21 +28,24 @@
 constexpr Duration CrowdedTime = std::chrono::seconds(1);
 
 /// An HttpServer that uses libevhtp's parser and libevent's buffers. Accepts and counts connections, and closes overdue ones.
-class EventHttpServer final : public HttpServer
+class EventHttpServer final : public HttpServer, private ConnectionPool::Member
 {
 public:
-    EventHttpServer(EventLoop &loop, const HttpServerLimits &limits)
+    EventHttpServer(EventLoop &loop, const HttpServerLimits &limits, std::shared_ptr<ConnectionPool> pool)
         : context_(loop, limits)
+        , pool_(pool ? std::move(pool) : std::make_shared<ConnectionPool>(std::numeric_limits<std::uint32_t>::max()))
         , listener_(std::make_unique<Listener>(
               loop, [this](int socket) { accept(socket); }, [this](AcceptError error) { return onAcceptFailed(error); }))
         , sweepTimer_(
               loop, std::clamp(std::min(limits.requestTime, limits.idleTime) / SweepsPerLimit, MinSweepInterval, MaxSweepInterval), [this] { closeOverdue(); })
     {
+        pool_->add(*this);
         sweepTimer_.start();
     }
 
     ~EventHttpServer() override
     {
+        pool_->remove(*this);
         context_.loop.cancel(stopTimer_);
         forEachConnection([this](const ServerConnection &connection) { context_.connections.erase(&connection); });
     }
@@ -105,7 +109,7 @@
 private:
     void accept(int socket)
     {
-        if (openConnections() >= context_.limits.connections && !replaceIdle()) {
+        if (!makeRoom()) {
             ++context_.counters->refusedConnections;
             evutil_closesocket(socket);
             return;
@@ -116,6 +120,15 @@
         context_.connections.emplace(key, std::move(connection));
     }
 
+    /// Returns whether one more connection may be open.
+    bool makeRoom()
+    {
+        if (openConnections() >= context_.limits.connections) {
+            return closeIdle();
+        }
+        return !pool_->isFull() || openConnections() < context_.limits.reserved || pool_->closeIdle();
+    }
+
     /// Returns whether a descriptor was freed, so that the next attempt may succeed.
     bool onAcceptFailed(AcceptError error)
     {
@@ -124,12 +137,17 @@
             return false;
         }
         ++context_.counters->shortages;
-        return replaceIdle();
+        return pool_->closeIdle();
+    }
+
+    std::uint32_t pooledConnections() const override
+    {
+        return openConnections();
     }
 
     /// Closes the connection that has been idle longest and on which nothing arrives, and returns whether there was one. Kept
     /// connections would otherwise leave new clients waiting until the end of their idle time.
-    bool replaceIdle()
+    bool closeIdle() override
     {
         const TimePoint now = context_.loop.now();
         context_.crowdedUntil = now + CrowdedTime;
@@ -166,6 +184,7 @@
     }
 
     ServerContext context_;
+    std::shared_ptr<ConnectionPool> pool_;
     std::unique_ptr<Listener> listener_;
     PeriodicTimer sweepTimer_;
     TimerId stopTimer_ = 0;
@@ -173,9 +192,9 @@
 
 } // namespace
 
-std::unique_ptr<HttpServer> makeHttpServer(EventLoop &loop, const HttpServerLimits &limits)
+std::unique_ptr<HttpServer> makeHttpServer(EventLoop &loop, const HttpServerLimits &limits, std::shared_ptr<ConnectionPool> pool)
 {
-    return std::make_unique<EventHttpServer>(loop, limits);
+    return std::make_unique<EventHttpServer>(loop, limits, std::move(pool));
 }
 
 } // namespace Burdock
--- a/packages/wire/src/evhttpclient.cpp
+++ b/packages/wire/src/evhttpclient.cpp
@@ -1,4 +1,5 @@
 #include "internal/clientconnection.h"
+#include "internal/sockets.h"
 
 #include <burdock/wire/factories.h>
 
@@ -33,6 +34,8 @@
     HttpCall call;
     Peer *peer = nullptr;
     ClientConnection *connection = nullptr;
+    /// Whether the call was queued again for lack of a descriptor.
+    bool queuedAgain = false;
 };
 
 /// An HttpClient that uses libevent's evhttp connections.
@@ -64,7 +67,7 @@
     {
         const HttpCallId id = ++lastId_;
         Peer &peer = peerOf(request.address);
-        CallEntry entry{{id, std::move(request), std::move(done), 0, loop_.boundary().work()}, &peer, nullptr};
+        CallEntry entry{{id, std::move(request), std::move(done), 0, loop_.boundary().work()}, &peer, nullptr, false};
         entry.call.timer = loop_.schedule(entry.call.request.timeout, [this, id] { expire(id); });
         calls_.emplace(id, std::move(entry));
         peer.queue.push_back(id);
@@ -85,6 +88,11 @@
         dispatch(peer);
     }
 
+    void setShortageHandler(const std::function<bool()> &onShortage) override
+    {
+        onShortage_ = onShortage;
+    }
+
     void closeIdle() override
     {
         for (const auto &[address, peer] : peers_) {
@@ -169,6 +177,12 @@
         }
         connection.abandon();
         scheduleReap(*entry.peer);
+        if (!entry.queuedAgain && areDescriptorsUsedUp() && onShortage_()) {
+            // The descriptor is free in the next iteration.
+            entry.queuedAgain = true;
+            callsToQueueAgain_.push_back(entry.call.id);
+            return;
+        }
         loop_.cancel(entry.call.timer);
         entry.call.timer = loop_.schedule(Duration{0}, [this, id = entry.call.id, failure = started.error()] { finishCall(id, tl::make_unexpected(failure)); });
     }
@@ -292,6 +306,12 @@
     void reap()
     {
         reapTimer_ = 0;
+        for (const HttpCallId id : std::exchange(callsToQueueAgain_, {})) {
+            const auto found = calls_.find(id);
+            if (found != calls_.end()) {
+                found->second.peer->queue.push_front(id);
+            }
+        }
         for (Peer *peer : std::exchange(peersToReap_, {})) {
             auto &all = peer->connections;
             const auto isUnused = [](const auto &connection) { return connection->isClosed() && !connection->isBusy(); };
@@ -306,6 +326,8 @@
     std::unordered_map<Address, std::unique_ptr<Peer>, AddressHash> peers_;
     std::unordered_map<HttpCallId, CallEntry> calls_;
     std::set<Peer *> peersToReap_;
+    std::vector<HttpCallId> callsToQueueAgain_;
+    std::function<bool()> onShortage_ = [] { return false; };
     TimerId reapTimer_ = 0;
 };
 
--- a/packages/wire/src/internal/sockets.h
+++ b/packages/wire/src/internal/sockets.h
@@ -20,6 +20,9 @@
 /// The length of a socket address as system calls expect it, in bytes.
 socklen_t socketAddressLength(const sockaddr_storage &address);
 
+/// Whether the process can open no further descriptor.
+bool areDescriptorsUsedUp();
+
 /// Disables Nagle's algorithm, which delays small segments until earlier ones are acknowledged.
 void disableNagle(evutil_socket_t socket);
 
--- a/packages/wire/src/sockets.cpp
+++ b/packages/wire/src/sockets.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -73,6 +74,16 @@
     return address.ss_family == AF_INET ? sizeof(sockaddr_in) : sizeof(sockaddr_in6);
 }
 
+bool areDescriptorsUsedUp()
+{
+    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (probe >= 0) {
+        evutil_closesocket(probe);
+        return false;
+    }
+    return errno == EMFILE || errno == ENFILE;
+}
+
 void disableNagle(evutil_socket_t socket)
 {
     setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
--- a/tests/router/faultsprocesstest.cpp
+++ b/tests/router/faultsprocesstest.cpp
@@ -2,11 +2,16 @@
 #include "routertestbed.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <array>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <filesystem>
 #include <iterator>
+#include <netinet/in.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace Burdock;
 using nlohmann::json;
@@ -163,6 +168,42 @@
 }
 #endif
 
+#ifndef __SANITIZE_ADDRESS__
+TEST_CASE("Idle connections of clients that use up the descriptors keep no other listener of the instance from its callers", "[router][faults]")
+{
+    constexpr std::size_t Limit = 60;
+    Deployment deployment;
+    {
+        const DescriptorLimit lowered(Limit);
+        deployment.start();
+    }
+    const std::filesystem::path descriptors = "/proc/" + std::to_string(deployment.bed.process("i1").pid()) + "/fd";
+    const auto areUsedUp = [&descriptors] {
+        return std::distance(std::filesystem::directory_iterator(descriptors), std::filesystem::directory_iterator()) >= static_cast<std::ptrdiff_t>(Limit);
+    };
+    // These connections never carry a request, and none waits to be accepted.
+    std::vector<int> idle;
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(deployment.bed.clients("i1").port);
+    inet_pton(AF_INET, deployment.bed.clients("i1").host.c_str(), &address.sin_addr);
+    while (!areUsedUp()) {
+        REQUIRE(idle.size() < Limit);
+        idle.push_back(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        REQUIRE(connect(idle.back(), reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0);
+        deployment.pass(std::chrono::milliseconds(20));
+    }
+    deployment.pass(std::chrono::milliseconds(1500));
+    const auto directory = deployment.bed.call(deployment.bed.directory("i1"), "GET", "/burdocklanding/resolve", {}, {}, std::chrono::seconds(2));
+    CHECK((directory && directory->status == 200));
+    CHECK(deployment.bed.isReady("i1"));
+    CHECK(deployment.bed.call(deployment.bed.peers("i1"), "GET", "/metrics", {}, {}, std::chrono::seconds(2)).has_value());
+    CHECK(deployment.bed.sendRequest("i1", "/one/x", "served").has_value());
+    deployment.checkAllRun();
+    std::for_each(idle.begin(), idle.end(), &::close);
+}
+#endif
+
 TEST_CASE("A configuration that drops routes, services and all servers of one ends no request in progress", "[router][faults][drop]")
 {
     // Slow enough for each change to meet requests that wait for a first answer, are hedged, or have some parts.
