--- a/packages/router/src/instancecodec.cpp
+++ b/packages/router/src/instancecodec.cpp
@@ -44,7 +44,9 @@
                               read.at("cores").get<double>(),
                               read.at("crowded").get<bool>(),
                               {read.value("born", std::int64_t{0}), read.value("sequence", std::int64_t{0})},
-                              read.value("cutOff", false)};
+                              read.value("cutOff", false),
+                              // The builds that state this are those that serve requests of others.
+                              read.contains("cutOff")};
     } catch (const Json::exception &error) {
         return notRun(Errc::BadRequest, std::string("not an instance's record: ") + error.what());
     }
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -33,10 +33,12 @@
     EntryEdition edition{};
     /// Whether the instance can reach no server. It serves clients through other instances.
     bool cutOff = false;
+    /// Whether the instance's build serves requests that others pass on.
+    bool takesRequests = true;
 
     auto fields() const
     {
-        return std::tie(id, address, peers, region, dataCentre, ready, cores, crowded, edition, cutOff);
+        return std::tie(id, address, peers, region, dataCentre, ready, cores, crowded, edition, cutOff, takesRequests);
     }
 };
 
--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -212,7 +212,7 @@
 
 std::vector<InstanceTable::Records> InstanceTable::helpersFor(const InstanceRecord &self) const
 {
-    const Records others = filter(connected(self), [&self](const InstanceRecord *record) { return record->id != self.id; });
+    const Records others = filter(connected(self), [&self](const InstanceRecord *record) { return record->id != self.id && record->takesRequests; });
     const Records here = filter(others, [&self](const InstanceRecord *record) { return record->region == self.region; });
     const Records chosen = chosenOf(here);
     std::vector<Records> groups{chosen,
--- a/packages/routing/tests/tablestest.cpp
+++ b/packages/routing/tests/tablestest.cpp
@@ -334,6 +334,21 @@
     CHECK(groups().empty());
 }
 
+TEST_CASE("Instances of builds that serve no requests of others are not asked to help", "[instances][cutoff][builds]")
+{
+    InstanceTable table(7);
+    const InstanceRecord self = instanceOf("a", "home");
+    for (const char *id : {"b", "c", "d"}) {
+        InstanceRecord earlier = instanceOf(id, "home");
+        earlier.takesRequests = false;
+        table.put(earlier);
+    }
+    CHECK(table.helpersFor(self).empty());
+    table.put(instanceOf("e", "away"));
+    REQUIRE(table.helpersFor(self).size() == 1);
+    CHECK(table.helpersFor(self).front().front()->id == InstanceId("e"));
+}
+
 TEST_CASE("Clients are directed to the large instances while several have spare capacity", "[instances][unlike]")
 {
     InstanceTable table(3);
