Name the format of what relays tell, and read what other builds add

The entries of /changes, /entries and /config are CBOR lists in a fixed order and bore no version: a build that changed them would have been misread by the one before. Each response now names its format (relay-format: 1); none named is the first. A response of another format counts as one that cannot be read, so its reader goes to another relay or the store.

--- a/packages/router/src/configinquiry.cpp
+++ b/packages/router/src/configinquiry.cpp
@@ -94,7 +94,9 @@
 
 bool ConfigInquiry::takeAnswer(const Address &peer, const Result<HttpResponse> &response)
 {
-    const auto range = response && response->status == OkStatus ? readRange(response->body) : notRun(Errc::Unavailable, "no configuration");
+    const auto range = response && response->status == OkStatus && RelayFormat::isReadable(response->headers)
+        ? readRange(response->body)
+        : notRun(Errc::Unavailable, "no configuration that can be read");
     const bool told = range && !range->entries.empty();
     log_.write(DecisionPriority::Change,
                "peer.config",
--- a/packages/router/src/passonheaders.cpp
+++ b/packages/router/src/passonheaders.cpp
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace Burdock
@@ -17,6 +18,7 @@
 namespace
 {
 
+constexpr std::string_view Prefix = "burdock-";
 constexpr const char *From = "burdock-from";
 constexpr const char *Config = "burdock-config";
 constexpr const char *Attempts = "burdock-attempts";
@@ -94,9 +96,10 @@
 
 void PassOnHeaders::remove(Headers &headers)
 {
-    for (const char *name : All) {
-        headers.erase(name);
-    }
+    // Also those of later builds.
+    const auto begin = headers.lower_bound(std::string(Prefix));
+    const auto end = std::find_if(begin, headers.end(), [](const auto &header) { return header.first.compare(0, Prefix.size(), Prefix) != 0; });
+    headers.erase(begin, end);
 }
 
 void PassOnHeaders::write(Headers &headers, const PassOnTerms &terms)
--- a/packages/router/src/relaycodec.cpp
+++ b/packages/router/src/relaycodec.cpp
@@ -58,6 +58,12 @@
 
 } // namespace
 
+bool RelayFormat::isReadable(const std::map<std::string, std::string> &headers)
+{
+    const auto named = headers.find(Header);
+    return named == headers.end() || named->second == std::to_string(Current);
+}
+
 std::string writeChanges(const std::vector<StoreEntry> &entries)
 {
     return bytesOf(entriesJson(entries));
--- a/packages/router/src/relayedstore.cpp
+++ b/packages/router/src/relayedstore.cpp
@@ -53,6 +53,16 @@
     return valid ? std::optional<Duration>(std::chrono::milliseconds(age)) : std::nullopt;
 }
 
+/// Reads a relay's response, unless a later build wrote it in a way that this one does not know.
+template<class T>
+Result<T> readAnswer(const HttpResponse &response, Result<T> (*read)(const std::string &))
+{
+    if (!RelayFormat::isReadable(response.headers)) {
+        return notRun(Errc::WrongVersion, "the relay's answer has the unknown format " + response.headers.at(RelayFormat::Header));
+    }
+    return read(response.body);
+}
+
 } // namespace
 
 RelayedStore::RelayedStore(
@@ -138,31 +148,32 @@
     request.method = "GET";
     request.path = std::string(RelayService::EntriesPath) + "?prefix=" + percentEncode(prefix);
     request.timeout = RangeTimeout;
-    client_.send(
-        std::move(request), [this, relay, prefix, sentAt = runtime_.now(), done = std::move(done), alive = alive_](const Result<HttpResponse> &response) {
-            if (!*alive) {
-                return;
-            }
-            auto range = response && response->status == OkStatus ? readRange(response->body) : notRun(Errc::Unavailable, "the relay knows nothing fresh");
-            if (range) {
-                relays_.onAnswered();
-                if (const auto age = ageOf(*response)) {
-                    confirm(prefix, sentAt - *age);
-                }
-                return done(std::move(range));
-            }
-            logRelayFailure(relay, prefix, 0, response ? range.error().message : response.error().message);
-            if (response && response->status == UnavailableStatus) {
-                relays_.onStale(relay, runtime_.now());
-            } else {
-                relays_.onFailed(relay, runtime_.now());
-            }
-            if (mayUseStore(prefix)) {
-                readStore(prefix, done);
-            } else {
-                startListing(prefix, done);
-            }
-        });
+    client_.send(std::move(request),
+                 [this, relay, prefix, sentAt = runtime_.now(), done = std::move(done), alive = alive_](const Result<HttpResponse> &response) {
+                     if (!*alive) {
+                         return;
+                     }
+                     auto range = response && response->status == OkStatus ? readAnswer<StoreRange>(*response, &readRange)
+                                                                           : notRun(Errc::Unavailable, "the relay knows nothing fresh");
+                     if (range) {
+                         relays_.onAnswered();
+                         if (const auto age = ageOf(*response)) {
+                             confirm(prefix, sentAt - *age);
+                         }
+                         return done(std::move(range));
+                     }
+                     logRelayFailure(relay, prefix, 0, response ? range.error().message : response.error().message);
+                     if (response && response->status == UnavailableStatus) {
+                         relays_.onStale(relay, runtime_.now());
+                     } else {
+                         relays_.onFailed(relay, runtime_.now());
+                     }
+                     if (mayUseStore(prefix)) {
+                         readStore(prefix, done);
+                     } else {
+                         startListing(prefix, done);
+                     }
+                 });
 }
 
 void RelayedStore::commit(StoreTransaction transaction, Callback<StoreCommit> done)
@@ -316,7 +327,7 @@
     if (response->status != OkStatus) {
         return onRelayFailed(id, relay, "status " + std::to_string(response->status));
     }
-    const Result<std::vector<StoreEntry>> entries = readChanges(response->body);
+    const auto entries = readAnswer<std::vector<StoreEntry>>(*response, &readChanges);
     if (!entries) {
         return onRelayFailed(id, relay, entries.error().message);
     }
--- a/packages/router/src/relayservice.cpp
+++ b/packages/router/src/relayservice.cpp
@@ -72,6 +72,7 @@
     HttpServerResponse out;
     out.status = status;
     out.jsonByDefault = false;
+    out.headers[RelayFormat::Header] = std::to_string(RelayFormat::Current);
     out.headers[AgeHeader] = std::to_string((arrived - completeUntil_()) / std::chrono::milliseconds(1));
     out.body = std::move(body);
     return out;
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -543,6 +543,7 @@
     }
     HttpServerResponse out;
     out.jsonByDefault = false;
+    out.headers[RelayFormat::Header] = std::to_string(RelayFormat::Current);
     out.body = writeRange({{*config}, config->modRevision});
     responder->respond(std::move(out));
 }
