--- a/soak/src/main.cpp
+++ b/soak/src/main.cpp
@@ -33,6 +33,8 @@
                                     {"instances", "N", "6", "Number of instances."},
                                     {"rate", "N", "120", "Requests per second."},
                                     {"only", "KIND", "", "Injects only this kind of fault, such as 'server leaves'."},
+                                    {"earlier", "PATH", "", "A burdock-router of an earlier build that runs beside the present one."},
+                                    {"order", "WORD", "mixed", "forward: earlier instances are replaced one by one; back: by earlier ones; mixed: drawn."},
                                     {"untimed", "", "", "Skips the time-bounded guarantees, for busy machines."},
                                     {"report", "FOLDER", "", "Writes an HTML report for each seed to this folder."},
                                     {"logs", "FOLDER", "", "Saves the instances' logs of each failed seed to this folder."},
@@ -49,6 +51,8 @@
     int instances = 6;
     int rate = 120;
     bool timed = true;
+    std::string earlier;
+    SoakBuilds::Order order = SoakBuilds::Order::Mixed;
     std::string only;
     std::string report;
     std::string logs;
@@ -86,6 +90,14 @@
     if (!options.only.empty() && !SoakFaults::hasKind(options.only)) {
         return notRun(Errc::BadRequest, "--only: unknown kind of fault '" + options.only + "'");
     }
+    options.earlier = values.text("earlier");
+    const std::map<std::string, SoakBuilds::Order> orders{
+        {"forward", SoakBuilds::Order::Forward}, {"back", SoakBuilds::Order::Back}, {"mixed", SoakBuilds::Order::Mixed}};
+    const auto order = orders.find(values.text("order"));
+    if (order == orders.end()) {
+        return notRun(Errc::BadRequest, "--order must be forward, back or mixed");
+    }
+    options.order = order->second;
     options.report = values.text("report");
     options.logs = values.text("logs");
     return options;
@@ -103,7 +115,7 @@
 /// Runs one seed; returns whether all guarantees held.
 bool runSeed(std::uint64_t seed, const SoakOptions &options)
 {
-    SoakWorld world(options.instances);
+    SoakWorld world(options.instances, SoakBuilds(options.earlier, options.order, seed));
     EventLoop &loop = world.testbed().loop();
     for (const std::string &instance : world.instances()) {
         world.testbed().waitUntilReady(instance);
@@ -113,6 +125,7 @@
     SoakFaults faults(world, load, checks, seed, options.only);
     load.start();
     faults.start();
+    faults.replaceAll(options.seconds);
     const auto runFor = [&](Duration span) {
         const TimePoint end = loop.now() + span;
         while (loop.now() < end) {
--- a/soak/src/soakchecks.cpp
+++ b/soak/src/soakchecks.cpp
@@ -92,7 +92,9 @@
     // Most requested versions do not exist, so these requests are no measure of service.
     if (request.kind != SoakRequestKind::Versioned) {
         countRequest(status, world_.testbed().loop().now() - request.sentAt);
-        for (const auto &[counts, served] : {std::make_pair(request.atCutOff, &atCutOff_), std::make_pair(request.besideCutOff, &besideCutOff_)}) {
+        for (const auto &[counts, served] : {std::make_pair(request.atCutOff, &atCutOff_),
+                                             std::make_pair(request.atCutOff && request.atEarlierBuild, &atCutOffEarlier_),
+                                             std::make_pair(request.besideCutOff, &besideCutOff_)}) {
             served->requests += counts ? 1 : 0;
             served->served += counts && status == OkStatus ? 1 : 0;
         }
@@ -294,6 +296,7 @@
     const bool canAnyHelp = std::any_of(all.begin(), all.end(), [&](const std::string &each) { return isUsable(each) && !world_.isCutOff(each); });
     const bool counts = isAnyCutOff && canAnyHelp && isUsable(request.instance);
     request.atCutOff = counts && world_.isCutOff(request.instance, StabilityWindow);
+    request.atEarlierBuild = world_.builds().isEarlier(request.instance);
     request.besideCutOff = counts && !world_.isCutOff(request.instance);
 }
 
@@ -305,7 +308,7 @@
         && failures > MaxCutOffFailures + MaxCutOffFailedFraction * all) {
         std::ostringstream what;
         what << "served " << atCutOff_.served << " of " << atCutOff_.requests << " requests there, the others " << besideCutOff_.served << " of "
-             << besideCutOff_.requests;
+             << besideCutOff_.requests << "; of the former, the earlier build served " << atCutOffEarlier_.served << " of " << atCutOffEarlier_.requests;
         addViolation("instances without servers are helped", what.str());
     }
 }
--- a/soak/src/soakchecks.h
+++ b/soak/src/soakchecks.h
@@ -33,6 +33,8 @@
     TimePoint sentAt;
     /// The instance had been cut off from the servers for some seconds, or was not cut off while others were.
     bool atCutOff = false;
+    /// Whether the instance runs the earlier build.
+    bool atEarlierBuild = false;
     bool besideCutOff = false;
     /// SIGTERM had been sent to the instance before the request.
     bool instanceStopping = false;
@@ -133,6 +135,8 @@
         double served = 0;
     };
     Served atCutOff_;
+    /// Those of them at instances of the earlier build.
+    Served atCutOffEarlier_;
     Served besideCutOff_;
     bool serversSlow_ = false;
 };
--- a/soak/src/soakfaults.cpp
+++ b/soak/src/soakfaults.cpp
@@ -102,6 +102,7 @@
 {
     stopped_ = true;
     world_.testbed().loop().cancel(std::exchange(timer_, 0));
+    world_.testbed().loop().cancel(std::exchange(replaceTimer_, 0));
     while (!lifts_.empty()) {
         liftFault(lifts_.begin()->first);
     }
@@ -167,9 +168,35 @@
 void SoakFaults::stopInstance()
 {
     const std::string instance = acquireRandomInstance();
-    if (instance.empty()) {
-        return;
+    if (!instance.empty()) {
+        stop(instance);
+    }
+}
+
+void SoakFaults::replaceAll(Duration span)
+{
+    if (world_.builds().replacesInTurn()) {
+        replaceInterval_ = span / static_cast<int>(world_.instances().size() + 1);
+        replaceTimer_ = world_.testbed().loop().schedule(replaceInterval_, [this] { replaceNext(); });
     }
+}
+
+void SoakFaults::replaceNext()
+{
+    const std::string &instance = world_.instances().at(replaced_++);
+    world_.builds().replace(instance);
+    // One that a fault holds takes the other build with its next start.
+    if (busyInstances_.insert(instance).second) {
+        world_.recordDisturbance(instance);
+        stop(instance);
+    }
+    if (replaced_ < world_.instances().size()) {
+        replaceTimer_ = world_.testbed().loop().schedule(replaceInterval_, [this] { replaceNext(); });
+    }
+}
+
+void SoakFaults::stop(const std::string &instance)
+{
     checks_.setRestarting(instance, true);
     load_.setStopping(instance, true);
     world_.testbed().process(instance).signal(SIGTERM);
--- a/soak/src/soakfaults.h
+++ b/soak/src/soakfaults.h
@@ -33,6 +33,9 @@
 
     void start();
 
+    /// Replaces the instances one by one within the span, if there is an earlier build.
+    void replaceAll(Duration span);
+
     /// Stops injecting faults and lifts the active ones.
     void stop();
 
@@ -64,6 +67,11 @@
     /// Polls until the process has exited, then starts the instance again.
     void restartAfterExit(const std::string &instance);
 
+    /// Stops an instance as planned work does, and starts it again.
+    void stop(const std::string &instance);
+    /// Replaces the next instance by one of the other build.
+    void replaceNext();
+
     void stopInstance();
     void killInstance();
     void killHalf();
@@ -108,6 +116,9 @@
     const std::string onlyKind_;
     const TimePoint started_;
     TimerId timer_ = 0;
+    Duration replaceInterval_{0};
+    std::size_t replaced_ = 0;
+    TimerId replaceTimer_ = 0;
     bool stopped_ = false;
     std::vector<InjectedFault> injected_;
     std::map<std::size_t, std::function<void()>> lifts_;
--- a/soak/src/soakworld.cpp
+++ b/soak/src/soakworld.cpp
@@ -18,7 +18,8 @@
 
 } // namespace
 
-SoakWorld::SoakWorld(int instances)
+SoakWorld::SoakWorld(int instances, SoakBuilds builds)
+    : builds_(std::move(builds))
 {
     for (const auto *shards : {&FirstShards, &SecondShards}) {
         for (const std::string &shard : *shards) {
@@ -90,6 +91,7 @@
 {
     ++incarnations_[instance];
     ++starts_;
+    testbed_.setProgram(instance, builds_.program(instance));
     testbed_.startInstance(instance, regionOf(instance), storeProxies_.at(instance)->address().toString());
     recordDisturbance(instance);
 }
--- a/soak/src/soakworld.h
+++ b/soak/src/soakworld.h
@@ -2,6 +2,7 @@
 
 #include "loopbackproxy.h"
 #include "routertestbed.h"
+#include "soakbuilds.h"
 
 #include <map>
 #include <memory>
@@ -16,7 +17,7 @@
 class SoakWorld
 {
 public:
-    explicit SoakWorld(int instances);
+    SoakWorld(int instances, SoakBuilds builds);
 
     /// The names of the instances.
     const std::vector<std::string> &instances() const
@@ -52,6 +53,12 @@
     /// Starts or restarts an instance.
     void start(const std::string &instance);
 
+    /// Which build each instance runs.
+    SoakBuilds &builds()
+    {
+        return builds_;
+    }
+
     /// How often the instance has been started.
     int incarnation(const std::string &instance) const
     {
@@ -106,6 +113,7 @@
     void addServer(const std::string &id, const std::string &service);
 
     RouterTestbed testbed_;
+    SoakBuilds builds_;
     std::vector<std::string> instances_;
     std::vector<std::string> servers_;
     std::map<std::string, std::string> services_;
--- a/tests/testbed/routertestbed.cpp
+++ b/tests/testbed/routertestbed.cpp
@@ -138,6 +138,11 @@
     return path.string();
 }
 
+void RouterTestbed::setProgram(const std::string &id, const std::string &path)
+{
+    programs_[id] = path;
+}
+
 void RouterTestbed::startInstance(const std::string &id, const std::string &letter, const std::string &storeAddress)
 {
     hosts_.try_emplace(id, static_cast<int>(hosts_.size()) + 1);
@@ -153,7 +158,7 @@
                                              "BURDOCK_TESTBED_HOST=" + host(id),
                                              "BURDOCK_TESTBED_STORE_PORT=" + std::to_string(store.port),
                                              "BURDOCK_TESTBED_LINKS=" + linksFile(id).string(),
-                                             BURDOCK_ROUTER,
+                                             programs_[id].empty() ? BURDOCK_ROUTER : programs_[id],
                                              "--settings",
                                              writeSettings(id, letter, storeAddress)};
     instances_[id] = std::make_unique<ChildProcess>("/usr/bin/env", arguments, (folder_ / (id + ".log")).string());
--- a/tests/testbed/routertestbed.h
+++ b/tests/testbed/routertestbed.h
@@ -38,6 +38,10 @@
     /// that is not empty replaces the fake platform's store.
     void startInstance(const std::string &id, const std::string &letter = "a", const std::string &storeAddress = {});
 
+    /// Sets the program that the instance runs from its next start on, such as one of an earlier build; an empty path means the program
+    /// that was built with the tests.
+    void setProgram(const std::string &id, const std::string &path);
+
     /// Cuts instances off from all servers, while clients, the store and the other instances still reach them. `how`: `hang`, `lose`,
     /// `oneWay`, `reset` or `refuseNew`; see LinkCut. New connections are refused or, in the first three forms, not answered.
     void cut(const std::vector<std::string> &instances, const std::string &how);
@@ -118,6 +122,7 @@
     Address store_;
     Address control_;
     std::map<std::string, int> hosts_;
+    std::map<std::string, std::string> programs_;
     std::map<std::string, std::unique_ptr<ChildProcess>> instances_;
     std::set<std::string> reportedEnds_;
     std::vector<std::string> faultyEnds_;
