Read workspaces, regions and what cold servers bear from the configuration

Two customers join whose configurations name workspaces with keys, rates and regions, and what a cold server bears; nothing in the code knew these words. The values and the settings' bounds are read here, and nothing decides by them yet, so that the parts that do can be built side by side.

Ruled out: one type for the bounds of rates and of repeats, whose terms differ. platformtest [dialect] passes; other deployments have none of these fields and read the same values as before.

--- a/packages/router/include/burdock/router/headernames.h
+++ b/packages/router/include/burdock/router/headernames.h
@@ -28,6 +28,10 @@
     std::string serverLimit;
     /// In a server's response: the server is leaving.
     std::string serverLeaving;
+    /// In a client's request: the key of its workspace. Never sent on.
+    std::string key{};
+    /// In a request to a server: the name of the client's workspace.
+    std::string workspace{};
 };
 
 } // namespace Burdock
--- a/packages/router/include/burdock/router/routersettings.h
+++ b/packages/router/include/burdock/router/routersettings.h
@@ -10,6 +10,19 @@
 namespace Burdock
 {
 
+/// The bound on a rate that all instances share: in any window, (rate x window + burst) x (1 + overage) + slack.
+struct RateBound
+{
+    Duration window = std::chrono::seconds(1);
+    double overage = 0;
+    double slack = 0;
+
+    auto fields() const
+    {
+        return std::tie(window, overage, slack);
+    }
+};
+
 /// The settings of a routing instance.
 struct RouterSettings
 {
@@ -26,6 +39,12 @@
     Address peers;
     Address store;
     RepeatTerms repeats;
+    /// The bound on the rates of workspaces.
+    RateBound workspaceRates{};
+    /// The bound on the requests to one cold server.
+    RateBound coldServers{};
+    /// Whether operators may empty data centres, so that their requests to do so are followed.
+    bool emptiesDataCentres = false;
     /// The time between the stop signal and the forced end of the process.
     Duration stopTime = std::chrono::seconds(6);
     /// The time for which clients cache the directory's response.
@@ -39,8 +58,24 @@
 
     auto fields() const
     {
-        return std::tie(
-            id, region, dataCentre, regions, clients, readiness, directory, peers, store, repeats, stopTime, directoryTtl, cores, descriptors, firstStart);
+        return std::tie(id,
+                        region,
+                        dataCentre,
+                        regions,
+                        clients,
+                        readiness,
+                        directory,
+                        peers,
+                        store,
+                        repeats,
+                        workspaceRates,
+                        coldServers,
+                        emptiesDataCentres,
+                        stopTime,
+                        directoryTtl,
+                        cores,
+                        descriptors,
+                        firstStart);
     }
 };
 
--- a/packages/routing/include/burdock/routing/routingconfig.h
+++ b/packages/routing/include/burdock/routing/routingconfig.h
@@ -5,6 +5,7 @@
 #include <burdock/values/runtime.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -27,6 +28,43 @@
     }
 };
 
+/// A rate over all instances together: a bucket that holds `burst` tokens and gains `perSecond` of them each second.
+struct RateTerms
+{
+    /// Zero means that there is no limit.
+    double perSecond = 0;
+    double burst = 0;
+
+    bool isLimited() const
+    {
+        return perSecond > 0;
+    }
+
+    auto fields() const
+    {
+        return std::tie(perSecond, burst);
+    }
+};
+
+/// A group of callers who identify themselves by a key.
+struct Workspace
+{
+    std::string name;
+    /// The keys in force; any of them identifies the workspace. They are secrets: never logged or sent on.
+    std::vector<std::string> keys;
+    /// Goes before the priority of the route; unset if the route's holds.
+    std::optional<std::int64_t> priority;
+    /// The requests that all instances together send to servers for it.
+    RateTerms rate;
+    /// The regions in which its requests may be served; empty if they may be served anywhere.
+    std::vector<Region> regions;
+
+    auto fields() const
+    {
+        return std::tie(name, keys, priority, rate, regions);
+    }
+};
+
 /// How requests under one host and path prefix are routed.
 ///
 /// If `shards` is set, a request is sent to one server of each shard. Otherwise `services` is set, and the request is sent to one
@@ -53,10 +91,14 @@
     std::uint32_t resultLimit = 0;
     /// The minimum share of shards, 0 to 1, that a gathered answer needs to succeed.
     double minShare = 1;
+    /// Whether requests need no key.
+    bool open = false;
+    /// The regions in which requests may be served; empty if they may be served anywhere.
+    std::vector<Region> regions{};
 
     auto fields() const
     {
-        return std::tie(name, host, prefix, repeatable, timeout, target, priority, attempts, services, shards, resultLimit, minShare);
+        return std::tie(name, host, prefix, repeatable, timeout, target, priority, attempts, services, shards, resultLimit, minShare, open, regions);
     }
 };
 
@@ -68,10 +110,14 @@
     std::uint32_t connections = 0;
     /// The path at which a server responds without work; empty if there is none.
     std::string healthPath{};
+    /// The requests per second that a server takes from all instances together while it is cold; zero if any number.
+    double coldRate = 0;
+    /// How long a server is cold after its start.
+    Duration coldTime{0};
 
     auto fields() const
     {
-        return std::tie(name, connections, healthPath);
+        return std::tie(name, connections, healthPath, coldRate, coldTime);
     }
 };
 
@@ -96,10 +142,13 @@
     std::vector<Route> routes;
     std::vector<RoutedService> services;
     ClientLimits limits;
+    /// Whether requests need the key of a workspace, unless their route is open.
+    bool needsKeys = false;
+    std::vector<Workspace> workspaces{};
 
     auto fields() const
     {
-        return std::tie(version, routes, services, limits);
+        return std::tie(version, routes, services, limits, needsKeys, workspaces);
     }
 };
 
