Serve requests by the key of their workspace

What callers saw: a deployment with workspaces served every request, whatever its key, and servers got no workspace or the one that a client had stated.

Cause: nothing on the routing path knew a key or a workspace.

Change: the client endpoint takes the key out of the request and drops a stated workspace. Servers get the workspace on each attempt; peers get it as burdock-workspace and as the plain header, since a peer of an earlier build sends on what it gets. A request that an earlier build passed on still has the key and is treated like a client's.

--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -124,6 +124,7 @@
     CrashReportWriter crashReports_;
     RoutingFeed feed_;
     ConfigInquiry inquiry_;
+    UnlimitedRates rates_;
     /// Destroyed before the members above, because requests that end with the process still report to them.
     RequestCoordinator coordinator_;
     ClientEndpoint clientEndpoint_;
--- a/packages/router/src/clientendpoint.cpp
+++ b/packages/router/src/clientendpoint.cpp
@@ -82,6 +82,10 @@
     if (timeout != request.headers.end()) {
         request.clientTimeout = parseClientTimeout(timeout->second);
     }
+    if (const auto key = request.headers.extract(names_.key)) {
+        request.key = key.mapped();
+    }
+    request.headers.erase(names_.workspace);
     request.headers.erase(names_.targetServer);
     removeConnectionHeaders(request.headers);
     return request;
--- a/packages/router/src/httpbackends.cpp
+++ b/packages/router/src/httpbackends.cpp
@@ -87,6 +87,9 @@
     out.headers = request->headers;
     out.headers[names_.timeLeft] = std::to_string(left / std::chrono::milliseconds(1));
     out.headers[names_.targetServer] = server->id.text();
+    if (!request->workspace.empty()) {
+        out.headers[names_.workspace] = request->workspace;
+    }
     out.body = request->body;
     out.timeout = left;
     out.isReplyToRequest = [names = &names_, request](const HttpResponse &response) { return answersRequest(*names, request->id, response); };
--- a/packages/router/src/httppeers.cpp
+++ b/packages/router/src/httppeers.cpp
@@ -40,6 +40,10 @@
     out.headers = request->headers;
     out.headers[names_.timeLeft] = std::to_string(left / std::chrono::milliseconds(1));
     PassOnHeaders::write(out.headers, fromSelf);
+    if (!request->workspace.empty()) {
+        // A peer of an earlier build sends the servers the headers that it gets.
+        out.headers[names_.workspace] = request->workspace;
+    }
     out.body = request->body;
     out.timeout = left;
     out.isReplyToRequest = [names = &names_, request](const HttpResponse &response) {
--- a/packages/router/src/passonheaders.cpp
+++ b/packages/router/src/passonheaders.cpp
@@ -25,9 +25,10 @@
 constexpr const char *Counted = "burdock-counted";
 constexpr const char *ClientAgeUs = "burdock-client-age-us";
 constexpr const char *Service = "burdock-service";
+constexpr const char *WorkspaceName = "burdock-workspace";
 constexpr const char *Outcome = "burdock-outcome";
 constexpr const char *Unable = "burdock-unable";
-constexpr std::array<const char *, 8> All{From, Config, Attempts, Counted, ClientAgeUs, Service, Outcome, Unable};
+constexpr std::array<const char *, 9> All{From, Config, Attempts, Counted, ClientAgeUs, Service, WorkspaceName, Outcome, Unable};
 
 constexpr const char *Yes = "1";
 /// The values of `Unable` in the order of ClientAnswer::Inability.
@@ -115,6 +116,9 @@
     if (!terms.service.empty()) {
         headers[Service] = terms.service.text();
     }
+    if (!terms.workspace.empty()) {
+        headers[WorkspaceName] = terms.workspace;
+    }
 }
 
 Result<PassOnTerms> PassOnHeaders::read(const Headers &headers)
@@ -132,6 +136,7 @@
     terms.counted = valueOf(headers, Counted) == Yes;
     terms.clientAge = Duration(*ageUs);
     terms.service = ServiceName(valueOf(headers, Service));
+    terms.workspace = valueOf(headers, WorkspaceName);
     return terms;
 }
 
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -254,7 +254,7 @@
              [this](std::int64_t history) { onHistoryLost(history); },
              [this](const InstanceId &from, const std::vector<CrashReport> &reports) { onCrashReports(from, reports); }})
     , inquiry_(loop, client, log, {[this](const StoreEntry &config) { feed_.offerConfig(config); }, [this] { updateReadiness(); }})
-    , coordinator_(context_, seed)
+    , coordinator_(context_, rates_, seed)
     , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
     , connections_(std::make_shared<ConnectionPool>(static_cast<std::uint32_t>(settings.descriptors * PooledDescriptorFraction)))
     , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors), connections_))
--- a/packages/routing/include/burdock/routing/backendrequests.h
+++ b/packages/routing/include/burdock/routing/backendrequests.h
@@ -28,6 +28,10 @@
     std::optional<Duration> clientTimeout;
     /// Set if another instance passed the request on to this one.
     std::optional<PassOnTerms> passedOn{};
+    /// The key that the client sent; empty if it sent none, and once its workspace has been looked up. A secret: never logged or sent on.
+    std::string key{};
+    /// The name of the client's workspace, which servers get; empty if the request needs none.
+    std::string workspace{};
 };
 
 /// A complete response of a backend server.
--- a/packages/routing/include/burdock/routing/clientanswer.h
+++ b/packages/routing/include/burdock/routing/clientanswer.h
@@ -58,7 +58,9 @@
 {
     static constexpr int Ok = 200;
     static constexpr int BadRequest = 400;
+    static constexpr int Unauthorized = 401;
     static constexpr int NotFound = 404;
+    static constexpr int TooManyRequests = 429;
     static constexpr int InternalError = 500;
     static constexpr int BadGateway = 502;
     static constexpr int Unavailable = 503;
--- a/packages/routing/include/burdock/routing/passonterms.h
+++ b/packages/routing/include/burdock/routing/passonterms.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace Burdock
 {
@@ -24,10 +25,12 @@
     Duration clientAge{0};
     /// The service of a weighted split that was chosen for the request; empty if none was.
     ServiceName service;
+    /// The name of the client's workspace, whose rate has been charged; empty if the request needs none. An earlier build states none.
+    std::string workspace{};
 
     auto fields() const
     {
-        return std::tie(from, configVersion, attempts, counted, clientAge, service);
+        return std::tie(from, configVersion, attempts, counted, clientAge, service, workspace);
     }
 };
 
--- a/packages/routing/include/burdock/routing/requestcoordinator.h
+++ b/packages/routing/include/burdock/routing/requestcoordinator.h
@@ -2,6 +2,7 @@
 
 #include <burdock/routing/clientage.h>
 #include <burdock/routing/passonrun.h>
+#include <burdock/routing/requestadmission.h>
 #include <burdock/routing/requestrun.h>
 #include <burdock/routing/routetable.h>
 #include <burdock/routing/weightedsplit.h>
@@ -28,7 +29,7 @@
     /// Called with the answer and the route; the route is null if none matched.
     using AnswerCallback = std::function<void(const Route *, ClientAnswer)>;
 
-    RequestCoordinator(RoutingContext &context, std::uint64_t seed);
+    RequestCoordinator(RoutingContext &context, RateLimiter &rates, std::uint64_t seed);
     ~RequestCoordinator();
     RequestCoordinator(const RequestCoordinator &) = delete;
     RequestCoordinator &operator=(const RequestCoordinator &) = delete;
@@ -54,7 +55,9 @@
 private:
     struct Entry
     {
-        /// Null if the request was passed on at once.
+        /// Set if the request counts against a rate, which it may still wait for.
+        std::unique_ptr<RateClaim> claim;
+        /// Null if the request was passed on at once or has not started.
         std::unique_ptr<RequestRun> run;
         std::unique_ptr<PassOnRun> passOn;
         /// The answer of a run that ended without success while the request is passed on.
@@ -67,12 +70,15 @@
         bool answered = false;
     };
 
+    /// Starts a new entry once the rate of its workspace allows it.
+    void startWithinRate(ServedRequestId id);
+    void onRateDecided(ServedRequestId id, const RateDecision &decision);
     /// Starts the run of a new entry, or passes the request on.
     void start(ServedRequestId id);
     /// Returns the refusal of a request of another instance that this one cannot serve, or nothing.
     std::optional<ClientAnswer> refuseForOther(const ClientRequest &request) const;
-    /// Returns the route as it holds for the request.
-    std::shared_ptr<const Route> routeFor(const ClientRequest &request) const;
+    /// Returns the route that matches the request, or null.
+    std::shared_ptr<const Route> findRoute(const ClientRequest &request) const;
     Duration clientAge(const ClientRequest &request, const Route &route);
     void onRunAnswered(ServedRequestId id, ClientAnswer answer);
     void onPassOnAnswered(ServedRequestId id, ClientAnswer answer);
@@ -86,6 +92,8 @@
     /// Passes on or ends a request in progress, since no server can be reached.
     void onCutOff(ServedRequestId id);
     RunProgress progressOf(const Entry &entry) const;
+    /// Whether no server got the request and none will, by an answer to it.
+    bool arrivedNowhere(const Entry &entry, const ClientAnswer &answer) const;
     ClientAnswer::Inability inabilityOf(const Entry &entry, const ClientAnswer &answer) const;
     void finish(ServedRequestId id, Duration delay);
     /// Destroys an answered request's run in the next iteration of the loop, since it may still be on the stack.
@@ -98,6 +106,7 @@
     Duration addJitter(Duration span);
 
     RoutingContext &context_;
+    RequestAdmission admission_;
     std::mt19937_64 random_;
     const TimePoint started_;
     std::shared_ptr<const RouteTable> routes_;
--- a/packages/routing/include/burdock/routing/routetable.h
+++ b/packages/routing/include/burdock/routing/routetable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/routing/routingconfig.h>
+#include <burdock/routing/workspacetable.h>
 
 #include <memory>
 #include <string_view>
@@ -23,8 +24,14 @@
         return *config_;
     }
 
+    const WorkspaceTable &workspaces() const
+    {
+        return workspaces_;
+    }
+
 private:
     std::shared_ptr<const RoutingConfig> config_;
+    WorkspaceTable workspaces_;
     /// Routes by host name, longest prefix first.
     std::unordered_map<std::string, std::vector<const Route *>> hosts_;
 };
--- a/packages/routing/include/burdock/routing/routingcontext.h
+++ b/packages/routing/include/burdock/routing/routingcontext.h
@@ -31,6 +31,12 @@
     std::uint64_t passedOnFailed = 0;
     /// Requests that other instances passed on to this one and that were served.
     std::uint64_t servedForOthers = 0;
+    /// Requests refused since they had no key, had one that no workspace holds, or came over the rate of their workspace.
+    std::uint64_t refusedWithoutKey = 0;
+    std::uint64_t refusedUnknownKey = 0;
+    std::uint64_t refusedOverRate = 0;
+    /// Requests refused since their route and their workspace may be served in no common region.
+    std::uint64_t refusedEverywhere = 0;
 };
 
 /// One routing decision for a request, for the log.
--- a/packages/routing/src/requestcoordinator.cpp
+++ b/packages/routing/src/requestcoordinator.cpp
@@ -27,6 +27,8 @@
 /// After a peer could not serve a request of a route either, others of that route are not passed on for this time while some servers
 /// can be reached: the servers are down for all.
 constexpr Duration HoldTime = std::chrono::seconds(1);
+/// The maximum part of a request's target for which it waits for its workspace's rate.
+constexpr int MaxRateWaitDivisor = 2;
 constexpr const char *CutOffReason = "no server can be reached";
 
 std::string_view pathOf(const std::string &target)
@@ -34,10 +36,23 @@
     return std::string_view(target).substr(0, target.find('?'));
 }
 
+/// Returns the route as it holds for a request that was passed on.
+std::shared_ptr<const Route> limitedRoute(const Route &route, const PassOnTerms &terms)
+{
+    Route limited = route;
+    limited.attempts = std::min(limited.attempts, terms.attempts);
+    const auto isChosen = [&terms](const WeightedService &part) { return part.service == terms.service; };
+    if (std::any_of(limited.services.begin(), limited.services.end(), isChosen)) {
+        limited.services = {{terms.service, 1}};
+    }
+    return std::make_shared<const Route>(std::move(limited));
+}
+
 } // namespace
 
-RequestCoordinator::RequestCoordinator(RoutingContext &context, std::uint64_t seed)
+RequestCoordinator::RequestCoordinator(RoutingContext &context, RateLimiter &rates, std::uint64_t seed)
     : context_(context)
+    , admission_(rates, context.counters)
     , random_(seed)
     , started_(context.runtime.now())
 {
@@ -53,6 +68,7 @@
 void RequestCoordinator::setRoutes(std::shared_ptr<const RouteTable> routes)
 {
     routes_ = std::move(routes);
+    admission_.setRoutes(routes_);
     heldUntil_.clear();
 }
 
@@ -97,21 +113,10 @@
     return answer;
 }
 
-std::shared_ptr<const Route> RequestCoordinator::routeFor(const ClientRequest &request) const
+std::shared_ptr<const Route> RequestCoordinator::findRoute(const ClientRequest &request) const
 {
     const auto host = request.headers.find("host");
-    auto route = host == request.headers.end() ? nullptr : routes_->find(host->second, pathOf(request.target));
-    if (!route || !request.passedOn) {
-        return route;
-    }
-    Route limited = *route;
-    limited.attempts = std::min(limited.attempts, request.passedOn->attempts);
-    const ServiceName &chosen = request.passedOn->service;
-    const auto isChosen = [&chosen](const WeightedService &part) { return part.service == chosen; };
-    if (std::any_of(limited.services.begin(), limited.services.end(), isChosen)) {
-        limited.services = {{chosen, 1}};
-    }
-    return std::make_shared<const Route>(std::move(limited));
+    return host == request.headers.end() ? nullptr : routes_->find(host->second, pathOf(request.target));
 }
 
 Duration RequestCoordinator::clientAge(const ClientRequest &request, const Route &route)
@@ -134,11 +139,19 @@
         onAnswer(nullptr, refusal(AnswerStatus::Unavailable, "no configuration is known yet", addJitter(sinceStart)));
         return id;
     }
-    const auto route = routeFor(request);
-    if (!route) {
+    const auto found = findRoute(request);
+    if (!found) {
         onAnswer(nullptr, refusal(AnswerStatus::NotFound, "no route for this host and path"));
         return id;
     }
+    RequestAdmission::Outcome admitted = admission_.admit(request, found);
+    request.key.clear();
+    if (admitted.refused) {
+        onAnswer(found.get(), std::move(*admitted.refused));
+        return id;
+    }
+    request.workspace = std::move(admitted.workspace);
+    const auto route = request.passedOn ? limitedRoute(*admitted.route, *request.passedOn) : admitted.route;
     const Duration effectiveTimeout = std::min(request.clientTimeout.value_or(route->timeout), route->timeout);
     const Duration clientAge = this->clientAge(request, *route);
     const TimePoint now = context_.runtime.now();
@@ -152,11 +165,12 @@
     const auto shared = std::make_shared<const ClientRequest>(std::move(request));
     Entry &entry = entries_[id];
     entry.terms = RunTerms{route, shared, shared->arrived + effectiveTimeout, retryAfter(*route), trial, clientAge};
+    entry.claim = std::move(admitted.claim);
     entry.onAnswer = std::move(onAnswer);
     entry.work = context_.runtime.boundary().work();
     ++pending_;
     try {
-        start(id);
+        startWithinRate(id);
     } catch (...) {
         // The caller gets no id by which it could end the request.
         onClientDisconnected(id);
@@ -165,6 +179,37 @@
     return id;
 }
 
+void RequestCoordinator::startWithinRate(ServedRequestId id)
+{
+    const Entry &entry = entries_.at(id);
+    if (!entry.claim) {
+        return start(id);
+    }
+    const Duration timeLeft = std::max(entry.terms.deadline - context_.runtime.now(), Duration{0});
+    const Duration maxWait = std::min(timeLeft, entry.terms.route->target / MaxRateWaitDivisor);
+    const auto onDecided = [this, id, work = entry.work](const RateDecision &decision) {
+        context_.runtime.boundary().runFor(work, "rate", [&] { onRateDecided(id, decision); });
+    };
+    if (const auto decision = entry.claim->acquire(entry.terms.route->priority, maxWait, onDecided)) {
+        onRateDecided(id, *decision);
+    }
+}
+
+void RequestCoordinator::onRateDecided(ServedRequestId id, const RateDecision &decision)
+{
+    const Entry &entry = entries_.at(id);
+    if (!decision.admitted) {
+        ++context_.counters.refusedOverRate;
+        const std::string reason = "workspace " + entry.claim->workspace() + " is over its rate";
+        return answer(id, refusal(AnswerStatus::TooManyRequests, reason, decision.retryAfter));
+    }
+    // The reach may have changed while the request waited.
+    if (auto refused = refuseForOther(*entry.terms.request)) {
+        return answer(id, std::move(*refused));
+    }
+    start(id);
+}
+
 void RequestCoordinator::start(ServedRequestId id)
 {
     if (context_.reach.isCutOff()) {
@@ -244,6 +289,7 @@
     terms.attempts = entry.terms.route->attempts - progress.attempts;
     terms.counted = progress.counted;
     terms.service = progress.service;
+    terms.workspace = entry.terms.request->workspace;
     entry.passOn = std::make_unique<PassOnRun>(context_, entry.terms, std::move(terms), reason);
     entry.passOn->start([this, id](ClientAnswer given) { onPassOnAnswered(id, std::move(given)); });
 }
@@ -280,7 +326,7 @@
     }
     std::vector<ServedRequestId> unanswered;
     for (const auto &[id, entry] : entries_) {
-        if (!entry.answered && !entry.passOn) {
+        if (!entry.answered && entry.run && !entry.passOn) {
             unanswered.push_back(id);
         }
     }
@@ -317,17 +363,21 @@
     answer(id, failureAnswer(failure, !mayHaveRunHere, false, entry.terms.retryAfter));
 }
 
+bool RequestCoordinator::arrivedNowhere(const Entry &entry, const ClientAnswer &answer) const
+{
+    return answer.kind == ClientAnswer::Kind::Refused && (!entry.run || entry.run->progress().repeats.empty());
+}
+
 ClientAnswer::Inability RequestCoordinator::inabilityOf(const Entry &entry, const ClientAnswer &answer) const
 {
-    if (answer.succeeded()) {
+    if (answer.succeeded() || answer.status == AnswerStatus::TooManyRequests) {
         return ClientAnswer::Inability::None;
     }
     if (context_.reach.isCutOff()) {
         return ClientAnswer::Inability::Instance;
     }
     // Connections and limits are divided among the instances, so another one may have room at the same servers.
-    const bool arrivedNowhere = answer.kind == ClientAnswer::Kind::Refused && entry.run->progress().repeats.empty();
-    return arrivedNowhere ? ClientAnswer::Inability::Request : ClientAnswer::Inability::None;
+    return arrivedNowhere(entry, answer) ? ClientAnswer::Inability::Request : ClientAnswer::Inability::None;
 }
 
 void RequestCoordinator::answer(ServedRequestId id, ClientAnswer answer)
@@ -340,6 +390,9 @@
         answer.inability = inabilityOf(entry, answer);
         context_.counters.servedForOthers += answer.succeeded() ? 1 : 0;
     }
+    if (entry.claim && arrivedNowhere(entry, answer)) {
+        entry.claim->giveBack();
+    }
     const bool byPeer = entry.passOn && entry.passOn->finished();
     finish(id, !byPeer && entry.run && entry.run->inFlight() > 0 ? LoserGracePeriod : Duration{0});
     onAnswer(route.get(), std::move(answer));
@@ -359,9 +412,10 @@
         if (found == entries_.end() || found->second.answered) {
             continue;
         }
+        const bool isWaiting = found->second.claim && found->second.claim->isPending();
         ClientAnswer failure;
-        failure.kind = ClientAnswer::Kind::Failed;
-        failure.status = AnswerStatus::BadGateway;
+        failure.kind = isWaiting ? ClientAnswer::Kind::Refused : ClientAnswer::Kind::Failed;
+        failure.status = isWaiting ? AnswerStatus::Unavailable : AnswerStatus::BadGateway;
         failure.reason = reason;
         answer(id, std::move(failure));
         context_.runtime.cancel(entries_.at(id).removal);
--- a/packages/routing/src/routetable.cpp
+++ b/packages/routing/src/routetable.cpp
@@ -22,6 +22,7 @@
 
 RouteTable::RouteTable(std::shared_ptr<const RoutingConfig> config)
     : config_(std::move(config))
+    , workspaces_(*config_)
 {
     for (const Route &route : config_->routes) {
         hosts_[hostName(route.host)].push_back(&route);
--- a/packages/routing/tests/routingfixture.h
+++ b/packages/routing/tests/routingfixture.h
@@ -299,7 +299,8 @@
                           InstanceId("self"),
                           7};
     RoutingContext context{runtime, backends, servers, choice, load, budget, crashes, reach, counters, journal, peers, peerChoice};
-    RequestCoordinator coordinator{context, 7};
+    UnlimitedRates rates;
+    RequestCoordinator coordinator{context, rates, 7};
     std::optional<ClientAnswer> answer;
     std::int64_t version = 0;
     std::uint16_t port = 8000;
