--- a/packages/routing/include/burdock/routing/ratelimiter.h
+++ b/packages/routing/include/burdock/routing/ratelimiter.h
@@ -35,10 +35,12 @@
     bool admitted = true;
     /// When a refused request may be admitted if it comes again.
     Duration retryAfter{0};
+    /// Until when what an admitted request took can be given back, on the clock of the instance that counts suspensions.
+    TimePoint returnableUntil{};
 
     auto fields() const
     {
-        return std::tie(admitted, retryAfter);
+        return std::tie(admitted, retryAfter, returnableUntil);
     }
 };
 
@@ -62,8 +64,8 @@
     /// Forgets a request that waits for its decision; its callback is not called. Others are ignored.
     virtual void cancel(RateRequestId id) = 0;
 
-    /// Returns what an admitted request took, since no server got it and none will.
-    virtual void giveBack(const std::string &name) = 0;
+    /// Returns what an admitted request took, since no server got it and none will. `admission` is the decision on it.
+    virtual void giveBack(const std::string &name, const RateDecision &admission) = 0;
 };
 
 /// Admits all requests.
@@ -80,7 +82,7 @@
     {
     }
 
-    void giveBack(const std::string & /*name*/) override
+    void giveBack(const std::string & /*name*/, const RateDecision & /*admission*/) override
     {
     }
 };
