--- a/packages/routing/tests/ratefleet.h
+++ b/packages/routing/tests/ratefleet.h
@@ -144,6 +144,17 @@
         return node.rates && !node.runtime->isPaused() ? node.rates.get() : nullptr;
     }
 
+    /// Returns the instance that most others take as the holder: the oldest in the store.
+    std::size_t holder() const
+    {
+        std::size_t oldest = 0;
+        for (std::size_t index = 0; index < senders_; ++index) {
+            const bool listed = nodes_[index].listedUntil > clock.now();
+            oldest = listed && (nodes_[index].born < nodes_[oldest].born || nodes_[oldest].listedUntil <= clock.now()) ? index : oldest;
+        }
+        return oldest;
+    }
+
     /// Sets the limits, which instances hear of at different times within `spread`.
     void setTerms(const std::map<std::string, RateTerms> &terms, Duration spread)
     {
--- a/packages/routing/tests/sharedratestest.cpp
+++ b/packages/routing/tests/sharedratestest.cpp
@@ -117,7 +117,10 @@
 /// Brings about one fault or several at random.
 void disturb(RateFleet &fleet, std::size_t senders, std::mt19937_64 &random)
 {
-    const auto any = [&random, senders] { return std::uniform_int_distribution<std::size_t>(0, senders - 1)(random); };
+    const std::size_t holder = fleet.holder();
+    const auto any = [&random, senders, holder] {
+        return std::bernoulli_distribution(0.3)(random) ? holder : std::uniform_int_distribution<std::size_t>(0, senders - 1)(random);
+    };
     const auto upTo = [&random](int most) { return milliseconds(std::uniform_int_distribution<int>(50, most)(random)); };
     switch (std::uniform_int_distribution<int>(0, 10)(random)) {
     case 0:
@@ -197,7 +200,7 @@
     RateFleet fleet(static_cast<std::uint64_t>(seed), Senders, 2, Allowance);
     std::vector<Callers> callers;
     std::map<std::string, RateTerms> terms;
-    for (const double rate : {1.0, 7.0, 20.0, 49.0}) {
+    for (const double rate : {1.0, 7.0, 49.0, 250.0}) {
         const std::string name = "workspace-" + std::to_string(static_cast<int>(rate));
         terms[name] = {rate, rate};
         callers.push_back({name, std::vector<double>(fleet.size(), 0), {}, 0});
@@ -208,10 +211,12 @@
     TimePoint nextShift = fleet.clock.now() + seconds(4);
     while (fleet.clock.now() < end) {
         if (fleet.clock.now() >= nextShift) {
-            nextShift += milliseconds(std::uniform_int_distribution<int>(500, 4000)(random));
+            nextShift += milliseconds(std::uniform_int_distribution<int>(1000, 5000)(random));
+            // Floods after quiet times use what was saved up.
+            const bool flood = std::bernoulli_distribution(0.6)(random);
             for (Callers &some : callers) {
-                const bool everywhere = std::bernoulli_distribution(0.5)(random);
-                const double rate = terms[some.name].perSecond * std::uniform_real_distribution<double>(0.5, 6)(random);
+                const bool everywhere = std::bernoulli_distribution(0.8)(random);
+                const double rate = terms[some.name].perSecond * (flood ? std::uniform_real_distribution<double>(2, 8)(random) : 0.05);
                 const std::size_t only = std::uniform_int_distribution<std::size_t>(0, fleet.size() - 1)(random);
                 for (std::size_t index = 0; index < fleet.size(); ++index) {
                     some.demand[index] = everywhere ? rate / static_cast<double>(fleet.size()) : index == only ? rate : 0;
@@ -219,7 +224,7 @@
             }
         }
         if (fleet.clock.now() >= nextFault) {
-            nextFault += milliseconds(std::uniform_int_distribution<int>(100, 4000)(random));
+            nextFault += milliseconds(std::uniform_int_distribution<int>(500, 8000)(random));
             disturb(fleet, Senders, random);
         }
         for (Callers &some : callers) {
