Refuse passed-on requests whose key may have been withdrawn, and count refusals by cause

What callers saw: an instance that is cut off from the servers and late with the configuration could pass on a request with a key that its peer knew to be withdrawn, since the peer gets the workspace and not the key.

Cause: the name of a workspace does not tell by which of its keys it was found.

Change: the request states the configuration by which the workspace was found. A peer whose newer one withdrew a key of that workspace refuses, and the first instance fetches the newer configuration. Each cause of a refusal has its counter. The feed's tests tell older news in six ways after a withdrawal.

Ruled out: passing on a digest of the key, which would be a copy of the secret.

--- a/packages/fakes/include/burdock/fakes/fakeroutedserver.h
+++ b/packages/fakes/include/burdock/fakes/fakeroutedserver.h
@@ -100,6 +100,12 @@
         return executions_;
     }
 
+    /// The workspaces that were stated for each client attempt that was executed; one is empty if none was stated.
+    const std::map<std::string, std::set<std::string>> &workspaces() const
+    {
+        return workspaces_;
+    }
+
     /// Number of requests that occupy slots now.
     std::size_t running() const
     {
@@ -126,7 +132,7 @@
     /// The most by which requests have exceeded what a named limit allows, over all positions of the window; negative if none has.
     double worstLimitExcess() const;
 
-    /// Protocol violations, such as a request without target server or remaining time.
+    /// Protocol violations, such as a request without target server or remaining time, or with the key of a client.
     const std::vector<std::string> &protocolErrors() const
     {
         return protocolErrors_;
@@ -166,6 +172,7 @@
     std::set<JobPtr> running_;
     std::vector<std::shared_ptr<FakeResponder>> waitingHealth_;
     std::map<std::string, std::uint32_t> executions_;
+    std::map<std::string, std::set<std::string>> workspaces_;
     std::map<std::string, std::uint32_t> crashes_;
     std::function<void()> onCrash_ = [] {};
     std::uint64_t arrived_ = 0;
--- a/packages/fakes/src/fakeroutedserver.cpp
+++ b/packages/fakes/src/fakeroutedserver.cpp
@@ -78,6 +78,9 @@
     if ((target.empty() || attempt.empty() || headerOf(request, "timeout-remaining").empty()) && protocolErrors_.size() < MaxProtocolErrors) {
         protocolErrors_.push_back("a request without id, target or time left: " + request.method + " " + request.path);
     }
+    if (request.headers.count("key") > 0 && protocolErrors_.size() < MaxProtocolErrors) {
+        protocolErrors_.push_back("a request with a client's key: " + request.method + " " + request.path);
+    }
     arrivals_.push_back({runtime_.now(), attempt});
     if (arrivals_.size() > MaxArrivals) {
         arrivals_.pop_front();
@@ -167,6 +170,7 @@
         }
         running_.insert(job);
         ++executions_[job->attempt];
+        workspaces_[job->attempt].insert(headerOf(job->request, "tenant"));
         job->timer = runtime_.schedule(workTime(), [this, job] {
             const std::string &target = job->request.target;
             target.find(DeadlyWord) == std::string::npos ? finish(job) : crash(target);
--- a/packages/fakes/src/platformcontrol.cpp
+++ b/packages/fakes/src/platformcontrol.cpp
@@ -189,6 +189,18 @@
     return attempts;
 }
 
+/// Returns the workspaces that all servers were told by attempt.
+Json workspaces(FakePlatform &platform, const Json &)
+{
+    std::map<std::string, std::set<std::string>> attempts;
+    for (const auto &[id, server] : platform.servers()) {
+        for (const auto &[attempt, names] : server.server->workspaces()) {
+            attempts[attempt].insert(names.begin(), names.end());
+        }
+    }
+    return attempts;
+}
+
 Json servers(FakePlatform &platform, const Json &)
 {
     Json list = Json::object();
@@ -229,6 +241,7 @@
     {"/fake/store", true, &storeStatus},
     {"/fake/servers", true, &servers},
     {"/fake/ran", true, &ran},
+    {"/fake/workspaces", true, &workspaces},
 };
 
 } // namespace
--- a/packages/router/src/passonheaders.cpp
+++ b/packages/router/src/passonheaders.cpp
@@ -26,9 +26,10 @@
 constexpr const char *ClientAgeUs = "burdock-client-age-us";
 constexpr const char *Service = "burdock-service";
 constexpr const char *WorkspaceName = "burdock-workspace";
+constexpr const char *WorkspaceConfig = "burdock-workspace-config";
 constexpr const char *Outcome = "burdock-outcome";
 constexpr const char *Unable = "burdock-unable";
-constexpr std::array<const char *, 9> All{From, Config, Attempts, Counted, ClientAgeUs, Service, WorkspaceName, Outcome, Unable};
+constexpr std::array<const char *, 10> All{From, Config, Attempts, Counted, ClientAgeUs, Service, WorkspaceName, WorkspaceConfig, Outcome, Unable};
 
 constexpr const char *Yes = "1";
 /// The values of `Unable` in the order of ClientAnswer::Inability.
@@ -118,6 +119,7 @@
     }
     if (!terms.workspace.empty()) {
         headers[WorkspaceName] = terms.workspace;
+        headers[WorkspaceConfig] = std::to_string(terms.workspaceConfig);
     }
 }
 
@@ -137,6 +139,7 @@
     terms.clientAge = Duration(*ageUs);
     terms.service = ServiceName(valueOf(headers, Service));
     terms.workspace = valueOf(headers, WorkspaceName);
+    terms.workspaceConfig = numberOf<std::int64_t>(headers, WorkspaceConfig).value_or(0);
     return terms;
 }
 
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -3,6 +3,7 @@
 #include <burdock/router/crashreportcodec.h>
 #include <burdock/router/instancecodec.h>
 #include <burdock/router/passonheaders.h>
+#include <burdock/router/refusalmetrics.h>
 #include <burdock/router/relaycodec.h>
 #include <burdock/routing/dataage.h>
 #include <burdock/wire/factories.h>
@@ -815,8 +816,7 @@
     counter("burdock_hedges_total", "Requests sent to a second server because the first was late.", &counters_.hedges);
     counter("burdock_retries_total", "Requests sent to another server after a failure.", &counters_.retries);
     counter("burdock_repeats_denied_total", "Hedges and retries that the budget did not allow.", &counters_.repeatsDenied);
-    counter("burdock_refused_by_servers_total", "Requests that a server did not run.", &counters_.refusedByServers);
-    counter("burdock_refused_as_guilty_total", "Requests that are known to crash servers, refused at once.", &counters_.refusedAsGuilty);
+    addRefusalMetrics(metrics_, counters_);
     counter("burdock_failed_at_servers_total", "Requests that failed and may have run.", &counters_.failedAtServers);
     const HttpServerCounters &clients = clients_->counters();
     counter("burdock_connections_refused_total", "Clients' connections that were closed at once, since there were too many.", &clients.refusedConnections);
--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -229,7 +229,8 @@
                 {"before", previous},
                 {"revision", entry.modRevision},
                 {"routes", static_cast<std::int64_t>(config->routes.size())},
-                {"services", static_cast<std::int64_t>(config->services.size())}});
+                {"services", static_cast<std::int64_t>(config->services.size())},
+                {"workspaces", static_cast<std::int64_t>(config->workspaces.size())}});
     events_.onRoutes(std::make_shared<const RouteTable>(std::make_shared<const RoutingConfig>(std::move(*config))));
     return entry;
 }
--- a/packages/router/tests/routingfeedtest.cpp
+++ b/packages/router/tests/routingfeedtest.cpp
@@ -7,7 +7,9 @@
 #include "../../routing/tests/manualstore.h"
 #include "recordedresponder.h"
 
+#include <iterator>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <unistd.h>
 
 using namespace Burdock;
@@ -18,7 +20,7 @@
 namespace
 {
 
-/// A dialect whose configuration is its version, and whose entries are small JSON objects.
+/// A dialect whose configuration is its version and the keys of one workspace, and whose entries are small JSON objects.
 class TestDialect final : public Dialect
 {
 public:
@@ -41,7 +43,10 @@
     Result<RoutingConfig> readConfig(const std::string &value) const override
     {
         RoutingConfig config;
-        config.version = std::stoll(value);
+        std::istringstream words(value);
+        words >> config.version;
+        config.needsKeys = true;
+        config.workspaces = {Workspace{"yard", {std::istream_iterator<std::string>(words), {}}, {}, {}, {}}};
         return config;
     }
     Result<ServerEntry> readServer(const std::string &key, const std::string &value) const override
@@ -153,6 +158,7 @@
     RelayService relay{runtime, [this] { return runtime.now(); }};
     DecisionLog log{runtime, STDERR_FILENO, "test"};
     std::vector<std::int64_t> versions;
+    std::shared_ptr<const RouteTable> routes;
     std::vector<std::int64_t> histories;
     std::int64_t revision = 30;
     RoutingFeed feed{runtime,
@@ -162,7 +168,10 @@
                      instances,
                      relay,
                      log,
-                     {[this](const std::shared_ptr<const RouteTable> &routes) { versions.push_back(routes->config().version); },
+                     {[this](const std::shared_ptr<const RouteTable> &given) {
+                          routes = given;
+                          versions.push_back(routes->config().version);
+                      },
                       [] {},
                       [] {},
                       [this](std::int64_t history) { histories.push_back(history); }}};
@@ -251,3 +260,52 @@
         CHECK(fixture.usableServers() == 2);
     }
 }
+
+TEST_CASE("A key that was withdrawn stays withdrawn, whoever has older news", "[feed][workspaces]")
+{
+    FeedFixture fixture;
+    const auto isKnown = [&fixture](const char *key) { return fixture.routes->workspaces().findByKey(key) != nullptr; };
+    fixture.change({"config", "8 kept taken", 0, 0, false}, 1);
+    REQUIRE(isKnown("taken"));
+    fixture.change({"config", "9 kept", 0, 0, false}, 1);
+    REQUIRE_FALSE(isKnown("taken"));
+    SECTION("a relay tells the configuration before")
+    {
+        fixture.change({"config", "8 kept taken", 0, 0, false}, 1);
+    }
+    SECTION("a store that was restored from a copy lists the configuration before")
+    {
+        fixture.restore(2, "8 kept taken", {FeedFixture::server("p1", 1)});
+    }
+    SECTION("an instance that has heard less, such as one of another build, offers its configuration")
+    {
+        fixture.feed.offerConfig({"config", "8 kept taken", 0, 0, false});
+    }
+    SECTION("the store's entry is deleted")
+    {
+        fixture.change({"config", "", 0, 0, true}, 1);
+    }
+    SECTION("an older one without any key follows")
+    {
+        fixture.change({"config", "8", 0, 0, false}, 1);
+    }
+    SECTION("the machine was suspended, and the store is away")
+    {
+        fixture.feed.restart();
+        fixture.runtime.advance(seconds(30));
+    }
+    CHECK_FALSE(isKnown("taken"));
+    CHECK(isKnown("kept"));
+    // What an instance that starts or listens to this one is told.
+    CHECK(fixture.feed.configInForce()->value == "9 kept");
+}
+
+TEST_CASE("An instance that starts beside an older copy of the store takes the withdrawal from the others", "[feed][workspaces]")
+{
+    FeedFixture fixture;
+    fixture.change({"config", "8 kept taken", 0, 0, false}, 1);
+    REQUIRE(fixture.routes->workspaces().findByKey("taken") != nullptr);
+    fixture.feed.offerConfig({"config", "9 kept", 0, 0, false});
+    CHECK(fixture.routes->workspaces().findByKey("taken") == nullptr);
+    CHECK(fixture.served("config").find("taken") == std::string::npos);
+}
--- a/packages/routing/include/burdock/routing/backendrequests.h
+++ b/packages/routing/include/burdock/routing/backendrequests.h
@@ -32,6 +32,8 @@
     std::string key{};
     /// The name of the client's workspace, which servers get; empty if the request needs none.
     std::string workspace{};
+    /// The version of the configuration by which the workspace was found.
+    std::int64_t workspaceConfig = 0;
 };
 
 /// A complete response of a backend server.
--- a/packages/routing/include/burdock/routing/passonterms.h
+++ b/packages/routing/include/burdock/routing/passonterms.h
@@ -27,10 +27,12 @@
     ServiceName service;
     /// The name of the client's workspace, whose rate has been charged; empty if the request needs none. An earlier build states none.
     std::string workspace{};
+    /// The version of the configuration by which the workspace was found.
+    std::int64_t workspaceConfig = 0;
 
     auto fields() const
     {
-        return std::tie(from, configVersion, attempts, counted, clientAge, service, workspace);
+        return std::tie(from, configVersion, attempts, counted, clientAge, service, workspace, workspaceConfig);
     }
 };
 
--- a/packages/routing/include/burdock/routing/requestadmission.h
+++ b/packages/routing/include/burdock/routing/requestadmission.h
@@ -2,12 +2,14 @@
 
 #include <burdock/routing/clientanswer.h>
 #include <burdock/routing/effectiveroutes.h>
+#include <burdock/routing/keywithdrawals.h>
 #include <burdock/routing/rateclaim.h>
 #include <burdock/routing/routingcontext.h>
 
 #include <memory>
 #include <optional>
 #include <string>
+#include <tl/expected.hpp>
 
 namespace Burdock
 {
@@ -15,8 +17,9 @@
 /// Decides for each request which workspace it belongs to, how its route holds for that workspace, and whether it needs a part of the
 /// workspace's rate. It answers the load of callers who share the servers and are held apart by their keys.
 ///
-/// A request that a peer passed on names the workspace that the peer found, and the peer has charged its rate. One from a peer of an
-/// earlier build, which knows no keys, still has the client's key and is treated like a client's.
+/// A request that a peer passed on names the workspace that the peer found, and the peer has charged its rate. It is refused if the
+/// peer found it by a configuration older than the last withdrawal of one of the workspace's keys. One from a peer of an earlier build,
+/// which knows no keys, still has the client's key and is treated like a client's.
 class RequestAdmission
 {
 public:
@@ -41,13 +44,15 @@
     Outcome admit(const ClientRequest &request, std::shared_ptr<const Route> route);
 
 private:
-    /// Returns the workspace of the request, or null and sets the refusal.
-    const Workspace *findWorkspace(const ClientRequest &request, Outcome &outcome);
+    /// Returns the workspace of the request or a refusal.
+    tl::expected<const Workspace *, ClientAnswer> findWorkspace(const ClientRequest &request);
+    tl::expected<const Workspace *, ClientAnswer> findNamedWorkspace(const PassOnTerms &terms);
 
     RateLimiter &rates_;
     RoutingCounters &counters_;
     std::shared_ptr<const RouteTable> routes_;
     std::optional<EffectiveRoutes> effective_;
+    KeyWithdrawals withdrawals_;
 };
 
 } // namespace Burdock
--- a/packages/routing/include/burdock/routing/routingcontext.h
+++ b/packages/routing/include/burdock/routing/routingcontext.h
@@ -36,7 +36,7 @@
     std::uint64_t refusedUnknownKey = 0;
     std::uint64_t refusedOverRate = 0;
     /// Requests refused since their route and their workspace may be served in no common region.
-    std::uint64_t refusedEverywhere = 0;
+    std::uint64_t refusedNoRegion = 0;
 };
 
 /// One routing decision for a request, for the log.
--- a/packages/routing/src/requestcoordinator.cpp
+++ b/packages/routing/src/requestcoordinator.cpp
@@ -151,6 +151,7 @@
         return id;
     }
     request.workspace = std::move(admitted.workspace);
+    request.workspaceConfig = routes_->config().version;
     const auto route = request.passedOn ? limitedRoute(*admitted.route, *request.passedOn) : admitted.route;
     const Duration effectiveTimeout = std::min(request.clientTimeout.value_or(route->timeout), route->timeout);
     const Duration clientAge = this->clientAge(request, *route);
@@ -290,6 +291,7 @@
     terms.counted = progress.counted;
     terms.service = progress.service;
     terms.workspace = entry.terms.request->workspace;
+    terms.workspaceConfig = entry.terms.request->workspaceConfig;
     entry.passOn = std::make_unique<PassOnRun>(context_, entry.terms, std::move(terms), reason);
     entry.passOn->start([this, id](ClientAnswer given) { onPassOnAnswered(id, std::move(given)); });
 }
--- a/packages/routing/tests/workspacetest.cpp
+++ b/packages/routing/tests/workspacetest.cpp
@@ -112,6 +112,7 @@
         terms.from = InstanceId("peer");
         terms.configVersion = version;
         terms.workspace = workspace;
+        terms.workspaceConfig = version;
         return terms;
     }
 
@@ -239,7 +240,7 @@
     fixture.send("k1");
     REQUIRE(fixture.answer);
     CHECK(fixture.answer->status == AnswerStatus::Unavailable);
-    CHECK(fixture.counters.refusedEverywhere == 1);
+    CHECK(fixture.counters.refusedNoRegion == 1);
     CHECK(fixture.backends.all == 0);
 }
 
@@ -326,6 +327,42 @@
     CHECK(fixture.answer->kind == ClientAnswer::Kind::Refused);
 }
 
+TEST_CASE("A request whose key may have been withdrawn since its instance looked it up is refused until that instance knows better", "[workspaces]")
+{
+    WorkspaceFixture fixture;
+    fixture.apply({workspace("yard", {"k1"}), workspace("haul", {"h1", "h2"})});
+    PassOnTerms terms = WorkspaceFixture::fromPeer(fixture.version, "yard");
+    terms.workspaceConfig = 1;
+    fixture.send("", terms);
+    REQUIRE(fixture.answer);
+    CHECK(fixture.answer->kind == ClientAnswer::Kind::Refused);
+    CHECK(fixture.answer->status == AnswerStatus::Unavailable);
+    CHECK(fixture.answer->inability == ClientAnswer::Inability::Configuration);
+    terms.workspace = "haul";
+    fixture.send("", terms);
+    CHECK_FALSE(fixture.answer);
+    terms.workspace = "yard";
+    terms.workspaceConfig = 2;
+    fixture.send("", terms);
+    CHECK_FALSE(fixture.answer);
+}
+
+TEST_CASE("The first configuration of a life tells nothing about keys of the ones before", "[workspaces]")
+{
+    RoutingConfig config;
+    config.version = 4;
+    config.workspaces = {workspace("yard", {"k1"})};
+    KeyWithdrawals withdrawals;
+    withdrawals.onConfig(config, nullptr);
+    CHECK(withdrawals.mayBeWithdrawn("yard", 3));
+    CHECK_FALSE(withdrawals.mayBeWithdrawn("yard", 4));
+    RoutingConfig next = config;
+    next.version = 6;
+    next.workspaces.front().keys.emplace_back("k2");
+    withdrawals.onConfig(next, &config);
+    CHECK_FALSE(withdrawals.mayBeWithdrawn("yard", 4));
+}
+
 TEST_CASE("A request that an earlier build passed on is identified and charged by the client's key", "[workspaces]")
 {
     WorkspaceFixture fixture;
