--- a/tests/router/workspaceprocesstest.cpp
+++ b/tests/router/workspaceprocesstest.cpp
@@ -29,6 +29,14 @@
         for (const char *id : {"i1", "i2"}) {
             REQUIRE(bed.waitUntilReady(id));
         }
+        // Instances that were just started do not know each other yet.
+        REQUIRE(bed.eventually([this] { return known("i1") == 2 && known("i2") == 2; }));
+    }
+
+    std::size_t known(const std::string &instance)
+    {
+        const auto answer = bed.call(bed.directory(instance), "GET", "/burdocklanding/resolve?name=shop.example&region=region-a&zone=zone-a");
+        return answer && answer->status == 200 ? json::parse(answer->body).at("addrs").size() : 0;
     }
 
     void publish(const std::vector<std::string> &yardKeys)
