Direct clients to the large instances beside the servers of the shards

Cause: which instances the directory names followed their size alone. ClientPlacement finds the data centres with servers of at least half of the shards of a route, and InstanceTable names the large instances there while two or more of them are uncrowded; otherwise those of the whole region, as before. It acts only where the settings say that no data centre has to be lost at once: where one may be, callers stay spread over all of them.

Ruled out: naming data centres by the client's own (its one request crosses instead of the many); leaving out crowded ones only by cores.

--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/router/clientendpoint.h>
+#include <burdock/router/clientplacement.h>
 #include <burdock/router/configinquiry.h>
 #include <burdock/router/crashreportwriter.h>
 #include <burdock/router/decisionlog.h>
@@ -133,6 +134,7 @@
     std::unique_ptr<HttpServer> readiness_;
     std::unique_ptr<HttpServer> directory_;
     std::unique_ptr<HttpServer> peers_;
+    ClientPlacement placement_;
     std::map<ServerId, ServerEntry> usableServers_;
     LoopDelay loopDelay_;
     TimePoint tickDue_{};
