--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -64,7 +64,7 @@
     if ((large.size() - uncrowded.size()) * MaxCrowdedDivisor > large.size()) {
         return ready;
     }
-    const Records near = filter(uncrowded, [this](const InstanceRecord *record) { return shardDataCentres_.count(record->dataCentre) > 0; });
+    Records near = filter(uncrowded, [this](const InstanceRecord *record) { return shardDataCentres_.count(record->dataCentre) > 0; });
     if (near.size() >= MinNear) {
         return near;
     }
