Ask the holder of the rates over the peers' port

Instances had no way to tell each other what they want of a rate. /rates takes a CBOR list from an instance and answers with tokens; the record states that a build shares rates, so that earlier builds are neither asked nor counted. A sender that the first lists of instances name by mistake is no longer counted for a minute.

--- a/packages/router/include/burdock/router/httppeers.h
+++ b/packages/router/include/burdock/router/httppeers.h
@@ -24,6 +24,9 @@
     void cancel(PeerRequestId id) override;
     void fetchConfig(const Peer &peer) override;
 
+    /// The connections to one peer: more than requests that are passed on to it at a time, so that other messages never wait behind them.
+    static const ConnectionLimits Connections;
+
 private:
     Runtime &runtime_;
     HttpClient &client_;
--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -7,6 +7,7 @@
 #include <burdock/router/dialect.h>
 #include <burdock/router/httpbackends.h>
 #include <burdock/router/httppeers.h>
+#include <burdock/router/rateservice.h>
 #include <burdock/router/relayedstore.h>
 #include <burdock/router/routermetrics.h>
 #include <burdock/router/routersettings.h>
@@ -116,6 +117,7 @@
     HttpBackends backends_;
     HttpPeers peerRequests_;
     PeerChoice peerChoice_;
+    RateService rates_;
     RoutingContext context_;
     RelayChoice relays_;
     RelayedStore store_;
--- a/packages/router/src/httppeers.cpp
+++ b/packages/router/src/httppeers.cpp
@@ -10,13 +10,7 @@
 namespace Burdock
 {
 
-namespace
-{
-
-/// More connections than requests that are passed on to one peer at a time, so that polls never wait behind them.
-constexpr ConnectionLimits PeerConnections{PeerChoice::MaxInFlight + 8, 8, 0};
-
-} // namespace
+const ConnectionLimits HttpPeers::Connections{PeerChoice::MaxInFlight + 8, 8, 0};
 
 HttpPeers::HttpPeers(Runtime &runtime, HttpClient &client, HeaderNames names, InstanceId self, NewerConfigHandler onNewerConfig)
     : runtime_(runtime)
@@ -45,7 +39,7 @@
     out.isReplyToRequest = [names = &names_, request](const HttpResponse &response) {
         return PassOnHeaders::areStatedOnce(response) && HttpBackends::answersRequest(*names, request->id, response);
     };
-    client_.setLimits(peer.address, PeerConnections);
+    client_.setLimits(peer.address, Connections);
     return client_.send(std::move(out),
                         [this, done = std::move(done)](Result<HttpResponse> response) { done(PassOnHeaders::readReply(names_, std::move(response))); });
 }
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -214,6 +214,8 @@
                   [this](const InstanceId &id) { return instances_.contains(id); },
                   settings.id,
                   seed)
+    , rates_(
+          loop, client, settings_, instances_, self_, [this] { return lease_.confirmedAt(); }, seed | 1, log)
     , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, reach_, counters_, *journal_, peerRequests_, peerChoice_}
     , relays_(settings.id)
     , store_(loop, client, store, relays_, dialect.instancesPrefix(), log, firstListingDelay(settings))
@@ -478,6 +480,10 @@
         takePushedReports(incoming, *responder);
         return;
     }
+    if (incoming.path == RateService::Path) {
+        rates_.serve(incoming, *responder);
+        return;
+    }
     if (incoming.path == ConfigInquiry::Path) {
         servePeerConfig(responder);
         return;
@@ -490,6 +496,7 @@
     clientEndpoint_.setConfigVersion(routes->config().version);
     choice_.setConnections(routes->config().services);
     trials_.setServices(routes->config().services);
+    rates_.setConfig(routes->config());
     coordinator_.setRoutes(routes);
     clients_->setLimits(clientLimits(routes->config().limits, settings_.descriptors));
     peers_->setLimits(peerLimits(routes->config().limits, settings_.descriptors));
@@ -506,6 +513,7 @@
     const Senders senders = instances_.senders(self_);
     budget_.setInstances(senders.self ? senders.count : instances_.count(self_) * OutsiderBudgetDivisor, loop_.now());
     limits_.setSenders(feed_.hasInstances() ? instances_.senderIds(self_) : std::vector<InstanceId>(), loop_.now());
+    rates_.onInstancesChanged(feed_.hasInstances());
     relays_.setInstances(instances_.recordsIn(self_.region));
     store_.setAnswerInterval(relays_.hasChildren() ? DataAge::storeAnswerInterval(relays_.depth()) : Duration::max());
     updateRole();
@@ -808,6 +816,7 @@
 
 void Router::registerMetrics()
 {
+    rates_.registerMetrics(metrics_);
     const auto counter = [this](const char *name, const char *help, const std::uint64_t *value) {
         metrics_.addValue(name, "counter", help, [value] { return static_cast<double>(*value); });
     };
--- a/packages/router/tests/decoderfuzztest.cpp
+++ b/packages/router/tests/decoderfuzztest.cpp
@@ -1,4 +1,5 @@
 #include <burdock/router/instancecodec.h>
+#include <burdock/router/ratecodec.h>
 #include <burdock/router/relaycodec.h>
 #include <burdock/wire/cbor.h>
 
@@ -50,12 +51,31 @@
             }
         }
     }
+    SECTION("rates")
+    {
+        MutatedBytes asks(writeRateAsk({InstanceId("i1"), {1ULL << 63, 1LL << 40}, 0.25, true, {{"workspace", 7}, {"other", 1}}}), 4);
+        MutatedBytes replies(writeRateReply({{1ULL << 63, 1LL << 40}, 0.5, {{7, Duration{0}}, {0, std::chrono::seconds(2)}}}), 5);
+        for (int input = 0; input < Inputs; ++input) {
+            const auto ask = readRateAsk(asks.next());
+            const auto reply = readRateReply(replies.next());
+            if (!ask) {
+                REQUIRE_FALSE(ask.error().message.empty());
+            } else {
+                REQUIRE((ask->loan >= 0 && ask->loan <= 1));
+            }
+            if (!reply) {
+                REQUIRE_FALSE(reply.error().message.empty());
+            }
+        }
+    }
     SECTION("lists within lists, a megabyte deep")
     {
         CHECK_FALSE(parseCbor(std::string(1 << 20, '\x81')));
         CHECK_FALSE(readChanges(std::string(1 << 20, '\x81')));
         CHECK_FALSE(readRange(std::string(1 << 20, '\x9f')));
         CHECK_FALSE(readInstance(std::string(1 << 20, '[')));
+        CHECK_FALSE(readRateAsk(std::string(1 << 20, '\x81')));
+        CHECK_FALSE(readRateReply(std::string(1 << 20, '\x9f')));
     }
     SECTION("impossible lengths")
     {
--- a/packages/router/tests/earlierbuildstest.cpp
+++ b/packages/router/tests/earlierbuildstest.cpp
@@ -78,6 +78,7 @@
     CHECK(record->edition.sequence == 1);
     CHECK_FALSE(record->cutOff);
     CHECK_FALSE(record->takesRequests);
+    CHECK_FALSE(record->sharesRates);
     const auto present = readInstance(writeInstance(*record));
     REQUIRE(present);
     CHECK(present->takesRequests);
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -35,10 +35,12 @@
     bool cutOff = false;
     /// Whether the instance's build serves requests that others pass on.
     bool takesRequests = true;
+    /// Whether the instance's build shares rates out over all instances.
+    bool sharesRates = true;
 
     auto fields() const
     {
-        return std::tie(id, address, peers, region, dataCentre, ready, cores, crowded, edition, cutOff, takesRequests);
+        return std::tie(id, address, peers, region, dataCentre, ready, cores, crowded, edition, cutOff, takesRequests, sharesRates);
     }
 };
 
@@ -112,6 +114,10 @@
     /// Returns the chosen instances of all regions, and those that would be chosen if all were ready.
     std::vector<InstanceId> senderIds(const InstanceRecord &self) const;
 
+    /// Returns the instances among which rates are divided: the senders whose builds do so, the oldest first, which stay in this order
+    /// while others come and go.
+    Records rateSharers(const InstanceRecord &self) const;
+
     /// Whether clients would be directed to this instance if all were ready.
     bool wouldBeChosen(const InstanceRecord &self) const;
 
--- a/packages/routing/include/burdock/routing/ratelimiter.h
+++ b/packages/routing/include/burdock/routing/ratelimiter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/routing/routingconfig.h>
 #include <burdock/values/runtime.h>
 
 #include <cstdint>
@@ -10,25 +11,6 @@
 namespace Burdock
 {
 
-/// A limit on requests, for all instances together.
-struct RateTerms
-{
-    /// The requests per second; zero means no limit.
-    double perSecond = 0;
-    /// The requests that may come at once after a pause, beside the rate.
-    double burst = 0;
-
-    bool isLimited() const
-    {
-        return perSecond > 0;
-    }
-
-    auto fields() const
-    {
-        return std::tie(perSecond, burst);
-    }
-};
-
 /// Whether a request may start.
 struct RateDecision
 {
--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -190,6 +190,17 @@
     return {ids.begin(), ids.end()};
 }
 
+InstanceTable::Records InstanceTable::rateSharers(const InstanceRecord &self) const
+{
+    const std::vector<InstanceId> senders = senderIds(self);
+    Records sharers = filter(
+        all(self), [&senders](const InstanceRecord *record) { return record->sharesRates && std::binary_search(senders.begin(), senders.end(), record->id); });
+    std::sort(sharers.begin(), sharers.end(), [](const InstanceRecord *a, const InstanceRecord *b) {
+        return std::tie(a->edition.born, a->id) < std::tie(b->edition.born, b->id);
+    });
+    return sharers;
+}
+
 bool InstanceTable::wouldBeChosen(const InstanceRecord &self) const
 {
     return includes(chosenOf(filter(all(self), [&self](const InstanceRecord *record) { return record->region == self.region; })), self.id);
--- a/packages/routing/src/ratepart.cpp
+++ b/packages/routing/src/ratepart.cpp
@@ -10,9 +10,9 @@
 namespace
 {
 
-/// The first lists of the senders may lack many of them.
+/// The first lists of the senders may lack many of them, and have others instead.
 constexpr Duration SettlingTime = std::chrono::seconds(3);
-constexpr double UnsettledDivisor = 3;
+constexpr double UnsettledDivisor = 2;
 /// An instance that is isolated gives up its part this long before the others divide it.
 constexpr Duration IsolationMargin = std::chrono::seconds(10);
 /// While half of the senders or more are missing, they may be the larger side of a partition and still use their parts.
@@ -52,7 +52,8 @@
     if (missing == 0) {
         return;
     }
-    const Duration memory = missing * PartitionDivisor >= senders_.size() ? PartitionMemory : SenderMemory;
+    const bool settled = knownSince_ && now - *knownSince_ >= SettlingTime;
+    const Duration memory = !settled ? Duration{0} : missing * PartitionDivisor >= senders_.size() ? PartitionMemory : SenderMemory;
     for (auto sender = senders_.begin(); sender != senders_.end();) {
         sender = sender->second && *sender->second + memory <= now ? senders_.erase(sender) : std::next(sender);
     }
