Keep a token of each rate at each sender, and ask for some more where none can be kept

The first token to keep now comes by itself one window after the start of the life, when what an earlier life kept lies in another window. Instances without a part keep none.

--- a/packages/routing/include/burdock/routing/sharedrates.h
+++ b/packages/routing/include/burdock/routing/sharedrates.h
@@ -136,6 +136,8 @@
         std::deque<Stock> stocks;
         /// Tokens of the own part, and the one that may be kept.
         double own = 0;
+        /// When the first token to keep comes by itself; what an earlier life kept lies in another window then.
+        std::optional<TimePoint> keptFrom;
         /// The value of `earned_` up to which `own` is counted.
         double counted = 0;
         /// Requests a second, smoothed, as of `demandAt`.
@@ -158,6 +160,8 @@
     void advance(TimePoint now);
     void settle(Limit &limit) const;
     void settleAll();
+    /// Returns how many tokens the instance may keep, none or one.
+    double keptTokens(const Limit &limit) const;
     bool isLent(TimePoint now) const;
     void applyTerms(const std::string &name, Limit &limit, const RateTerms &terms);
 
--- a/packages/routing/src/sharedrates.cpp
+++ b/packages/routing/src/sharedrates.cpp
@@ -16,6 +16,11 @@
 constexpr double IntervalJitter = 0.1;
 /// Tokens are asked for the requests that are expected in this time.
 constexpr Duration StockTime = std::chrono::milliseconds(400);
+constexpr double RoundingHalf = 0.5;
+/// Where no token can be kept and this many requests or more are expected, further tokens are asked for, in standard deviations.
+constexpr double SteadyRequests = 0.75;
+constexpr double SafetyFactor = 0.8;
+constexpr double SafetyOffset = 0.2;
 /// Requests that come in this time share a message.
 constexpr Duration AskDelay = std::chrono::milliseconds(1);
 constexpr std::size_t MaxAsksInFlight = 8;
@@ -116,6 +121,9 @@
 void SharedRates::applyTerms(const std::string &name, Limit &limit, const RateTerms &terms)
 {
     settle(limit);
+    if (limit.report.name.empty()) {
+        limit.keptFrom = advancedTo_ + allowance_.window;
+    }
     limit.terms = terms;
     limit.savings = rateSavings(terms, allowance_, ownPart_.senders());
     limit.report.name = name;
@@ -171,12 +179,21 @@
 
 void SharedRates::settle(Limit &limit) const
 {
-    const double kept = limit.savings.keepsToken ? 1 : 0;
+    const double kept = keptTokens(limit);
+    if (kept > 0 && limit.keptFrom && *limit.keptFrom <= advancedTo_) {
+        limit.own = std::max(limit.own, kept);
+        limit.keptFrom.reset();
+    }
     const double capacity = isLent(advancedTo_) ? kept : std::max(kept, limit.savings.capacity * part_);
     limit.own = std::min(limit.own + limit.terms.perSecond * (earned_ - limit.counted), capacity);
     limit.counted = earned_;
 }
 
+double SharedRates::keptTokens(const Limit &limit) const
+{
+    return limit.savings.keepsToken && part_ > 0 ? 1 : 0;
+}
+
 void SharedRates::settleAll()
 {
     for (auto &[name, limit] : limits_) {
@@ -217,8 +234,10 @@
         return 0;
     }
     settle(limit);
-    const double expected = std::floor(demand * secondsOf(StockTime) + 0.5);
-    const double kept = limit.savings.keepsToken && limit.own < 1 - RoundingMargin ? 1 : 0;
+    const double mean = demand * secondsOf(StockTime);
+    const double kept = limit.own < 1 - RoundingMargin ? keptTokens(limit) : 0;
+    const bool isSteady = mean >= SteadyRequests && keptTokens(limit) == 0;
+    const double expected = std::floor(mean + (isSteady ? SafetyFactor * std::sqrt(mean) + SafetyOffset : RoundingHalf));
     const double wanted = static_cast<double>(limit.waiting.size()) + expected + kept - stockOf(limit, now) - limit.incoming;
     return static_cast<std::uint32_t>(std::clamp(wanted, 0.0, std::ceil(limit.savings.capacity)));
 }
@@ -626,7 +645,7 @@
             tokens = 0;
         }
         settle(limit);
-        if (tokens > limit.waiting.size() && limit.savings.keepsToken && limit.own < 1 - RoundingMargin) {
+        if (tokens > limit.waiting.size() && keptTokens(limit) > 0 && limit.own < 1 - RoundingMargin) {
             limit.own = 1;
             --tokens;
         }
