Give no decision to a request that another one's decision cancels

Waiting requests were moved into a local list before their callbacks ran, where cancel could not find them: a callback that ends another request would have left that one's callback with a destroyed claim. They now leave the limit one by one. Seen: the new case of [rates] in three shapes; the code before it was read to call both callbacks, which was not run.

--- a/packages/routing/include/burdock/routing/sharedrates.h
+++ b/packages/routing/include/burdock/routing/sharedrates.h
@@ -74,7 +74,7 @@
     SharedRates(const SharedRates &) = delete;
     SharedRates &operator=(const SharedRates &) = delete;
 
-    /// Sets the limits by their names. Lower ones hold at once.
+    /// Sets the limits by their names. Lower ones hold at once. Not called from callbacks of `acquire`.
     void setTerms(const std::map<std::string, RateTerms> &terms);
 
     /// Sets the instances that send requests to servers, and those that may be the holder, the preferred one first.
@@ -177,6 +177,7 @@
     RateDecision admit(Limit &limit, const RateDecision &decision);
     void serveWaiting(Limit &limit, TimePoint now);
     void refuseWaiting(Limit &limit, TimePoint now);
+    void refuseOne(Limit &limit, std::list<Waiting>::iterator waiting, TimePoint now);
     void endWaits();
     void scheduleEndOfWaits(TimePoint at);
 
@@ -212,6 +213,8 @@
     RateHolder ownHolder_;
     RatePart ownPart_;
     std::map<std::string, Limit> limits_;
+    /// Requests that waited at limits that are no more.
+    std::list<Waiting> released_;
     std::vector<InstanceId> holders_;
     std::map<InstanceId, Avoidance> avoided_;
     InstanceId holder_;
--- a/packages/routing/src/sharedrates.cpp
+++ b/packages/routing/src/sharedrates.cpp
@@ -96,13 +96,12 @@
     for (const auto &[name, rate] : limited) {
         applyTerms(name, limits_[name], rate);
     }
-    std::list<Waiting> unlimited;
     for (auto limit = limits_.begin(); limit != limits_.end();) {
         if (limited.count(limit->first) > 0) {
             ++limit;
             continue;
         }
-        unlimited.splice(unlimited.end(), limit->second.waiting);
+        released_.splice(released_.end(), limit->second.waiting);
         limit = limits_.erase(limit);
     }
     if (limits_.empty()) {
@@ -111,9 +110,9 @@
     } else if (intervalTimer_ == 0) {
         scheduleInterval();
     }
-    while (!unlimited.empty()) {
-        const Callback done = std::move(unlimited.front().done);
-        unlimited.pop_front();
+    while (!released_.empty()) {
+        const Callback done = std::move(released_.front().done);
+        released_.pop_front();
         done(RateDecision{});
     }
 }
@@ -330,9 +329,11 @@
 
 void SharedRates::cancel(RateRequestId id)
 {
+    const auto isCancelled = [id](const Waiting &waiting) { return waiting.id == id; };
     for (auto &[name, limit] : limits_) {
-        limit.waiting.remove_if([id](const Waiting &waiting) { return waiting.id == id; });
+        limit.waiting.remove_if(isCancelled);
     }
+    released_.remove_if(isCancelled);
 }
 
 void SharedRates::giveBack(const std::string &name, const RateDecision &admission)
@@ -363,16 +364,23 @@
 
 void SharedRates::refuseWaiting(Limit &limit, TimePoint now)
 {
-    // Those that are added meanwhile wait for the next answer.
-    std::list<Waiting> refused;
-    refused.swap(limit.waiting);
-    while (!refused.empty()) {
-        const Callback done = std::move(refused.front().done);
-        refused.pop_front();
-        done(refuse(limit, now));
+    // Callbacks may cancel others, and add some, which wait for the next answer.
+    const RateRequestId last = lastId_;
+    const auto next = [&limit, last] {
+        return std::find_if(limit.waiting.begin(), limit.waiting.end(), [last](const Waiting &waiting) { return waiting.id <= last; });
+    };
+    for (auto waiting = next(); waiting != limit.waiting.end(); waiting = next()) {
+        refuseOne(limit, waiting, now);
     }
 }
 
+void SharedRates::refuseOne(Limit &limit, std::list<Waiting>::iterator waiting, TimePoint now)
+{
+    const Callback done = std::move(waiting->done);
+    limit.waiting.erase(waiting);
+    done(refuse(limit, now));
+}
+
 void SharedRates::scheduleEndOfWaits(TimePoint at)
 {
     if (at >= waitTimerAt_) {
@@ -390,25 +398,22 @@
 void SharedRates::endWaits()
 {
     const TimePoint now = this->now();
-    TimePoint next = TimePoint::max();
-    std::vector<std::pair<std::string, Callback>> refused;
     for (auto &[name, limit] : limits_) {
-        for (auto waiting = limit.waiting.begin(); waiting != limit.waiting.end();) {
-            if (waiting->until <= now) {
-                refused.emplace_back(name, std::move(waiting->done));
-                waiting = limit.waiting.erase(waiting);
-            } else {
-                next = std::min(next, waiting->until);
-                ++waiting;
-            }
+        const auto next = [&waiting = limit.waiting, now] {
+            return std::find_if(waiting.begin(), waiting.end(), [now](const Waiting &one) { return one.until <= now; });
+        };
+        for (auto waiting = next(); waiting != limit.waiting.end(); waiting = next()) {
+            refuseOne(limit, waiting, now);
         }
     }
-    if (next != TimePoint::max()) {
-        scheduleEndOfWaits(next);
+    TimePoint earliest = TimePoint::max();
+    for (const auto &[name, limit] : limits_) {
+        for (const Waiting &waiting : limit.waiting) {
+            earliest = std::min(earliest, waiting.until);
+        }
     }
-    for (const auto &[name, done] : refused) {
-        const auto limit = limits_.find(name);
-        done(limit == limits_.end() ? RateDecision{} : refuse(limit->second, now));
+    if (earliest != TimePoint::max()) {
+        scheduleEndOfWaits(earliest);
     }
 }
 
--- a/packages/routing/tests/rateholdertest.cpp
+++ b/packages/routing/tests/rateholdertest.cpp
@@ -232,6 +232,35 @@
     }
 }
 
+TEST_CASE("A request that another one's refusal cancels gets no decision", "[rates]")
+{
+    Instance instance;
+    instance.start({Other});
+    instance.runtime.advance(milliseconds(400));
+    int decisions = 0;
+    RateRequestId second = 0;
+    instance.rates.acquire(LimitName, {Rate, Rate}, 0, milliseconds(50), [&](const RateDecision &) {
+        ++decisions;
+        instance.rates.cancel(second);
+    });
+    second = instance.rates.acquire(LimitName, {Rate, Rate}, 0, milliseconds(50), [&decisions](const RateDecision &) { ++decisions; });
+    CHECK(second != 0);
+    instance.runtime.advance(milliseconds(2));
+    SECTION("at the end of their time")
+    {
+        instance.runtime.advance(milliseconds(60));
+    }
+    SECTION("by the holder")
+    {
+        instance.reply(RateReply{{7, 1}, 1, {{0, milliseconds(200)}}});
+    }
+    SECTION("when the limit is withdrawn")
+    {
+        instance.rates.setTerms({});
+    }
+    CHECK(decisions == 1);
+}
+
 TEST_CASE("Requests over the limit are refused at once with times to come back in a row", "[rates]")
 {
     Instance instance;
