--- a/packages/routing/include/burdock/routing/sharedrates.h
+++ b/packages/routing/include/burdock/routing/sharedrates.h
@@ -74,7 +74,7 @@
     SharedRates(const SharedRates &) = delete;
     SharedRates &operator=(const SharedRates &) = delete;
 
-    /// Sets the limits by their names. Lower ones hold at once.
+    /// Sets the limits by their names. Lower ones hold at once. Not called from callbacks of `acquire`.
     void setTerms(const std::map<std::string, RateTerms> &terms);
 
     /// Sets the instances that send requests to servers, and those that may be the holder, the preferred one first.
@@ -136,6 +136,8 @@
         std::deque<Stock> stocks;
         /// Tokens of the own part, and the one that may be kept.
         double own = 0;
+        /// When the first token to keep comes by itself; what an earlier life kept lies in another window then.
+        std::optional<TimePoint> keptFrom;
         /// The value of `earned_` up to which `own` is counted.
         double counted = 0;
         /// Requests a second, smoothed, as of `demandAt`.
@@ -158,6 +160,8 @@
     void advance(TimePoint now);
     void settle(Limit &limit) const;
     void settleAll();
+    /// Returns how many tokens the instance may keep, none or one.
+    double keptTokens(const Limit &limit) const;
     bool isLent(TimePoint now) const;
     void applyTerms(const std::string &name, Limit &limit, const RateTerms &terms);
 
@@ -173,6 +177,7 @@
     RateDecision admit(Limit &limit, const RateDecision &decision);
     void serveWaiting(Limit &limit, TimePoint now);
     void refuseWaiting(Limit &limit, TimePoint now);
+    void refuseOne(Limit &limit, std::list<Waiting>::iterator waiting, TimePoint now);
     void endWaits();
     void scheduleEndOfWaits(TimePoint at);
 
@@ -208,6 +213,8 @@
     RateHolder ownHolder_;
     RatePart ownPart_;
     std::map<std::string, Limit> limits_;
+    /// Requests that waited at limits that are no more.
+    std::list<Waiting> released_;
     std::vector<InstanceId> holders_;
     std::map<InstanceId, Avoidance> avoided_;
     InstanceId holder_;
--- a/packages/routing/src/sharedrates.cpp
+++ b/packages/routing/src/sharedrates.cpp
@@ -16,6 +16,11 @@
 constexpr double IntervalJitter = 0.1;
 /// Tokens are asked for the requests that are expected in this time.
 constexpr Duration StockTime = std::chrono::milliseconds(400);
+constexpr double RoundingHalf = 0.5;
+/// Where no token can be kept and this many requests or more are expected, further tokens are asked for, in standard deviations.
+constexpr double SteadyRequests = 0.75;
+constexpr double SafetyFactor = 0.8;
+constexpr double SafetyOffset = 0.2;
 /// Requests that come in this time share a message.
 constexpr Duration AskDelay = std::chrono::milliseconds(1);
 constexpr std::size_t MaxAsksInFlight = 8;
@@ -91,13 +96,12 @@
     for (const auto &[name, rate] : limited) {
         applyTerms(name, limits_[name], rate);
     }
-    std::list<Waiting> unlimited;
     for (auto limit = limits_.begin(); limit != limits_.end();) {
         if (limited.count(limit->first) > 0) {
             ++limit;
             continue;
         }
-        unlimited.splice(unlimited.end(), limit->second.waiting);
+        released_.splice(released_.end(), limit->second.waiting);
         limit = limits_.erase(limit);
     }
     if (limits_.empty()) {
@@ -106,9 +110,9 @@
     } else if (intervalTimer_ == 0) {
         scheduleInterval();
     }
-    while (!unlimited.empty()) {
-        const Callback done = std::move(unlimited.front().done);
-        unlimited.pop_front();
+    while (!released_.empty()) {
+        const Callback done = std::move(released_.front().done);
+        released_.pop_front();
         done(RateDecision{});
     }
 }
@@ -116,6 +120,9 @@
 void SharedRates::applyTerms(const std::string &name, Limit &limit, const RateTerms &terms)
 {
     settle(limit);
+    if (limit.report.name.empty()) {
+        limit.keptFrom = advancedTo_ + allowance_.window;
+    }
     limit.terms = terms;
     limit.savings = rateSavings(terms, allowance_, ownPart_.senders());
     limit.report.name = name;
@@ -171,12 +178,21 @@
 
 void SharedRates::settle(Limit &limit) const
 {
-    const double kept = limit.savings.keepsToken ? 1 : 0;
+    const double kept = keptTokens(limit);
+    if (kept > 0 && limit.keptFrom && *limit.keptFrom <= advancedTo_) {
+        limit.own = std::max(limit.own, kept);
+        limit.keptFrom.reset();
+    }
     const double capacity = isLent(advancedTo_) ? kept : std::max(kept, limit.savings.capacity * part_);
     limit.own = std::min(limit.own + limit.terms.perSecond * (earned_ - limit.counted), capacity);
     limit.counted = earned_;
 }
 
+double SharedRates::keptTokens(const Limit &limit) const
+{
+    return limit.savings.keepsToken && part_ > 0 ? 1 : 0;
+}
+
 void SharedRates::settleAll()
 {
     for (auto &[name, limit] : limits_) {
@@ -217,8 +233,10 @@
         return 0;
     }
     settle(limit);
-    const double expected = std::floor(demand * secondsOf(StockTime) + 0.5);
-    const double kept = limit.savings.keepsToken && limit.own < 1 - RoundingMargin ? 1 : 0;
+    const double mean = demand * secondsOf(StockTime);
+    const double kept = limit.own < 1 - RoundingMargin ? keptTokens(limit) : 0;
+    const bool isSteady = mean >= SteadyRequests && keptTokens(limit) == 0;
+    const double expected = std::floor(mean + (isSteady ? SafetyFactor * std::sqrt(mean) + SafetyOffset : RoundingHalf));
     const double wanted = static_cast<double>(limit.waiting.size()) + expected + kept - stockOf(limit, now) - limit.incoming;
     return static_cast<std::uint32_t>(std::clamp(wanted, 0.0, std::ceil(limit.savings.capacity)));
 }
@@ -311,9 +329,11 @@
 
 void SharedRates::cancel(RateRequestId id)
 {
+    const auto isCancelled = [id](const Waiting &waiting) { return waiting.id == id; };
     for (auto &[name, limit] : limits_) {
-        limit.waiting.remove_if([id](const Waiting &waiting) { return waiting.id == id; });
+        limit.waiting.remove_if(isCancelled);
     }
+    released_.remove_if(isCancelled);
 }
 
 void SharedRates::giveBack(const std::string &name, const RateDecision &admission)
@@ -344,16 +364,23 @@
 
 void SharedRates::refuseWaiting(Limit &limit, TimePoint now)
 {
-    // Those that are added meanwhile wait for the next answer.
-    std::list<Waiting> refused;
-    refused.swap(limit.waiting);
-    while (!refused.empty()) {
-        const Callback done = std::move(refused.front().done);
-        refused.pop_front();
-        done(refuse(limit, now));
+    // Callbacks may cancel others, and add some, which wait for the next answer.
+    const RateRequestId last = lastId_;
+    const auto next = [&limit, last] {
+        return std::find_if(limit.waiting.begin(), limit.waiting.end(), [last](const Waiting &waiting) { return waiting.id <= last; });
+    };
+    for (auto waiting = next(); waiting != limit.waiting.end(); waiting = next()) {
+        refuseOne(limit, waiting, now);
     }
 }
 
+void SharedRates::refuseOne(Limit &limit, std::list<Waiting>::iterator waiting, TimePoint now)
+{
+    const Callback done = std::move(waiting->done);
+    limit.waiting.erase(waiting);
+    done(refuse(limit, now));
+}
+
 void SharedRates::scheduleEndOfWaits(TimePoint at)
 {
     if (at >= waitTimerAt_) {
@@ -371,25 +398,22 @@
 void SharedRates::endWaits()
 {
     const TimePoint now = this->now();
-    TimePoint next = TimePoint::max();
-    std::vector<std::pair<std::string, Callback>> refused;
     for (auto &[name, limit] : limits_) {
-        for (auto waiting = limit.waiting.begin(); waiting != limit.waiting.end();) {
-            if (waiting->until <= now) {
-                refused.emplace_back(name, std::move(waiting->done));
-                waiting = limit.waiting.erase(waiting);
-            } else {
-                next = std::min(next, waiting->until);
-                ++waiting;
-            }
+        const auto next = [&waiting = limit.waiting, now] {
+            return std::find_if(waiting.begin(), waiting.end(), [now](const Waiting &one) { return one.until <= now; });
+        };
+        for (auto waiting = next(); waiting != limit.waiting.end(); waiting = next()) {
+            refuseOne(limit, waiting, now);
         }
     }
-    if (next != TimePoint::max()) {
-        scheduleEndOfWaits(next);
+    TimePoint earliest = TimePoint::max();
+    for (const auto &[name, limit] : limits_) {
+        for (const Waiting &waiting : limit.waiting) {
+            earliest = std::min(earliest, waiting.until);
+        }
     }
-    for (const auto &[name, done] : refused) {
-        const auto limit = limits_.find(name);
-        done(limit == limits_.end() ? RateDecision{} : refuse(limit->second, now));
+    if (earliest != TimePoint::max()) {
+        scheduleEndOfWaits(earliest);
     }
 }
 
@@ -626,7 +650,7 @@
             tokens = 0;
         }
         settle(limit);
-        if (tokens > limit.waiting.size() && limit.savings.keepsToken && limit.own < 1 - RoundingMargin) {
+        if (tokens > limit.waiting.size() && keptTokens(limit) > 0 && limit.own < 1 - RoundingMargin) {
             limit.own = 1;
             --tokens;
         }
