Serve routes with regions in these regions only

Change: ServerChoice leaves out servers whose data centre stands in no region of the route, for first tries, hedges, retries, limits and pauses. A request to a service without a listed server in these regions is refused at once, as not run; one to all shards before anything is sent if too few shards are left. An instance that reaches no server passes such a request on only to instances in its regions whose record states that their build keeps regions; the record's new field keepsRegions is optional, and missing means no.

Ruled out: the directory. It names instances of the client's own region as long as one is ready there, however few and however busy; a test holds it.

--- a/packages/router/src/instancecodec.cpp
+++ b/packages/router/src/instancecodec.cpp
@@ -19,7 +19,8 @@
                           {"crowded", record.crowded},
                           {"born", record.edition.born},
                           {"sequence", record.edition.sequence},
-                          {"cutOff", record.cutOff}});
+                          {"cutOff", record.cutOff},
+                          {"keepsRegions", true}});
 }
 
 Result<InstanceRecord> readInstance(const std::string &value)
@@ -46,7 +47,8 @@
                               {read.value("born", std::int64_t{0}), read.value("sequence", std::int64_t{0})},
                               read.value("cutOff", false),
                               // The builds that state this are those that serve requests of others.
-                              read.contains("cutOff")};
+                              read.contains("cutOff"),
+                              read.value("keepsRegions", false)};
     } catch (const Json::exception &error) {
         return notRun(Errc::BadRequest, std::string("not an instance's record: ") + error.what());
     }
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -167,7 +167,10 @@
 private:
     static std::string_view nameOf(std::string_view decision)
     {
-        return decision == "limit" ? "request.limited" : decision == "crash" ? "request.crashed" : "request.repeated";
+        return decision == "limit" ? "request.limited"
+            : decision == "place"  ? "request.unplaced"
+            : decision == "crash"  ? "request.crashed"
+                                   : "request.repeated";
     }
 
     DecisionLog &log_;
@@ -817,6 +820,7 @@
     counter("burdock_repeats_denied_total", "Hedges and retries that the budget did not allow.", &counters_.repeatsDenied);
     counter("burdock_refused_by_servers_total", "Requests that a server did not run.", &counters_.refusedByServers);
     counter("burdock_refused_as_guilty_total", "Requests that are known to crash servers, refused at once.", &counters_.refusedAsGuilty);
+    counter("burdock_refused_for_place_total", "Requests without a listed server where they may be served.", &counters_.refusedForPlace);
     counter("burdock_failed_at_servers_total", "Requests that failed and may have run.", &counters_.failedAtServers);
     const HttpServerCounters &clients = clients_->counters();
     counter("burdock_connections_refused_total", "Clients' connections that were closed at once, since there were too many.", &clients.refusedConnections);
--- a/packages/router/tests/earlierbuildstest.cpp
+++ b/packages/router/tests/earlierbuildstest.cpp
@@ -78,9 +78,11 @@
     CHECK(record->edition.sequence == 1);
     CHECK_FALSE(record->cutOff);
     CHECK_FALSE(record->takesRequests);
+    CHECK_FALSE(record->keepsRegions);
     const auto present = readInstance(writeInstance(*record));
     REQUIRE(present);
     CHECK(present->takesRequests);
+    CHECK(present->keepsRegions);
 }
 
 TEST_CASE("Fields and elements that later builds add are ignored", "[builds]")
@@ -89,6 +91,8 @@
                                      R"("crowded":false,"cutOff":true,"added":{"later":[1,2]}})");
     REQUIRE(record);
     CHECK(record->cutOff);
+    CHECK(record->takesRequests);
+    CHECK_FALSE(record->keepsRegions);
     const auto reports =
         readCrashReports(R"({"atMs":3600000,"reports":[{"request":"2a","crashes":1,"alone":0,"added":true}],"added":null})", WallTime(std::chrono::hours(1)));
     REQUIRE(reports);
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -35,10 +35,12 @@
     bool cutOff = false;
     /// Whether the instance's build serves requests that others pass on.
     bool takesRequests = true;
+    /// Whether the instance's build serves requests only in the regions of their routes.
+    bool keepsRegions = true;
 
     auto fields() const
     {
-        return std::tie(id, address, peers, region, dataCentre, ready, cores, crowded, edition, cutOff, takesRequests);
+        return std::tie(id, address, peers, region, dataCentre, ready, cores, crowded, edition, cutOff, takesRequests, keepsRegions);
     }
 };
 
--- a/packages/routing/include/burdock/routing/peerchoice.h
+++ b/packages/routing/include/burdock/routing/peerchoice.h
@@ -2,6 +2,7 @@
 
 #include <burdock/routing/instancetable.h>
 #include <burdock/routing/peerrequests.h>
+#include <burdock/routing/routingconfig.h>
 
 #include <functional>
 #include <map>
@@ -40,8 +41,9 @@
     /// Takes note of the instances that can help, since those that stop serve for a while after they are no longer among them.
     void onHelpersChanged(TimePoint now);
 
-    /// Returns a peer that is not in `tried`, or nothing if none can help.
-    std::optional<Peer> choose(const std::vector<InstanceId> &tried, TimePoint now);
+    /// Returns a peer that is not in `tried`, or nothing if none can help. Requests of a route that is served in some regions only
+    /// go to peers there whose builds keep them there.
+    std::optional<Peer> choose(const Route &route, const std::vector<InstanceId> &tried, TimePoint now);
 
     /// Whether no other instance that takes clients can reach the servers either: they are down for all.
     bool isNoOneConnected() const;
@@ -66,12 +68,12 @@
     /// A peer that could help, and since when it no longer can.
     struct ListedPeer
     {
-        Peer peer;
+        InstanceRecord record;
         std::optional<TimePoint> goneSince;
     };
 
     /// Returns the peer with the fewest requests in flight among those that were left out, or else among those not listed any more.
-    std::optional<Peer> lastResort(const InstanceTable::Records &leftOut, const std::vector<InstanceId> &tried, TimePoint now);
+    std::optional<Peer> lastResort(const Route &route, const InstanceTable::Records &leftOut, const std::vector<InstanceId> &tried, TimePoint now);
     std::uint32_t inFlight(const InstanceId &peer) const;
     bool isSilent(const InstanceId &peer, TimePoint now) const;
     bool hasNoRoom(const InstanceId &peer, TimePoint now) const;
--- a/packages/routing/include/burdock/routing/routingconfig.h
+++ b/packages/routing/include/burdock/routing/routingconfig.h
@@ -4,6 +4,7 @@
 #include <burdock/values/names.h>
 #include <burdock/values/runtime.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -96,6 +97,12 @@
     /// The regions in which requests may be served; empty if they may be served anywhere.
     std::vector<Region> regions{};
 
+    /// Whether requests may be served in the region.
+    bool isServedIn(const Region &region) const
+    {
+        return regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end();
+    }
+
     auto fields() const
     {
         return std::tie(name, host, prefix, repeatable, timeout, target, priority, attempts, services, shards, resultLimit, minShare, open, regions);
--- a/packages/routing/include/burdock/routing/routingcontext.h
+++ b/packages/routing/include/burdock/routing/routingcontext.h
@@ -26,6 +26,8 @@
     std::uint64_t failedAtServers = 0;
     std::uint64_t clientsGone = 0;
     std::uint64_t refusedAsGuilty = 0;
+    /// Requests to a service of which no server is listed where the request may be served.
+    std::uint64_t refusedForPlace = 0;
     /// Requests that were passed on to a peer, and those among them that the peer did not serve.
     std::uint64_t passedOn = 0;
     std::uint64_t passedOnFailed = 0;
@@ -36,7 +38,8 @@
 /// One routing decision for a request, for the log.
 struct RoutingEvent
 {
-    /// The decision: `hedge` or `retry`, `limit` if no server of the service may get the request, or `crash` if a server broke off
+    /// The decision: `hedge` or `retry`, `limit` if no server of the service may get the request, `place` if none is listed where the
+    /// request may be served, or `crash` if a server broke off
     /// while the request was in progress there.
     const char *decision = "";
     const std::string &request;
--- a/packages/routing/include/burdock/routing/serverchoice.h
+++ b/packages/routing/include/burdock/routing/serverchoice.h
@@ -59,22 +59,26 @@
     /// Sets the number of connections that one server of each service accepts.
     void setConnections(const std::vector<RoutedService> &services);
 
-    /// Returns the best server that is not in `tried`; null if no server may get a request now. Servers at the limit that they named
-    /// are left out, and those that are leaving or want no requests for a while.
+    /// Returns the best server that is not in `tried`; null if no server may get a request now. Servers outside the route's regions
+    /// are left out, those at the limit that they named, and those that are leaving or want no requests for a while.
     ChosenServer choose(const Route &route, const ServiceName &service, const std::vector<ServerId> &tried, TimePoint now);
 
-    /// Whether any server names a limit.
-    bool hasLimits() const
+    /// Whether servers of the route's services may be left out for a reason that is known before anything is sent: their limits, or
+    /// where they stand.
+    bool isRestricted(const Route &route) const
     {
-        return limits_.any();
+        return limits_.any() || !route.regions.empty();
     }
 
+    /// Whether a server of the service is listed in a region in which the route's requests may be served.
+    bool hasServerFor(const Route &route, const ServiceName &service) const;
+
     /// Records that a request for the service is refused, and returns the time until a server at its limit can take it; zero if
     /// limits are not the cause.
     Duration refuseAtLimits(const Route &route, const ServiceName &service, TimePoint now);
 
     /// Returns the time until a server of the service wants requests again; zero if one does, or if all of them are leaving.
-    Duration pauseLeft(const ServiceName &service, TimePoint now) const;
+    Duration pauseLeft(const Route &route, const ServiceName &service, TimePoint now) const;
 
     /// Returns the time without an answer after which a request is hedged.
     Duration hedgeDelay(const Route &route, const ChosenServer &chosen) const;
@@ -100,6 +104,8 @@
     void onAbandoned(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now);
 
 private:
+    /// Whether the route's requests may be sent to servers of the data centre.
+    bool allows(const Route &route, const DataCentre &dataCentre) const;
     Duration expectedOf(const Route &route, const ServerEntry &server, TimePoint now) const;
     Duration overdueAfter(const Route &route, Duration expected) const;
     double cost(const Route &route, const ServerEntry &server, Duration expected, TimePoint now);
--- a/packages/routing/include/burdock/routing/servicecall.h
+++ b/packages/routing/include/burdock/routing/servicecall.h
@@ -83,6 +83,7 @@
     }
 
 private:
+    Failure refuseForPlace() const;
     struct Attempt
     {
         BackendRequestId id = 0;
--- a/packages/routing/src/gatherrun.cpp
+++ b/packages/routing/src/gatherrun.cpp
@@ -50,7 +50,7 @@
         for (const ServiceName &shard : route.shards) {
             calls_.push_back(std::make_unique<ServiceCall>(context_, terms_.route, shard, terms_.request, terms_.trial, terms_.deadline, answerAt_));
         }
-        if (refuseAtLimits()) {
+        if (refuseIfUnservable()) {
             return;
         }
         // A request that may crash servers is sent to one shard at first, which should not always be the same.
@@ -89,11 +89,11 @@
     }
 
 private:
-    /// Refuses the request before anything is sent if too many shards are at the limits of their servers: the parts of the others
-    /// would use up their servers' limits for nothing.
-    bool refuseAtLimits()
+    /// Refuses the request before anything is sent if too many shards have no server for it, because of limits or of where the
+    /// servers stand: the parts of the others would use up their servers' time and limits for nothing.
+    bool refuseIfUnservable()
     {
-        if (!context_.choice.hasLimits()) {
+        if (!context_.choice.isRestricted(*terms_.route)) {
             return false;
         }
         std::vector<const ServiceCall *> unable;
--- a/packages/routing/src/passonrun.cpp
+++ b/packages/routing/src/passonrun.cpp
@@ -70,7 +70,7 @@
 {
     const TimePoint now = context_.runtime.now();
     const bool timeLeft = terms_.deadline - now > MinTimeLeft;
-    const auto peer = timeLeft && tried_.size() < MaxPeersAsked ? context_.peerChoice.choose(tried_, now) : std::nullopt;
+    const auto peer = timeLeft && tried_.size() < MaxPeersAsked ? context_.peerChoice.choose(*terms_.route, tried_, now) : std::nullopt;
     if (!peer) {
         const std::string reason = "no server can be reached, and no other instance can help" + (lastReason_.empty() ? std::string() : ": " + lastReason_);
         return finish(failureAnswer(Failure{Errc::Unavailable, Verdict::NotRun, reason, Duration{0}}, nothingRan_, !timeLeft, terms_.retryAfter));
--- a/packages/routing/src/peerchoice.cpp
+++ b/packages/routing/src/peerchoice.cpp
@@ -19,6 +19,12 @@
 /// A peer at which requests wait is silent if it has not answered any for this time.
 constexpr Duration SilenceTime = std::chrono::milliseconds(300);
 
+/// Whether requests of the route may be passed on to the instance.
+bool mayServe(const InstanceRecord &record, const Route &route)
+{
+    return route.regions.empty() || (record.keepsRegions && route.isServedIn(record.region));
+}
+
 } // namespace
 
 PeerChoice::PeerChoice(Helpers helpers, HasOthers hasOthers, HasRecord hasRecord, InstanceId self, std::uint64_t seed)
@@ -58,19 +64,19 @@
     std::map<InstanceId, ListedPeer> next;
     for (const InstanceTable::Records &helpers : helpers_()) {
         for (const InstanceRecord *record : helpers) {
-            next[record->id] = {{record->id, record->peers}, std::nullopt};
+            next[record->id] = {*record, std::nullopt};
         }
     }
     for (auto &[id, listed] : listed_) {
         const TimePoint goneSince = listed.goneSince.value_or(now);
         if (!hasRecord_(id) && now - goneSince <= StoppingTime) {
-            next.try_emplace(id, ListedPeer{std::move(listed.peer), goneSince});
+            next.try_emplace(id, ListedPeer{std::move(listed.record), goneSince});
         }
     }
     listed_ = std::move(next);
 }
 
-std::optional<Peer> PeerChoice::choose(const std::vector<InstanceId> &tried, TimePoint now)
+std::optional<Peer> PeerChoice::choose(const Route &route, const std::vector<InstanceId> &tried, TimePoint now)
 {
     forgetUnused(now);
     // Silent peers are the last resort: they may be suspended, or just work on long requests.
@@ -81,7 +87,7 @@
         InstanceTable::Records candidates;
         for (const InstanceRecord *record : helpers) {
             const bool wasTried = std::find(tried.begin(), tried.end(), record->id) != tried.end();
-            if (wasTried || inFlight(record->id) >= MaxInFlight) {
+            if (wasTried || !mayServe(*record, route) || inFlight(record->id) >= MaxInFlight) {
                 continue;
             }
             auto &group = isLeftOut(record->id, now) ? leftOut : isSilent(record->id, now) ? silent : hasNoRoom(record->id, now) ? full : candidates;
@@ -92,12 +98,12 @@
         }
     }
     if (full.empty() && silent.empty()) {
-        return lastResort(leftOut, tried, now);
+        return lastResort(route, leftOut, tried, now);
     }
     return chooseFrom(std::move(full.empty() ? silent : full));
 }
 
-std::optional<Peer> PeerChoice::lastResort(const InstanceTable::Records &leftOut, const std::vector<InstanceId> &tried, TimePoint now)
+std::optional<Peer> PeerChoice::lastResort(const Route &route, const InstanceTable::Records &leftOut, const std::vector<InstanceId> &tried, TimePoint now)
 {
     if (!leftOut.empty()) {
         return chooseFrom(leftOut);
@@ -108,11 +114,11 @@
         const bool wasTried = std::find(tried.begin(), tried.end(), id) != tried.end();
         // That the record is gone may not have been noted yet.
         const bool isStopping = !hasRecord_(id) && now - listed.goneSince.value_or(now) <= StoppingTime;
-        if (!wasTried && isStopping && inFlight(id) < MaxInFlight && (best == nullptr || cost(id) < cost(best->peer.id))) {
+        if (!wasTried && isStopping && mayServe(listed.record, route) && inFlight(id) < MaxInFlight && (best == nullptr || cost(id) < cost(best->record.id))) {
             best = &listed;
         }
     }
-    return best == nullptr ? std::nullopt : std::optional(best->peer);
+    return best == nullptr ? std::nullopt : std::optional(Peer{best->record.id, best->record.peers});
 }
 
 bool PeerChoice::hasNoRoom(const InstanceId &peer, TimePoint now) const
--- a/packages/routing/src/requestcoordinator.cpp
+++ b/packages/routing/src/requestcoordinator.cpp
@@ -296,7 +296,7 @@
 void RequestCoordinator::onCutOff(ServedRequestId id)
 {
     Entry &entry = entries_.at(id);
-    const bool canPassOn = context_.peerChoice.choose({}, context_.runtime.now()).has_value();
+    const bool canPassOn = context_.peerChoice.choose(*entry.terms.route, {}, context_.runtime.now()).has_value();
     if (!entry.terms.request->passedOn && !canPassOn && !context_.peerChoice.isNoOneConnected()) {
         // Nobody else could serve it, and a server that is merely slow may still respond.
         return;
--- a/packages/routing/src/serverchoice.cpp
+++ b/packages/routing/src/serverchoice.cpp
@@ -1,6 +1,7 @@
 #include <burdock/routing/serverchoice.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Burdock
@@ -137,8 +138,8 @@
     const std::uint32_t share = connectionShare(service);
     for (const ServerHandle &server : table_.servers(service)) {
         const bool wasTried = std::find(tried.begin(), tried.end(), server->id) != tried.end();
-        if (wasTried || !notices_.accepts(*server, now) || load_.backoffUntil(server->id) > now || load_.inFlight(server->id) >= share
-            || !limits_.allows(server->id, route.priority, !tried.empty(), now)) {
+        if (wasTried || !allows(route, server->dataCentre) || !notices_.accepts(*server, now) || load_.backoffUntil(server->id) > now
+            || load_.inFlight(server->id) >= share || !limits_.allows(server->id, route.priority, !tried.empty(), now)) {
             continue;
         }
         const Duration expected = expectedOf(route, *server, now);
@@ -152,16 +153,37 @@
     return best;
 }
 
+bool ServerChoice::allows(const Route &route, const DataCentre &dataCentre) const
+{
+    if (route.regions.empty()) {
+        return true;
+    }
+    const auto region = regions_.find(dataCentre);
+    return region != regions_.end() && route.isServedIn(region->second);
+}
+
+bool ServerChoice::hasServerFor(const Route &route, const ServiceName &service) const
+{
+    const std::vector<ServerHandle> &servers = table_.servers(service);
+    return std::any_of(servers.begin(), servers.end(), [this, &route](const ServerHandle &server) { return allows(route, server->dataCentre); });
+}
+
 Duration ServerChoice::refuseAtLimits(const Route &route, const ServiceName &service, TimePoint now)
 {
-    return limits_.refuse(table_.servers(service), route.priority, now);
+    std::vector<ServerHandle> allowed;
+    const std::vector<ServerHandle> &servers = table_.servers(service);
+    std::copy_if(
+        servers.begin(), servers.end(), std::back_inserter(allowed), [this, &route](const ServerHandle &server) { return allows(route, server->dataCentre); });
+    return limits_.refuse(allowed, route.priority, now);
 }
 
-Duration ServerChoice::pauseLeft(const ServiceName &service, TimePoint now) const
+Duration ServerChoice::pauseLeft(const Route &route, const ServiceName &service, TimePoint now) const
 {
     TimePoint earliest = TimePoint::max();
     for (const ServerHandle &server : table_.servers(service)) {
-        earliest = std::min(earliest, notices_.acceptsFrom(*server));
+        if (allows(route, server->dataCentre)) {
+            earliest = std::min(earliest, notices_.acceptsFrom(*server));
+        }
     }
     return earliest == TimePoint::max() ? Duration{0} : std::max(earliest - now, Duration{0});
 }
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -127,9 +127,12 @@
     if (context_.servers.servers(service_).empty()) {
         return notRun(Errc::Unavailable, "no server of the service is listed", ListingRetryAfter).value();
     }
+    if (!context_.choice.hasServerFor(*route_, service_)) {
+        return refuseForPlace();
+    }
     const Duration wait = context_.choice.refuseAtLimits(*route_, service_, context_.runtime.now());
     if (wait == Duration{0}) {
-        const Duration pause = context_.choice.pauseLeft(service_, context_.runtime.now());
+        const Duration pause = context_.choice.pauseLeft(*route_, service_, context_.runtime.now());
         return notRun(Errc::Overloaded, "no server of the service can take a request now", pause).value();
     }
     const std::string reason = "the servers of the service have reached the limit that they named";
@@ -137,6 +140,14 @@
     return notRun(Errc::Overloaded, reason, wait).value();
 }
 
+Failure ServiceCall::refuseForPlace() const
+{
+    ++context_.counters.refusedForPlace;
+    const std::string reason = "no server of the service is listed in a region in which the request may be served";
+    context_.journal.note({"place", request_->id, service_.text(), {}, reason, context_.runtime.now() - request_->arrived});
+    return notRun(Errc::Unavailable, reason, ListingRetryAfter).value();
+}
+
 void ServiceCall::stop()
 {
     done_ = nullptr;
--- a/packages/routing/tests/passontest.cpp
+++ b/packages/routing/tests/passontest.cpp
@@ -916,7 +916,7 @@
             [&helpers] { return helpers; }, [] { return true; }, [](const InstanceId &) { return true; }, InstanceId("u" + std::to_string(user)), 1);
         std::set<std::string> used;
         for (int number = 0; number < 200; ++number) {
-            const auto peer = choice.choose({}, TimePoint{});
+            const auto peer = choice.choose(Route(), {}, TimePoint{});
             REQUIRE(peer);
             used.insert(peer->id.text());
             usersOf[peer->id.text()].insert(std::to_string(user));
--- a/packages/routing/tests/routingfixture.h
+++ b/packages/routing/tests/routingfixture.h
@@ -179,10 +179,12 @@
     }
 
     /// Adds an instance that can help this one.
-    void addHelper(const std::string &id, std::size_t group = 0)
+    void addHelper(const std::string &id, std::size_t group = 0, const std::string &region = "home", bool keepsRegions = true)
     {
         InstanceRecord record;
         record.id = InstanceId(id);
+        record.region = Region(region);
+        record.keepsRegions = keepsRegions;
         record.peers = Address{"10.0.1.1", ++port};
         helpers.resize(std::max(helpers.size(), group + 1));
         helpers[group].push_back(record);
--- a/packages/routing/tests/tablestest.cpp
+++ b/packages/routing/tests/tablestest.cpp
@@ -253,6 +253,29 @@
     }
 }
 
+TEST_CASE("Clients stay in their region however few instances are ready there, and however busy these are", "[instances][regions]")
+{
+    InstanceTable table(3);
+    const InstanceRecord self = instanceOf("a1", "home", 4);
+    for (const char *id : {"b1", "b2", "b3", "b4"}) {
+        table.put(instanceOf(id, "away", 4));
+    }
+    const int ready = GENERATE(1, 2, 3);
+    const int crowded = GENERATE(0, 1, 2, 3);
+    for (int number = 1; number <= 4; ++number) {
+        InstanceRecord record = instanceOf("c" + std::to_string(number), "away", number == 1 ? 0.5 : 4, number <= ready);
+        record.region = Region("third");
+        record.crowded = number <= crowded;
+        table.put(record);
+    }
+    const std::vector<Address> directed = table.addressesFor(Region("third"), self, 64);
+    CHECK_FALSE(directed.empty());
+    for (const InstanceRecord *record : table.chosenIn(Region("third"), self)) {
+        CHECK(record->region == Region("third"));
+    }
+    CHECK(directed.size() == table.chosenIn(Region("third"), self).size());
+}
+
 TEST_CASE("Clients are not directed to instances that are cut off while any other is ready", "[instances][cutoff]")
 {
     InstanceTable table(7);
