Send nothing to data centres that operators empty

Change: where the settings name a bound for it, instances follow the operators' entries for emptied data centres, through relays as the other prefixes. ServerChoice leaves out the servers there, for first tries, hedges and retries; what was sent stays. A service whose servers all stand there is refused at once. The servers are read after these entries, so an instance that starts sends nothing before it knows where it may not.

Failures: while the store is away the entries stay. A listing of a restored store that lacks one keeps it for the time in which others write again. Relays of an earlier build do not know the prefix; the record's new field followsEmptied names those that do, and the store is asked while there is none.

Ruled out: ending requests that wait for a connection to such a server. They count as failed connections and could make an instance think it is cut off; the choice never queues more requests than there are connections.

--- a/packages/router/include/burdock/router/dialect.h
+++ b/packages/router/include/burdock/router/dialect.h
@@ -28,6 +28,9 @@
     virtual std::string serversPrefix() const = 0;
     virtual std::string instancesPrefix() const = 0;
 
+    /// Returns the prefix of the operators' entries for the data centres that they have emptied.
+    virtual std::string emptiedPrefix() const = 0;
+
     /// Parses the routes from a stored value; the error states why they cannot be read.
     virtual Result<RoutingConfig> readConfig(const std::string &value) const = 0;
 
@@ -37,6 +40,9 @@
     /// Returns the id of the server whose entry has this key.
     virtual ServerId serverIdFromKey(const std::string &key) const = 0;
 
+    /// Returns the data centre that the entry with this key empties.
+    virtual DataCentre dataCentreFromKey(const std::string &key) const = 0;
+
     /// Returns the paths of the readiness check and of the directory of addresses, and the query parameter for the client's region.
     virtual std::string readinessPath() const = 0;
     virtual std::string directoryPath() const = 0;
--- a/packages/router/include/burdock/router/relayedstore.h
+++ b/packages/router/include/burdock/router/relayedstore.h
@@ -23,14 +23,15 @@
 {
 public:
     /// `instancesPrefix` is the prefix of the instances' records, which contain the relays' addresses. Listings wait for
-    /// `listingDelay` after the start.
+    /// `listingDelay` after the start. `emptiedPrefix` is that of the emptied data centres, which relays of earlier builds do not know.
     RelayedStore(Runtime &runtime,
                  HttpClient &client,
                  Store &store,
                  RelayChoice &relays,
                  std::string instancesPrefix,
                  DecisionLog &log,
-                 Duration listingDelay = Duration{0});
+                 Duration listingDelay = Duration{0},
+                 std::string emptiedPrefix = {});
     ~RelayedStore() override;
     RelayedStore(const RelayedStore &) = delete;
     RelayedStore &operator=(const RelayedStore &) = delete;
@@ -82,6 +83,8 @@
     void startListing(const std::string &prefix, Callback<StoreRange> done);
     void readStore(const std::string &prefix, Callback<StoreRange> done);
     void requestRange(const Address &relay, const std::string &prefix, Callback<StoreRange> done);
+    /// Returns the address of an available relay that knows the data under the key.
+    std::optional<Address> relayFor(const std::string &key) const;
     TimePoint earliestStoreListing(const std::string &key) const;
     /// Whether the store may be asked for the key while no relay is available.
     bool mayUseStore(const std::string &key) const;
@@ -110,6 +113,7 @@
     Store &store_;
     RelayChoice &relays_;
     const std::string instancesPrefix_;
+    const std::string emptiedPrefix_;
     const TimePoint startedAt_;
     const Duration listingDelay_;
     DecisionLog &log_;
--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -106,6 +106,7 @@
     ServerLoad load_;
     ServerLimits limits_;
     ServerNotices notices_;
+    EmptiedDataCentres emptied_;
     ConnectionShares connectionShares_;
     ServerChoice choice_;
     RepeatBudget budget_;
--- a/packages/router/include/burdock/router/routingfeed.h
+++ b/packages/router/include/burdock/router/routingfeed.h
@@ -5,6 +5,7 @@
 #include <burdock/router/dialect.h>
 #include <burdock/router/relayservice.h>
 #include <burdock/routing/crashguard.h>
+#include <burdock/routing/emptieddatacentres.h>
 #include <burdock/routing/instancetable.h>
 #include <burdock/routing/routetable.h>
 #include <burdock/routing/servertable.h>
@@ -17,7 +18,8 @@
 namespace Burdock
 {
 
-/// Follows the routes, the servers and the other instances in the store and keeps the tables up to date.
+/// Follows the routes, the servers, the other instances and the data centres that operators empty in the store and keeps the tables up
+/// to date.
 ///
 /// Routes never return to an older version. Entries that disappear while the store is unreachable, or shortly after, are kept as
 /// lapsed; they are dropped once the store has been reachable again for a while.
@@ -25,6 +27,8 @@
 /// A store that was restored from a copy lists older routes and entries that had been withdrawn, and lacks some that are in use.
 /// The routes stay, what was withdrawn stays away, and what is missing counts as lapsed until its writers have had time to write
 /// again. Other instances are served the same view.
+///
+/// Where data centres can be emptied, the servers are read after these: no request is sent before it is known where it may not go.
 class RoutingFeed
 {
 public:
@@ -41,11 +45,13 @@
                                                                                                           const std::vector<CrashReport> &) {};
     };
 
+    /// `emptied` is null where data centres cannot be emptied.
     RoutingFeed(Runtime &runtime,
                 Store &store,
                 const Dialect &dialect,
                 ServerTable &servers,
                 InstanceTable &instances,
+                EmptiedDataCentres *emptied,
                 RelayService &relay,
                 DecisionLog &log,
                 Events events);
@@ -95,12 +101,15 @@
     using ChangeHandler = StoreEntry (RoutingFeed::*)(const StoreEntry &);
 
     StoreFollower::Events makeEvents(const char *dependency, const std::string &prefix, ListingHandler onListing, ChangeHandler onChange);
-    /// Starts following the routes and the servers, which may come from a relay once the instances are known.
+    /// Starts following the routes, the emptied data centres and the servers, which may come from a relay once the instances are known.
     void startOthers();
+    void startServers();
     std::vector<StoreEntry> applyConfigs(const std::vector<StoreEntry> &entries);
     StoreEntry applyConfig(const StoreEntry &entry);
     StoreEntry applyServer(const StoreEntry &entry);
     std::vector<StoreEntry> applyServers(const std::vector<StoreEntry> &entries);
+    std::vector<StoreEntry> applyEmptiedListing(const std::vector<StoreEntry> &entries);
+    StoreEntry applyEmptied(const StoreEntry &entry);
     bool isCrashReports(const StoreEntry &entry) const;
     void applyCrashReports(const StoreEntry &entry);
     StoreEntry applyInstance(const StoreEntry &entry);
@@ -120,6 +129,7 @@
     const Dialect &dialect_;
     ServerTable &servers_;
     InstanceTable &instances_;
+    EmptiedDataCentres *const emptied_;
     RelayService &relay_;
     DecisionLog &log_;
     const Events events_;
@@ -135,12 +145,14 @@
     TimerId instancesTimer_ = 0;
     TimerId startTimer_ = 0;
     bool othersStarted_ = false;
+    bool serversStarted_ = false;
     bool listingServers_ = false;
     /// The changes of instances' records since they were last logged.
     ChangeSummary instanceChanges_;
     StoreFollower config_;
     StoreFollower serverEntries_;
     StoreFollower instanceRecords_;
+    std::optional<StoreFollower> emptiedEntries_;
 };
 
 } // namespace Burdock
--- a/packages/router/src/instancecodec.cpp
+++ b/packages/router/src/instancecodec.cpp
@@ -20,7 +20,8 @@
                           {"born", record.edition.born},
                           {"sequence", record.edition.sequence},
                           {"cutOff", record.cutOff},
-                          {"keepsRegions", true}});
+                          {"keepsRegions", true},
+                          {"followsEmptied", record.followsEmptied}});
 }
 
 Result<InstanceRecord> readInstance(const std::string &value)
@@ -48,7 +49,8 @@
                               read.value("cutOff", false),
                               // The builds that state this are those that serve requests of others.
                               read.contains("cutOff"),
-                              read.value("keepsRegions", false)};
+                              read.value("keepsRegions", false),
+                              read.value("followsEmptied", false)};
     } catch (const Json::exception &error) {
         return notRun(Errc::BadRequest, std::string("not an instance's record: ") + error.what());
     }
--- a/packages/router/src/relayedstore.cpp
+++ b/packages/router/src/relayedstore.cpp
@@ -65,13 +65,20 @@
 
 } // namespace
 
-RelayedStore::RelayedStore(
-    Runtime &runtime, HttpClient &client, Store &store, RelayChoice &relays, std::string instancesPrefix, DecisionLog &log, Duration listingDelay)
+RelayedStore::RelayedStore(Runtime &runtime,
+                           HttpClient &client,
+                           Store &store,
+                           RelayChoice &relays,
+                           std::string instancesPrefix,
+                           DecisionLog &log,
+                           Duration listingDelay,
+                           std::string emptiedPrefix)
     : runtime_(runtime)
     , client_(client)
     , store_(store)
     , relays_(relays)
     , instancesPrefix_(std::move(instancesPrefix))
+    , emptiedPrefix_(std::move(emptiedPrefix))
     , startedAt_(runtime.now())
     , listingDelay_(listingDelay)
     , log_(log)
@@ -95,6 +102,12 @@
     }
 }
 
+std::optional<Address> RelayedStore::relayFor(const std::string &key) const
+{
+    const TimePoint now = runtime_.now();
+    return key == emptiedPrefix_ ? relays_.relayOfEmptied(now) : relays_.relay(now);
+}
+
 TimePoint RelayedStore::earliestStoreListing(const std::string &key) const
 {
     if (listingDelay_ == Duration{0}) {
@@ -107,13 +120,16 @@
 {
     const TimePoint now = runtime_.now();
     const auto known = completeUntil_.find(key);
+    if (key == emptiedPrefix_ && !relays_.hasRelayOfEmptied()) {
+        return true;
+    }
     return relays_.mayUseStore(now) || (known != completeUntil_.end() && DataAge::needsStore(now - known->second));
 }
 
 void RelayedStore::startListing(const std::string &prefix, Callback<StoreRange> done)
 {
     const TimePoint now = runtime_.now();
-    const auto relay = relays_.relay(now);
+    const auto relay = relayFor(prefix);
     if (relay) {
         return requestRange(*relay, prefix, std::move(done));
     }
@@ -262,7 +278,7 @@
 void RelayedStore::startWatch(std::uint64_t id)
 {
     const TimePoint now = runtime_.now();
-    const auto relay = relays_.relay(now);
+    const auto relay = relayFor(watches_.at(id).key);
     const Duration delay = earliestStoreWatch(watches_.at(id).key) - now;
     if (relay) {
         poll(id, *relay);
@@ -402,7 +418,7 @@
 void RelayedStore::trySwitchToRelay(std::uint64_t id)
 {
     Watch &watch = watches_.at(id);
-    if (!relays_.relay(runtime_.now())) {
+    if (!relayFor(watch.key)) {
         watch.timer = runtime_.schedule(RelayRetryInterval, [this, id] { trySwitchToRelay(id); });
         return;
     }
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -196,7 +196,7 @@
     , instances_(seed)
     , limits_(settings.id, [this](const LimitReport &report) { logLimit(report); })
     , connectionShares_(settings.id)
-    , choice_(servers_, latencies_, load_, limits_, notices_, settings.regions, settings.region, seed)
+    , choice_(servers_, latencies_, load_, limits_, notices_, emptied_, settings.regions, settings.region, seed)
     , budget_(settings.repeats, loop.now())
     , crashes_([this](Duration clearingTime) { crashReports_.onChanged(clearingTime); })
     , reach_(
@@ -219,7 +219,7 @@
                   seed)
     , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, reach_, counters_, *journal_, peerRequests_, peerChoice_}
     , relays_(settings.id)
-    , store_(loop, client, store, relays_, dialect.instancesPrefix(), log, firstListingDelay(settings))
+    , store_(loop, client, store, relays_, dialect.instancesPrefix(), log, firstListingDelay(settings), dialect.emptiedPrefix())
     , lease_(
           loop,
           store,
@@ -249,6 +249,7 @@
             dialect,
             servers_,
             instances_,
+            settings.emptiesDataCentres ? &emptied_ : nullptr,
             relay_,
             log,
             {[this](const std::shared_ptr<const RouteTable> &routes) { onRoutesChanged(routes); },
@@ -273,6 +274,7 @@
     clients_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { clientEndpoint_.serve(std::move(in), out); });
     readiness_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveReadiness(in, out); });
     directory_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveDirectory(in, out); });
+    self_.followsEmptied = settings.emptiesDataCentres;
     client_.setShortageHandler([connections = connections_] { return connections->closeIdle(); });
     peers_->setFailureResponse(PassOnHeaders::failureResponse());
     peers_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { servePeers(std::move(in), out); });
@@ -845,6 +847,8 @@
     metrics_.addValue("burdock_config_version", "gauge", "Version of the routes in force.", [this] { return static_cast<double>(feed_.version()); });
     metrics_.addValue(
         "burdock_servers_limited", "gauge", "Servers that name a limit in their answers.", [this] { return static_cast<double>(limits_.count()); });
+    metrics_.addValue(
+        "burdock_data_centres_emptied", "gauge", "Data centres that operators have emptied.", [this] { return static_cast<double>(emptied_.count()); });
     metrics_.addValue("burdock_servers_listed", "gauge", "Servers with an entry.", [this] { return static_cast<double>(servers_.size()); });
     metrics_.addValue("burdock_instances", "gauge", "Instances with a record.", [this] { return static_cast<double>(instances_.count(self_)); });
     metrics_.addValue(
--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -33,6 +33,7 @@
                          const Dialect &dialect,
                          ServerTable &servers,
                          InstanceTable &instances,
+                         EmptiedDataCentres *emptied,
                          RelayService &relay,
                          DecisionLog &log,
                          Events events)
@@ -40,6 +41,7 @@
     , dialect_(dialect)
     , servers_(servers)
     , instances_(instances)
+    , emptied_(emptied)
     , relay_(relay)
     , log_(log)
     , events_(std::move(events))
@@ -51,6 +53,12 @@
                        dialect.instancesPrefix(),
                        makeEvents("instances", dialect.instancesPrefix(), &RoutingFeed::applyInstances, &RoutingFeed::applyInstance))
 {
+    if (emptied_ != nullptr) {
+        emptiedEntries_.emplace(runtime,
+                                store,
+                                dialect.emptiedPrefix(),
+                                makeEvents("emptied", dialect.emptiedPrefix(), &RoutingFeed::applyEmptiedListing, &RoutingFeed::applyEmptied));
+    }
 }
 
 StoreFollower::Events RoutingFeed::makeEvents(const char *dependency, const std::string &prefix, ListingHandler onListing, ChangeHandler onChange)
@@ -98,7 +106,18 @@
     }
     runtime_.cancel(std::exchange(startTimer_, 0));
     config_.start();
-    serverEntries_.start();
+    if (emptiedEntries_) {
+        emptiedEntries_->start();
+    } else {
+        startServers();
+    }
+}
+
+void RoutingFeed::startServers()
+{
+    if (!std::exchange(serversStarted_, true)) {
+        serverEntries_.start();
+    }
 }
 
 void RoutingFeed::restart()
@@ -106,7 +125,13 @@
     othersStarted_ = true;
     runtime_.cancel(std::exchange(startTimer_, 0));
     config_.restart();
-    serverEntries_.restart();
+    if (emptiedEntries_) {
+        emptiedEntries_->restart();
+    }
+    if (serversStarted_ || !emptiedEntries_) {
+        serversStarted_ = true;
+        serverEntries_.restart();
+    }
     instanceRecords_.restart();
 }
 
@@ -143,6 +168,9 @@
         dropLapsedTimer_ = 0;
         servers_.dropLapsed();
         instances_.dropLapsed();
+        if (emptied_ != nullptr) {
+            emptied_->dropLapsed();
+        }
         events_.onInstances();
     });
 }
@@ -300,6 +328,36 @@
     return served;
 }
 
+std::vector<StoreEntry> RoutingFeed::applyEmptiedListing(const std::vector<StoreEntry> &entries)
+{
+    std::vector<DataCentre> listed;
+    std::string names;
+    for (const StoreEntry &entry : entries) {
+        listed.push_back(dialect_.dataCentreFromKey(entry.key));
+        names += (names.empty() ? "" : " ") + listed.back().text();
+    }
+    emptied_->replace(listed, isDisturbed());
+    log_.write(DecisionPriority::Change,
+               "emptied.listed",
+               {{"entries", static_cast<std::int64_t>(entries.size())}, {"emptied", static_cast<std::int64_t>(emptied_->count())}, {"listed", names}});
+    startServers();
+    return entries;
+}
+
+StoreEntry RoutingFeed::applyEmptied(const StoreEntry &entry)
+{
+    const DataCentre dataCentre = dialect_.dataCentreFromKey(entry.key);
+    if (entry.deleted) {
+        emptied_->remove(dataCentre);
+    } else {
+        emptied_->add(dataCentre);
+    }
+    log_.write(DecisionPriority::Change,
+               entry.deleted ? "dataCentre.used" : "dataCentre.emptied",
+               {{"dataCentre", dataCentre.text()}, {"revision", entry.modRevision}});
+    return entry;
+}
+
 std::string RoutingFeed::crashReportsKey(const Dialect &dialect, const InstanceId &instance)
 {
     return dialect.instancesPrefix() + instance.text() + CrashReportsSuffix;
--- a/packages/router/tests/relaytest.cpp
+++ b/packages/router/tests/relaytest.cpp
@@ -88,11 +88,18 @@
 struct RelayedStoreFixture
 {
     RelayedStoreFixture()
+    {
+        setRegion({});
+    }
+
+    /// Sets the instances of the region; those that are named follow the emptied data centres.
+    void setRegion(const std::string &following)
     {
         std::vector<InstanceRecord> region;
         for (const char *id : {"a", "b", "c", "d", "e"}) {
             const Address peers{"10.0.0.1", static_cast<std::uint16_t>(9000 + id[0])};
             region.push_back({InstanceId(id), peers, peers, Region("home"), DataCentre("a"), true, 1, false});
+            region.back().followsEmptied = following.find(id) != std::string::npos;
         }
         relays.setInstances(region);
     }
@@ -114,7 +121,7 @@
     FakeStore direct;
     RelayChoice relays{InstanceId("outsider")};
     DecisionLog log{runtime, STDERR_FILENO, "outsider"};
-    RelayedStore store{runtime, client, direct, relays, "instances/", log};
+    RelayedStore store{runtime, client, direct, relays, "instances/", log, Duration{0}, "emptied/"};
     std::vector<std::string> received;
     Errc ended = Errc::Ok;
 };
@@ -312,6 +319,57 @@
     }
 }
 
+TEST_CASE("Emptied data centres are read from relays that follow them, and from the store while there are only others", "[relay][emptied][builds]")
+{
+    RelayedStoreFixture fixture;
+    fixture.runtime.advance(seconds(2));
+    bool listed = false;
+    const auto list = [&] { fixture.store.range("emptied/", true, 0, [&listed](const Result<StoreRange> &range) { listed = range.has_value(); }); };
+    const auto watch = [&] {
+        fixture.store.watch(
+            "emptied/", true, 10, [](const StoreEntry &) {}, [](const Failure &) {});
+    };
+    SECTION("all relays are of an earlier build")
+    {
+        list();
+        CHECK(fixture.direct.ranges == 1);
+        fixture.direct.lastRange(StoreRange{{}, 10});
+        CHECK(listed);
+        watch();
+        CHECK(fixture.direct.watches.size() == 1);
+        CHECK(fixture.client.calls.empty());
+        // Other data still come from them.
+        fixture.watch(10);
+        CHECK(fixture.client.calls.size() == 1);
+        CHECK(fixture.direct.watches.size() == 1);
+    }
+    SECTION("a relay is replaced by one that follows them")
+    {
+        watch();
+        REQUIRE(fixture.direct.watches.size() == 1);
+        fixture.setRegion("abcde");
+        fixture.runtime.advance(seconds(2));
+        CHECK(fixture.direct.watches.empty());
+        REQUIRE(fixture.client.calls.size() == 1);
+        CHECK(fixture.client.calls.begin()->second.first.path.find("emptied") != std::string::npos);
+    }
+    SECTION("one of two relays follows them")
+    {
+        const auto preferred = fixture.relays.relay(fixture.runtime.now());
+        const std::string first(1, static_cast<char>(preferred->port - 9000));
+        std::string others = "abcde";
+        others.erase(others.find(first), 1);
+        fixture.setRegion(others);
+        const auto relay = fixture.relays.relayOfEmptied(fixture.runtime.now());
+        REQUIRE(relay);
+        CHECK_FALSE(*relay == *preferred);
+        list();
+        CHECK(fixture.direct.ranges == 0);
+        REQUIRE(fixture.client.calls.size() == 1);
+        CHECK(fixture.client.calls.begin()->second.first.address == *relay);
+    }
+}
+
 TEST_CASE("A relay's listing includes later changes", "[relay]")
 {
     RelayServiceFixture fixture;
--- a/packages/router/tests/routingfeedtest.cpp
+++ b/packages/router/tests/routingfeedtest.cpp
@@ -38,6 +38,10 @@
     {
         return "instances/";
     }
+    std::string emptiedPrefix() const override
+    {
+        return "emptied/";
+    }
     Result<RoutingConfig> readConfig(const std::string &value) const override
     {
         RoutingConfig config;
@@ -55,6 +59,10 @@
     {
         return ServerId(key.substr(serversPrefix().size()));
     }
+    DataCentre dataCentreFromKey(const std::string &key) const override
+    {
+        return DataCentre(key.substr(emptiedPrefix().size()));
+    }
     std::string readinessPath() const override
     {
         return "/ready";
@@ -76,10 +84,15 @@
     HeaderNames headers_;
 };
 
-/// A feed on a store whose calls the test answers. The listings come in the order instances, configuration, servers.
+const StoreEntry EmptiedA{"emptied/a", "", 1, 0, false};
+
+/// A feed on a store whose calls the test answers. The listings come in the order instances, configuration, emptied data centres if
+/// these are followed, servers.
 struct FeedFixture
 {
-    FeedFixture()
+    explicit FeedFixture(bool followsEmptied = false, const std::vector<StoreEntry> &firstEmptied = {})
+        : empties(followsEmptied)
+        , listedEmptied(firstEmptied)
     {
         feed.start();
         list(1, "7", {server("p1", 1), server("p2", 1)});
@@ -95,6 +108,9 @@
         const std::int64_t listed = StoreHistory::combine(history, 20);
         store.reply(store.ranges, Result<StoreRange>(StoreRange{{}, listed}));
         store.reply(store.ranges, Result<StoreRange>(StoreRange{{{"config", config, listed, 0, false}}, listed}));
+        if (empties) {
+            store.reply(store.ranges, Result<StoreRange>(StoreRange{listedEmptied, listed}));
+        }
         store.reply(store.ranges, Result<StoreRange>(StoreRange{entries, listed}));
     }
 
@@ -103,7 +119,7 @@
     {
         std::vector<ManualStore::Watch> watches;
         // In the order in which the listings were answered.
-        for (const char *key : {"instances/", "config", "servers/"}) {
+        for (const char *key : {"instances/", "config", "emptied/", "servers/"}) {
             for (const auto &[id, watch] : store.watches) {
                 if (watch.key == key) {
                     watches.push_back(watch);
@@ -145,11 +161,15 @@
         return responder->body;
     }
 
+    const bool empties;
+    /// The emptied data centres of the next listing.
+    std::vector<StoreEntry> listedEmptied;
     ManualRuntime runtime;
     ManualStore store;
     TestDialect dialect;
     ServerTable servers{[](const ServerEntry &, bool) {}};
     InstanceTable instances{1};
+    EmptiedDataCentres emptied;
     RelayService relay{runtime, [this] { return runtime.now(); }};
     DecisionLog log{runtime, STDERR_FILENO, "test"};
     std::vector<std::int64_t> versions;
@@ -160,6 +180,7 @@
                      dialect,
                      servers,
                      instances,
+                     empties ? &emptied : nullptr,
                      relay,
                      log,
                      {[this](const std::shared_ptr<const RouteTable> &routes) { versions.push_back(routes->config().version); },
@@ -219,6 +240,86 @@
     CHECK(fixture.servers.servers(ServiceName("parts")).front()->id == ServerId("p1"));
 }
 
+TEST_CASE("Servers are read only once it is known which data centres are emptied", "[feed][emptied]")
+{
+    FeedFixture fixture(true, {EmptiedA});
+    ManualStore store;
+    EmptiedDataCentres emptied;
+    ServerTable servers{[](const ServerEntry &, bool) {}};
+    RoutingFeed feed{fixture.runtime,
+                     store,
+                     fixture.dialect,
+                     servers,
+                     fixture.instances,
+                     &emptied,
+                     fixture.relay,
+                     fixture.log,
+                     {[](const std::shared_ptr<const RouteTable> &) {}, [] {}, [] {}, [](std::int64_t) {}}};
+    feed.start();
+    const std::int64_t listed = StoreHistory::combine(1, 20);
+    store.reply(store.ranges, Result<StoreRange>(StoreRange{{}, listed}));
+    store.reply(store.ranges, Result<StoreRange>(StoreRange{{{"config", "7", listed, 0, false}}, listed}));
+    SECTION("the store cannot be reached")
+    {
+        store.reply(store.ranges, Result<StoreRange>(notRun(Errc::Unavailable, "the store is away")));
+        CHECK(store.ranges.empty());
+        fixture.runtime.advance(seconds(1));
+    }
+    REQUIRE(store.ranges.size() == 1);
+    store.reply(store.ranges, Result<StoreRange>(StoreRange{{EmptiedA}, listed}));
+    CHECK(emptied.contains(DataCentre("a")));
+    CHECK_FALSE(feed.hasRoutesAndServers());
+    REQUIRE(store.ranges.size() == 1);
+    store.reply(store.ranges, Result<StoreRange>(StoreRange{{FeedFixture::server("p1", 1)}, listed}));
+    CHECK(feed.hasRoutesAndServers());
+}
+
+TEST_CASE("Data centres are emptied and used again as operators say, also for those that are served by this instance", "[feed][emptied]")
+{
+    FeedFixture fixture(true);
+    CHECK_FALSE(fixture.emptied.any());
+    fixture.change(EmptiedA, 1);
+    CHECK(fixture.emptied.contains(DataCentre("a")));
+    CHECK(fixture.served("emptied/").find("emptied/a") != std::string::npos);
+    // The operator takes it back while the store is disturbed for another reason.
+    fixture.restore(2, "7", {});
+    StoreEntry taken = EmptiedA;
+    taken.deleted = true;
+    fixture.change(taken, 2);
+    CHECK_FALSE(fixture.emptied.any());
+    CHECK(fixture.served("emptied/").find("emptied/a") == std::string::npos);
+}
+
+TEST_CASE("After a restoration of the store a data centre that the copy does not list stays emptied until operators had time to say so again",
+          "[feed][emptied][restored]")
+{
+    FeedFixture fixture(true, {EmptiedA});
+    fixture.listedEmptied.clear();
+    fixture.restore(2, "7", {FeedFixture::server("p1", 1)});
+    CHECK(fixture.emptied.contains(DataCentre("a")));
+    SECTION("they write it again")
+    {
+        fixture.change(EmptiedA, 2);
+        fixture.runtime.advance(seconds(5));
+        CHECK(fixture.emptied.contains(DataCentre("a")));
+    }
+    SECTION("they do not")
+    {
+        fixture.runtime.advance(seconds(5));
+        CHECK_FALSE(fixture.emptied.any());
+    }
+}
+
+TEST_CASE("Emptied data centres stay so while the store cannot be reached", "[feed][emptied]")
+{
+    FeedFixture fixture(true, {EmptiedA});
+    for (auto &[id, watch] : std::map(fixture.store.watches)) {
+        watch.ended(Failure{Errc::Unavailable, Verdict::NotRun, "the store is away", Duration{0}});
+    }
+    fixture.runtime.advance(seconds(30));
+    CHECK(fixture.emptied.contains(DataCentre("a")));
+}
+
 TEST_CASE("An entry whose key is outside of the prefix that was asked for is left out and ends no process", "[feed]")
 {
     FeedFixture fixture;
--- a/packages/router/tests/serverreplytest.cpp
+++ b/packages/router/tests/serverreplytest.cpp
@@ -68,6 +68,7 @@
 {
     InstanceRecord record{InstanceId("front-1"), Address{"10.0.0.1", 80}, Address{"10.0.0.1", 90}, Region("home"), DataCentre("a"), true, 0.25, true, {7, 3}};
     record.cutOff = GENERATE(true, false);
+    record.followsEmptied = !record.cutOff;
     const auto read = readInstance(writeInstance(record));
     REQUIRE(read);
     CHECK(*read == record);
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -37,10 +37,12 @@
     bool takesRequests = true;
     /// Whether the instance's build serves requests only in the regions of their routes.
     bool keepsRegions = true;
+    /// Whether the instance follows which data centres are emptied, so that others can learn it from there.
+    bool followsEmptied = false;
 
     auto fields() const
     {
-        return std::tie(id, address, peers, region, dataCentre, ready, cores, crowded, edition, cutOff, takesRequests, keepsRegions);
+        return std::tie(id, address, peers, region, dataCentre, ready, cores, crowded, edition, cutOff, takesRequests, keepsRegions, followsEmptied);
     }
 };
 
--- a/packages/routing/include/burdock/routing/relaychoice.h
+++ b/packages/routing/include/burdock/routing/relaychoice.h
@@ -31,6 +31,12 @@
     /// Returns the relay's address, or nothing if none is available.
     std::optional<Address> relay(TimePoint now) const;
 
+    /// Returns the address of a relay that follows which data centres are emptied, or nothing if none is available.
+    std::optional<Address> relayOfEmptied(TimePoint now) const;
+
+    /// Whether any of the relays follows which data centres are emptied, be it available or not.
+    bool hasRelayOfEmptied() const;
+
     /// Whether this instance may watch or list at the store while no relay is available.
     bool mayUseStore(TimePoint now) const;
 
@@ -56,11 +62,18 @@
     }
 
 private:
+    struct Relay
+    {
+        Address address;
+        bool followsEmptied = false;
+    };
+
+    bool isAvoided(const Address &address, TimePoint now) const;
     void avoid(const Address &address, TimePoint now, Duration span);
 
     const InstanceId self_;
     /// The relays to use, in order of preference.
-    std::vector<Address> candidates_;
+    std::vector<Relay> candidates_;
     std::map<std::pair<std::string, std::uint16_t>, TimePoint> avoidedUntil_;
     int depth_ = 0;
     bool hasChildren_ = false;
--- a/packages/routing/include/burdock/routing/routingcontext.h
+++ b/packages/routing/include/burdock/routing/routingcontext.h
@@ -26,7 +26,7 @@
     std::uint64_t failedAtServers = 0;
     std::uint64_t clientsGone = 0;
     std::uint64_t refusedAsGuilty = 0;
-    /// Requests to a service of which no server is listed where the request may be served.
+    /// Requests to a service whose listed servers all stand where the request may not be served, or in emptied data centres.
     std::uint64_t refusedForPlace = 0;
     /// Requests that were passed on to a peer, and those among them that the peer did not serve.
     std::uint64_t passedOn = 0;
--- a/packages/routing/include/burdock/routing/serverchoice.h
+++ b/packages/routing/include/burdock/routing/serverchoice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/routing/connectionshares.h>
+#include <burdock/routing/emptieddatacentres.h>
 #include <burdock/routing/hedgethreshold.h>
 #include <burdock/routing/latencytracker.h>
 #include <burdock/routing/serverlimits.h>
@@ -10,6 +11,7 @@
 
 #include <map>
 #include <random>
+#include <string_view>
 
 namespace Burdock
 {
@@ -35,6 +37,7 @@
                  ServerLoad &load,
                  ServerLimits &limits,
                  const ServerNotices &notices,
+                 const EmptiedDataCentres &emptied,
                  std::map<DataCentre, Region> regions,
                  Region ownRegion,
                  std::uint64_t seed);
@@ -60,18 +63,19 @@
     void setConnections(const std::vector<RoutedService> &services);
 
     /// Returns the best server that is not in `tried`; null if no server may get a request now. Servers outside the route's regions
-    /// are left out, those at the limit that they named, and those that are leaving or want no requests for a while.
+    /// or in emptied data centres are left out, those at the limit that they named, and those that are leaving or want no requests for
+    /// a while.
     ChosenServer choose(const Route &route, const ServiceName &service, const std::vector<ServerId> &tried, TimePoint now);
 
     /// Whether servers of the route's services may be left out for a reason that is known before anything is sent: their limits, or
     /// where they stand.
     bool isRestricted(const Route &route) const
     {
-        return limits_.any() || !route.regions.empty();
+        return limits_.any() || emptied_.any() || !route.regions.empty();
     }
 
-    /// Whether a server of the service is listed in a region in which the route's requests may be served.
-    bool hasServerFor(const Route &route, const ServiceName &service) const;
+    /// Returns why the places of the service's listed servers forbid all of them to the route's requests; empty if one is allowed.
+    std::string_view placeProblem(const Route &route, const ServiceName &service) const;
 
     /// Records that a request for the service is refused, and returns the time until a server at its limit can take it; zero if
     /// limits are not the cause.
@@ -104,6 +108,8 @@
     void onAbandoned(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now);
 
 private:
+    /// Whether the data centre stands in one of the route's regions.
+    bool isServedIn(const Route &route, const DataCentre &dataCentre) const;
     /// Whether the route's requests may be sent to servers of the data centre.
     bool allows(const Route &route, const DataCentre &dataCentre) const;
     Duration expectedOf(const Route &route, const ServerEntry &server, TimePoint now) const;
@@ -115,6 +121,7 @@
     ServerLoad &load_;
     ServerLimits &limits_;
     const ServerNotices &notices_;
+    const EmptiedDataCentres &emptied_;
     const std::map<DataCentre, Region> regions_;
     const Region ownRegion_;
     HedgeThreshold hedgeThreshold_;
--- a/packages/routing/include/burdock/routing/servicecall.h
+++ b/packages/routing/include/burdock/routing/servicecall.h
@@ -83,7 +83,7 @@
     }
 
 private:
-    Failure refuseForPlace() const;
+    Failure refuseForPlace(const std::string &reason) const;
     struct Attempt
     {
         BackendRequestId id = 0;
--- a/packages/routing/src/relaychoice.cpp
+++ b/packages/routing/src/relaychoice.cpp
@@ -115,7 +115,7 @@
     for (const std::size_t relay : relayPositions(position)) {
         // The last level is not full, and an instance without a record of its own comes last.
         if (relay < position) {
-            candidates_.push_back(order[relay].peers);
+            candidates_.push_back({order[relay].peers, order[relay].followsEmptied});
         }
     }
     if (order.size() > FanOut + 1) {
@@ -125,13 +125,26 @@
 
 std::optional<Address> RelayChoice::relay(TimePoint now) const
 {
-    for (const Address &address : candidates_) {
-        const auto avoided = avoidedUntil_.find(keyOf(address));
-        if (avoided == avoidedUntil_.end() || avoided->second <= now) {
-            return address;
-        }
-    }
-    return std::nullopt;
+    const auto found = std::find_if(candidates_.begin(), candidates_.end(), [this, now](const Relay &relay) { return !isAvoided(relay.address, now); });
+    return found == candidates_.end() ? std::nullopt : std::optional(found->address);
+}
+
+std::optional<Address> RelayChoice::relayOfEmptied(TimePoint now) const
+{
+    const auto found = std::find_if(
+        candidates_.begin(), candidates_.end(), [this, now](const Relay &relay) { return relay.followsEmptied && !isAvoided(relay.address, now); });
+    return found == candidates_.end() ? std::nullopt : std::optional(found->address);
+}
+
+bool RelayChoice::hasRelayOfEmptied() const
+{
+    return std::any_of(candidates_.begin(), candidates_.end(), [](const Relay &relay) { return relay.followsEmptied; });
+}
+
+bool RelayChoice::isAvoided(const Address &address, TimePoint now) const
+{
+    const auto avoided = avoidedUntil_.find(keyOf(address));
+    return avoided != avoidedUntil_.end() && avoided->second > now;
 }
 
 bool RelayChoice::mayUseStore(TimePoint now) const
--- a/packages/routing/src/serverchoice.cpp
+++ b/packages/routing/src/serverchoice.cpp
@@ -38,6 +38,7 @@
                            ServerLoad &load,
                            ServerLimits &limits,
                            const ServerNotices &notices,
+                           const EmptiedDataCentres &emptied,
                            std::map<DataCentre, Region> regions,
                            Region ownRegion,
                            std::uint64_t seed)
@@ -46,6 +47,7 @@
     , load_(load)
     , limits_(limits)
     , notices_(notices)
+    , emptied_(emptied)
     , regions_(std::move(regions))
     , ownRegion_(std::move(ownRegion))
     , random_(seed)
@@ -153,7 +155,7 @@
     return best;
 }
 
-bool ServerChoice::allows(const Route &route, const DataCentre &dataCentre) const
+bool ServerChoice::isServedIn(const Route &route, const DataCentre &dataCentre) const
 {
     if (route.regions.empty()) {
         return true;
@@ -162,10 +164,21 @@
     return region != regions_.end() && route.isServedIn(region->second);
 }
 
-bool ServerChoice::hasServerFor(const Route &route, const ServiceName &service) const
+bool ServerChoice::allows(const Route &route, const DataCentre &dataCentre) const
+{
+    return !emptied_.contains(dataCentre) && isServedIn(route, dataCentre);
+}
+
+std::string_view ServerChoice::placeProblem(const Route &route, const ServiceName &service) const
 {
     const std::vector<ServerHandle> &servers = table_.servers(service);
-    return std::any_of(servers.begin(), servers.end(), [this, &route](const ServerHandle &server) { return allows(route, server->dataCentre); });
+    if (std::any_of(servers.begin(), servers.end(), [this, &route](const ServerHandle &server) { return allows(route, server->dataCentre); })) {
+        return {};
+    }
+    const bool inRegion =
+        std::any_of(servers.begin(), servers.end(), [this, &route](const ServerHandle &server) { return isServedIn(route, server->dataCentre); });
+    return inRegion ? "all servers of the service where the request may be served stand in emptied data centres"
+                    : "no server of the service is listed in a region in which the request may be served";
 }
 
 Duration ServerChoice::refuseAtLimits(const Route &route, const ServiceName &service, TimePoint now)
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -127,8 +127,8 @@
     if (context_.servers.servers(service_).empty()) {
         return notRun(Errc::Unavailable, "no server of the service is listed", ListingRetryAfter).value();
     }
-    if (!context_.choice.hasServerFor(*route_, service_)) {
-        return refuseForPlace();
+    if (const std::string_view problem = context_.choice.placeProblem(*route_, service_); !problem.empty()) {
+        return refuseForPlace(std::string(problem));
     }
     const Duration wait = context_.choice.refuseAtLimits(*route_, service_, context_.runtime.now());
     if (wait == Duration{0}) {
@@ -140,10 +140,9 @@
     return notRun(Errc::Overloaded, reason, wait).value();
 }
 
-Failure ServiceCall::refuseForPlace() const
+Failure ServiceCall::refuseForPlace(const std::string &reason) const
 {
     ++context_.counters.refusedForPlace;
-    const std::string reason = "no server of the service is listed in a region in which the request may be served";
     context_.journal.note({"place", request_->id, service_.text(), {}, reason, context_.runtime.now() - request_->arrived});
     return notRun(Errc::Unavailable, reason, ListingRetryAfter).value();
 }
--- a/packages/routing/tests/routingfixture.h
+++ b/packages/routing/tests/routingfixture.h
@@ -268,7 +268,9 @@
     std::vector<LimitReport> limitReports;
     ServerLimits limits{InstanceId("self"), [this](const LimitReport &report) { limitReports.push_back(report); }};
     ServerNotices notices;
-    ServerChoice choice{servers, latencies, load, limits, notices, {{DataCentre(Near), Region("home")}, {DataCentre(Far), Region("away")}}, Region("home"), 7};
+    EmptiedDataCentres emptied;
+    ServerChoice choice{
+        servers, latencies, load, limits, notices, emptied, {{DataCentre(Near), Region("home")}, {DataCentre(Far), Region("away")}}, Region("home"), 7};
     RepeatBudget budget{RepeatTerms{0.2, std::chrono::seconds(10), 50}, TimePoint{} - std::chrono::minutes(1)};
     RoutingCounters counters;
     RecordingJournal journal;
