--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -168,7 +168,10 @@
 private:
     static std::string_view nameOf(std::string_view decision)
     {
-        return decision == "limit" ? "request.limited" : decision == "crash" ? "request.crashed" : "request.repeated";
+        return decision == "limit" ? "request.limited"
+            : decision == "place"  ? "request.unplaced"
+            : decision == "crash"  ? "request.crashed"
+                                   : "request.repeated";
     }
 
     DecisionLog &log_;
@@ -194,7 +197,7 @@
     , instances_(seed)
     , limits_(settings.id, [this](const LimitReport &report) { logLimit(report); })
     , connectionShares_(settings.id)
-    , choice_(servers_, latencies_, load_, limits_, notices_, settings.regions, settings.region, seed)
+    , choice_(servers_, latencies_, load_, limits_, notices_, emptied_, settings.regions, settings.region, seed)
     , budget_(settings.repeats, loop.now())
     , crashes_([this](Duration clearingTime) { crashReports_.onChanged(clearingTime); })
     , reach_(
@@ -219,7 +222,7 @@
           loop, client, settings_, instances_, self_, [this] { return lease_.confirmedAt(); }, seed | 1, log)
     , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, reach_, counters_, *journal_, peerRequests_, peerChoice_}
     , relays_(settings.id)
-    , store_(loop, client, store, relays_, dialect.instancesPrefix(), log, firstListingDelay(settings))
+    , store_(loop, client, store, relays_, dialect.instancesPrefix(), log, firstListingDelay(settings), dialect.emptiedPrefix())
     , lease_(
           loop,
           store,
@@ -249,6 +252,7 @@
             dialect,
             servers_,
             instances_,
+            settings.emptiesDataCentres ? &emptied_ : nullptr,
             relay_,
             log,
             {[this](const std::shared_ptr<const RouteTable> &routes) { onRoutesChanged(routes); },
@@ -274,6 +278,7 @@
     clients_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { clientEndpoint_.serve(std::move(in), out); });
     readiness_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveReadiness(in, out); });
     directory_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveDirectory(in, out); });
+    self_.followsEmptied = settings.emptiesDataCentres;
     client_.setShortageHandler([connections = connections_] { return connections->closeIdle(); });
     peers_->setFailureResponse(PassOnHeaders::failureResponse());
     peers_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { servePeers(std::move(in), out); });
@@ -856,6 +861,8 @@
     metrics_.addValue("burdock_config_version", "gauge", "Version of the routes in force.", [this] { return static_cast<double>(feed_.version()); });
     metrics_.addValue(
         "burdock_servers_limited", "gauge", "Servers that name a limit in their answers.", [this] { return static_cast<double>(limits_.count()); });
+    metrics_.addValue(
+        "burdock_data_centres_emptied", "gauge", "Data centres that operators have emptied.", [this] { return static_cast<double>(emptied_.count()); });
     metrics_.addValue("burdock_servers_listed", "gauge", "Servers with an entry.", [this] { return static_cast<double>(servers_.size()); });
     metrics_.addValue("burdock_instances", "gauge", "Instances with a record.", [this] { return static_cast<double>(instances_.count(self_)); });
     metrics_.addValue(
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -37,10 +37,15 @@
     bool takesRequests = true;
     /// Whether the instance's build shares rates out over all instances.
     bool sharesRates = true;
+    /// Whether the instance's build serves requests only in the regions of their routes.
+    bool keepsRegions = true;
+    /// Whether the instance follows which data centres are emptied, so that others can learn it from there.
+    bool followsEmptied = false;
 
     auto fields() const
     {
-        return std::tie(id, address, peers, region, dataCentre, ready, cores, crowded, edition, cutOff, takesRequests, sharesRates);
+        return std::tie(
+            id, address, peers, region, dataCentre, ready, cores, crowded, edition, cutOff, takesRequests, sharesRates, keepsRegions, followsEmptied);
     }
 };
 
--- a/packages/routing/include/burdock/routing/serverchoice.h
+++ b/packages/routing/include/burdock/routing/serverchoice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/routing/connectionshares.h>
+#include <burdock/routing/emptieddatacentres.h>
 #include <burdock/routing/hedgethreshold.h>
 #include <burdock/routing/latencytracker.h>
 #include <burdock/routing/serverlimits.h>
@@ -10,6 +11,7 @@
 
 #include <map>
 #include <random>
+#include <string_view>
 
 namespace Burdock
 {
@@ -35,6 +37,7 @@
                  ServerLoad &load,
                  ServerLimits &limits,
                  const ServerNotices &notices,
+                 const EmptiedDataCentres &emptied,
                  std::map<DataCentre, Region> regions,
                  Region ownRegion,
                  std::uint64_t seed);
@@ -59,22 +62,27 @@
     /// Sets the number of connections that one server of each service accepts.
     void setConnections(const std::vector<RoutedService> &services);
 
-    /// Returns the best server that is not in `tried`; null if no server may get a request now. Servers at the limit that they named
-    /// are left out, and those that are leaving or want no requests for a while.
+    /// Returns the best server that is not in `tried`; null if no server may get a request now. Servers outside the route's regions
+    /// or in emptied data centres are left out, those at the limit that they named, and those that are leaving or want no requests for
+    /// a while.
     ChosenServer choose(const Route &route, const ServiceName &service, const std::vector<ServerId> &tried, TimePoint now);
 
-    /// Whether any server names a limit.
-    bool hasLimits() const
+    /// Whether servers of the route's services may be left out for a reason that is known before anything is sent: their limits, or
+    /// where they stand.
+    bool isRestricted(const Route &route) const
     {
-        return limits_.any();
+        return limits_.any() || emptied_.any() || !route.regions.empty();
     }
 
+    /// Returns why the places of the service's listed servers forbid all of them to the route's requests; empty if one is allowed.
+    std::string_view placeProblem(const Route &route, const ServiceName &service) const;
+
     /// Records that a request for the service is refused, and returns the time until a server at its limit can take it; zero if
     /// limits are not the cause.
     Duration refuseAtLimits(const Route &route, const ServiceName &service, TimePoint now);
 
     /// Returns the time until a server of the service wants requests again; zero if one does, or if all of them are leaving.
-    Duration pauseLeft(const ServiceName &service, TimePoint now) const;
+    Duration pauseLeft(const Route &route, const ServiceName &service, TimePoint now) const;
 
     /// Returns the time without an answer after which a request is hedged.
     Duration hedgeDelay(const Route &route, const ChosenServer &chosen) const;
@@ -100,6 +108,10 @@
     void onAbandoned(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now);
 
 private:
+    /// Whether the data centre stands in one of the route's regions.
+    bool isServedIn(const Route &route, const DataCentre &dataCentre) const;
+    /// Whether the route's requests may be sent to servers of the data centre.
+    bool allows(const Route &route, const DataCentre &dataCentre) const;
     Duration expectedOf(const Route &route, const ServerEntry &server, TimePoint now) const;
     Duration overdueAfter(const Route &route, Duration expected) const;
     double cost(const Route &route, const ServerEntry &server, Duration expected, TimePoint now);
@@ -109,6 +121,7 @@
     ServerLoad &load_;
     ServerLimits &limits_;
     const ServerNotices &notices_;
+    const EmptiedDataCentres &emptied_;
     const std::map<DataCentre, Region> regions_;
     const Region ownRegion_;
     HedgeThreshold hedgeThreshold_;
--- a/packages/routing/tests/routingfixture.h
+++ b/packages/routing/tests/routingfixture.h
@@ -179,10 +179,12 @@
     }
 
     /// Adds an instance that can help this one.
-    void addHelper(const std::string &id, std::size_t group = 0)
+    void addHelper(const std::string &id, std::size_t group = 0, const std::string &region = "home", bool keepsRegions = true)
     {
         InstanceRecord record;
         record.id = InstanceId(id);
+        record.region = Region(region);
+        record.keepsRegions = keepsRegions;
         record.peers = Address{"10.0.1.1", ++port};
         helpers.resize(std::max(helpers.size(), group + 1));
         helpers[group].push_back(record);
@@ -266,7 +268,9 @@
     std::vector<LimitReport> limitReports;
     ServerLimits limits{InstanceId("self"), [this](const LimitReport &report) { limitReports.push_back(report); }};
     ServerNotices notices;
-    ServerChoice choice{servers, latencies, load, limits, notices, {{DataCentre(Near), Region("home")}, {DataCentre(Far), Region("away")}}, Region("home"), 7};
+    EmptiedDataCentres emptied;
+    ServerChoice choice{
+        servers, latencies, load, limits, notices, emptied, {{DataCentre(Near), Region("home")}, {DataCentre(Far), Region("away")}}, Region("home"), 7};
     RepeatBudget budget{RepeatTerms{0.2, std::chrono::seconds(10), 50}, TimePoint{} - std::chrono::minutes(1)};
     RoutingCounters counters;
     RecordingJournal journal;
