Take back that clients are directed beside the shards' servers

What was expected: half of the requests to shards no longer cross between data centres. Ruled out: keeping it for deployments that do not exist.

--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <burdock/router/clientendpoint.h>
-#include <burdock/router/clientplacement.h>
 #include <burdock/router/configinquiry.h>
 #include <burdock/router/crashreportwriter.h>
 #include <burdock/router/decisionlog.h>
@@ -138,7 +137,6 @@
     std::unique_ptr<HttpServer> readiness_;
     std::unique_ptr<HttpServer> directory_;
     std::unique_ptr<HttpServer> peers_;
-    ClientPlacement placement_;
     std::map<ServerId, ServerEntry> usableServers_;
     LoopDelay loopDelay_;
     TimePoint tickDue_{};
--- a/packages/router/include/burdock/router/routersettings.h
+++ b/packages/router/include/burdock/router/routersettings.h
@@ -45,8 +45,6 @@
     RateBound coldServers{};
     /// Whether operators may empty data centres, so that their requests to do so are followed.
     bool emptiesDataCentres = false;
-    /// Whether a data centre may be lost, so that clients must not all use the instances of one.
-    bool mayLoseDataCentre = false;
     /// The time between the stop signal and the forced end of the process.
     Duration stopTime = std::chrono::seconds(6);
     /// The time for which clients cache the directory's response.
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -268,7 +268,6 @@
     , readiness_(makeHttpServer(loop, internalLimits(), connections_))
     , directory_(makeHttpServer(loop, directoryLimits(settings.descriptors), connections_))
     , peers_(makeHttpServer(loop, peerLimits({}, settings.descriptors), connections_))
-    , placement_(servers_, instances_, log, [this] { onInstancesChanged(); })
     , suspended_(loop.suspended())
     , tickTimer_(loop, TickInterval, [this] { tick(); })
     , stateTimer_(loop, StateLogInterval, [this] { logState(); })
@@ -417,9 +416,6 @@
     suspended_ = suspended;
     relay_.endStalePolls();
     logRelayFreshness();
-    if (!settings_.mayLoseDataCentre) {
-        placement_.update();
-    }
     updateReadiness();
     updateConnectionFraction();
     updateRole();
@@ -508,7 +504,6 @@
     trials_.setServices(routes->config().services);
     rates_.setConfig(routes->config());
     coordinator_.setRoutes(routes);
-    placement_.setRoutes(routes);
     clients_->setLimits(clientLimits(routes->config().limits, settings_.descriptors));
     peers_->setLimits(peerLimits(routes->config().limits, settings_.descriptors));
     updateConnectionLimits();
@@ -657,7 +652,6 @@
 
 void Router::onServerChanged(const ServerEntry &server, bool usable)
 {
-    placement_.onServersChanged();
     if (!feed_.isListingServers()) {
         log_.write(DecisionPriority::Change,
                    "server.changed",
--- a/packages/routing/src/instancetable.cpp
+++ b/packages/routing/src/instancetable.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <utility>
 
 namespace Burdock
 {
@@ -16,8 +15,6 @@
 constexpr std::size_t MinChosen = 3;
 /// Crowded instances are left out while they are at most one in this many; with more of them the others would become crowded too.
 constexpr std::size_t MaxCrowdedDivisor = 3;
-/// Clients use only the instances in the shards' data centres if there are at least this many, so that one may be lost.
-constexpr std::size_t MinNear = 2;
 
 using Records = InstanceTable::Records;
 
@@ -40,19 +37,8 @@
     return filter(records, [](const InstanceRecord *record) { return record->ready; });
 }
 
-} // namespace
-
-InstanceTable::InstanceTable(std::uint64_t seed)
-    : random_(seed)
-{
-}
-
-void InstanceTable::setShardDataCentres(std::set<DataCentre> dataCentres)
-{
-    shardDataCentres_ = std::move(dataCentres);
-}
-
-InstanceTable::Records InstanceTable::chosenOf(const Records &ready) const
+/// Returns the instances of one region that its clients are directed to, out of its ready instances.
+Records chosenOf(const Records &ready)
 {
     double maxCores = 0;
     for (const InstanceRecord *record : ready) {
@@ -64,13 +50,16 @@
     if ((large.size() - uncrowded.size()) * MaxCrowdedDivisor > large.size()) {
         return ready;
     }
-    Records near = filter(uncrowded, [this](const InstanceRecord *record) { return shardDataCentres_.count(record->dataCentre) > 0; });
-    if (near.size() >= MinNear) {
-        return near;
-    }
     return uncrowded.size() < MinChosen ? filter(ready, isUncrowded) : uncrowded;
 }
 
+} // namespace
+
+InstanceTable::InstanceTable(std::uint64_t seed)
+    : random_(seed)
+{
+}
+
 void InstanceTable::put(const InstanceRecord &record)
 {
     records_[record.id] = record;
--- a/packages/routing/tests/tablestest.cpp
+++ b/packages/routing/tests/tablestest.cpp
@@ -4,7 +4,6 @@
 #include <burdock/routing/repeatbudget.h>
 #include <burdock/routing/routetable.h>
 #include <burdock/routing/servertable.h>
-#include <burdock/routing/shardplaces.h>
 #include <burdock/routing/weightedsplit.h>
 
 #include <algorithm>
@@ -441,83 +440,6 @@
     }
 }
 
-TEST_CASE("Clients use the large instances beside the servers of the shards while two have room", "[instances][placement]")
-{
-    const auto record = [](const std::string &id, const std::string &dataCentre, double cores) {
-        InstanceRecord out;
-        out.id = InstanceId(id);
-        out.region = Region("home");
-        out.dataCentre = DataCentre(dataCentre);
-        out.ready = true;
-        out.cores = cores;
-        return out;
-    };
-    const InstanceRecord self = record("a1", "a", 0.5);
-    InstanceTable table(3);
-    for (const auto &[id, dataCentre, cores] :
-         {std::make_tuple("a2", "a", 0.5), std::make_tuple("a3", "a", 0.1), std::make_tuple("b1", "b", 0.5), std::make_tuple("b2", "b", 0.5)}) {
-        table.put(record(id, dataCentre, cores));
-    }
-    const auto chosen = [&table, &self] {
-        std::set<std::string> ids;
-        for (const InstanceRecord *each : table.chosenIn(Region("home"), self)) {
-            ids.insert(each->id.text());
-        }
-        return ids;
-    };
-    const std::set<std::string> allLarge{"a1", "a2", "b1", "b2"};
-    CHECK(chosen() == allLarge);
-    table.setShardDataCentres({DataCentre("a"), DataCentre("elsewhere")});
-    CHECK(chosen() == std::set<std::string>{"a1", "a2"});
-    CHECK(table.senders(self).count == 2);
-
-    SECTION("One of them is crowded, so that the others help")
-    {
-        InstanceRecord crowded = record("a2", "a", 0.5);
-        crowded.crowded = true;
-        table.put(crowded);
-        CHECK(chosen() == std::set<std::string>{"a1", "b1", "b2"});
-    }
-    SECTION("One of them is gone")
-    {
-        table.remove(InstanceId("a2"), false);
-        CHECK(chosen() == std::set<std::string>{"a1", "b1", "b2"});
-    }
-    SECTION("The shards' servers stand nowhere near")
-    {
-        table.setShardDataCentres({DataCentre("elsewhere")});
-        CHECK(chosen() == allLarge);
-    }
-}
-
-TEST_CASE("Most shards' servers make a data centre one to which clients are directed", "[servers][placement]")
-{
-    ServerTable servers([](const ServerEntry &, bool) {});
-    const auto put = [&servers](const std::string &id, const std::string &service, const std::string &dataCentre) {
-        ServerEntry entry;
-        entry.id = ServerId(id);
-        entry.service = ServiceName(service);
-        entry.dataCentre = DataCentre(dataCentre);
-        servers.put(entry);
-    };
-    RoutingConfig config;
-    Route all;
-    all.shards = {ServiceName("s1"), ServiceName("s2"), ServiceName("s3")};
-    Route one;
-    one.services = {{ServiceName("single"), 1}};
-    config.routes = {all, one};
-    CHECK(shardDataCentres(config, servers).empty());
-    put("1a", "s1", "a");
-    put("1b", "s1", "b");
-    put("2a", "s2", "a");
-    put("x", "single", "c");
-    CHECK(shardDataCentres(config, servers) == std::set<DataCentre>{DataCentre("a")});
-    // Crashes of some servers change nothing.
-    put("3a", "s3", "a");
-    servers.remove(ServerId("1a"), false);
-    CHECK(shardDataCentres(config, servers) == std::set<DataCentre>{DataCentre("a")});
-}
-
 TEST_CASE("The change log keeps changes up to a bound", "[relay]")
 {
     ChangeLog log;
