--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -3,6 +3,7 @@
 #include <burdock/router/crashreportcodec.h>
 #include <burdock/router/instancecodec.h>
 #include <burdock/router/passonheaders.h>
+#include <burdock/router/refusalmetrics.h>
 #include <burdock/router/relaycodec.h>
 #include <burdock/routing/dataage.h>
 #include <burdock/wire/factories.h>
@@ -256,13 +257,14 @@
              [this](std::int64_t history) { onHistoryLost(history); },
              [this](const InstanceId &from, const std::vector<CrashReport> &reports) { onCrashReports(from, reports); }})
     , inquiry_(loop, client, log, {[this](const StoreEntry &config) { feed_.offerConfig(config); }, [this] { updateReadiness(); }})
-    , coordinator_(context_, seed)
+    , coordinator_(context_, rates_.limiter(), seed)
     , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
     , connections_(std::make_shared<ConnectionPool>(static_cast<std::uint32_t>(settings.descriptors * PooledDescriptorFraction)))
     , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors), connections_))
     , readiness_(makeHttpServer(loop, internalLimits(), connections_))
     , directory_(makeHttpServer(loop, directoryLimits(settings.descriptors), connections_))
     , peers_(makeHttpServer(loop, peerLimits({}, settings.descriptors), connections_))
+    , placement_(servers_, instances_, log, [this] { onInstancesChanged(); })
     , suspended_(loop.suspended())
     , tickTimer_(loop, TickInterval, [this] { tick(); })
     , stateTimer_(loop, StateLogInterval, [this] { logState(); })
@@ -410,6 +412,9 @@
     suspended_ = suspended;
     relay_.endStalePolls();
     logRelayFreshness();
+    if (!settings_.mayLoseDataCentre) {
+        placement_.update();
+    }
     updateReadiness();
     updateConnectionFraction();
     updateRole();
@@ -498,6 +503,7 @@
     trials_.setServices(routes->config().services);
     rates_.setConfig(routes->config());
     coordinator_.setRoutes(routes);
+    placement_.setRoutes(routes);
     clients_->setLimits(clientLimits(routes->config().limits, settings_.descriptors));
     peers_->setLimits(peerLimits(routes->config().limits, settings_.descriptors));
     updateConnectionLimits();
@@ -646,6 +652,7 @@
 
 void Router::onServerChanged(const ServerEntry &server, bool usable)
 {
+    placement_.onServersChanged();
     if (!feed_.isListingServers()) {
         log_.write(DecisionPriority::Change,
                    "server.changed",
@@ -824,8 +831,7 @@
     counter("burdock_hedges_total", "Requests sent to a second server because the first was late.", &counters_.hedges);
     counter("burdock_retries_total", "Requests sent to another server after a failure.", &counters_.retries);
     counter("burdock_repeats_denied_total", "Hedges and retries that the budget did not allow.", &counters_.repeatsDenied);
-    counter("burdock_refused_by_servers_total", "Requests that a server did not run.", &counters_.refusedByServers);
-    counter("burdock_refused_as_guilty_total", "Requests that are known to crash servers, refused at once.", &counters_.refusedAsGuilty);
+    addRefusalMetrics(metrics_, counters_);
     counter("burdock_failed_at_servers_total", "Requests that failed and may have run.", &counters_.failedAtServers);
     const HttpServerCounters &clients = clients_->counters();
     counter("burdock_connections_refused_total", "Clients' connections that were closed at once, since there were too many.", &clients.refusedConnections);
