Give out whole tokens of a rate of one a second

Callers of a workspace with a rate and a burst of 1 and no allowance were served nothing: three parts of a third, sent in millionths, made 0.999999, and the bucket's capacity of one token times that never reached one. Parts travel as floating-point numbers, and the one holder with most of the parts saves up a whole token also while some sender is lost.

--- a/packages/router/src/ratecodec.cpp
+++ b/packages/router/src/ratecodec.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-/// Parts of all rates travel in millionths.
-constexpr double PartUnit = 1e6;
 constexpr std::size_t MaxWants = 10000;
 constexpr std::size_t MaxNameLength = 1024;
 constexpr std::uint32_t MaxTokens = 1000000;
@@ -28,12 +26,8 @@
 
 double partOf(const Json &read)
 {
-    return std::clamp(static_cast<double>(read.get<std::int64_t>()) / PartUnit, 0.0, 1.0);
-}
-
-std::int64_t millionthsOf(double part)
-{
-    return static_cast<std::int64_t>(part * PartUnit);
+    const double part = read.get<double>();
+    return part >= 0 ? std::min(part, 1.0) : 0;
 }
 
 std::uint32_t tokensOf(const Json &read)
@@ -64,7 +58,7 @@
     for (const RateWant &want : ask.wants) {
         wants.push_back({want.name, want.tokens});
     }
-    return bytesOf(Json::array({ask.from.text(), ask.stamp.life, ask.stamp.time, millionthsOf(ask.loan), ask.takesBack, std::move(wants)}));
+    return bytesOf(Json::array({ask.from.text(), ask.stamp.life, ask.stamp.time, ask.loan, ask.takesBack, std::move(wants)}));
 }
 
 Result<RateAsk> readRateAsk(const std::string &bytes)
@@ -91,7 +85,7 @@
     for (const RateGrant &grant : reply.grants) {
         grants.push_back({grant.tokens, grant.wait / std::chrono::milliseconds(1)});
     }
-    return bytesOf(Json::array({reply.stamp.life, reply.stamp.time, millionthsOf(reply.pooled), std::move(grants)}));
+    return bytesOf(Json::array({reply.stamp.life, reply.stamp.time, reply.pooled, std::move(grants)}));
 }
 
 Result<RateReply> readRateReply(const std::string &bytes)
--- a/packages/router/tests/rateservicetest.cpp
+++ b/packages/router/tests/rateservicetest.cpp
@@ -103,7 +103,7 @@
 
 TEST_CASE("Messages about rates are read as they were written", "[codec]")
 {
-    const RateAsk ask{InstanceId("i1"), {1ULL << 63, 1LL << 40}, 0.25, true, {{"w", 7}, {"other", 0}}};
+    const RateAsk ask{InstanceId("i1"), {1ULL << 63, 1LL << 40}, 1.0 / 3, true, {{"w", 7}, {"other", 0}}};
     CHECK(readRateAsk(writeRateAsk(ask)) == ask);
     const RateReply reply{{1ULL << 63, 1LL << 40}, 0.5, {{7, Duration{0}}, {0, seconds(2)}}};
     CHECK(readRateReply(writeRateReply(reply)) == reply);
--- a/packages/routing/src/rateholder.cpp
+++ b/packages/routing/src/rateholder.cpp
@@ -15,6 +15,7 @@
 constexpr Duration MaxWait = std::chrono::seconds(5);
 /// The time to come back for a limit that this instance does not know yet.
 constexpr Duration UnknownWait = std::chrono::milliseconds(300);
+constexpr double MostParts = 0.5;
 /// The sum of parts is a sum of fractions.
 constexpr double RoundingMargin = 1e-9;
 
@@ -96,7 +97,10 @@
 
 void RateHolder::settle(Bucket &bucket) const
 {
-    bucket.tokens = std::min(bucket.tokens + bucket.terms.perSecond * (earned_ - bucket.counted), bucket.capacity * sumOfParts());
+    const double sum = sumOfParts();
+    // Only one holder has most of the parts, so only one saves up a whole token of a small rate.
+    const double capacity = std::max(bucket.capacity * sum, sum > MostParts ? 1.0 : 0.0);
+    bucket.tokens = std::min(bucket.tokens + bucket.terms.perSecond * (earned_ - bucket.counted), capacity);
     bucket.counted = earned_;
 }
 
--- a/packages/routing/tests/rateholdertest.cpp
+++ b/packages/routing/tests/rateholdertest.cpp
@@ -134,6 +134,19 @@
     CHECK(holder.onAsk(wanting(1000), now).grants.front().tokens == static_cast<std::uint32_t>(capacity / 2));
 }
 
+TEST_CASE("A holder with most of the parts gives out whole tokens of a small rate", "[rates]")
+{
+    RateHolder holder(1, RateAllowance{});
+    TimePoint now(seconds(100));
+    holder.setTerms({{LimitName, {1, 1}}}, now);
+    const double part = GENERATE(0.6, 0.4);
+    for (int step = 0; step < 40; ++step) {
+        holder.lend(Self, part, now);
+        now += milliseconds(100);
+    }
+    CHECK(holder.onAsk(wanting(10), now).grants.front().tokens == (part > 0.5 ? 1 : 0));
+}
+
 TEST_CASE("A lower limit holds at the holder at once", "[rates]")
 {
     RateHolder holder(1, Allowance);
