Reach the whole rates sooner after a restart of all instances and after the loss of a holder

An instance lent half of its part until it had known the others for 3 s, though what a holder has in hand is bounded anyhow; and tokens went to be kept while requests waited. A part also goes to the next holder when the loan to an earlier one ends, not at the next interval. The first second after such a start still admits nothing: loans of earlier lives may go on for 1.2 s. The check of a fraction of the part is now one of the part that is used without being lent; it is as strict, since the random test covers the sum.

--- a/packages/routing/include/burdock/routing/ratepart.h
+++ b/packages/routing/include/burdock/routing/ratepart.h
@@ -14,7 +14,8 @@
 ///
 /// The parts of all instances add up to one while they agree on who sends. What they may see differently is bounded: a sender that is lost
 /// keeps counting for `SenderMemory`; an instance that hears neither from the store nor from most of the others gives up its part before
-/// they divide it; and an instance that has just learned of the others uses a fraction of its part.
+/// they divide it; and an instance that has just learned of the others uses a fraction of its part by itself. It lends the whole, since the sum of what
+/// one holder has in hand is bounded.
 class RatePart
 {
 public:
@@ -26,9 +27,12 @@
     /// The store, or an instance that holds the parts of most senders, has shown that this one counts.
     void onConfirmed(TimePoint at);
 
-    /// Returns the part; zero if this instance has none.
+    /// Returns the part that may be lent; zero if this instance has none.
     double part(TimePoint now);
 
+    /// Returns what the instance may use by itself.
+    double usablePart(TimePoint now);
+
     /// Returns the number of instances among which the rates are divided, at least 1.
     std::size_t senders() const;
 
@@ -36,6 +40,7 @@
     static constexpr Duration SenderMemory = std::chrono::seconds(60);
 
 private:
+    bool isSettled(TimePoint now) const;
     void forgetOld(TimePoint now);
 
     const InstanceId self_;
--- a/packages/routing/src/ratepart.cpp
+++ b/packages/routing/src/ratepart.cpp
@@ -52,8 +52,7 @@
     if (missing == 0) {
         return;
     }
-    const bool settled = knownSince_ && now - *knownSince_ >= SettlingTime;
-    const Duration memory = !settled ? Duration{0} : missing * PartitionDivisor >= senders_.size() ? PartitionMemory : SenderMemory;
+    const Duration memory = !isSettled(now) ? Duration{0} : missing * PartitionDivisor >= senders_.size() ? PartitionMemory : SenderMemory;
     for (auto sender = senders_.begin(); sender != senders_.end();) {
         sender = sender->second && *sender->second + memory <= now ? senders_.erase(sender) : std::next(sender);
     }
@@ -70,8 +69,17 @@
     if (!knownSince_ || senders_.count(self_) == 0 || now - confirmedAt_ >= SenderMemory - IsolationMargin) {
         return 0;
     }
-    const double part = 1 / static_cast<double>(senders());
-    return now - *knownSince_ < SettlingTime ? part / UnsettledDivisor : part;
+    return 1 / static_cast<double>(senders());
+}
+
+double RatePart::usablePart(TimePoint now)
+{
+    return isSettled(now) ? part(now) : part(now) / UnsettledDivisor;
+}
+
+bool RatePart::isSettled(TimePoint now) const
+{
+    return knownSince_ && now - *knownSince_ >= SettlingTime;
 }
 
 std::size_t RatePart::senders() const
--- a/packages/routing/src/sharedrates.cpp
+++ b/packages/routing/src/sharedrates.cpp
@@ -171,7 +171,7 @@
     part_ = ownPart_.part(now);
     const TimePoint from = std::max(advancedTo_, lentUntil_);
     if (now > from) {
-        earned_ += part_ * secondsOf(now - from);
+        earned_ += ownPart_.usablePart(now) * secondsOf(now - from);
     }
     advancedTo_ = now;
 }
@@ -234,7 +234,8 @@
     }
     settle(limit);
     const double mean = demand * secondsOf(StockTime);
-    const double kept = limit.own < 1 - RoundingMargin ? keptTokens(limit) : 0;
+    // The first token to keep comes by itself, so those of the holder are left to requests until then.
+    const double kept = limit.own < 1 - RoundingMargin && !limit.keptFrom ? keptTokens(limit) : 0;
     const bool isSteady = mean >= SteadyRequests && keptTokens(limit) == 0;
     const double expected = std::floor(mean + (isSteady ? SafetyFactor * std::sqrt(mean) + SafetyOffset : RoundingHalf));
     const double wanted = static_cast<double>(limit.waiting.size()) + expected + kept - stockOf(limit, now) - limit.incoming;
@@ -420,7 +421,13 @@
 void SharedRates::scheduleInterval()
 {
     std::uniform_real_distribution<double> jitter(1 - IntervalJitter, 1 + IntervalJitter);
-    intervalTimer_ = runtime_.schedule(durationOf(secondsOf(AskInterval) * jitter(random_)), [this] { onInterval(); });
+    Duration interval = durationOf(secondsOf(AskInterval) * jitter(random_));
+    const Duration lent = lentUntil_ - now();
+    if (lent > Duration{0} && lentTo_ != holder_) {
+        // The part goes to the new holder as soon as the loan to an earlier one is over.
+        interval = std::min(interval, lent);
+    }
+    intervalTimer_ = runtime_.schedule(interval, [this] { onInterval(); });
 }
 
 void SharedRates::onInterval()
