--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -8,6 +8,7 @@
 #include <burdock/router/dialect.h>
 #include <burdock/router/httpbackends.h>
 #include <burdock/router/httppeers.h>
+#include <burdock/router/rateservice.h>
 #include <burdock/router/relayedstore.h>
 #include <burdock/router/routermetrics.h>
 #include <burdock/router/routersettings.h>
@@ -117,6 +118,7 @@
     HttpBackends backends_;
     HttpPeers peerRequests_;
     PeerChoice peerChoice_;
+    RateService rates_;
     RoutingContext context_;
     RelayChoice relays_;
     RelayedStore store_;
@@ -125,7 +127,6 @@
     CrashReportWriter crashReports_;
     RoutingFeed feed_;
     ConfigInquiry inquiry_;
-    UnlimitedRates rates_;
     /// Destroyed before the members above, because requests that end with the process still report to them.
     RequestCoordinator coordinator_;
     ClientEndpoint clientEndpoint_;
