--- a/packages/routing/tests/workspacetest.cpp
+++ b/packages/routing/tests/workspacetest.cpp
@@ -106,6 +106,20 @@
         });
     }
 
+    /// Lets all servers be unreachable.
+    void cutOff()
+    {
+        for (const char *name : {"u1", "u2", "u3", "u4", "u5"}) {
+            ServerEntry server;
+            server.id = ServerId(name);
+            server.service = ServiceName(name);
+            reach.onEnded(reach.onSent(server, Duration{0}), ReachOutcome::NotConnected);
+        }
+        runtime.advance(1ms);
+        REQUIRE(reach.isCutOff());
+        admitting.onReachChanged();
+    }
+
     static PassOnTerms fromPeer(std::int64_t version, const std::string &workspace)
     {
         PassOnTerms terms;
@@ -290,6 +304,34 @@
     CHECK(fixture.admitting.pendingRequests() == 0);
 }
 
+TEST_CASE("A request that waits for its rate while the instance is cut off is passed on with its workspace once it may start", "[workspaces][passing]")
+{
+    WorkspaceFixture fixture;
+    fixture.addHelper("h1");
+    fixture.send("h1");
+    fixture.cutOff();
+    CHECK(fixture.peers.all == 0);
+    fixture.asked.decide(RateDecision{});
+    REQUIRE(fixture.peers.open.size() == 1);
+    CHECK(fixture.peers.open.front().terms.workspace == "haul");
+    CHECK(fixture.peers.open.front().terms.workspaceConfig == fixture.version);
+    CHECK(fixture.peers.open.front().request->key.empty());
+}
+
+TEST_CASE("A request of an earlier build that waits for its rate while the instance is cut off is left to other instances", "[workspaces][passing]")
+{
+    WorkspaceFixture fixture;
+    fixture.addHelper("h1");
+    fixture.send("h1", WorkspaceFixture::fromPeer(1, ""));
+    REQUIRE(fixture.asked.waiting.size() == 1);
+    fixture.cutOff();
+    fixture.asked.decide(RateDecision{});
+    REQUIRE(fixture.answer);
+    CHECK(fixture.answer->inability == ClientAnswer::Inability::Instance);
+    CHECK(fixture.peers.all == 0);
+    CHECK(fixture.asked.givenBack == std::vector<std::string>{"haul"});
+}
+
 TEST_CASE("A request that no server got gives its part of the rate back, and one that a server got keeps it", "[workspaces]")
 {
     WorkspaceFixture fixture;
