--- a/packages/routing/tests/rateholdertest.cpp
+++ b/packages/routing/tests/rateholdertest.cpp
@@ -134,6 +134,19 @@
     CHECK(holder.onAsk(wanting(1000), now).grants.front().tokens == static_cast<std::uint32_t>(capacity / 2));
 }
 
+TEST_CASE("A holder with most of the parts gives out whole tokens of a small rate", "[rates]")
+{
+    RateHolder holder(1, RateAllowance{});
+    TimePoint now(seconds(100));
+    holder.setTerms({{LimitName, {1, 1}}}, now);
+    const double part = GENERATE(0.6, 0.4);
+    for (int step = 0; step < 40; ++step) {
+        holder.lend(Self, part, now);
+        now += milliseconds(100);
+    }
+    CHECK(holder.onAsk(wanting(10), now).grants.front().tokens == (part > 0.5 ? 1 : 0));
+}
+
 TEST_CASE("A lower limit holds at the holder at once", "[rates]")
 {
     RateHolder holder(1, Allowance);
@@ -232,6 +245,35 @@
     }
 }
 
+TEST_CASE("A request that another one's refusal cancels gets no decision", "[rates]")
+{
+    Instance instance;
+    instance.start({Other});
+    instance.runtime.advance(milliseconds(400));
+    int decisions = 0;
+    RateRequestId second = 0;
+    instance.rates.acquire(LimitName, {Rate, Rate}, 0, milliseconds(50), [&](const RateDecision &) {
+        ++decisions;
+        instance.rates.cancel(second);
+    });
+    second = instance.rates.acquire(LimitName, {Rate, Rate}, 0, milliseconds(50), [&decisions](const RateDecision &) { ++decisions; });
+    CHECK(second != 0);
+    instance.runtime.advance(milliseconds(2));
+    SECTION("at the end of their time")
+    {
+        instance.runtime.advance(milliseconds(60));
+    }
+    SECTION("by the holder")
+    {
+        instance.reply(RateReply{{7, 1}, 1, {{0, milliseconds(200)}}});
+    }
+    SECTION("when the limit is withdrawn")
+    {
+        instance.rates.setTerms({});
+    }
+    CHECK(decisions == 1);
+}
+
 TEST_CASE("Requests over the limit are refused at once with times to come back in a row", "[rates]")
 {
     Instance instance;
