--- a/packages/routing/include/burdock/routing/requestcoordinator.h
+++ b/packages/routing/include/burdock/routing/requestcoordinator.h
@@ -92,7 +92,7 @@
     /// Passes on or ends a request in progress, since no server can be reached.
     void onCutOff(ServedRequestId id);
     RunProgress progressOf(const Entry &entry) const;
-    /// Whether no server got the request and none will, by an answer to it.
+    /// Whether no server got the request from this instance, none ran it for another one, and none will, by the answer to it.
     bool arrivedNowhere(const Entry &entry, const ClientAnswer &answer) const;
     ClientAnswer::Inability inabilityOf(const Entry &entry, const ClientAnswer &answer) const;
     void finish(ServedRequestId id, Duration delay);
