Limit what all instances together send to cold servers

A data centre that returns whole and cold would be sent all that waits for it, and crash again.

Change: ColdServers divides the rate of a cold server in equal parts over the instances that clients are directed to. It uses ServerLimits, whose fractions become LimitTerms, with terms from the bound in the settings; for limits that do not come with answers there are no probes. The time comes from the server's entry, also from one that changes nothing else, so a server may become cold again in the same life. Services without a rate are served as before. The lines on limits move from router.cpp into limitlog.

A process test empties a data centre, restarts an instance, and takes the data centre back.

Ruled out: counting what a server that restarts unnoticed gets before its entry is read; nobody can know it.

--- a/packages/fakes/src/platformcontrol.cpp
+++ b/packages/fakes/src/platformcontrol.cpp
@@ -94,9 +94,13 @@
     return {{"revision", platform.store().state().revision()}};
 }
 
-/// Writes any entry, including ones that no server would write.
+/// Writes any entry, including ones that no server would write, or removes the one of which no value is given.
 Json setEntry(FakePlatform &platform, const Json &body)
 {
+    if (!body.contains("value")) {
+        platform.store().remove(body.at("key").get<std::string>());
+        return Json::object();
+    }
     platform.store().put(body.at("key").get<std::string>(), body.at("value").get<std::string>());
     return Json::object();
 }
--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -71,7 +71,6 @@
     /// Closes the kept connections to servers, which may hang, and ends the requests of which nothing was sent.
     void leaveServerConnections();
     void onServerHints(const ServerEntry &server, const ServerHints &hints);
-    void logLimit(const LimitReport &report);
     void updateConnectionFraction();
     void updateConnectionLimits();
     void tick();
@@ -105,6 +104,7 @@
     LatencyTracker latencies_;
     ServerLoad load_;
     ServerLimits limits_;
+    ColdServers cold_;
     ServerNotices notices_;
     EmptiedDataCentres emptied_;
     ConnectionShares connectionShares_;
--- a/packages/router/include/burdock/router/routingfeed.h
+++ b/packages/router/include/burdock/router/routingfeed.h
@@ -43,6 +43,8 @@
         /// Called with what an instance has seen of requests in progress at crashes; it may be this one in an earlier life.
         std::function<void(const InstanceId &from, const std::vector<CrashReport> &)> onCrashReports = [](const InstanceId &,
                                                                                                           const std::vector<CrashReport> &) {};
+        /// Called with each server's entry that is read and not outdated, be it changed or not.
+        std::function<void(const ServerEntry &)> onServerEntry = [](const ServerEntry &) {};
     };
 
     /// `emptied` is null where data centres cannot be emptied.
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -2,6 +2,7 @@
 
 #include <burdock/router/crashreportcodec.h>
 #include <burdock/router/instancecodec.h>
+#include <burdock/router/limitlog.h>
 #include <burdock/router/passonheaders.h>
 #include <burdock/router/relaycodec.h>
 #include <burdock/routing/dataage.h>
@@ -194,9 +195,12 @@
     , journal_(std::make_unique<Journal>(log))
     , servers_([this](const ServerEntry &server, bool usable) { onServerChanged(server, usable); })
     , instances_(seed)
-    , limits_(settings.id, [this](const LimitReport &report) { logLimit(report); })
+    , limits_(settings.id, [this](const LimitReport &report) { writeLimit(log_, "server.limit", report); })
+    , cold_(settings.id,
+            LimitTerms::within(settings.coldServers.overage, settings.coldServers.slack),
+            [this](const LimitReport &report) { writeLimit(log_, "server.cold", report); })
     , connectionShares_(settings.id)
-    , choice_(servers_, latencies_, load_, limits_, notices_, emptied_, settings.regions, settings.region, seed)
+    , choice_(servers_, latencies_, load_, limits_, cold_, notices_, emptied_, settings.regions, settings.region, seed)
     , budget_(settings.repeats, loop.now())
     , crashes_([this](Duration clearingTime) { crashReports_.onChanged(clearingTime); })
     , reach_(
@@ -256,7 +260,8 @@
              [this] { updateReadiness(); },
              [this] { onInstancesChanged(); },
              [this](std::int64_t history) { onHistoryLost(history); },
-             [this](const InstanceId &from, const std::vector<CrashReport> &reports) { onCrashReports(from, reports); }})
+             [this](const InstanceId &from, const std::vector<CrashReport> &reports) { onCrashReports(from, reports); },
+             [this](const ServerEntry &server) { choice_.onEntry(server, loop_.now()); }})
     , inquiry_(loop, client, log, {[this](const StoreEntry &config) { feed_.offerConfig(config); }, [this] { updateReadiness(); }})
     , coordinator_(context_, seed)
     , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
@@ -412,6 +417,7 @@
     }
     suspended_ = suspended;
     relay_.endStalePolls();
+    cold_.update(loop_.now());
     logRelayFreshness();
     updateReadiness();
     updateConnectionFraction();
@@ -493,7 +499,7 @@
 void Router::onRoutesChanged(const std::shared_ptr<const RouteTable> &routes)
 {
     clientEndpoint_.setConfigVersion(routes->config().version);
-    choice_.setConnections(routes->config().services);
+    choice_.setServices(routes->config().services);
     trials_.setServices(routes->config().services);
     coordinator_.setRoutes(routes);
     clients_->setLimits(clientLimits(routes->config().limits, settings_.descriptors));
@@ -510,7 +516,9 @@
     peerChoice_.onHelpersChanged(loop_.now());
     const Senders senders = instances_.senders(self_);
     budget_.setInstances(senders.self ? senders.count : instances_.count(self_) * OutsiderBudgetDivisor, loop_.now());
-    limits_.setSenders(feed_.hasInstances() ? instances_.senderIds(self_) : std::vector<InstanceId>(), loop_.now());
+    const std::vector<InstanceId> senderIds = feed_.hasInstances() ? instances_.senderIds(self_) : std::vector<InstanceId>();
+    limits_.setSenders(senderIds, loop_.now());
+    cold_.setSenders(senderIds, loop_.now());
     relays_.setInstances(instances_.recordsIn(self_.region));
     store_.setAnswerInterval(relays_.hasChildren() ? DataAge::storeAnswerInterval(relays_.depth()) : Duration::max());
     updateRole();
@@ -738,23 +746,6 @@
     }
 }
 
-void Router::logLimit(const LimitReport &report)
-{
-    constexpr double Thousandths = 1000;
-    log_.write(DecisionPriority::Change,
-               "server.limit",
-               {{"server", report.server.text()},
-                {"service", report.service.text()},
-                {"outcome", report.limit ? "limited" : "ended"},
-                {"limitPerThousandSeconds", static_cast<std::int64_t>(report.limit.value_or(0) * Thousandths)},
-                {"spanMs", report.span.count() / 1000},
-                {"sharePerThousandSeconds", static_cast<std::int64_t>(report.share * Thousandths)},
-                {"sharers", static_cast<std::int64_t>(report.sharers)},
-                {"sends", static_cast<std::int64_t>(report.sends)},
-                {"repeats", static_cast<std::int64_t>(report.repeats)},
-                {"refusals", static_cast<std::int64_t>(report.refusals)}});
-}
-
 void Router::shutDown(std::function<void()> done)
 {
     if (leaving_) {
@@ -849,6 +840,8 @@
         "burdock_servers_limited", "gauge", "Servers that name a limit in their answers.", [this] { return static_cast<double>(limits_.count()); });
     metrics_.addValue(
         "burdock_data_centres_emptied", "gauge", "Data centres that operators have emptied.", [this] { return static_cast<double>(emptied_.count()); });
+    metrics_.addValue(
+        "burdock_servers_cold", "gauge", "Servers that take fewer requests while they are cold.", [this] { return static_cast<double>(cold_.count()); });
     metrics_.addValue("burdock_servers_listed", "gauge", "Servers with an entry.", [this] { return static_cast<double>(servers_.size()); });
     metrics_.addValue("burdock_instances", "gauge", "Instances with a record.", [this] { return static_cast<double>(instances_.count(self_)); });
     metrics_.addValue(
--- a/packages/router/src/routingfeed.cpp
+++ b/packages/router/src/routingfeed.cpp
@@ -292,6 +292,7 @@
     const Result<ServerEntry> server = dialect_.readServer(entry.key, entry.value);
     if (server) {
         servers_.put(*server);
+        events_.onServerEntry(*server);
         return entry;
     }
     logSkipped("server", entry.key, server.error().message);
@@ -321,6 +322,11 @@
     listingServers_ = true;
     servers_.replace(read, isDisturbed());
     listingServers_ = false;
+    std::for_each(read.begin(), read.end(), [this](const ServerEntry &server) {
+        if (!servers_.isOutdated(server)) {
+            events_.onServerEntry(server);
+        }
+    });
     log_.write(DecisionPriority::Change,
                "servers.listed",
                {{"entries", static_cast<std::int64_t>(entries.size())}, {"servers", static_cast<std::int64_t>(servers_.size())}});
--- a/packages/routing/include/burdock/routing/serverchoice.h
+++ b/packages/routing/include/burdock/routing/serverchoice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdock/routing/coldservers.h>
 #include <burdock/routing/connectionshares.h>
 #include <burdock/routing/emptieddatacentres.h>
 #include <burdock/routing/hedgethreshold.h>
@@ -36,6 +37,7 @@
                  LatencyTracker &latencies,
                  ServerLoad &load,
                  ServerLimits &limits,
+                 ColdServers &cold,
                  const ServerNotices &notices,
                  const EmptiedDataCentres &emptied,
                  std::map<DataCentre, Region> regions,
@@ -56,14 +58,17 @@
     /// Adds a server that is listed, is listed again or has restarted; statistics of an earlier process are dropped.
     void onListed(const ServerEntry &server, TimePoint now);
 
+    /// Takes note of an entry that was read, also of one that changes nothing but how long the server is cold.
+    void onEntry(const ServerEntry &server, TimePoint now);
+
     /// Drops the statistics of a server that was removed or is draining.
     void onRemoved(const ServerId &server, TimePoint now);
 
-    /// Sets the number of connections that one server of each service accepts.
-    void setConnections(const std::vector<RoutedService> &services);
+    /// Sets the number of connections that one server of each service accepts, and the requests that it takes while it is cold.
+    void setServices(const std::vector<RoutedService> &services);
 
     /// Returns the best server that is not in `tried`; null if no server may get a request now. Servers outside the route's regions
-    /// or in emptied data centres are left out, those at the limit that they named, and those that are leaving or want no requests for
+    /// or in emptied data centres are left out, those at the limit that they named or while cold, and those that are leaving or want no requests for
     /// a while.
     ChosenServer choose(const Route &route, const ServiceName &service, const std::vector<ServerId> &tried, TimePoint now);
 
@@ -71,7 +76,7 @@
     /// where they stand.
     bool isRestricted(const Route &route) const
     {
-        return limits_.any() || emptied_.any() || !route.regions.empty();
+        return limits_.any() || cold_.any() || emptied_.any() || !route.regions.empty();
     }
 
     /// Returns why the places of the service's listed servers forbid all of them to the route's requests; empty if one is allowed.
@@ -120,6 +125,7 @@
     LatencyTracker &latencies_;
     ServerLoad &load_;
     ServerLimits &limits_;
+    ColdServers &cold_;
     const ServerNotices &notices_;
     const EmptiedDataCentres &emptied_;
     const std::map<DataCentre, Region> regions_;
--- a/packages/routing/include/burdock/routing/serverlimits.h
+++ b/packages/routing/include/burdock/routing/serverlimits.h
@@ -7,12 +7,37 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
 namespace Burdock
 {
 
+/// How much of a server's limit the instances divide among them, and how they learn of its changes.
+struct LimitTerms
+{
+    /// The fraction of a limit that is divided; the rest covers instances that disagree on how many they are.
+    double dividedFraction = 0.9;
+    /// The tokens that an instance may save up, as the time in which it gains them; at least one.
+    Duration burstTime = std::chrono::milliseconds(500);
+    /// An instance saves up one token at least, so the number of instances that share a limit is at most this multiple of its value
+    /// plus this many.
+    double sharersPerLimit = 1;
+    double extraSharers = 2;
+    /// Whether the limit is known from the answers to requests, so that too few of them would leave a change unheard.
+    bool isNamedInAnswers = true;
+
+    /// Returns terms with which the requests in any second stay within (1 + `overage`) times a limit plus `slack`, for limits that do not
+    /// come with answers.
+    static LimitTerms within(double overage, double slack);
+
+    auto fields() const
+    {
+        return std::tie(dividedFraction, burstTime, sharersPerLimit, extraSharers, isNamedInAnswers);
+    }
+};
+
 /// What an instance knows of a server's limit, and what it did there since the previous report.
 struct LimitReport
 {
@@ -45,7 +70,7 @@
     /// Called when a server begins or ends to name a limit, and at intervals in between.
     using ReportHandler = std::function<void(const LimitReport &)>;
 
-    ServerLimits(InstanceId self, ReportHandler onReport);
+    ServerLimits(InstanceId self, ReportHandler onReport, const LimitTerms &terms = {});
 
     /// Sets the instances that clients are directed to; none while they are not known. An instance that is no longer among them
     /// counts for a while, since some clients still use it.
@@ -116,12 +141,13 @@
     void divide(const ServerId &id, Server &server) const;
     bool isSettled(TimePoint now) const;
     /// Whether the server should answer before it gets another request, since the limit may have changed unheard.
-    static bool isAnswerAwaited(const Server &server, TimePoint now);
+    bool isAnswerAwaited(const Server &server, TimePoint now) const;
     /// Whether a more urgent request was refused a short time ago.
     static bool isHeldBack(const Server &server, std::int64_t priority, TimePoint now);
 
     const InstanceId self_;
     const ReportHandler onReport_;
+    const LimitTerms terms_;
     /// The instances that share the limits, each with the time at which it stops counting, if it is no longer a sender.
     std::map<InstanceId, std::optional<TimePoint>> senders_;
     /// A time before which none of them stops counting.
--- a/packages/routing/src/serverchoice.cpp
+++ b/packages/routing/src/serverchoice.cpp
@@ -37,6 +37,7 @@
                            LatencyTracker &latencies,
                            ServerLoad &load,
                            ServerLimits &limits,
+                           ColdServers &cold,
                            const ServerNotices &notices,
                            const EmptiedDataCentres &emptied,
                            std::map<DataCentre, Region> regions,
@@ -46,6 +47,7 @@
     , latencies_(latencies)
     , load_(load)
     , limits_(limits)
+    , cold_(cold)
     , notices_(notices)
     , emptied_(emptied)
     , regions_(std::move(regions))
@@ -68,8 +70,14 @@
 {
     onRemoved(server.id, now);
     limits_.onListed(server);
+    onEntry(server, now);
+}
+
+void ServerChoice::onEntry(const ServerEntry &server, TimePoint now)
+{
     if (server.coldFor > Duration{0}) {
         load_.setColdUntil(server.id, now + server.coldFor);
+        cold_.onEntry(server, now);
     }
 }
 
@@ -80,8 +88,9 @@
     load_.forget(server);
 }
 
-void ServerChoice::setConnections(const std::vector<RoutedService> &services)
+void ServerChoice::setServices(const std::vector<RoutedService> &services)
 {
+    cold_.setServices(services);
     connections_.clear();
     for (const RoutedService &service : services) {
         connections_[service.name] = service.connections;
@@ -141,7 +150,8 @@
     for (const ServerHandle &server : table_.servers(service)) {
         const bool wasTried = std::find(tried.begin(), tried.end(), server->id) != tried.end();
         if (wasTried || !allows(route, server->dataCentre) || !notices_.accepts(*server, now) || load_.backoffUntil(server->id) > now
-            || load_.inFlight(server->id) >= share || !limits_.allows(server->id, route.priority, !tried.empty(), now)) {
+            || load_.inFlight(server->id) >= share || !limits_.allows(server->id, route.priority, !tried.empty(), now)
+            || !cold_.allows(server->id, route.priority, !tried.empty(), now)) {
             continue;
         }
         const Duration expected = expectedOf(route, *server, now);
@@ -187,7 +197,8 @@
     const std::vector<ServerHandle> &servers = table_.servers(service);
     std::copy_if(
         servers.begin(), servers.end(), std::back_inserter(allowed), [this, &route](const ServerHandle &server) { return allows(route, server->dataCentre); });
-    return limits_.refuse(allowed, route.priority, now);
+    const Duration wait = limits_.refuse(allowed, route.priority, now);
+    return wait > Duration{0} ? wait : cold_.refuse(allowed, route.priority, now);
 }
 
 Duration ServerChoice::pauseLeft(const Route &route, const ServiceName &service, TimePoint now) const
@@ -221,6 +232,7 @@
 void ServerChoice::onSent(const Route &route, const ServerEntry &server, TimePoint now, bool repeat)
 {
     limits_.onSent(server.id, route.priority, repeat, now);
+    cold_.onSent(server.id, route.priority, repeat, now);
     load_.onSent(server.id, now);
 }
 
--- a/packages/routing/src/serverlimits.cpp
+++ b/packages/routing/src/serverlimits.cpp
@@ -14,12 +14,9 @@
 namespace
 {
 
-/// The fraction of a limit that is divided; the rest covers instances that disagree on how many they are.
-constexpr double DividedFraction = 0.9;
-/// The tokens that an instance may save up, as the time in which it gains them; at least one.
-constexpr Duration BurstTime = std::chrono::milliseconds(500);
-/// An instance saves up one token at least, so the number of instances that share a limit is at most its value plus this.
-constexpr double ExtraSharers = 2;
+/// The fraction of what a bound allows beyond the limit itself that the saved tokens of all instances may use up together. The rest
+/// covers instances that disagree on how many they are.
+constexpr double SavedFraction = 0.5;
 /// The least limit that is divided: without any request nobody would learn that the limit has ended.
 constexpr double MinLimit = 0.25;
 /// In this time after the first list of the senders, which may lack many of them, an instance takes a part of its share only.
@@ -53,9 +50,20 @@
 
 } // namespace
 
-ServerLimits::ServerLimits(InstanceId self, ReportHandler onReport)
+LimitTerms LimitTerms::within(double overage, double slack)
+{
+    LimitTerms terms;
+    terms.sharersPerLimit = SavedFraction * overage;
+    terms.extraSharers = SavedFraction * slack;
+    terms.burstTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(SavedFraction * overage));
+    terms.isNamedInAnswers = false;
+    return terms;
+}
+
+ServerLimits::ServerLimits(InstanceId self, ReportHandler onReport, const LimitTerms &terms)
     : self_(std::move(self))
     , onReport_(std::move(onReport))
+    , terms_(terms)
 {
 }
 
@@ -172,7 +180,7 @@
 void ServerLimits::divide(const ServerId &id, Server &server) const
 {
     server.sendersVersion = sendersVersion_;
-    const double most = std::floor(server.limit) + ExtraSharers;
+    const double most = std::max(1.0, std::floor(server.limit * terms_.sharersPerLimit + terms_.extraSharers));
     bool shares = senders_.count(self_) > 0;
     server.sharers = senders_.size();
     if (static_cast<double>(server.sharers) > most) {
@@ -185,8 +193,8 @@
         const std::vector<InstanceId> sharers = rendezvousFirst(id.text(), ids, server.sharers);
         shares = std::find(sharers.begin(), sharers.end(), self_) != sharers.end();
     }
-    server.share = shares ? DividedFraction * std::max(server.limit, MinLimit) / static_cast<double>(server.sharers) : 0;
-    server.bucket.setCapacity(shares ? std::max(1.0, server.share * secondsOf(BurstTime)) : 0);
+    server.share = shares ? terms_.dividedFraction * std::max(server.limit, MinLimit) / static_cast<double>(server.sharers) : 0;
+    server.bucket.setCapacity(shares ? std::max(1.0, server.share * secondsOf(terms_.burstTime)) : 0);
 }
 
 Duration ServerLimits::probeInterval(const ServerId &server) const
@@ -217,9 +225,9 @@
         server.refusedAt.begin(), server.refusedAt.lower_bound(priority), [now](const auto &refused) { return now - refused.second < HoldTime; });
 }
 
-bool ServerLimits::isAnswerAwaited(const Server &server, TimePoint now)
+bool ServerLimits::isAnswerAwaited(const Server &server, TimePoint now) const
 {
-    return now - server.heardAt >= FreshTime && server.sentAt > server.heardAt && now - server.sentAt < FreshTime;
+    return terms_.isNamedInAnswers && now - server.heardAt >= FreshTime && server.sentAt > server.heardAt && now - server.sentAt < FreshTime;
 }
 
 bool ServerLimits::allows(const ServerId &server, std::int64_t priority, bool repeat, TimePoint now)
@@ -231,7 +239,7 @@
     Server &state = found->second;
     advance(server, state, now);
     if (state.share == 0) {
-        return !repeat && now - state.heardAt >= probeInterval(server);
+        return terms_.isNamedInAnswers && !repeat && now - state.heardAt >= probeInterval(server);
     }
     if (state.bucket.tokens() < 1 || isAnswerAwaited(state, now)) {
         return false;
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -135,7 +135,7 @@
         const Duration pause = context_.choice.pauseLeft(*route_, service_, context_.runtime.now());
         return notRun(Errc::Overloaded, "no server of the service can take a request now", pause).value();
     }
-    const std::string reason = "the servers of the service have reached the limit that they named";
+    const std::string reason = "the servers of the service have reached their limits";
     context_.journal.note({"limit", request_->id, service_.text(), {}, reason, context_.runtime.now() - request_->arrived});
     return notRun(Errc::Overloaded, reason, wait).value();
 }
--- a/packages/routing/tests/choicetest.cpp
+++ b/packages/routing/tests/choicetest.cpp
@@ -187,7 +187,7 @@
 {
     RoutingFixture fixture;
     fixture.addServer("near1", "parts");
-    fixture.choice.setConnections({{ServiceName("parts"), 20}});
+    fixture.choice.setServices({{ServiceName("parts"), 20}});
     fixture.choice.setConnectionFraction(0.8 / 4);
     CHECK(fixture.choice.connectionShare(ServiceName("parts")) == 4);
     const Route route = RoutingFixture::route("parts");
--- a/packages/routing/tests/forwardtest.cpp
+++ b/packages/routing/tests/forwardtest.cpp
@@ -180,7 +180,7 @@
     {
         fixture.addServer("p1", "parts");
         fixture.addServer("s1", "scans");
-        fixture.choice.setConnections({{ServiceName("parts"), 1}, {ServiceName("scans"), 1}});
+        fixture.choice.setServices({{ServiceName("parts"), 1}, {ServiceName("scans"), 1}});
         Route urgent = RoutingFixture::route("parts");
         Route idle = RoutingFixture::route("scans");
         idle.priority = 3;
--- a/packages/routing/tests/routingfixture.h
+++ b/packages/routing/tests/routingfixture.h
@@ -168,8 +168,7 @@
 
     RoutingFixture()
     {
-        choice.setConnections(
-            {{ServiceName("parts"), 100}, {ServiceName("a"), 100}, {ServiceName("b"), 100}, {ServiceName("c"), 100}, {ServiceName("d"), 100}});
+        choice.setServices({{ServiceName("parts"), 100}, {ServiceName("a"), 100}, {ServiceName("b"), 100}, {ServiceName("c"), 100}, {ServiceName("d"), 100}});
     }
 
     /// Adds a server; `zone` is Near or Far.
@@ -267,10 +266,11 @@
     ServerLoad load;
     std::vector<LimitReport> limitReports;
     ServerLimits limits{InstanceId("self"), [this](const LimitReport &report) { limitReports.push_back(report); }};
+    ColdServers cold{InstanceId("self"), LimitTerms::within(0.5, 5), [](const LimitReport &) {}};
     ServerNotices notices;
     EmptiedDataCentres emptied;
     ServerChoice choice{
-        servers, latencies, load, limits, notices, emptied, {{DataCentre(Near), Region("home")}, {DataCentre(Far), Region("away")}}, Region("home"), 7};
+        servers, latencies, load, limits, cold, notices, emptied, {{DataCentre(Near), Region("home")}, {DataCentre(Far), Region("away")}}, Region("home"), 7};
     RepeatBudget budget{RepeatTerms{0.2, std::chrono::seconds(10), 50}, TimePoint{} - std::chrono::minutes(1)};
     RoutingCounters counters;
     RecordingJournal journal;
--- a/tests/testbed/routertestbed.cpp
+++ b/tests/testbed/routertestbed.cpp
@@ -108,9 +108,14 @@
     return Json::parse(response->body);
 }
 
-void RouterTestbed::addServer(const std::string &id, const std::string &service, int records, int workMs)
+void RouterTestbed::addServer(const std::string &id, const std::string &service, int records, int workMs, const std::string &letter)
 {
-    control("POST", "/fake/server", {{"id", id}, {"service", service}, {"records", records}, {"workMs", workMs}});
+    control("POST", "/fake/server", {{"id", id}, {"service", service}, {"records", records}, {"workMs", workMs}, {"zone", "zone-" + letter}});
+}
+
+void RouterTestbed::addBounds(const std::string &lines)
+{
+    bounds_ += lines;
 }
 
 std::string RouterTestbed::host(const std::string &id) const
@@ -131,8 +136,8 @@
     }
     text << "[listenAddresses]\nfront = \"" << ip << ":" << ClientsPort << "\"\nready = \"" << ip << ":" << ReadinessPort << "\"\ndirectory = \"" << ip << ":"
          << DirectoryPort << "\"\n[limits]\ncpuShare = 0.5\ncpuCores = 1\nfileDescriptors = 1000\n"
-         << "[bounds]\ngraceS = 6\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetSlack = 52\n[platform]\naddress = \""
-         << (storeAddress.empty() ? store_.toString() : storeAddress) << "\"\n";
+         << "[bounds]\ngraceS = 6\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetSlack = 52\n"
+         << bounds_ << "[platform]\naddress = \"" << (storeAddress.empty() ? store_.toString() : storeAddress) << "\"\n";
     const std::filesystem::path path = folder_ / (id + ".toml");
     std::ofstream(path) << text.str();
     return path.string();
--- a/tests/testbed/routertestbed.h
+++ b/tests/testbed/routertestbed.h
@@ -32,7 +32,10 @@
     nlohmann::json control(const std::string &method, const std::string &path, const nlohmann::json &body = nlohmann::json::object());
 
     /// Starts a server. With `records` above zero it serves a shard with this many records.
-    void addServer(const std::string &id, const std::string &service, int records = 0, int workMs = 3);
+    void addServer(const std::string &id, const std::string &service, int records = 0, int workMs = 3, const std::string &letter = "a");
+
+    /// Adds lines to the bounds in the settings of instances that start from now on.
+    void addBounds(const std::string &lines);
 
     /// Starts or restarts an instance in the zone `zone-` and the region `region-`, each followed by the letter. A `storeAddress`
     /// that is not empty replaces the fake platform's store.
@@ -118,6 +121,7 @@
     EventLoop controlLoop_;
     std::unique_ptr<HttpClient> controlClient_;
     std::filesystem::path folder_;
+    std::string bounds_;
     std::unique_ptr<ChildProcess> platform_;
     Address store_;
     Address control_;
