Ask the store less often for emptied data centres

What callers saw: nothing; operators pay for calls to the store.

Cause: relays ask the store for an answer to each watch every 0.8 s, so that what they serve has a known age; the new prefix was one watch more.

Also: three answers in relaytest are no longer const, as the linter asks.

--- a/packages/router/include/burdock/router/relayedstore.h
+++ b/packages/router/include/burdock/router/relayedstore.h
@@ -50,7 +50,8 @@
     void setAnswerInterval(Duration interval) override;
     void unwatch(std::uint64_t watch) override;
 
-    /// Returns the time up to which all listed and watched data are known to be complete. Only answers to their own listings and
+    /// Returns the time up to which all listed and watched data are known to be complete, but for the emptied data centres, which change
+    /// so seldom that the store need not confirm them as often. Only answers to their own listings and
     /// watches count, by the store or by a relay that states its age: other calls succeed while a watch is silent.
     TimePoint completeUntil() const;
 
--- a/packages/router/src/relayedstore.cpp
+++ b/packages/router/src/relayedstore.cpp
@@ -403,9 +403,11 @@
 
 TimePoint RelayedStore::completeUntil() const
 {
-    const auto earliest =
-        std::min_element(completeUntil_.begin(), completeUntil_.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
-    return earliest == completeUntil_.end() ? TimePoint{} : earliest->second;
+    TimePoint earliest = TimePoint::max();
+    for (const auto &[key, completeUntil] : completeUntil_) {
+        earliest = key == emptiedPrefix_ ? earliest : std::min(earliest, completeUntil);
+    }
+    return earliest == TimePoint::max() ? TimePoint{} : earliest;
 }
 
 void RelayedStore::forgetConfirmations()
--- a/packages/router/tests/relaytest.cpp
+++ b/packages/router/tests/relaytest.cpp
@@ -27,7 +27,7 @@
     {
         HttpServerRequest incoming;
         incoming.query = {{"prefix", "servers/"}, {"after", after}, {"waitMs", waitMs}};
-        const auto answer = std::make_shared<RecordedResponder>();
+        auto answer = std::make_shared<RecordedResponder>();
         service.serve(incoming, answer);
         return answer;
     }
@@ -377,7 +377,7 @@
     incoming.path = RelayService::EntriesPath;
     incoming.query = {{"prefix", "servers/"}};
     const auto requestEntries = [&] {
-        const auto answer = std::make_shared<RecordedResponder>();
+        auto answer = std::make_shared<RecordedResponder>();
         fixture.service.serve(incoming, answer);
         return answer;
     };
@@ -457,7 +457,7 @@
     const auto poll = [&service] {
         HttpServerRequest incoming;
         incoming.query = {{"prefix", "servers/"}, {"after", "10"}, {"waitMs", "0"}};
-        const auto answer = std::make_shared<RecordedResponder>();
+        auto answer = std::make_shared<RecordedResponder>();
         service.serve(incoming, answer);
         return answer;
     };
@@ -470,6 +470,19 @@
     CHECK(stale->status == 503);
 }
 
+TEST_CASE("Data count as complete though the emptied data centres, which seldom change, are confirmed less often", "[relay][age][emptied]")
+{
+    RelayedStoreFixture fixture;
+    fixture.store.range("emptied/", true, 0, [](const Result<StoreRange> &) {});
+    fixture.direct.lastRange(StoreRange{{}, 10});
+    CHECK(fixture.store.completeUntil() == TimePoint{});
+    fixture.runtime.advance(seconds(2));
+    const TimePoint sent = fixture.runtime.now();
+    fixture.store.range("servers/", true, 0, [](const Result<StoreRange> &) {});
+    fixture.client.answer(HttpResponse{200, {{RelayService::AgeHeader, "0"}}, writeRange({{}, 10})});
+    CHECK(fixture.store.completeUntil() == sent);
+}
+
 TEST_CASE("A relay states the age that its data had when the poll arrived, negative after a wait", "[relay][age]")
 {
     RelayServiceFixture fixture;
