--- a/packages/routing/tests/passontest.cpp
+++ b/packages/routing/tests/passontest.cpp
@@ -401,7 +401,7 @@
 TEST_CASE("A request is counted once in the repeat budgets of both instances", "[passing][budget]")
 {
     PassOnFixture fixture;
-    const auto tokensAfter = [&fixture](std::optional<PassOnTerms> terms) {
+    const auto tokensAfter = [&fixture](const std::optional<PassOnTerms> &terms) {
         // Uses the whole budget, so that only what the request adds is left.
         const ServiceName service("parts");
         while (fixture.budget.tryAcquire(service, fixture.runtime.now(), 0)) { }
