--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <burdock/router/clientendpoint.h>
+#include <burdock/router/clientplacement.h>
 #include <burdock/router/configinquiry.h>
 #include <burdock/router/crashreportwriter.h>
 #include <burdock/router/decisionlog.h>
 #include <burdock/router/dialect.h>
 #include <burdock/router/httpbackends.h>
 #include <burdock/router/httppeers.h>
+#include <burdock/router/rateservice.h>
 #include <burdock/router/relayedstore.h>
 #include <burdock/router/routermetrics.h>
 #include <burdock/router/routersettings.h>
@@ -117,6 +119,7 @@
     HttpBackends backends_;
     HttpPeers peerRequests_;
     PeerChoice peerChoice_;
+    RateService rates_;
     RoutingContext context_;
     RelayChoice relays_;
     RelayedStore store_;
@@ -125,7 +128,6 @@
     CrashReportWriter crashReports_;
     RoutingFeed feed_;
     ConfigInquiry inquiry_;
-    UnlimitedRates rates_;
     /// Destroyed before the members above, because requests that end with the process still report to them.
     RequestCoordinator coordinator_;
     ClientEndpoint clientEndpoint_;
@@ -135,6 +137,7 @@
     std::unique_ptr<HttpServer> readiness_;
     std::unique_ptr<HttpServer> directory_;
     std::unique_ptr<HttpServer> peers_;
+    ClientPlacement placement_;
     std::map<ServerId, ServerEntry> usableServers_;
     LoopDelay loopDelay_;
     TimePoint tickDue_{};
--- a/packages/router/tests/relaytest.cpp
+++ b/packages/router/tests/relaytest.cpp
@@ -27,7 +27,7 @@
     {
         HttpServerRequest incoming;
         incoming.query = {{"prefix", "servers/"}, {"after", after}, {"waitMs", waitMs}};
-        const auto answer = std::make_shared<RecordedResponder>();
+        auto answer = std::make_shared<RecordedResponder>();
         service.serve(incoming, answer);
         return answer;
     }
@@ -377,7 +377,7 @@
     incoming.path = RelayService::EntriesPath;
     incoming.query = {{"prefix", "servers/"}};
     const auto requestEntries = [&] {
-        const auto answer = std::make_shared<RecordedResponder>();
+        auto answer = std::make_shared<RecordedResponder>();
         fixture.service.serve(incoming, answer);
         return answer;
     };
@@ -457,7 +457,7 @@
     const auto poll = [&service] {
         HttpServerRequest incoming;
         incoming.query = {{"prefix", "servers/"}, {"after", "10"}, {"waitMs", "0"}};
-        const auto answer = std::make_shared<RecordedResponder>();
+        auto answer = std::make_shared<RecordedResponder>();
         service.serve(incoming, answer);
         return answer;
     };
