--- a/packages/router/tests/relaytest.cpp
+++ b/packages/router/tests/relaytest.cpp
@@ -470,6 +470,19 @@
     CHECK(stale->status == 503);
 }
 
+TEST_CASE("Data count as complete though the emptied data centres, which seldom change, are confirmed less often", "[relay][age][emptied]")
+{
+    RelayedStoreFixture fixture;
+    fixture.store.range("emptied/", true, 0, [](const Result<StoreRange> &) {});
+    fixture.direct.lastRange(StoreRange{{}, 10});
+    CHECK(fixture.store.completeUntil() == TimePoint{});
+    fixture.runtime.advance(seconds(2));
+    const TimePoint sent = fixture.runtime.now();
+    fixture.store.range("servers/", true, 0, [](const Result<StoreRange> &) {});
+    fixture.client.answer(HttpResponse{200, {{RelayService::AgeHeader, "0"}}, writeRange({{}, 10})});
+    CHECK(fixture.store.completeUntil() == sent);
+}
+
 TEST_CASE("A relay states the age that its data had when the poll arrived, negative after a wait", "[relay][age]")
 {
     RelayServiceFixture fixture;
