--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include <burdock/router/clientendpoint.h>
+#include <burdock/router/clientplacement.h>
 #include <burdock/router/configinquiry.h>
 #include <burdock/router/crashreportwriter.h>
 #include <burdock/router/decisionlog.h>
 #include <burdock/router/dialect.h>
 #include <burdock/router/httpbackends.h>
 #include <burdock/router/httppeers.h>
+#include <burdock/router/rateservice.h>
 #include <burdock/router/relayedstore.h>
+#include <burdock/router/requestjournal.h>
 #include <burdock/router/routermetrics.h>
 #include <burdock/router/routersettings.h>
 #include <burdock/router/routingfeed.h>
@@ -48,8 +51,6 @@
     void shutDown(std::function<void()> done);
 
 private:
-    class Journal;
-
     Result<void> listen(HttpServer &server, const char *what, const Address &address);
     void serveReadiness(const HttpServerRequest &incoming, const std::shared_ptr<HttpResponder> &responder);
     void serveDirectory(const HttpServerRequest &incoming, const std::shared_ptr<HttpResponder> &responder);
@@ -97,7 +98,7 @@
     DecisionLog &log_;
     InstanceRecord self_;
     RouterMetrics metrics_;
-    std::unique_ptr<Journal> journal_;
+    RequestJournal journal_;
     RoutingCounters counters_;
     ServerTable servers_;
     InstanceTable instances_;
@@ -117,6 +118,7 @@
     HttpBackends backends_;
     HttpPeers peerRequests_;
     PeerChoice peerChoice_;
+    RateService rates_;
     RoutingContext context_;
     RelayChoice relays_;
     RelayedStore store_;
@@ -134,6 +136,7 @@
     std::unique_ptr<HttpServer> readiness_;
     std::unique_ptr<HttpServer> directory_;
     std::unique_ptr<HttpServer> peers_;
+    ClientPlacement placement_;
     std::map<ServerId, ServerEntry> usableServers_;
     LoopDelay loopDelay_;
     TimePoint tickDue_{};
--- a/packages/router/src/instancecodec.cpp
+++ b/packages/router/src/instancecodec.cpp
@@ -21,7 +21,8 @@
                           {"sequence", record.edition.sequence},
                           {"cutOff", record.cutOff},
                           {"keepsRegions", true},
-                          {"followsEmptied", record.followsEmptied}});
+                          {"followsEmptied", record.followsEmptied},
+                          {"sharesRates", record.sharesRates}});
 }
 
 Result<InstanceRecord> readInstance(const std::string &value)
@@ -50,7 +51,8 @@
                               // The builds that state this are those that serve requests of others.
                               read.contains("cutOff"),
                               read.value("keepsRegions", false),
-                              read.value("followsEmptied", false)};
+                              read.value("followsEmptied", false),
+                              read.value("sharesRates", false)};
     } catch (const Json::exception &error) {
         return notRun(Errc::BadRequest, std::string("not an instance's record: ") + error.what());
     }
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -4,6 +4,7 @@
 #include <burdock/router/instancecodec.h>
 #include <burdock/router/limitlog.h>
 #include <burdock/router/passonheaders.h>
+#include <burdock/router/refusalmetrics.h>
 #include <burdock/router/relaycodec.h>
 #include <burdock/routing/dataage.h>
 #include <burdock/wire/factories.h>
@@ -130,53 +131,6 @@
 
 } // namespace
 
-/// Logs the hedges and retries of requests, and the requests to services whose servers have reached their limits.
-class Router::Journal final : public RoutingJournal
-{
-public:
-    explicit Journal(DecisionLog &log)
-        : log_(log)
-    {
-    }
-
-    void note(const RoutingEvent &event) override
-    {
-        log_.write(DecisionPriority::Problem,
-                   nameOf(event.decision),
-                   {{"request", event.request},
-                    {"decision", event.decision},
-                    {"service", event.service},
-                    {"server", event.server},
-                    {"reason", event.reason},
-                    {"ageUs", event.age.count()}});
-    }
-
-    void notePassedOn(const PassOnEvent &event) override
-    {
-        const bool served = event.outcome == "passed" || event.outcome == "gathered";
-        log_.write(served ? DecisionPriority::Routine : DecisionPriority::Problem,
-                   "request.passedOn",
-                   {{"request", event.request},
-                    {"to", event.peer.text()},
-                    {"why", event.reason},
-                    {"outcome", event.outcome},
-                    {"reason", event.detail},
-                    {"tookUs", event.took.count()},
-                    {"ageUs", event.age.count()}});
-    }
-
-private:
-    static std::string_view nameOf(std::string_view decision)
-    {
-        return decision == "limit" ? "request.limited"
-            : decision == "place"  ? "request.unplaced"
-            : decision == "crash"  ? "request.crashed"
-                                   : "request.repeated";
-    }
-
-    DecisionLog &log_;
-};
-
 Router::Router(EventLoop &loop, const RouterSettings &settings, const Dialect &dialect, Store &store, HttpClient &client, DecisionLog &log, std::uint64_t seed)
     : loop_(loop)
     , settings_(settings)
@@ -192,7 +146,7 @@
             settings.cores,
             false,
             {std::chrono::duration_cast<std::chrono::milliseconds>(loop.wallNow().time_since_epoch()).count(), 0}}
-    , journal_(std::make_unique<Journal>(log))
+    , journal_(log)
     , servers_([this](const ServerEntry &server, bool usable) { onServerChanged(server, usable); })
     , instances_(seed)
     , limits_(settings.id, [this](const LimitReport &report) { writeLimit(log_, "server.limit", report); })
@@ -221,7 +175,9 @@
                   [this](const InstanceId &id) { return instances_.contains(id); },
                   settings.id,
                   seed)
-    , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, reach_, counters_, *journal_, peerRequests_, peerChoice_}
+    , rates_(
+          loop, client, settings_, instances_, self_, [this] { return lease_.confirmedAt(); }, seed | 1, log)
+    , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, reach_, counters_, journal_, peerRequests_, peerChoice_}
     , relays_(settings.id)
     , store_(loop, client, store, relays_, dialect.instancesPrefix(), log, firstListingDelay(settings), dialect.emptiedPrefix())
     , lease_(
@@ -263,13 +219,14 @@
              [this](const InstanceId &from, const std::vector<CrashReport> &reports) { onCrashReports(from, reports); },
              [this](const ServerEntry &server) { choice_.onEntry(server, loop_.now()); }})
     , inquiry_(loop, client, log, {[this](const StoreEntry &config) { feed_.offerConfig(config); }, [this] { updateReadiness(); }})
-    , coordinator_(context_, seed)
+    , coordinator_(context_, rates_.limiter(), seed)
     , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
     , connections_(std::make_shared<ConnectionPool>(static_cast<std::uint32_t>(settings.descriptors * PooledDescriptorFraction)))
     , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors), connections_))
     , readiness_(makeHttpServer(loop, internalLimits(), connections_))
     , directory_(makeHttpServer(loop, directoryLimits(settings.descriptors), connections_))
     , peers_(makeHttpServer(loop, peerLimits({}, settings.descriptors), connections_))
+    , placement_(servers_, instances_, log, [this] { onInstancesChanged(); })
     , suspended_(loop.suspended())
     , tickTimer_(loop, TickInterval, [this] { tick(); })
     , stateTimer_(loop, StateLogInterval, [this] { logState(); })
@@ -419,6 +376,9 @@
     relay_.endStalePolls();
     cold_.update(loop_.now());
     logRelayFreshness();
+    if (!settings_.mayLoseDataCentre) {
+        placement_.update();
+    }
     updateReadiness();
     updateConnectionFraction();
     updateRole();
@@ -489,6 +449,10 @@
         takePushedReports(incoming, *responder);
         return;
     }
+    if (incoming.path == RateService::Path) {
+        rates_.serve(incoming, *responder);
+        return;
+    }
     if (incoming.path == ConfigInquiry::Path) {
         servePeerConfig(responder);
         return;
@@ -501,7 +465,9 @@
     clientEndpoint_.setConfigVersion(routes->config().version);
     choice_.setServices(routes->config().services);
     trials_.setServices(routes->config().services);
+    rates_.setConfig(routes->config());
     coordinator_.setRoutes(routes);
+    placement_.setRoutes(routes);
     clients_->setLimits(clientLimits(routes->config().limits, settings_.descriptors));
     peers_->setLimits(peerLimits(routes->config().limits, settings_.descriptors));
     updateConnectionLimits();
@@ -519,6 +485,7 @@
     const std::vector<InstanceId> senderIds = feed_.hasInstances() ? instances_.senderIds(self_) : std::vector<InstanceId>();
     limits_.setSenders(senderIds, loop_.now());
     cold_.setSenders(senderIds, loop_.now());
+    rates_.onInstancesChanged(feed_.hasInstances());
     relays_.setInstances(instances_.recordsIn(self_.region));
     store_.setAnswerInterval(relays_.hasChildren() ? DataAge::storeAnswerInterval(relays_.depth()) : Duration::max());
     updateRole();
@@ -651,6 +618,7 @@
 
 void Router::onServerChanged(const ServerEntry &server, bool usable)
 {
+    placement_.onServersChanged();
     if (!feed_.isListingServers()) {
         log_.write(DecisionPriority::Change,
                    "server.changed",
@@ -804,6 +772,7 @@
 
 void Router::registerMetrics()
 {
+    rates_.registerMetrics(metrics_);
     const auto counter = [this](const char *name, const char *help, const std::uint64_t *value) {
         metrics_.addValue(name, "counter", help, [value] { return static_cast<double>(*value); });
     };
@@ -811,9 +780,7 @@
     counter("burdock_hedges_total", "Requests sent to a second server because the first was late.", &counters_.hedges);
     counter("burdock_retries_total", "Requests sent to another server after a failure.", &counters_.retries);
     counter("burdock_repeats_denied_total", "Hedges and retries that the budget did not allow.", &counters_.repeatsDenied);
-    counter("burdock_refused_by_servers_total", "Requests that a server did not run.", &counters_.refusedByServers);
-    counter("burdock_refused_as_guilty_total", "Requests that are known to crash servers, refused at once.", &counters_.refusedAsGuilty);
-    counter("burdock_refused_for_place_total", "Requests without a listed server where they may be served.", &counters_.refusedForPlace);
+    addRefusalMetrics(metrics_, counters_);
     counter("burdock_failed_at_servers_total", "Requests that failed and may have run.", &counters_.failedAtServers);
     const HttpServerCounters &clients = clients_->counters();
     counter("burdock_connections_refused_total", "Clients' connections that were closed at once, since there were too many.", &clients.refusedConnections);
