--- a/packages/router/src/instancecodec.cpp
+++ b/packages/router/src/instancecodec.cpp
@@ -20,9 +20,9 @@
                           {"born", record.edition.born},
                           {"sequence", record.edition.sequence},
                           {"cutOff", record.cutOff},
-                          {"sharesRates", record.sharesRates},
                           {"keepsRegions", true},
-                          {"followsEmptied", record.followsEmptied}});
+                          {"followsEmptied", record.followsEmptied},
+                          {"sharesRates", record.sharesRates}});
 }
 
 Result<InstanceRecord> readInstance(const std::string &value)
@@ -50,9 +50,9 @@
                               read.value("cutOff", false),
                               // The builds that state this are those that serve requests of others.
                               read.contains("cutOff"),
-                              read.value("sharesRates", false),
                               read.value("keepsRegions", false),
-                              read.value("followsEmptied", false)};
+                              read.value("followsEmptied", false),
+                              read.value("sharesRates", false)};
     } catch (const Json::exception &error) {
         return notRun(Errc::BadRequest, std::string("not an instance's record: ") + error.what());
     }
--- a/packages/router/tests/earlierbuildstest.cpp
+++ b/packages/router/tests/earlierbuildstest.cpp
@@ -84,8 +84,8 @@
     CHECK(record->edition.sequence == 1);
     CHECK_FALSE(record->cutOff);
     CHECK_FALSE(record->takesRequests);
-    CHECK_FALSE(record->sharesRates);
     CHECK_FALSE(record->keepsRegions);
+    CHECK_FALSE(record->sharesRates);
     const auto present = readInstance(writeInstance(*record));
     REQUIRE(present);
     CHECK(present->takesRequests);
