--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -73,10 +73,6 @@
 
     explicit InstanceTable(std::uint64_t seed);
 
-    /// Sets the data centres in which requests to all shards find most of their servers; empty if it does not matter where an
-    /// instance stands.
-    void setShardDataCentres(std::set<DataCentre> dataCentres);
-
     void put(const InstanceRecord &record);
     void remove(const InstanceId &id, bool storeDisturbed);
     /// Whether a record in a listing is older than the known one, or had been withdrawn: the store was restored from a copy.
@@ -97,9 +93,6 @@
     /// Fewer senders per server also means more latency samples and more connections for each of them. Clients therefore use
     /// the large instances while there are several with spare capacity. A few crowded instances are left out; if many are
     /// crowded, the load exceeds the capacity of the large ones and clients use all.
-    ///
-    /// One request to all shards becomes many between the instance and the servers. Where the shards' data centres are set, clients
-    /// therefore use the large instances there while two or more are uncrowded.
     Records chosenIn(const Region &region, const InstanceRecord &self) const;
 
     /// Returns the instances that can serve requests for this one, in groups: those that clients of its region are directed to, then
@@ -141,8 +134,6 @@
 
 private:
     Records all(const InstanceRecord &self) const;
-    /// Returns the instances of one region that its clients are directed to, out of its ready instances.
-    Records chosenOf(const Records &ready) const;
     /// Returns the ready instances that are not cut off.
     Records connected(const InstanceRecord &self) const;
     /// Returns the instances that clients of a region are directed to, which may stand in other regions.
@@ -153,7 +144,6 @@
     std::map<InstanceId, InstanceRecord> records_;
     std::set<InstanceId> lapsed_;
     WithdrawnEntries withdrawn_;
-    std::set<DataCentre> shardDataCentres_;
     std::mt19937_64 random_;
 };
 
