--- a/packages/router/src/refusalmetrics.cpp
+++ b/packages/router/src/refusalmetrics.cpp
@@ -23,7 +23,6 @@
     {"burdock_refused_without_key_total", "Requests without a key whose route needs one.", &RoutingCounters::refusedWithoutKey},
     {"burdock_refused_unknown_key_total", "Requests whose key or workspace the configuration lacks.", &RoutingCounters::refusedUnknownKey},
     {"burdock_refused_over_rate_total", "Requests over the rate of their workspace.", &RoutingCounters::refusedOverRate},
-    {"burdock_refused_for_place_total", "Requests without a listed server where they may be served.", &RoutingCounters::refusedForPlace},
     {"burdock_refused_no_region_total", "Requests whose route and workspace have no region in common.", &RoutingCounters::refusedNoRegion},
 }};
 
