Ask for less in advance while a rate is scarce, and again as soon as there may be tokens

Tokens held in advance expired at instances that did not need them, and after a short answer an instance refused for 0.3 s though tokens came. For 8 s after a short answer half of what is expected is asked for in advance, and the holder is asked again when it could have tokens.

--- a/packages/routing/src/sharedrates.cpp
+++ b/packages/routing/src/sharedrates.cpp
@@ -20,6 +20,11 @@
 /// Where no token can be kept and this many requests or more are expected, further tokens are asked for, in standard deviations.
 constexpr double SteadyRequests = 0.75;
 constexpr double SafetyFactor = 0.8;
+/// For this time after a holder had too few tokens, fewer are asked for than are expected to be needed.
+constexpr Duration ScarceTime = std::chrono::seconds(8);
+constexpr double ScarceFraction = 0.5;
+/// The least time for which a holder without tokens is not asked again.
+constexpr Duration MinEmptyTime = std::chrono::milliseconds(30);
 constexpr double SafetyOffset = 0.2;
 /// Requests that come in this time share a message.
 constexpr Duration AskDelay = std::chrono::milliseconds(1);
@@ -237,7 +242,10 @@
     // The first token to keep comes by itself, so those of the holder are left to requests until then.
     const double kept = limit.own < 1 - RoundingMargin && !limit.keptFrom ? keptTokens(limit) : 0;
     const bool isSteady = mean >= SteadyRequests && keptTokens(limit) == 0;
-    const double expected = std::floor(mean + (isSteady ? SafetyFactor * std::sqrt(mean) + SafetyOffset : RoundingHalf));
+    const double safety = isSteady ? SafetyFactor * std::sqrt(mean) + SafetyOffset : RoundingHalf;
+    // Near the limit, tokens that may not be used are missing elsewhere.
+    const bool isScarce = now < limit.emptyUntil + ScarceTime;
+    const double expected = std::floor(isScarce ? mean * ScarceFraction : mean + safety);
     const double wanted = static_cast<double>(limit.waiting.size()) + expected + kept - stockOf(limit, now) - limit.incoming;
     return static_cast<std::uint32_t>(std::clamp(wanted, 0.0, std::ceil(limit.savings.capacity)));
 }
@@ -665,7 +673,7 @@
             limit.stocks.push_back({tokens, until});
         }
         if (isShort) {
-            limit.emptyUntil = now + AskInterval;
+            limit.emptyUntil = now + std::clamp(reply.grants[index].wait, MinEmptyTime, AskInterval);
             limit.promisedUntil = std::max(limit.promisedUntil, now + reply.grants[index].wait);
         }
         serveWaiting(limit, now);
