--- a/packages/routing/src/coldservers.cpp
+++ b/packages/routing/src/coldservers.cpp
@@ -61,12 +61,14 @@
 bool ColdServers::allows(const ServerId &server, std::int64_t priority, bool repeat, TimePoint now)
 {
     update(now);
-    return limits_.allows(server, priority, repeat, now);
+    return !any() || limits_.allows(server, priority, repeat, now);
 }
 
 void ColdServers::onSent(const ServerId &server, std::int64_t priority, bool repeat, TimePoint now)
 {
-    limits_.onSent(server, priority, repeat, now);
+    if (any()) {
+        limits_.onSent(server, priority, repeat, now);
+    }
 }
 
 Duration ColdServers::refuse(const std::vector<ServerHandle> &servers, std::int64_t priority, TimePoint now)
