--- /dev/null
+++ b/tests/crowd/daemoncrowdtest.cpp
@@ -0,0 +1,65 @@
+#include "crowdbounds.h"
+#include "testbed.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+using namespace Burdock;
+
+namespace
+{
+
+constexpr std::size_t MemoryMb = 256;
+constexpr std::size_t Descriptors = 1100;
+constexpr std::size_t BodyBytes = 1048576;
+constexpr std::size_t MissingBytes = 44;
+constexpr std::size_t PieceBytes = 65536;
+const std::string PostHead = "POST /v1/query HTTP/1.1\r\nHost: i\r\nX-Caller: crowd\r\n";
+
+std::shared_ptr<const std::string> pipelinedStatus(std::size_t count)
+{
+    std::string requests;
+    for (std::size_t index = 0; index < count; ++index) {
+        requests += "GET /metrics HTTP/1.1\r\nHost: i\r\n\r\n";
+    }
+    return std::make_shared<const std::string>(requests);
+}
+
+} // namespace
+
+TEST_CASE("burdockd stays within its memory while crowds stop in heads and bodies or do not read", "[crowd][process]")
+{
+    setenv("ASAN_OPTIONS", "abort_on_error=1:quarantine_size_mb=1", 1);
+    Testbed testbed("pereyra-hermanos", {"litoral"});
+    testbed.startInstance("litoral-a", "litoral");
+    REQUIRE(testbed.publish() == 0);
+    REQUIRE(testbed.waitUntilReady());
+    const Address address = testbed.callersAddress("litoral-a");
+    Crowd crowd;
+    const std::string kind = GENERATE("bodies", "large chunks", "small chunks", "answers", "all");
+    INFO(kind);
+    const bool all = kind == "all";
+    const auto count = [all](std::size_t alone) { return all ? alone / 2 : alone; };
+    if (kind == "bodies" || all) {
+        crowd.connect(address, count(400), {bodyThatStops(PostHead, BodyBytes, MissingBytes)});
+    }
+    if (kind == "large chunks" || all) {
+        crowd.connect(address, count(400), {bodyInChunks(PostHead, BodyBytes, 1, false)});
+    }
+    if (kind == "small chunks" || all) {
+        crowd.connect(address, count(400), {bodyInChunks(PostHead, 1, 700000, false)});
+    }
+    if (kind == "answers" || all) {
+        crowd.connect(address, count(400), {pipelinedStatus(1000), PieceBytes, 0});
+    }
+    if (all) {
+        crowd.connect(address, 100, {std::make_shared<const std::string>(PostHead + "X-Long: " + std::string(16000, 'h'))});
+    }
+    const ProcessUsage peak = crowd.press(testbed.process("litoral-a").pid(), address);
+    checkUsage(peak, MemoryMb, Descriptors);
+    REQUIRE(testbed.process("litoral-a").isRunning());
+    CHECK(testbed.eventually([&] {
+        const auto answer = testbed.query("litoral-a", "technician-tablet", "parts");
+        return answer && answer->status == 200;
+    }));
+}
--- a/tests/testbed/routertestbed.cpp
+++ b/tests/testbed/routertestbed.cpp
@@ -130,7 +130,7 @@
         text << "zone-" << each << " = \"region-" << each << "\"\n";
     }
     text << "[listenAddresses]\nfront = \"" << ip << ":" << ClientsPort << "\"\nready = \"" << ip << ":" << ReadinessPort << "\"\ndirectory = \"" << ip << ":"
-         << DirectoryPort << "\"\n[limits]\ncpuShare = 0.5\ncpuCores = 1\nfileDescriptors = 1000\n"
+         << DirectoryPort << "\"\n[limits]\ncpuShare = 0.5\ncpuCores = 1\nfileDescriptors = 1000\nmemoryMb = " << memoryMb_ << "\n"
          << "[bounds]\ngraceS = 6\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetSlack = 52\n[platform]\naddress = \""
          << (storeAddress.empty() ? store_.toString() : storeAddress) << "\"\n";
     const std::filesystem::path path = folder_ / (id + ".toml");
@@ -201,7 +201,7 @@
 
 bool RouterTestbed::isReady(const std::string &id)
 {
-    const auto response = call(Address{host(id), ReadinessPort}, "GET", "/burdocklanding/readiness", {}, {}, std::chrono::milliseconds(500));
+    const auto response = call(readiness(id), "GET", "/burdocklanding/readiness", {}, {}, std::chrono::milliseconds(500));
     return response && response->status == 200;
 }
 
@@ -283,6 +283,11 @@
     return Address{host(id), PeersPort};
 }
 
+Address RouterTestbed::readiness(const std::string &id) const
+{
+    return Address{host(id), ReadinessPort};
+}
+
 std::string RouterTestbed::log(const std::string &id) const
 {
     std::ifstream file(folder_ / (id + ".log"));
--- a/tests/testbed/routertestbed.h
+++ b/tests/testbed/routertestbed.h
@@ -42,6 +42,12 @@
     /// that was built with the tests.
     void setProgram(const std::string &id, const std::string &path);
 
+    /// Sets the memory of the machines of all instances that start from now on, in MB.
+    void setMemory(int megabytes)
+    {
+        memoryMb_ = megabytes;
+    }
+
     /// Cuts instances off from all servers, while clients, the store and the other instances still reach them. `how`: `hang`, `lose`,
     /// `oneWay`, `reset` or `refuseNew`; see LinkCut. New connections are refused or, in the first three forms, not answered.
     void cut(const std::vector<std::string> &instances, const std::string &how);
@@ -79,6 +85,7 @@
     Address clients(const std::string &id) const;
     Address directory(const std::string &id) const;
     Address peers(const std::string &id) const;
+    Address readiness(const std::string &id) const;
     const Address &store() const
     {
         return store_;
@@ -122,6 +129,7 @@
     Address store_;
     Address control_;
     std::map<std::string, int> hosts_;
+    int memoryMb_ = 512;
     std::map<std::string, std::string> programs_;
     std::map<std::string, std::unique_ptr<ChildProcess>> instances_;
     std::set<std::string> reportedEnds_;
