Hold what clients bring within one budget of memory

What callers saw: clients that stopped midway or did not read took all memory of an instance, which was ended.

Change: one account (MemoryBudget) for all servers and clients of a process takes what arrives, what is in progress and what waits for its reader. From half of it on, connections that hold most for longest are not read any further; from three quarters on, bodies are refused before their first byte with 503 and Retry-After, and connections without a least rate are closed, the longest first; from nine tenths on all requests but those at internal listeners. Long answers are written in pieces, since a piece is freed only as a whole; the body grows to its length and not beyond; unparsed input is bounded by two headers, not by a body.

Ruled out: counting the announced length of bodies, which would let a few clients that send nothing have everyone refused; an idle time, which one byte resets.

--- a/packages/daemon/include/burdock/daemon/instance.h
+++ b/packages/daemon/include/burdock/daemon/instance.h
@@ -85,6 +85,7 @@
     ListedInstance self_;
     ConfigurationPtr configuration_;
 
+    std::shared_ptr<MemoryBudget> memory_;
     std::unique_ptr<HttpClient> client_;
     std::unique_ptr<HttpServer> server_;
     std::unique_ptr<PeerLinks> links_;
--- a/packages/daemon/include/burdock/daemon/settings.h
+++ b/packages/daemon/include/burdock/daemon/settings.h
@@ -25,6 +25,8 @@
     Duration leaveSpread{0};
     /// The timeout of one call to the store.
     Duration storeTimeout{0};
+    /// The memory of the process's machine, in MB.
+    std::size_t memoryMb = 0;
     /// `text` or `json`.
     std::string logFormat;
     /// `debug`, `info`, `warn` or `error`.
@@ -32,7 +34,7 @@
 
     auto fields() const
     {
-        return std::tie(id, place, callers, peers, store, instanceList, entriesMaxAge, leaveSpread, storeTimeout, logFormat, logLevel);
+        return std::tie(id, place, callers, peers, store, instanceList, entriesMaxAge, leaveSpread, storeTimeout, memoryMb, logFormat, logLevel);
     }
 };
 
--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -35,8 +35,9 @@
     , settings_(std::move(settings))
     , incarnation_(incarnation)
     , self_{settings_.id, settings_.place, settings_.callers, settings_.peers, false}
-    , client_(makeHttpClient(loop, PlatformConnectionLimits))
-    , server_(makeHttpServer(loop, HttpServerLimits{}))
+    , memory_(std::make_shared<MemoryBudget>(loop, MemoryTerms::ofMachine(settings_.memoryMb)))
+    , client_(makeHttpClient(loop, PlatformConnectionLimits, memory_))
+    , server_(makeHttpServer(loop, HttpServerLimits{}, nullptr, memory_))
     , links_(makePeerLinks(loop, settings_.id, incarnation))
     , store_(makeEtcdStore(loop, *client_, settings_.store, settings_.storeTimeout))
     , listSource_(makeHttpInstanceList(loop, *client_, settings_.instanceList))
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -38,15 +38,20 @@
         return *parsed;
     }
 
-    Duration milliseconds(const std::string &flag, std::int64_t min, std::int64_t max)
+    std::int64_t wholeNumber(const std::string &flag, const std::string &unit, std::int64_t min, std::int64_t max)
     {
         const std::string &text = values_.text(flag);
         std::int64_t value = 0;
         const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
         if (error != std::errc() || end != text.data() + text.size() || value < min || value > max) {
-            addFault(flag, "a whole number of milliseconds from " + std::to_string(min) + " to " + std::to_string(max));
+            addFault(flag, "a whole number of " + unit + " from " + std::to_string(min) + " to " + std::to_string(max));
         }
-        return std::chrono::milliseconds(value);
+        return value;
+    }
+
+    Duration milliseconds(const std::string &flag, std::int64_t min, std::int64_t max)
+    {
+        return std::chrono::milliseconds(wholeNumber(flag, "milliseconds", min, max));
     }
 
     std::string oneOf(const std::string &flag, const std::vector<std::string> &allowed)
@@ -97,6 +102,7 @@
             {"entries-max-age-ms", "N", "5000", "How long callers may cache the list of entries; a shutdown waits for this time."},
             {"leave-spread-ms", "N", "5000", "How long peers may take to learn that this instance is leaving; a shutdown waits for this time too."},
             {"store-timeout-ms", "N", "2000", "The timeout of one call to the store."},
+            {"memory-mb", "N", "256", "The memory of the machine in MB. Half of it may be held for callers; beyond that, requests are refused."},
             {"log-format", "FORMAT", "text", "text or json."},
             {"log-level", "LEVEL", "info", "debug, info, warn or error."},
             {"check-settings", "", "", "Checks the settings, prints them and exits."},
@@ -119,6 +125,7 @@
     settings.entriesMaxAge = reader.milliseconds("entries-max-age-ms", 100, 600000);
     settings.leaveSpread = reader.milliseconds("leave-spread-ms", 100, 600000);
     settings.storeTimeout = reader.milliseconds("store-timeout-ms", 10, 60000);
+    settings.memoryMb = static_cast<std::size_t>(reader.wholeNumber("memory-mb", "megabytes", 32, 4194304));
     settings.logFormat = reader.oneOf("log-format", {"text", "json"});
     settings.logLevel = reader.oneOf("log-level", {"debug", "info", "warn", "error"});
     if (!reader.faults().empty()) {
--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -7,6 +7,7 @@
 #include <burdock/router/dialect.h>
 #include <burdock/router/httpbackends.h>
 #include <burdock/router/httppeers.h>
+#include <burdock/router/memoryreport.h>
 #include <burdock/router/relayedstore.h>
 #include <burdock/router/routermetrics.h>
 #include <burdock/router/routersettings.h>
@@ -29,7 +30,14 @@
 class Router
 {
 public:
-    Router(EventLoop &loop, const RouterSettings &settings, const Dialect &dialect, Store &store, HttpClient &client, DecisionLog &log, std::uint64_t seed);
+    Router(EventLoop &loop,
+           const RouterSettings &settings,
+           const Dialect &dialect,
+           Store &store,
+           HttpClient &client,
+           std::shared_ptr<MemoryBudget> memory,
+           DecisionLog &log,
+           std::uint64_t seed);
     ~Router();
     Router(const Router &) = delete;
     Router &operator=(const Router &) = delete;
@@ -129,6 +137,8 @@
     ClientEndpoint clientEndpoint_;
     /// The connections of the servers below.
     std::shared_ptr<ConnectionPool> connections_;
+    std::shared_ptr<MemoryBudget> memory_;
+    MemoryReport memoryReport_;
     std::unique_ptr<HttpServer> clients_;
     std::unique_ptr<HttpServer> readiness_;
     std::unique_ptr<HttpServer> directory_;
--- a/packages/router/include/burdock/router/routersettings.h
+++ b/packages/router/include/burdock/router/routersettings.h
@@ -34,13 +34,29 @@
     double cores = 1;
     /// The maximum number of file descriptors of the process.
     std::uint32_t descriptors = 1024;
+    /// The memory of the process's machine, in MB.
+    std::uint32_t memoryMb = 512;
     /// Whether the whole system starts for the first time, so that no instance has written its record yet.
     bool firstStart = false;
 
     auto fields() const
     {
-        return std::tie(
-            id, region, dataCentre, regions, clients, readiness, directory, peers, store, repeats, stopTime, directoryTtl, cores, descriptors, firstStart);
+        return std::tie(id,
+                        region,
+                        dataCentre,
+                        regions,
+                        clients,
+                        readiness,
+                        directory,
+                        peers,
+                        store,
+                        repeats,
+                        stopTime,
+                        directoryTtl,
+                        cores,
+                        descriptors,
+                        memoryMb,
+                        firstStart);
     }
 };
 
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -87,6 +87,7 @@
     HttpServerLimits out;
     out.connections = MaxInternalConnections;
     out.reserved = ReservedConnections;
+    out.urgent = true;
     out.idleTime = InternalIdleTime;
     return out;
 }
@@ -95,6 +96,7 @@
 {
     HttpServerLimits out = clientLimits({}, descriptors);
     out.reserved = ReservedConnections;
+    out.urgent = true;
     return out;
 }
 
@@ -173,7 +175,14 @@
     DecisionLog &log_;
 };
 
-Router::Router(EventLoop &loop, const RouterSettings &settings, const Dialect &dialect, Store &store, HttpClient &client, DecisionLog &log, std::uint64_t seed)
+Router::Router(EventLoop &loop,
+               const RouterSettings &settings,
+               const Dialect &dialect,
+               Store &store,
+               HttpClient &client,
+               std::shared_ptr<MemoryBudget> memory,
+               DecisionLog &log,
+               std::uint64_t seed)
     : loop_(loop)
     , settings_(settings)
     , dialect_(dialect)
@@ -257,10 +266,12 @@
     , coordinator_(context_, seed)
     , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
     , connections_(std::make_shared<ConnectionPool>(static_cast<std::uint32_t>(settings.descriptors * PooledDescriptorFraction)))
-    , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors), connections_))
-    , readiness_(makeHttpServer(loop, internalLimits(), connections_))
-    , directory_(makeHttpServer(loop, directoryLimits(settings.descriptors), connections_))
-    , peers_(makeHttpServer(loop, peerLimits({}, settings.descriptors), connections_))
+    , memory_(std::move(memory))
+    , memoryReport_(*memory_, log, metrics_)
+    , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors), connections_, memory_))
+    , readiness_(makeHttpServer(loop, internalLimits(), connections_, memory_))
+    , directory_(makeHttpServer(loop, directoryLimits(settings.descriptors), connections_, memory_))
+    , peers_(makeHttpServer(loop, peerLimits({}, settings.descriptors), connections_, memory_))
     , suspended_(loop.suspended())
     , tickTimer_(loop, TickInterval, [this] { tick(); })
     , stateTimer_(loop, StateLogInterval, [this] { logState(); })
@@ -331,6 +342,7 @@
                {{"outcome", unchanged ? "unchanged" : "taken"}, {"addresses", addressesKept ? "kept" : "changed; they hold from the next start"}});
     settings_ = settings;
     budget_.setTerms(settings.repeats);
+    memory_->setTerms(MemoryTerms::ofMachine(settings.memoryMb));
 }
 
 bool Router::isReady() const
--- a/packages/wire/include/burdock/wire/httpserver.h
+++ b/packages/wire/include/burdock/wire/httpserver.h
@@ -65,6 +65,8 @@
     std::uint32_t connections = 1000;
     /// So many connections are accepted also while the server's pool is full.
     std::uint32_t reserved = 0;
+    /// Whether requests without a body are served also while the memory for others is exhausted.
+    bool urgent = false;
     /// A connection is closed if a request is incomplete this long after its first byte.
     Duration requestTime = std::chrono::seconds(10);
     /// A connection without requests is closed after this time.
--- a/packages/wire/src/clientconnection.cpp
+++ b/packages/wire/src/clientconnection.cpp
@@ -26,6 +26,8 @@
 
 constexpr int OkStatus = 200;
 constexpr ev_ssize_t ResponseHeaderBytes = 65536;
+/// Responses up to this size are received also if there is no room.
+constexpr std::size_t MinFailedBytes = 65536;
 
 /// The percentage of a server's keep-alive time for which an idle connection is used. The rest covers the network latency.
 constexpr int KeepAliveUsePercent = 80;
@@ -111,9 +113,11 @@
 
 } // namespace
 
-ClientConnection::ClientConnection(EventLoop &loop, const Address &address, Events events)
+ClientConnection::ClientConnection(EventLoop &loop, const Address &address, MemoryBudget &memory, Events events)
     : loop_(loop)
     , address_(address)
+    , memory_(memory)
+    , received_(memory)
     , events_(std::move(events))
     , stream_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE))
     , connection_(evhttp_connection_base_bufferevent_new(loop.base(), nullptr, stream_, address.host.c_str(), address.port))
@@ -170,6 +174,7 @@
     error_ = EVREQ_HTTP_EOF;
     errorBody_.clear();
     head_.reset();
+    received_.set(0);
     readingHead_ = true;
     evhttp_request *request = makeRequest();
     if (request == nullptr) {
@@ -223,6 +228,7 @@
 {
     call_ = nullptr;
     closed_ = true;
+    received_.set(0);
     if (connection_ == nullptr) {
         return;
     }
@@ -258,6 +264,9 @@
 void ClientConnection::onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *context)
 {
     auto *self = static_cast<ClientConnection *>(context);
+    if (info->n_added > 0 && self->isBusy()) {
+        self->loop_.boundary().run("response memory", [&] { self->takeReceived(info->n_added); });
+    }
     // What arrives on an idle connection is left to libevent, which then closes it.
     if (info->n_added > 0 && self->isBusy() && self->readingHead_ && !self->loop_.boundary().run("response head", [&] { self->readHead(buffer); })) {
         self->readingHead_ = false;
@@ -266,6 +275,17 @@
     }
 }
 
+void ClientConnection::takeReceived(std::size_t bytes)
+{
+    const std::size_t received = received_.bytes() + bytes;
+    if (received > MinFailedBytes && !memory_.fits(bytes)) {
+        memory_.noteDropped();
+        // libevent compares with the limit when it next reads, and fails the call.
+        evhttp_connection_set_max_body_size(connection_, 0);
+    }
+    received_.set(received);
+}
+
 /// libevent accepts much that is no head. It therefore gets nothing before the head is complete, and then only what it needs
 /// to read the body.
 void ClientConnection::readHead(evbuffer *buffer)
@@ -344,6 +364,7 @@
         errorBody_ += chunk;
         return;
     }
+    received_.set(0);
     const auto onBodyChunk = call_->request.onBodyChunk;
     onBodyChunk(chunk);
 }
@@ -404,6 +425,7 @@
 
 void ClientConnection::finish(Result<HttpResponse> result)
 {
+    received_.set(0);
     events_.onDone(std::exchange(call_, nullptr)->id, std::move(result));
 }
 
--- a/packages/wire/src/eventhttpserver.cpp
+++ b/packages/wire/src/eventhttpserver.cpp
@@ -28,11 +28,11 @@
 constexpr Duration CrowdedTime = std::chrono::seconds(1);
 
 /// An HttpServer that uses libevhtp's parser and libevent's buffers. Accepts and counts connections, and closes overdue ones.
-class EventHttpServer final : public HttpServer, private ConnectionPool::Member
+class EventHttpServer final : public HttpServer, private ConnectionPool::Member, private MemoryBudget::Member
 {
 public:
-    EventHttpServer(EventLoop &loop, const HttpServerLimits &limits, std::shared_ptr<ConnectionPool> pool)
-        : context_(loop, limits)
+    EventHttpServer(EventLoop &loop, const HttpServerLimits &limits, std::shared_ptr<ConnectionPool> pool, std::shared_ptr<MemoryBudget> memory)
+        : context_(loop, limits, memory ? std::move(memory) : std::make_shared<MemoryBudget>(loop, MemoryTerms()))
         , pool_(pool ? std::move(pool) : std::make_shared<ConnectionPool>(std::numeric_limits<std::uint32_t>::max()))
         , listener_(std::make_unique<Listener>(
               loop, [this](int socket) { accept(socket); }, [this](AcceptError error) { return onAcceptFailed(error); }))
@@ -40,11 +40,13 @@
               loop, std::clamp(std::min(limits.requestTime, limits.idleTime) / SweepsPerLimit, MinSweepInterval, MaxSweepInterval), [this] { closeOverdue(); })
     {
         pool_->add(*this);
+        context_.memory->add(*this);
         sweepTimer_.start();
     }
 
     ~EventHttpServer() override
     {
+        context_.memory->remove(*this);
         pool_->remove(*this);
         context_.loop.cancel(stopTimer_);
         forEachConnection([this](const ServerConnection &connection) { context_.connections.erase(&connection); });
@@ -163,6 +165,20 @@
         return replaced;
     }
 
+    void addHolders(std::vector<MemoryBudget::Holder *> &holders) override
+    {
+        for (const auto &[key, connection] : context_.connections) {
+            if (connection->holdsMemory()) {
+                holders.push_back(connection.get());
+            }
+        }
+    }
+
+    bool contains(const MemoryBudget::Holder *holder) const override
+    {
+        return context_.connections.count(static_cast<const ServerConnection *>(holder)) > 0;
+    }
+
     /// Calls the action for each connection. The action may close it.
     template<class Action>
     void forEachConnection(Action action)
@@ -192,9 +208,10 @@
 
 } // namespace
 
-std::unique_ptr<HttpServer> makeHttpServer(EventLoop &loop, const HttpServerLimits &limits, std::shared_ptr<ConnectionPool> pool)
+std::unique_ptr<HttpServer>
+makeHttpServer(EventLoop &loop, const HttpServerLimits &limits, std::shared_ptr<ConnectionPool> pool, std::shared_ptr<MemoryBudget> memory)
 {
-    return std::make_unique<EventHttpServer>(loop, limits, std::move(pool));
+    return std::make_unique<EventHttpServer>(loop, limits, std::move(pool), std::move(memory));
 }
 
 } // namespace Burdock
--- a/packages/wire/src/evhttpclient.cpp
+++ b/packages/wire/src/evhttpclient.cpp
@@ -46,9 +46,10 @@
 class EvhttpClient final : public HttpClient
 {
 public:
-    EvhttpClient(EventLoop &loop, const ConnectionLimits &defaults)
+    EvhttpClient(EventLoop &loop, const ConnectionLimits &defaults, std::shared_ptr<MemoryBudget> memory)
         : loop_(loop)
         , defaults_(defaults)
+        , memory_(memory ? std::move(memory) : std::make_shared<MemoryBudget>(loop, MemoryTerms()))
     {
     }
 
@@ -208,7 +209,7 @@
         ClientConnection::Events events;
         events.onDone = [this](HttpCallId id, Result<HttpResponse> result) { onDone(id, std::move(result)); };
         events.onIdleClose = [this, &peer] { scheduleReap(peer); };
-        peer.connections.push_back(std::make_unique<ClientConnection>(loop_, peer.address, std::move(events)));
+        peer.connections.push_back(std::make_unique<ClientConnection>(loop_, peer.address, *memory_, std::move(events)));
         return peer.connections.back().get();
     }
 
@@ -322,6 +323,7 @@
 
     EventLoop &loop_;
     const ConnectionLimits defaults_;
+    const std::shared_ptr<MemoryBudget> memory_;
     HttpCallId lastId_ = 0;
     std::unordered_map<Address, std::unique_ptr<Peer>, AddressHash> peers_;
     std::unordered_map<HttpCallId, CallEntry> calls_;
@@ -333,9 +335,9 @@
 
 } // namespace
 
-std::unique_ptr<HttpClient> makeHttpClient(EventLoop &loop, const ConnectionLimits &defaults)
+std::unique_ptr<HttpClient> makeHttpClient(EventLoop &loop, const ConnectionLimits &defaults, std::shared_ptr<MemoryBudget> memory)
 {
-    return std::make_unique<EvhttpClient>(loop, defaults);
+    return std::make_unique<EvhttpClient>(loop, defaults, std::move(memory));
 }
 
 } // namespace Burdock
--- a/packages/wire/src/httprequestparser.cpp
+++ b/packages/wire/src/httprequestparser.cpp
@@ -16,6 +16,8 @@
 namespace
 {
 
+/// The library's parser with its line buffer, and the headers of an ordinary request.
+constexpr std::size_t ParserBytes = 10240;
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 
 bool hasControlCharacter(std::string_view text)
@@ -53,9 +55,10 @@
 
 } // namespace
 
-HttpRequestParser::HttpRequestParser(std::size_t headerLimit, std::size_t bodyLimit)
+HttpRequestParser::HttpRequestParser(std::size_t headerLimit, std::size_t bodyLimit, Admission admitsBody)
     : headerLimit_(headerLimit)
     , bodyLimit_(bodyLimit)
+    , admitsBody_(std::move(admitsBody))
     , parser_(nullptr, &std::free)
     , chunks_(headerLimit, bodyLimit)
 {
@@ -94,6 +97,7 @@
     unknownEncoding_ = false;
     headComplete_ = false;
     expectsContinue_ = false;
+    expectedBytes_ = 0;
 }
 
 HttpRequestParser::Status HttpRequestParser::read(evbuffer *input)
@@ -188,6 +192,17 @@
     return htparser_get_error(parser_.get()) == htparse_error_too_big && !badLength ? Status::TooLarge : Status::Malformed;
 }
 
+std::size_t HttpRequestParser::heldBytes() const
+{
+    const std::size_t body = request_.body.empty() ? 0 : request_.body.capacity();
+    return body + (parser_ ? ParserBytes : 0);
+}
+
+std::size_t HttpRequestParser::remainingBytes() const
+{
+    return expectedBytes_ - std::min(expectedBytes_, request_.body.size());
+}
+
 bool HttpRequestParser::takeExpectContinue()
 {
     return std::exchange(expectsContinue_, false);
@@ -268,7 +283,13 @@
     self.isChunked_ = self.request_.headers.count("transfer-encoding") > 0;
     const auto expect = self.request_.headers.find("expect");
     self.expectsContinue_ = expect != self.request_.headers.end() && lowerCase(expect->second) == "100-continue";
-    return htparser_get_content_length(parser) > self.bodyLimit_ ? self.stop(Status::TooLarge) : 0;
+    const std::uint64_t length = htparser_get_content_length(parser);
+    if (length > self.bodyLimit_) {
+        return self.stop(Status::TooLarge);
+    }
+    self.expectedBytes_ = self.isChunked_ ? self.bodyLimit_ : static_cast<std::size_t>(length);
+    const bool hasBody = self.isChunked_ || length > 0;
+    return hasBody && !self.admitsBody_(static_cast<std::size_t>(length)) ? self.stop(Status::Refused) : 0;
 }
 
 int HttpRequestParser::onBody(htparser *parser, const char *bytes, std::size_t length)
@@ -277,7 +298,13 @@
     if (self.request_.body.size() + length > self.bodyLimit_) {
         return self.stop(Status::TooLarge);
     }
-    self.request_.body.append(bytes, length);
+    std::string &body = self.request_.body;
+    const std::size_t needed = body.size() + length;
+    if (needed > body.capacity()) {
+        // Without this the last doubling could take twice the length.
+        body.reserve(std::max(needed, std::min(self.expectedBytes_, 2 * body.capacity())));
+    }
+    body.append(bytes, length);
     return 0;
 }
 
--- a/packages/wire/src/httptext.cpp
+++ b/packages/wire/src/httptext.cpp
@@ -65,8 +65,9 @@
     ErrorDescription error;
 };
 
-constexpr std::array<StatusDescription, 2> StatusDescriptions{{
+constexpr std::array<StatusDescription, 3> StatusDescriptions{{
     {413, {Errc::TooLarge, "the request's header or body is over the limit; send less", Verdict::NotRun}},
+    {503, {Errc::Unavailable, "there is no memory for the request; come back after Retry-After", Verdict::NotRun}},
     {500, {Errc::Internal, "an internal error ended the request", Verdict::MayHaveRun}},
 }};
 constexpr ErrorDescription Malformed{Errc::BadRequest, "the request is not well-formed HTTP/1.1", Verdict::NotRun};
--- a/packages/wire/src/internal/clientconnection.h
+++ b/packages/wire/src/internal/clientconnection.h
@@ -4,6 +4,7 @@
 
 #include <burdock/wire/eventloop.h>
 #include <burdock/wire/httpclient.h>
+#include <burdock/wire/memorybudget.h>
 
 #include <event2/http.h>
 #include <memory>
@@ -38,7 +39,7 @@
         std::function<void()> onIdleClose;
     };
 
-    ClientConnection(EventLoop &loop, const Address &address, Events events);
+    ClientConnection(EventLoop &loop, const Address &address, MemoryBudget &memory, Events events);
     ~ClientConnection();
     ClientConnection(const ClientConnection &) = delete;
     ClientConnection &operator=(const ClientConnection &) = delete;
@@ -96,6 +97,8 @@
     static void onClose(evhttp_connection *connection, void *context);
 
     evhttp_request *makeRequest();
+    /// Takes from the budget what arrived for the call in progress. A long response for which there is no room fails.
+    void takeReceived(std::size_t bytes);
     void readHead(evbuffer *buffer);
     void handleResponse(evhttp_request *request);
     void handleBodyChunk(evhttp_request *request);
@@ -108,6 +111,9 @@
 
     EventLoop &loop_;
     const Address address_;
+    MemoryBudget &memory_;
+    /// What has arrived of the response to the call in progress.
+    MemoryHold received_;
     Events events_;
     bufferevent *stream_;
     evhttp_connection *connection_;
--- a/packages/wire/src/internal/httprequestparser.h
+++ b/packages/wire/src/internal/httprequestparser.h
@@ -5,6 +5,7 @@
 #include <burdock/wire/httpserver.h>
 
 #include <evhtp/parser.h>
+#include <functional>
 #include <memory>
 
 struct evbuffer;
@@ -29,9 +30,15 @@
         Malformed,
         /// The head or the body exceeds its limit.
         TooLarge,
+        /// The body may not begin to arrive; none of it was read.
+        Refused,
     };
 
-    HttpRequestParser(std::size_t headerLimit, std::size_t bodyLimit);
+    /// Decides from a body's length, 0 if that is not known, whether it may begin to arrive.
+    using Admission = std::function<bool(std::size_t bytes)>;
+
+    HttpRequestParser(
+        std::size_t headerLimit, std::size_t bodyLimit, Admission admitsBody = [](std::size_t) { return true; });
 
     /// Consumes bytes from the buffer, at most up to the end of one request.
     Status read(evbuffer *input);
@@ -54,6 +61,12 @@
         return supportsChunked_;
     }
 
+    /// The memory that the request in progress takes.
+    std::size_t heldBytes() const;
+
+    /// The bytes that the body in progress may still bring.
+    std::size_t remainingBytes() const;
+
 private:
     static HttpRequestParser &fromParser(htparser *parser);
     static int onPath(htparser *parser, const char *text, std::size_t length);
@@ -78,6 +91,9 @@
 
     const std::size_t headerLimit_;
     const std::size_t bodyLimit_;
+    const Admission admitsBody_;
+    /// The length of the body in progress, or the limit if that is not known.
+    std::size_t expectedBytes_ = 0;
     /// Contains a line buffer of 8 KiB, so it exists only while a request is being read.
     std::unique_ptr<htparser, void (*)(void *)> parser_;
     HttpServerRequest request_;
--- a/packages/wire/src/internal/serverconnection.h
+++ b/packages/wire/src/internal/serverconnection.h
@@ -4,6 +4,7 @@
 
 #include <burdock/wire/eventloop.h>
 #include <burdock/wire/httpserver.h>
+#include <burdock/wire/memorybudget.h>
 
 #include <memory>
 #include <unordered_map>
@@ -21,7 +22,7 @@
 /// State that is shared by the connections of one server.
 struct ServerContext
 {
-    explicit ServerContext(EventLoop &eventLoop, const HttpServerLimits &serverLimits);
+    ServerContext(EventLoop &eventLoop, const HttpServerLimits &serverLimits, std::shared_ptr<MemoryBudget> memoryBudget);
     ~ServerContext();
     ServerContext(const ServerContext &) = delete;
     ServerContext &operator=(const ServerContext &) = delete;
@@ -31,6 +32,7 @@
 
     EventLoop &loop;
     HttpServerLimits limits;
+    std::shared_ptr<MemoryBudget> memory;
     /// Owned jointly with the responders, which may outlive the server.
     std::shared_ptr<HttpServerCounters> counters = std::make_shared<HttpServerCounters>();
     HttpServer::Handler handler;
@@ -73,12 +75,15 @@
 /// The connection of one client, from the first byte of each request to the last byte of its response.
 ///
 /// Requests are passed to the handler one at a time. The connection is still read while a request is handled, so that a
-/// disconnect is detected. The bytes of further requests stay in the input buffer, up to the limits.
-class ServerConnection
+/// disconnect is detected. The bytes of further requests stay in the input buffer, up to twice the limit of a header.
+///
+/// What the connection holds is taken from the budget: the request that arrives, the body of the one in progress, and the response that
+/// the client has not read.
+class ServerConnection final : public MemoryBudget::Holder
 {
 public:
     ServerConnection(ServerContext &context, int socket);
-    ~ServerConnection();
+    ~ServerConnection() override;
     ServerConnection(const ServerConnection &) = delete;
     ServerConnection &operator=(const ServerConnection &) = delete;
 
@@ -99,6 +104,15 @@
     /// How long the connection has been idle; zero if it is not.
     Duration idleTime(TimePoint now) const;
 
+    bool holdsMemory() const
+    {
+        return held_.bytes() > 0;
+    }
+    MemoryUse memoryUse(TimePoint now) override;
+    void pauseReading(TimePoint now) override;
+    void resumeReading() override;
+    void closeForMemory() override;
+
 private:
     enum class State {
         Idle,
@@ -124,6 +138,18 @@
     void parse();
     void dispatchRequest();
     void sendError(int status);
+    /// Refuses the request that arrives for lack of memory. It has not run.
+    void refuse();
+    /// Writes a response that is the last on this connection.
+    void sendLast(int status, const std::map<std::string, std::string> &headers);
+    /// Takes from the budget what the connection holds now, or gives back what it no longer holds.
+    void updateHeld();
+    /// Begins a span over which progress is measured, as if there had been progress until now.
+    void restartProgress(TimePoint now);
+    /// Whether a response of so many bytes has to be dropped since there is no room for it.
+    bool mustDrop(std::size_t bytes) const;
+    /// Drops the response and ends the connection, which promises nothing.
+    void dropAnswer();
     void onAnswerComplete();
     void write(const std::string &bytes);
     void discardInput();
@@ -139,6 +165,17 @@
     State state_ = State::Idle;
     TimePoint stateSince_;
     TimePoint lastWriteProgress_;
+    MemoryHold held_;
+    /// The body of the request in progress: once for its handler, and once for a copy on its way to a server.
+    std::size_t requestBytes_ = 0;
+    /// Unparsed input as of the last callback.
+    std::size_t inputBytes_ = 0;
+    /// The bytes sent and received since the beginning of the span.
+    std::size_t movedBytes_ = 0;
+    TimePoint spanSince_;
+    TimePoint progressAt_;
+    TimePoint pausedAt_{};
+    bool paused_ = false;
     bool inHandler_ = false;
     bool isHeadRequest_ = false;
     bool chunked_ = false;
--- a/packages/wire/src/serverconnection.cpp
+++ b/packages/wire/src/serverconnection.cpp
@@ -4,11 +4,13 @@
 #include "internal/lingeringclose.h"
 #include "internal/sockets.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -22,10 +24,23 @@
 constexpr int BadRequestStatus = 400;
 constexpr int TooLargeStatus = 413;
 constexpr int InternalErrorStatus = 500;
+constexpr int UnavailableStatus = 503;
 
 /// Pipelined requests are not parsed while this many bytes of responses are unsent.
 constexpr std::size_t MaxBacklogBytes = 1048576;
 
+/// Unparsed input is read up to this multiple of the limit of a header, so that a header over the limit is noticed.
+constexpr std::size_t InputHeaders = 2;
+/// Long responses are written in pieces, since a piece is freed only when all of it was sent.
+constexpr std::size_t PieceBytes = 65536;
+/// From the refusing level on, a connection is not read any further once it holds more than this, and at the exhausted level in any case.
+constexpr std::size_t MinPausedBytes = 16384;
+/// Responses up to this size are sent also if there is no room.
+constexpr std::size_t MinDroppedBytes = 16384;
+/// The receive buffer of a paused connection and of one that is read again. The kernel doubles both for its own overhead.
+constexpr int PausedReceiveBytes = 8192;
+constexpr int ResumedReceiveBytes = 65536;
+
 constexpr const char *ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr const char *LastChunk = "0\r\n\r\n";
 
@@ -38,9 +53,10 @@
 
 } // namespace
 
-ServerContext::ServerContext(EventLoop &eventLoop, const HttpServerLimits &serverLimits)
+ServerContext::ServerContext(EventLoop &eventLoop, const HttpServerLimits &serverLimits, std::shared_ptr<MemoryBudget> memoryBudget)
     : loop(eventLoop)
     , limits(serverLimits)
+    , memory(std::move(memoryBudget))
     , failureResponse{InternalErrorStatus, {}, errorBody(InternalErrorStatus)}
 {
 }
@@ -55,13 +71,16 @@
 ServerConnection::ServerConnection(ServerContext &context, int socket)
     : context_(context)
     , stream_(bufferevent_socket_new(context.loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
-    , parser_(context.limits.headerBytes, context.limits.bodyBytes)
+    , parser_(context.limits.headerBytes, context.limits.bodyBytes, [&context](std::size_t bytes) { return context.memory->admitsBody(bytes); })
     , stateSince_(context.loop.now())
     , lastWriteProgress_(stateSince_)
+    , held_(*context.memory)
+    , spanSince_(stateSince_)
+    , progressAt_(stateSince_)
 {
     disableNagle(socket);
     bufferevent_setcb(stream_, &ServerConnection::onRead, &ServerConnection::onWritten, &ServerConnection::onEvent, this);
-    bufferevent_setwatermark(stream_, EV_READ, 0, context.limits.headerBytes + context.limits.bodyBytes);
+    bufferevent_setwatermark(stream_, EV_READ, 0, InputHeaders * context.limits.headerBytes);
     evbuffer_add_cb(bufferevent_get_output(stream_), &ServerConnection::onOutput, this);
     bufferevent_enable(stream_, EV_READ | EV_WRITE);
 }
@@ -102,15 +121,25 @@
         discardInput();
         return;
     }
+    movedBytes_ += evbuffer_get_length(bufferevent_get_input(stream_)) - inputBytes_;
     if (!inHandler_) {
         parse();
     }
+    inputBytes_ = evbuffer_get_length(bufferevent_get_input(stream_));
+    updateHeld();
+    const MemoryLevel level = context_.memory->level();
+    const bool isLarge = held_.bytes() > MinPausedBytes || level == MemoryLevel::Exhausted;
+    if (state_ == State::ReceivingRequest && level >= MemoryLevel::Refusing && isLarge) {
+        context_.memory->notePaused();
+        pauseReading(context_.loop.now());
+    }
 }
 
 bool ServerConnection::canParse() const
 {
+    const std::size_t maxBacklog = context_.memory->level() == MemoryLevel::Calm ? MaxBacklogBytes : 1;
     const bool acceptsRequests = state_ == State::Idle || state_ == State::ReceivingRequest;
-    return acceptsRequests && evbuffer_get_length(bufferevent_get_input(stream_)) > 0 && backlog() < MaxBacklogBytes;
+    return acceptsRequests && evbuffer_get_length(bufferevent_get_input(stream_)) > 0 && backlog() < maxBacklog;
 }
 
 void ServerConnection::parse()
@@ -119,6 +148,7 @@
     while (canParse()) {
         if (state_ == State::Idle) {
             setState(State::ReceivingRequest);
+            restartProgress(stateSince_);
         }
         const auto status = parser_.read(input);
         if (parser_.takeExpectContinue() && status == HttpRequestParser::Status::Incomplete) {
@@ -127,7 +157,9 @@
         if (status == HttpRequestParser::Status::Incomplete) {
             return;
         }
-        if (status == HttpRequestParser::Status::Complete) {
+        if (status == HttpRequestParser::Status::Refused) {
+            refuse();
+        } else if (status == HttpRequestParser::Status::Complete) {
             dispatchRequest();
         } else {
             sendError(status == HttpRequestParser::Status::TooLarge ? TooLargeStatus : BadRequestStatus);
@@ -137,11 +169,16 @@
 
 void ServerConnection::dispatchRequest()
 {
+    HttpServerRequest request = parser_.takeRequest();
+    if (request.body.empty() && !context_.limits.urgent && context_.memory->level() == MemoryLevel::Exhausted) {
+        refuse();
+        return;
+    }
+    requestBytes_ = 2 * request.body.size();
     setState(State::HandlingRequest);
     ++context_.counters->requests;
     ++context_.inFlight;
     exchange_ = std::make_shared<HttpExchange>(*this, context_.counters);
-    HttpServerRequest request = parser_.takeRequest();
     isHeadRequest_ = request.method == "HEAD";
     closeAfterAnswer_ = !parser_.keepAlive();
     inHandler_ = true;
@@ -154,14 +191,44 @@
 void ServerConnection::sendError(int status)
 {
     ++(status == TooLargeStatus ? context_.counters->tooLarge : context_.counters->badRequests);
+    sendLast(status, {});
+}
+
+void ServerConnection::refuse()
+{
+    context_.memory->noteRefused();
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(context_.memory->retryAfter());
+    sendLast(UnavailableStatus, {{"Retry-After", std::to_string(seconds.count())}});
+}
+
+void ServerConnection::sendLast(int status, const std::map<std::string, std::string> &headers)
+{
     const std::string body = errorBody(status);
-    write(responseHead(status, {}, body.size(), true) + body);
+    write(responseHead(status, headers, body.size(), true) + body);
     setState(State::Closing);
     discardInput();
 }
 
+bool ServerConnection::mustDrop(std::size_t bytes) const
+{
+    return bytes > MinDroppedBytes && !context_.memory->fits(bytes);
+}
+
+void ServerConnection::dropAnswer()
+{
+    context_.memory->noteDropped();
+    ++context_.counters->droppedAnswers;
+    closeAfterAnswer_ = true;
+    onAnswerComplete();
+    shutdown(bufferevent_getfd(stream_), SHUT_RDWR);
+}
+
 void ServerConnection::answer(const HttpServerResponse &answer)
 {
+    if (mustDrop(answer.body.size())) {
+        dropAnswer();
+        return;
+    }
     closeAfterAnswer_ = closeAfterAnswer_ || context_.closesAfterAnswers();
     write(responseHead(answer.status, answer.headers, answer.body.size(), closeAfterAnswer_, answer.jsonByDefault));
     if (!isHeadRequest_) {
@@ -182,6 +249,7 @@
         return;
     }
     write(parser_.supportsChunked() ? chunkHead(chunk.size()) + chunk + "\r\n" : chunk);
+    updateHeld();
 }
 
 void ServerConnection::finish()
@@ -208,6 +276,8 @@
 {
     std::exchange(exchange_, nullptr)->complete();
     --context_.inFlight;
+    requestBytes_ = 0;
+    updateHeld();
     setState(closeAfterAnswer_ ? State::Closing : State::Idle);
     if (state_ == State::Closing) {
         discardInput();
@@ -221,14 +291,18 @@
 {
     if (backlog() == 0) {
         lastWriteProgress_ = context_.loop.now();
+        restartProgress(lastWriteProgress_);
+    }
+    for (std::size_t at = 0; at < bytes.size(); at += PieceBytes) {
+        bufferevent_write(stream_, bytes.data() + at, std::min(PieceBytes, bytes.size() - at));
     }
-    bufferevent_write(stream_, bytes.data(), bytes.size());
 }
 
 void ServerConnection::discardInput()
 {
     evbuffer *input = bufferevent_get_input(stream_);
     evbuffer_drain(input, evbuffer_get_length(input));
+    inputBytes_ = 0;
 }
 
 std::size_t ServerConnection::backlog() const
@@ -241,6 +315,7 @@
     auto *self = static_cast<ServerConnection *>(context);
     if (info->n_deleted > 0) {
         self->lastWriteProgress_ = self->context_.loop.now();
+        self->movedBytes_ += info->n_deleted;
     }
 }
 
@@ -256,6 +331,8 @@
         closeLingering();
     } else if (!inHandler_) {
         parse();
+        inputBytes_ = evbuffer_get_length(bufferevent_get_input(stream_));
+        updateHeld();
     }
 }
 
@@ -305,6 +382,70 @@
     return state_ == State::Idle && backlog() == 0 ? now - stateSince_ : Duration{0};
 }
 
+void ServerConnection::updateHeld()
+{
+    const std::size_t unread = paused_ ? std::size_t{2} * PausedReceiveBytes : 0;
+    held_.set(evbuffer_get_length(bufferevent_get_input(stream_)) + backlog() + parser_.heldBytes() + requestBytes_ + unread);
+}
+
+void ServerConnection::restartProgress(TimePoint now)
+{
+    spanSince_ = now;
+    progressAt_ = now;
+    movedBytes_ = 0;
+}
+
+MemoryUse ServerConnection::memoryUse(TimePoint now)
+{
+    const MemoryTerms &terms = context_.memory->terms();
+    updateHeld();
+    const Duration span = now - spanSince_;
+    if (span >= terms.span) {
+        const auto least = static_cast<double>(terms.leastRate) * std::chrono::duration<double>(span).count();
+        progressAt_ = static_cast<double>(movedBytes_) >= least ? now : progressAt_;
+        spanSince_ = now;
+        movedBytes_ = 0;
+    }
+    MemoryUse use;
+    use.bytes = held_.bytes();
+    use.isReceiving = state_ == State::ReceivingRequest;
+    use.remaining = use.isReceiving ? parser_.remainingBytes() : 0;
+    use.since = stateSince_;
+    use.progressAt = progressAt_;
+    use.pausedAt = pausedAt_;
+    use.isPaused = paused_;
+    use.awaitsClient = use.isReceiving || backlog() > 0;
+    int unread = 0;
+    use.hasUnread = paused_ && ioctl(bufferevent_getfd(stream_), FIONREAD, &unread) == 0 && unread > 0;
+    return use;
+}
+
+void ServerConnection::pauseReading(TimePoint now)
+{
+    paused_ = true;
+    pausedAt_ = now;
+    bufferevent_disable(stream_, EV_READ);
+    setsockopt(bufferevent_getfd(stream_), SOL_SOCKET, SO_RCVBUF, &PausedReceiveBytes, sizeof(PausedReceiveBytes));
+    updateHeld();
+}
+
+void ServerConnection::resumeReading()
+{
+    paused_ = false;
+    setsockopt(bufferevent_getfd(stream_), SOL_SOCKET, SO_RCVBUF, &ResumedReceiveBytes, sizeof(ResumedReceiveBytes));
+    restartProgress(context_.loop.now());
+    bufferevent_enable(stream_, EV_READ);
+    updateHeld();
+}
+
+void ServerConnection::closeForMemory()
+{
+    // With an ordinary close the kernel would go on holding what the client does not read.
+    const linger abortive{1, 0};
+    setsockopt(bufferevent_getfd(stream_), SOL_SOCKET, SO_LINGER, &abortive, sizeof(abortive));
+    close();
+}
+
 void ServerConnection::onClientDisconnected()
 {
     if (exchange_) {
