--- a/packages/wire/src/eventhttpserver.cpp
+++ b/packages/wire/src/eventhttpserver.cpp
@@ -9,6 +9,7 @@
 #include <event2/util.h>
 #include <functional>
 #include <limits>
+#include <sys/socket.h>
 #include <utility>
 #include <vector>
 
@@ -26,6 +27,11 @@
 constexpr Duration MinReplacedIdleTime = std::chrono::seconds(1);
 /// After a lack of connections, responses close theirs for this time.
 constexpr Duration CrowdedTime = std::chrono::seconds(1);
+/// The fraction of the memory for clients that the kernel may hold of what they sent, by all connections of a server together.
+constexpr std::size_t ReceiveDivisor = 4;
+/// The kernel chooses the size of a connection's receive buffer itself as long as the share is not below this.
+constexpr std::size_t MinSharedReceiveBytes = 65536;
+constexpr std::size_t MinReceiveBytes = 4096;
 
 /// An HttpServer that uses libevhtp's parser and libevent's buffers. Accepts and counts connections, and closes overdue ones.
 class EventHttpServer final : public HttpServer, private ConnectionPool::Member, private MemoryBudget::Member
@@ -117,11 +123,23 @@
             return;
         }
         ++context_.counters->accepted;
+        limitReceiveBuffer(socket);
         auto connection = std::make_unique<ServerConnection>(context_, socket);
         const auto *key = connection.get();
         context_.connections.emplace(key, std::move(connection));
     }
 
+    /// Where there are many connections, each gets a small receive buffer: the kernel holds what a busy process has not read yet.
+    void limitReceiveBuffer(int socket) const
+    {
+        const std::size_t share = context_.memory->terms().limit / ReceiveDivisor / (openConnections() + 1);
+        if (share < MinSharedReceiveBytes) {
+            // The kernel doubles the size for its own overhead.
+            const int bytes = static_cast<int>(std::max(share / 2, MinReceiveBytes));
+            setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+        }
+    }
+
     /// Returns whether one more connection may be open.
     bool makeRoom()
     {
--- a/packages/wire/src/serverconnection.cpp
+++ b/packages/wire/src/serverconnection.cpp
@@ -31,15 +31,16 @@
 
 /// Unparsed input is read up to this multiple of the limit of a header, so that a header over the limit is noticed.
 constexpr std::size_t InputHeaders = 2;
-/// Long responses are written in pieces, since a piece is freed only when all of it was sent.
-constexpr std::size_t PieceBytes = 65536;
+/// Long responses are written in pieces: a piece is freed only when all of it was sent, and pieces of the size in which responses arrive
+/// take the blocks that those leave.
+constexpr std::size_t PieceBytes = 16384;
 /// From the refusing level on, a connection is not read any further once it holds more than this, and at the exhausted level in any case.
 constexpr std::size_t MinPausedBytes = 16384;
 /// Responses up to this size are sent also if there is no room.
 constexpr std::size_t MinDroppedBytes = 16384;
 /// The receive buffer of a paused connection and of one that is read again. The kernel doubles both for its own overhead.
 constexpr int PausedReceiveBytes = 8192;
-constexpr int ResumedReceiveBytes = 65536;
+constexpr int ResumedReceiveBytes = 16384;
 
 constexpr const char *ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr const char *LastChunk = "0\r\n\r\n";
