Note what is held for others and its bounds, and tell operators

What callers saw: nothing of this yet; operators had no page, metric or line that tells why requests were refused for lack of memory.

The kernel's share is an eighth of the limit: with a quarter the sum for 112 MB (2,152 connections, none of them read) was about 128 MB, with an eighth it is 103 MB.

Ruled out: a smaller account instead, which would refuse bodies that have room while the kernel's buffers are empty.

Not run: the crowd tests with sanitizers.

--- a/packages/daemon/include/burdock/daemon/instancemetrics.h
+++ b/packages/daemon/include/burdock/daemon/instancemetrics.h
@@ -12,6 +12,7 @@
 #include <burdock/policy/membership.h>
 #include <burdock/policy/query.h>
 #include <burdock/wire/httpserver.h>
+#include <burdock/wire/memorybudget.h>
 #include <burdock/wire/peerlinks.h>
 
 namespace Burdock
@@ -29,6 +30,7 @@
     const BackendAdapter &backends;
     const BackendLifeTable &lives;
     const HttpServer &server;
+    const MemoryBudget &memory;
     const PeerLinks &links;
 };
 
--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -68,7 +68,8 @@
 {
     connectHandlers();
     registerInstanceMetrics(
-        metrics_, MetricSources{queryCounters_, tactics_, commandCounters_, admission_, holder_, router_, backends_, backendLives_, *server_, *links_});
+        metrics_,
+        MetricSources{queryCounters_, tactics_, commandCounters_, admission_, holder_, router_, backends_, backendLives_, *server_, *memory_, *links_});
 }
 
 Instance::~Instance() = default;
--- a/packages/daemon/src/instancemetrics.cpp
+++ b/packages/daemon/src/instancemetrics.cpp
@@ -88,6 +88,13 @@
     {"link_messages_dropped", "Messages dropped for a full queue or a lost link.", &PeerLinkCounters::messagesDropped},
 };
 
+const CounterRow<MemoryBudget::Counters> MemoryRows[] = {
+    {"memory_paused", "Connections that were not read any further, to save memory.", &MemoryBudget::Counters::paused},
+    {"memory_refused", "Requests refused before their body was read, for lack of memory.", &MemoryBudget::Counters::refused},
+    {"memory_closed", "Connections closed for lack of memory since they made no progress.", &MemoryBudget::Counters::closed},
+    {"memory_dropped", "Responses dropped for lack of memory.", &MemoryBudget::Counters::dropped},
+};
+
 const CounterRow<CommandCounters> CommandRows[] = {
     {"commands_started", "Commands taken up.", &CommandCounters::started},
     {"commands_dispatched", "Commands sent to a server.", &CommandCounters::dispatched},
@@ -116,6 +123,8 @@
     });
     gauge("links_open", "Open links to peers.", [&links = sources.links] { return static_cast<double>(links.openLinks()); });
     gauge("http_connections", "Open callers' connections.", [&server = sources.server] { return static_cast<double>(server.openConnections()); });
+    gauge("memory_held_bytes", "Memory that is held for callers and servers.", [&memory = sources.memory] { return static_cast<double>(memory.held()); });
+    gauge("memory_limit_bytes", "The memory that may be held for them.", [&memory = sources.memory] { return static_cast<double>(memory.terms().limit); });
     for (const BackendState state : {BackendState::Active, BackendState::Suspected, BackendState::Draining, BackendState::Gone}) {
         const std::string name = "servers_" + std::string(backendStateName(state));
         gauge(name.c_str(), "Listed servers in this state.", [&lives = sources.lives, state] { return static_cast<double>(lives.count(state)); });
@@ -138,6 +147,7 @@
     registerCounters(metrics, RouterRows, [&router = sources.router]() -> const RouterCounters & { return router.counters(); });
     registerCounters(metrics, BackendRows, [&backends = sources.backends]() -> const BackendCounters & { return backends.counters(); });
     registerCounters(metrics, ServerRows, [&server = sources.server]() -> const HttpServerCounters & { return server.counters(); });
+    registerCounters(metrics, MemoryRows, [&memory = sources.memory]() -> const MemoryBudget::Counters & { return memory.counters(); });
     registerCounters(metrics, LinkRows, [&links = sources.links]() -> const PeerLinkCounters & { return links.counters(); });
     registerGauges(metrics, sources);
 }
--- a/packages/wire/src/eventhttpserver.cpp
+++ b/packages/wire/src/eventhttpserver.cpp
@@ -28,7 +28,7 @@
 /// After a lack of connections, responses close theirs for this time.
 constexpr Duration CrowdedTime = std::chrono::seconds(1);
 /// The fraction of the memory for clients that the kernel may hold of what they sent, by all connections of a server together.
-constexpr std::size_t ReceiveDivisor = 4;
+constexpr std::size_t ReceiveDivisor = 8;
 /// The kernel chooses the size of a connection's receive buffer itself as long as the share is not below this.
 constexpr std::size_t MinSharedReceiveBytes = 65536;
 constexpr std::size_t MinReceiveBytes = 4096;
