--- a/packages/router/include/burdock/router/routersettings.h
+++ b/packages/router/include/burdock/router/routersettings.h
@@ -53,6 +53,8 @@
     double cores = 1;
     /// The maximum number of file descriptors of the process.
     std::uint32_t descriptors = 1024;
+    /// The memory of the process's machine, in MB.
+    std::uint32_t memoryMb = 512;
     /// Whether the whole system starts for the first time, so that no instance has written its record yet.
     bool firstStart = false;
 
@@ -75,6 +77,7 @@
                         directoryTtl,
                         cores,
                         descriptors,
+                        memoryMb,
                         firstStart);
     }
 };
--- a/packages/wire/src/eventhttpserver.cpp
+++ b/packages/wire/src/eventhttpserver.cpp
@@ -9,6 +9,7 @@
 #include <event2/util.h>
 #include <functional>
 #include <limits>
+#include <sys/socket.h>
 #include <utility>
 #include <vector>
 
@@ -26,13 +27,18 @@
 constexpr Duration MinReplacedIdleTime = std::chrono::seconds(1);
 /// After a lack of connections, responses close theirs for this time.
 constexpr Duration CrowdedTime = std::chrono::seconds(1);
+/// The fraction of the memory for clients that the kernel may hold of what they sent, by all connections of a server together.
+constexpr std::size_t ReceiveDivisor = 8;
+/// The kernel chooses the size of a connection's receive buffer itself as long as the share is not below this.
+constexpr std::size_t MinSharedReceiveBytes = 65536;
+constexpr std::size_t MinReceiveBytes = 4096;
 
 /// An HttpServer that uses libevhtp's parser and libevent's buffers. Accepts and counts connections, and closes overdue ones.
-class EventHttpServer final : public HttpServer, private ConnectionPool::Member
+class EventHttpServer final : public HttpServer, private ConnectionPool::Member, private MemoryBudget::Member
 {
 public:
-    EventHttpServer(EventLoop &loop, const HttpServerLimits &limits, std::shared_ptr<ConnectionPool> pool)
-        : context_(loop, limits)
+    EventHttpServer(EventLoop &loop, const HttpServerLimits &limits, std::shared_ptr<ConnectionPool> pool, std::shared_ptr<MemoryBudget> memory)
+        : context_(loop, limits, memory ? std::move(memory) : std::make_shared<MemoryBudget>(loop, MemoryTerms()))
         , pool_(pool ? std::move(pool) : std::make_shared<ConnectionPool>(std::numeric_limits<std::uint32_t>::max()))
         , listener_(std::make_unique<Listener>(
               loop, [this](int socket) { accept(socket); }, [this](AcceptError error) { return onAcceptFailed(error); }))
@@ -40,11 +46,13 @@
               loop, std::clamp(std::min(limits.requestTime, limits.idleTime) / SweepsPerLimit, MinSweepInterval, MaxSweepInterval), [this] { closeOverdue(); })
     {
         pool_->add(*this);
+        context_.memory->add(*this);
         sweepTimer_.start();
     }
 
     ~EventHttpServer() override
     {
+        context_.memory->remove(*this);
         pool_->remove(*this);
         context_.loop.cancel(stopTimer_);
         forEachConnection([this](const ServerConnection &connection) { context_.connections.erase(&connection); });
@@ -115,11 +123,23 @@
             return;
         }
         ++context_.counters->accepted;
+        limitReceiveBuffer(socket);
         auto connection = std::make_unique<ServerConnection>(context_, socket);
         const auto *key = connection.get();
         context_.connections.emplace(key, std::move(connection));
     }
 
+    /// Where there are many connections, each gets a small receive buffer: the kernel holds what a busy process has not read yet.
+    void limitReceiveBuffer(int socket) const
+    {
+        const std::size_t share = context_.memory->terms().limit / ReceiveDivisor / (openConnections() + 1);
+        if (share < MinSharedReceiveBytes) {
+            // The kernel doubles the size for its own overhead.
+            const int bytes = static_cast<int>(std::max(share / 2, MinReceiveBytes));
+            setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+        }
+    }
+
     /// Returns whether one more connection may be open.
     bool makeRoom()
     {
@@ -163,6 +183,20 @@
         return replaced;
     }
 
+    void addHolders(std::vector<MemoryBudget::Holder *> &holders) override
+    {
+        for (const auto &[key, connection] : context_.connections) {
+            if (connection->holdsMemory()) {
+                holders.push_back(connection.get());
+            }
+        }
+    }
+
+    bool contains(const MemoryBudget::Holder *holder) const override
+    {
+        return context_.connections.count(static_cast<const ServerConnection *>(holder)) > 0;
+    }
+
     /// Calls the action for each connection. The action may close it.
     template<class Action>
     void forEachConnection(Action action)
@@ -192,9 +226,10 @@
 
 } // namespace
 
-std::unique_ptr<HttpServer> makeHttpServer(EventLoop &loop, const HttpServerLimits &limits, std::shared_ptr<ConnectionPool> pool)
+std::unique_ptr<HttpServer>
+makeHttpServer(EventLoop &loop, const HttpServerLimits &limits, std::shared_ptr<ConnectionPool> pool, std::shared_ptr<MemoryBudget> memory)
 {
-    return std::make_unique<EventHttpServer>(loop, limits, std::move(pool));
+    return std::make_unique<EventHttpServer>(loop, limits, std::move(pool), std::move(memory));
 }
 
 } // namespace Burdock
