Place requests by what they are likely to cost and by what servers still have to do

Requests that look alike cost servers very different amounts of work. The choice of a server compared what is in progress there and took a long request for a late short one, so short requests were put behind long ones, or away from servers with free slots. New: CostEstimates learns the work of requests by route, service, workspace and size; ServerWork what is left at a server and its pace; CostPlacing puts both together as the expected end, which ServerChoice uses for first attempts, retries and hedges. It is off unless the configuration has several workspaces or the servers of a service tell their load (CostPlacing::isOn, the only place). Off, the choice is as before, but for the order of one addition of the cost's terms.

--- a/packages/router/include/burdock/router/headernames.h
+++ b/packages/router/include/burdock/router/headernames.h
@@ -32,6 +32,9 @@
     std::string key{};
     /// In a request to a server: the name of the client's workspace.
     std::string workspace{};
+    /// In a server's response: the numbers of its running requests, its waiting requests and its slots, separated by commas, and
+    /// possibly a fourth: how long work takes there at this moment, in percent of the usual.
+    std::string serverLoad{};
 };
 
 } // namespace Burdock
--- a/packages/router/include/burdock/router/httpbackends.h
+++ b/packages/router/include/burdock/router/httpbackends.h
@@ -3,6 +3,7 @@
 #include <burdock/router/decisionlog.h>
 #include <burdock/router/headernames.h>
 #include <burdock/routing/backendrequests.h>
+#include <burdock/routing/serverwork.h>
 #include <burdock/wire/httpclient.h>
 
 #include <optional>
@@ -20,10 +21,12 @@
     bool leaving = false;
     /// No requests from this instance for this time.
     std::optional<Duration> pause;
+    /// What it told of its load.
+    std::optional<ToldLoad> load;
 
     auto fields() const
     {
-        return std::tie(limit, limitKnown, leaving, pause);
+        return std::tie(limit, limitKnown, leaving, pause, load);
     }
 };
 
@@ -53,6 +56,9 @@
     /// no number of seconds.
     static Result<std::optional<Duration>> readPause(const HttpResponse &response);
 
+    /// Returns the load that a response tells of, nothing if it tells none, or an error if the value is malformed.
+    static Result<std::optional<ToldLoad>> readLoad(const HeaderNames &names, const HttpResponse &response);
+
 private:
     void noteHints(const ServerEntry &server, const HttpResponse &response);
     void logSkipped(const ServerEntry &server, const Failure &failure);
--- a/packages/router/include/burdock/router/routermetrics.h
+++ b/packages/router/include/burdock/router/routermetrics.h
@@ -29,6 +29,10 @@
     /// Adds a value that is read whenever the text is written. `kind` is `counter` or `gauge`.
     void addValue(std::string name, std::string kind, std::string help, std::function<double()> read);
 
+    /// Adds a gauge with labels. `read` calls its argument with the labels, such as `route="a"`, and the value of each series.
+    using SeriesVisitor = std::function<void(const std::string &labels, double value)>;
+    void addSeries(std::string name, std::string help, std::function<void(const SeriesVisitor &)> read);
+
     /// Calls `visit` with the name and current value of each added value.
     void forEachValue(const std::function<void(const std::string &, double)> &visit) const;
 
@@ -54,9 +58,17 @@
         std::function<double()> read;
     };
 
+    struct Series
+    {
+        std::string name;
+        std::string help;
+        std::function<void(const SeriesVisitor &)> read;
+    };
+
     std::map<std::pair<std::string, std::string>, AnswerStatistics> answers_;
     std::uint64_t disconnects_ = 0;
     std::vector<Value> values_;
+    std::vector<Series> series_;
 };
 
 } // namespace Burdock
--- a/packages/router/src/httpbackends.cpp
+++ b/packages/router/src/httpbackends.cpp
@@ -18,6 +18,10 @@
 constexpr const char *RetryAfter = "retry-after";
 /// A server that asks for more is asked again after this time.
 constexpr Duration MaxPause = std::chrono::hours(1);
+/// The numbers of running requests, waiting requests and slots are always told, the pace sometimes.
+constexpr std::size_t LoadFigures = 3;
+constexpr double UsualPacePercent = 100;
+constexpr double MaxLoadFigure = 1e6;
 constexpr std::array<const char *, 11> ConnectionHeaders{"connection",
                                                          "content-length",
                                                          "expect",
@@ -153,6 +157,29 @@
     return std::optional(std::chrono::duration_cast<Duration>(pause));
 }
 
+Result<std::optional<ToldLoad>> HttpBackends::readLoad(const HeaderNames &names, const HttpResponse &response)
+{
+    const std::string text = valueOf(response.headers, names.serverLoad);
+    if (text.empty()) {
+        return std::optional<ToldLoad>();
+    }
+    std::vector<double> figures;
+    for (const std::string &item : splitList(text)) {
+        double figure = 0;
+        const auto [end, error] = std::from_chars(item.data(), item.data() + item.size(), figure);
+        if (error != std::errc() || end != item.data() + item.size() || !(figure >= 0 && figure <= MaxLoadFigure)) {
+            return notRun(Errc::BadRequest, "the load '" + text + "' is no list of numbers from zero up");
+        }
+        figures.push_back(figure);
+    }
+    if (figures.size() < LoadFigures || figures.size() > LoadFigures + 1 || figures[2] < 1) {
+        return notRun(Errc::BadRequest, "the load '" + text + "' has not three or four figures, or no slots");
+    }
+    const double pace = figures.size() > LoadFigures ? figures[LoadFigures] / UsualPacePercent : 1;
+    return std::optional(
+        ToldLoad{static_cast<std::uint32_t>(figures[0]), static_cast<std::uint32_t>(figures[1]), static_cast<std::uint32_t>(figures[2]), pace > 0 ? pace : 1});
+}
+
 void HttpBackends::logSkipped(const ServerEntry &server, const Failure &failure)
 {
     log_.write(DecisionPriority::Problem, "hint.skipped", {{"server", server.id.text()}, {"reason", failure.message}});
@@ -179,6 +206,12 @@
         hints.limitKnown = false;
         logSkipped(server, limit.error());
     }
+    const auto load = readLoad(names_, response);
+    if (load) {
+        hints.load = *load;
+    } else {
+        logSkipped(server, load.error());
+    }
     onHints_(server, hints);
 }
 
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -1,5 +1,6 @@
 #include <burdock/router/router.h>
 
+#include <burdock/router/costmetrics.h>
 #include <burdock/router/crashreportcodec.h>
 #include <burdock/router/instancecodec.h>
 #include <burdock/router/passonheaders.h>
@@ -147,6 +148,8 @@
                     {"service", event.service},
                     {"server", event.server},
                     {"reason", event.reason},
+                    {"expectedUs", event.expected.count()},
+                    {"workUs", event.work.count()},
                     {"ageUs", event.age.count()}});
     }
 
@@ -489,6 +492,7 @@
 {
     clientEndpoint_.setConfigVersion(routes->config().version);
     choice_.setConnections(routes->config().services);
+    choice_.placing().setConfig(routes->config());
     trials_.setServices(routes->config().services);
     coordinator_.setRoutes(routes);
     clients_->setLimits(clientLimits(routes->config().limits, settings_.descriptors));
@@ -719,6 +723,9 @@
     if (hints.limitKnown) {
         limits_.onAnswer(server, hints.limit, now);
     }
+    if (hints.load) {
+        choice_.placing().onTold(server, *hints.load, now);
+    }
     const auto log = [this, &server](const char *outcome, Duration span) {
         log_.write(
             DecisionPriority::Change,
@@ -826,6 +833,7 @@
     counter("burdock_connections_timed_out_total", "Clients' connections that were closed since they sent or read too slowly.", &clients.timedOut);
     counter("burdock_answers_dropped_total", "Answers whose clients had closed their connections.", &clients.droppedAnswers);
     counter("burdock_cut_offs_total", "Times that no server could be reached.", &cutOffs_);
+    addCostMetrics(metrics_, choice_.placing(), loop_);
     metrics_.addValue("burdock_cut_off", "gauge", "Whether no server can be reached.", [this] { return reach_.isCutOff() ? 1.0 : 0.0; });
     metrics_.addValue("burdock_reach_trials_total", "counter", "Requests to servers' health paths while none can be reached.", [this] {
         return static_cast<double>(trials_.count());
--- a/packages/router/src/routermetrics.cpp
+++ b/packages/router/src/routermetrics.cpp
@@ -40,6 +40,11 @@
     values_.push_back(Value{std::move(name), std::move(kind), std::move(help), std::move(read)});
 }
 
+void RouterMetrics::addSeries(std::string name, std::string help, std::function<void(const SeriesVisitor &)> read)
+{
+    series_.push_back(Series{std::move(name), std::move(help), std::move(read)});
+}
+
 void RouterMetrics::forEachValue(const std::function<void(const std::string &, double)> &visit) const
 {
     for (const Value &value : values_) {
@@ -77,6 +82,10 @@
         writeHeader(out, value.name, value.kind, value.help);
         out << value.name << ' ' << value.read() << '\n';
     }
+    for (const Series &series : series_) {
+        writeHeader(out, series.name, "gauge", series.help);
+        series.read([&out, &series](const std::string &labels, double value) { out << series.name << '{' << labels << "} " << value << '\n'; });
+    }
     return out.str();
 }
 
--- a/packages/router/tests/serverreplytest.cpp
+++ b/packages/router/tests/serverreplytest.cpp
@@ -109,6 +109,22 @@
     }
 }
 
+TEST_CASE("The load that a server tells is read from any response, and a malformed one is an error", "[backends][load]")
+{
+    HeaderNames names = Names;
+    names.serverLoad = "x-load";
+    const auto read = [&names](const std::string &value) { return HttpBackends::readLoad(names, HttpResponse{503, {{"x-load", value}}, ""}); };
+    CHECK(read("3,2,4").value() == ToldLoad{3, 2, 4, 1});
+    CHECK(read("3, 2, 4, 250").value() == ToldLoad{3, 2, 4, 2.5});
+    CHECK(read("0,0,1,0").value() == ToldLoad{0, 0, 1, 1});
+    CHECK_FALSE(HttpBackends::readLoad(names, HttpResponse{200, {}, ""}).value());
+    CHECK_FALSE(HttpBackends::readLoad(Names, HttpResponse{200, {{"x-load", "3,2,4"}}, ""}).value());
+    for (const char *malformed : {",", "3,2", "3,2,0", "-1,2,4", "3,2,4,nan", "3,2,4,inf", "3,2,4,100,3,2,4", "3;2;4", "9999999,0,4", "a,b,c"}) {
+        INFO(malformed);
+        CHECK_FALSE(read(malformed));
+    }
+}
+
 TEST_CASE("The time for which a server that turns requests away wants none is read as seconds, and nothing else", "[backends][notices]")
 {
     const auto read = [](int status, const std::string &value) { return HttpBackends::readPause(HttpResponse{status, {{"retry-after", value}}, ""}); };
--- a/packages/routing/include/burdock/routing/backendrequests.h
+++ b/packages/routing/include/burdock/routing/backendrequests.h
@@ -28,6 +28,8 @@
     std::optional<Duration> clientTimeout;
     /// Set if another instance passed the request on to this one.
     std::optional<PassOnTerms> passedOn{};
+    /// The name of the client's workspace, which servers get; empty if the request needs none.
+    std::string workspace{};
 };
 
 /// A complete response of a backend server.
--- a/packages/routing/include/burdock/routing/routingcontext.h
+++ b/packages/routing/include/burdock/routing/routingcontext.h
@@ -46,6 +46,9 @@
     /// The cause, in a few words; of a crash, the request's fingerprint.
     const std::string &reason;
     Duration age{0};
+    /// The expected time until the server's answer, if there is one, and the expected work of the request if it is placed by cost.
+    Duration expected{0};
+    Duration work{0};
 };
 
 /// One request that was passed on to a peer, for the log.
--- a/packages/routing/include/burdock/routing/serverchoice.h
+++ b/packages/routing/include/burdock/routing/serverchoice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/routing/connectionshares.h>
+#include <burdock/routing/costplacing.h>
 #include <burdock/routing/hedgethreshold.h>
 #include <burdock/routing/latencytracker.h>
 #include <burdock/routing/serverlimits.h>
@@ -27,6 +28,9 @@
 /// slots fill up, while a request there is overdue, and with its failure rate. A server of another region is chosen when all
 /// servers of this region cost more than the longer network path. When the load exceeds the capacity of all servers, requests
 /// are spread evenly and the servers refuse the excess.
+///
+/// For requests that are placed by cost, see CostPlacing, the expected end takes the place of the expected latency and of the use of
+/// the slots.
 class ServerChoice
 {
 public:
@@ -61,7 +65,8 @@
 
     /// Returns the best server that is not in `tried`; null if no server may get a request now. Servers at the limit that they named
     /// are left out, and those that are leaving or want no requests for a while.
-    ChosenServer choose(const Route &route, const ServiceName &service, const std::vector<ServerId> &tried, TimePoint now);
+    /// `cost` is that of the request if it is placed by cost, else null.
+    ChosenServer choose(const Route &route, const ServiceName &service, const std::vector<ServerId> &tried, TimePoint now, const RequestCost *cost = nullptr);
 
     /// Whether any server names a limit.
     bool hasLimits() const
@@ -91,18 +96,26 @@
 
     Distance distance(const ServerEntry &server) const;
 
+    CostPlacing &placing()
+    {
+        return placing_;
+    }
+
     /// Records that a request was sent, possibly as a retry or hedge, or answered.
-    void onSent(const Route &route, const ServerEntry &server, TimePoint now, bool repeat = false);
-    void onAnswered(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now);
+    void onSent(const Route &route, const ServerEntry &server, TimePoint now, bool repeat = false, const RequestCost *cost = nullptr);
+    void onAnswered(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now, const RequestCost *cost = nullptr);
 
     /// Records that a request was abandoned without an answer. If it was overdue, the wait counts as a failure and as a latency
     /// sample, since the server is at least that slow; otherwise it does not affect the statistics.
-    void onAbandoned(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now);
+    void onAbandoned(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now, const RequestCost *cost = nullptr);
 
 private:
-    Duration expectedOf(const Route &route, const ServerEntry &server, TimePoint now) const;
+    Duration expectedOf(const Route &route, const ServerEntry &server, TimePoint now, const RequestCost *cost = nullptr) const;
     Duration overdueAfter(const Route &route, Duration expected) const;
-    double cost(const Route &route, const ServerEntry &server, Duration expected, TimePoint now);
+    /// Returns the expected latency, raised as the server's slots fill up, in microseconds.
+    double busyLatency(const ServerEntry &server, Duration expected) const;
+    /// Returns the age of the oldest request at the server if it is overdue, else zero.
+    Duration overdueAge(const Route &route, const ServerEntry &server, Duration expected, TimePoint now, const RequestCost *cost) const;
 
     const ServerTable &table_;
     LatencyTracker &latencies_;
@@ -112,6 +125,7 @@
     const std::map<DataCentre, Region> regions_;
     const Region ownRegion_;
     HedgeThreshold hedgeThreshold_;
+    CostPlacing placing_{load_, latencies_};
     std::mt19937_64 random_;
     std::size_t instancesInRegion_ = 1;
     double connectionFraction_ = ConnectionShares::UsedFraction;
--- a/packages/routing/include/burdock/routing/serverload.h
+++ b/packages/routing/include/burdock/routing/serverload.h
@@ -4,18 +4,33 @@
 #include <burdock/values/runtime.h>
 
 #include <cstdint>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
 namespace Burdock
 {
 
+/// A request in flight at a server. Those that are not placed by cost have no expectations.
+struct OpenRequest
+{
+    TimePoint sentAt{};
+    /// The work that it was expected to cost, and how long it was expected to wait for a slot.
+    Duration work{0};
+    Duration wait{0};
+
+    auto fields() const
+    {
+        return std::tie(sentAt, work, wait);
+    }
+};
+
 /// Tracks this instance's requests in flight at each server and their recent outcomes.
 class ServerLoad
 {
 public:
-    /// Records a request sent at `now`.
-    void onSent(const ServerId &server, TimePoint now);
+    /// Records a request.
+    void onSent(const ServerId &server, const OpenRequest &request);
 
     /// Record that a request sent at `sentAt` ended with an answer, with a refusal or connection failure, or with a failure after
     /// which it may have run.
@@ -44,6 +59,12 @@
     /// Returns the number of requests in flight.
     std::uint32_t inFlight(const ServerId &server) const;
 
+    /// Returns the request in flight that was sent at that time; without expectations if there is none.
+    OpenRequest find(const ServerId &server, TimePoint sentAt) const;
+
+    /// Returns the requests in flight.
+    const std::vector<OpenRequest> &open(const ServerId &server) const;
+
     /// Returns the age of the oldest request in flight; zero if there is none. Requests whose waits are disregarded are left out.
     Duration oldest(const ServerId &server, TimePoint now) const;
 
@@ -73,7 +94,7 @@
 
     struct Server
     {
-        std::vector<TimePoint> open;
+        std::vector<OpenRequest> open;
         Failures failures;
         /// The failures before the first one since the given number of responses.
         Failures before;
@@ -82,6 +103,7 @@
     };
 
     void keepForWithdrawal(Server &server) const;
+    static void removeOpen(Server &server, TimePoint sentAt);
     void finishRequest(Server &server, TimePoint sentAt, double failure, TimePoint now);
 
     std::unordered_map<ServerId, Server> servers_;
--- a/packages/routing/include/burdock/routing/servicecall.h
+++ b/packages/routing/include/burdock/routing/servicecall.h
@@ -97,6 +97,12 @@
     /// Continues once the trial allows another attempt.
     void resume();
     ChosenServer chooseServer(TimePoint now) const;
+    /// Returns the server that is expected to answer first, of those without attempts of this call.
+    ChosenServer chooseUntried(TimePoint now) const;
+    const RequestCost *cost() const
+    {
+        return cost_ ? &*cost_ : nullptr;
+    }
     bool sendAttempt(const char *kind, const std::string &reason);
     void scheduleHedge(const ChosenServer &chosen);
     void sendHedge();
@@ -122,6 +128,8 @@
     const TimePoint deadline_;
     /// The time by which an answer has its full value.
     const TimePoint targetTime_;
+    /// Set if the request is placed by cost.
+    const std::optional<RequestCost> cost_;
     Done done_;
     std::map<std::uint64_t, Attempt> attempts_;
     std::vector<ServerId> tried_;
--- a/packages/routing/src/serverchoice.cpp
+++ b/packages/routing/src/serverchoice.cpp
@@ -54,6 +54,7 @@
 void ServerChoice::setInstances(std::size_t inRegion)
 {
     instancesInRegion_ = std::max<std::size_t>(inRegion, 1);
+    placing_.setInstances(inRegion);
 }
 
 void ServerChoice::setConnectionFraction(double fraction)
@@ -75,6 +76,7 @@
     limits_.onRemoved(server, now);
     latencies_.forget(server);
     load_.forget(server);
+    placing_.forget(server);
 }
 
 void ServerChoice::setConnections(const std::vector<RoutedService> &services)
@@ -98,9 +100,10 @@
     return region != regions_.end() && region->second == ownRegion_ ? Distance::SameRegion : Distance::OtherRegion;
 }
 
-Duration ServerChoice::expectedOf(const Route &route, const ServerEntry &server, TimePoint now) const
+Duration ServerChoice::expectedOf(const Route &route, const ServerEntry &server, TimePoint now, const RequestCost *cost) const
 {
-    const Duration expected = latencies_.expected(route.name, route.target, server.id, distance(server), now);
+    const Duration expected = cost != nullptr ? placing_.expectedEnd(route, server, distance(server), cost->estimate.work, now)
+                                              : latencies_.expected(route.name, route.target, server.id, distance(server), now);
     const bool cold = load_.coldUntil(server.id) > now && !latencies_.hasSamples(route.name, server.id);
     return cold ? Duration(static_cast<Duration::rep>(static_cast<double>(expected.count()) * ColdLatencyFactor)) : expected;
 }
@@ -116,21 +119,23 @@
     return overdueAfter(route, expectedOf(route, server, now));
 }
 
-double ServerChoice::cost(const Route &route, const ServerEntry &server, Duration expected, TimePoint now)
+double ServerChoice::busyLatency(const ServerEntry &server, Duration expected) const
 {
-    auto cost = static_cast<double>(expected.count());
     const double sharers = distance(server) == Distance::SameRegion ? static_cast<double>(instancesInRegion_) : 1;
     const double use = load_.inFlight(server.id) * sharers / std::max(1U, server.slots);
-    cost *= 1 + std::max(0.0, use - BusyThreshold) * BusyCostSlope;
-    const Duration oldest = load_.oldest(server.id, now);
-    if (oldest > overdueAfter(route, expected)) {
-        cost += static_cast<double>(oldest.count()) * OverdueWeight;
+    return static_cast<double>(expected.count()) * (1 + std::max(0.0, use - BusyThreshold) * BusyCostSlope);
+}
+
+Duration ServerChoice::overdueAge(const Route &route, const ServerEntry &server, Duration expected, TimePoint now, const RequestCost *cost) const
+{
+    if (cost != nullptr) {
+        return placing_.overdue(server, now);
     }
-    cost += load_.failureRate(server.id, now) * FailureCostMicroseconds;
-    return cost * (1 + MaxJitter * std::uniform_real_distribution<double>()(random_));
+    const Duration oldest = load_.oldest(server.id, now);
+    return oldest > overdueAfter(route, expected) ? oldest : Duration{0};
 }
 
-ChosenServer ServerChoice::choose(const Route &route, const ServiceName &service, const std::vector<ServerId> &tried, TimePoint now)
+ChosenServer ServerChoice::choose(const Route &route, const ServiceName &service, const std::vector<ServerId> &tried, TimePoint now, const RequestCost *cost)
 {
     ChosenServer best;
     double least = 0;
@@ -141,12 +146,15 @@
             || !limits_.allows(server->id, route.priority, !tried.empty(), now)) {
             continue;
         }
-        const Duration expected = expectedOf(route, *server, now);
-        const double cost = this->cost(route, *server, expected, now);
-        if (!best.server || cost < least) {
+        const Duration expected = expectedOf(route, *server, now, cost);
+        const double latency = cost != nullptr ? static_cast<double>(expected.count()) : busyLatency(*server, expected);
+        const double jitter = 1 + MaxJitter * std::uniform_real_distribution<double>()(random_);
+        const double overdue = static_cast<double>(overdueAge(route, *server, expected, now, cost).count()) * OverdueWeight;
+        const double total = (latency + overdue + load_.failureRate(server->id, now) * FailureCostMicroseconds) * jitter;
+        if (!best.server || total < least) {
             best.server = server;
             best.expected = expected;
-            least = cost;
+            least = total;
         }
     }
     return best;
@@ -183,15 +191,18 @@
     hedgeThreshold_.onHedged(route.name);
 }
 
-void ServerChoice::onSent(const Route &route, const ServerEntry &server, TimePoint now, bool repeat)
+void ServerChoice::onSent(const Route &route, const ServerEntry &server, TimePoint now, bool repeat, const RequestCost *cost)
 {
     limits_.onSent(server.id, route.priority, repeat, now);
-    load_.onSent(server.id, now);
+    load_.onSent(server.id, cost != nullptr ? placing_.open(server, cost->estimate.work, now) : OpenRequest{now});
 }
 
-void ServerChoice::onAbandoned(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now)
+void ServerChoice::onAbandoned(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now, const RequestCost *cost)
 {
     const Duration waited = now - sentAt;
+    if (cost != nullptr) {
+        placing_.onAbandoned(route, server, distance(server), load_.find(server.id, sentAt), now);
+    }
     if (waited <= overdueAfter(route, server, now)) {
         load_.onAbandoned(server.id, sentAt);
         return;
@@ -200,8 +211,11 @@
     latencies_.addSample(route.name, route.target, server.id, distance(server), waited, now);
 }
 
-void ServerChoice::onAnswered(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now)
+void ServerChoice::onAnswered(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now, const RequestCost *cost)
 {
+    if (cost != nullptr) {
+        placing_.onAnswered(route, server, distance(server), *cost, load_.find(server.id, sentAt), now);
+    }
     load_.onAnswered(server.id, sentAt, now);
     latencies_.addSample(route.name, route.target, server.id, distance(server), now - sentAt, now);
 }
--- a/packages/routing/src/serverload.cpp
+++ b/packages/routing/src/serverload.cpp
@@ -24,17 +24,22 @@
 
 } // namespace
 
-void ServerLoad::onSent(const ServerId &server, TimePoint now)
+void ServerLoad::onSent(const ServerId &server, const OpenRequest &request)
 {
-    servers_[server].open.push_back(now);
+    servers_[server].open.push_back(request);
 }
 
-void ServerLoad::finishRequest(Server &server, TimePoint sentAt, double failure, TimePoint now)
+void ServerLoad::removeOpen(Server &server, TimePoint sentAt)
 {
-    const auto open = std::find(server.open.begin(), server.open.end(), sentAt);
+    const auto open = std::find_if(server.open.begin(), server.open.end(), [sentAt](const OpenRequest &request) { return request.sentAt == sentAt; });
     if (open != server.open.end()) {
         server.open.erase(open);
     }
+}
+
+void ServerLoad::finishRequest(Server &server, TimePoint sentAt, double failure, TimePoint now)
+{
+    removeOpen(server, sentAt);
     const double share = decayed(server.failures.rate, now - server.failures.rateAt);
     server.failures.rate = share + FailureWeight * (failure - share);
     server.failures.rateAt = now;
@@ -82,11 +87,7 @@
 
 void ServerLoad::onAbandoned(const ServerId &server, TimePoint sentAt)
 {
-    Server &state = servers_[server];
-    const auto open = std::find(state.open.begin(), state.open.end(), sentAt);
-    if (open != state.open.end()) {
-        state.open.erase(open);
-    }
+    removeOpen(servers_[server], sentAt);
 }
 
 std::uint32_t ServerLoad::inFlight(const ServerId &server) const
@@ -95,13 +96,27 @@
     return found == servers_.end() ? 0 : static_cast<std::uint32_t>(found->second.open.size());
 }
 
+OpenRequest ServerLoad::find(const ServerId &server, TimePoint sentAt) const
+{
+    const std::vector<OpenRequest> &all = open(server);
+    const auto found = std::find_if(all.begin(), all.end(), [sentAt](const OpenRequest &request) { return request.sentAt == sentAt; });
+    return found == all.end() ? OpenRequest{sentAt} : *found;
+}
+
+const std::vector<OpenRequest> &ServerLoad::open(const ServerId &server) const
+{
+    static const std::vector<OpenRequest> none;
+    const auto found = servers_.find(server);
+    return found == servers_.end() ? none : found->second.open;
+}
+
 Duration ServerLoad::oldest(const ServerId &server, TimePoint now) const
 {
     const auto found = servers_.find(server);
     TimePoint first = now;
     if (found != servers_.end()) {
-        for (const TimePoint sentAt : found->second.open) {
-            first = sentAt < waitsCountFrom_ ? first : std::min(first, sentAt);
+        for (const OpenRequest &request : found->second.open) {
+            first = request.sentAt < waitsCountFrom_ ? first : std::min(first, request.sentAt);
         }
     }
     return now - first;
--- a/packages/routing/src/servicecall.cpp
+++ b/packages/routing/src/servicecall.cpp
@@ -44,6 +44,7 @@
     , trial_(std::move(trial))
     , deadline_(deadline)
     , targetTime_(targetTime)
+    , cost_(context.choice.placing().costOf(*route_, service_, request_->body.size(), request_->workspace, context.runtime.now()))
 {
 }
 
@@ -57,7 +58,7 @@
         if (context_.reach.wasCutOffSince(attempt.sentAt)) {
             context_.load.onAbandoned(attempt.server->id, attempt.sentAt);
         } else {
-            context_.choice.onAbandoned(*route_, *attempt.server, attempt.sentAt, context_.runtime.now());
+            context_.choice.onAbandoned(*route_, *attempt.server, attempt.sentAt, context_.runtime.now(), cost());
         }
     }
 }
@@ -143,6 +144,11 @@
     context_.runtime.cancel(std::exchange(hedgeTimer_, 0));
 }
 
+ChosenServer ServiceCall::chooseUntried(TimePoint now) const
+{
+    return context_.choice.choose(*route_, service_, tried_, now, cost());
+}
+
 ChosenServer ServiceCall::chooseServer(TimePoint now) const
 {
     if (!trial_->isFree()) {
@@ -153,12 +159,12 @@
                 excluded.push_back(server->id);
             }
         }
-        ChosenServer chosen = context_.choice.choose(*route_, service_, excluded, now);
+        ChosenServer chosen = context_.choice.choose(*route_, service_, excluded, now, cost());
         if (chosen.server) {
             return chosen;
         }
     }
-    return context_.choice.choose(*route_, service_, tried_, now);
+    return chooseUntried(now);
 }
 
 bool ServiceCall::sendAttempt(const char *kind, const std::string &reason)
@@ -180,7 +186,7 @@
     tried_.push_back(chosen.server->id);
     Attempt attempt{0, chosen.server, now, !first && !attempts_.empty(), 0};
     attempt.reachId = context_.reach.onSent(*chosen.server, context_.choice.overdueAfter(*route_, *chosen.server, now));
-    context_.choice.onSent(*route_, *chosen.server, now, !first);
+    context_.choice.onSent(*route_, *chosen.server, now, !first, cost());
     trial_->onSent(chosen.server->id);
     // Before sending, which may throw: what was counted above ends with the attempt.
     attempts_.emplace(number, std::move(attempt));
@@ -189,7 +195,14 @@
     if (first) {
         ++context_.counters.firstSends;
     } else {
-        context_.journal.note({kind, request_->id, service_.text(), chosen.server->id.text(), reason, now - request_->arrived});
+        context_.journal.note({kind,
+                               request_->id,
+                               service_.text(),
+                               chosen.server->id.text(),
+                               reason,
+                               now - request_->arrived,
+                               chosen.expected,
+                               cost_ ? cost_->estimate.work : Duration{0}});
     }
     scheduleHedge(chosen);
     return true;
@@ -207,7 +220,7 @@
         return;
     }
     const TimePoint now = context_.runtime.now();
-    const ChosenServer other = context_.choice.choose(*route_, service_, tried_, now);
+    const ChosenServer other = chooseUntried(now);
     if (!other.server) {
         return;
     }
@@ -220,7 +233,7 @@
 void ServiceCall::sendHedge()
 {
     hedgeTimer_ = 0;
-    if (context_.reach.isCutOff() || !mayRunAgain() || context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server == nullptr) {
+    if (context_.reach.isCutOff() || !mayRunAgain() || chooseUntried(context_.runtime.now()).server == nullptr) {
         return;
     }
     if (!context_.budget.tryAcquire(service_, context_.runtime.now(), RetryReserveFraction)) {
@@ -247,7 +260,7 @@
         // Neither the failure nor the time that it took is the server's.
         context_.load.onAbandoned(attempt.server->id, attempt.sentAt);
     } else if (isSuccess(reply)) {
-        context_.choice.onAnswered(*route_, *attempt.server, attempt.sentAt, now);
+        context_.choice.onAnswered(*route_, *attempt.server, attempt.sentAt, now, cost());
         if (sends_ == 1) {
             context_.choice.onNotHedged(*route_);
         }
@@ -336,7 +349,7 @@
     if (sendingStopped_ || !timeLeft || !(nothingRan || mayRunAgain()) || sends_ >= route_->attempts + MaxExtraRefusals) {
         return false;
     }
-    return context_.choice.choose(*route_, service_, tried_, context_.runtime.now()).server != nullptr;
+    return chooseUntried(context_.runtime.now()).server != nullptr;
 }
 
 bool ServiceCall::tryRetry(const std::string &reason)
--- a/packages/routing/tests/choicetest.cpp
+++ b/packages/routing/tests/choicetest.cpp
@@ -70,7 +70,7 @@
     fixture.addServer("near1", "parts");
     const Route route = RoutingFixture::route("parts");
     const auto inBackoff = [&] { return fixture.choice.choose(route, ServiceName("parts"), {}, fixture.runtime.now()).server == nullptr; };
-    fixture.load.onSent(ServerId("near1"), fixture.runtime.now());
+    fixture.load.onSent(ServerId("near1"), {fixture.runtime.now()});
     fixture.load.onRefused(ServerId("near1"), fixture.runtime.now(), fixture.runtime.now());
     REQUIRE(inBackoff());
     ServerEntry restarted = *fixture.servers.servers(ServiceName("parts")).front();
@@ -169,16 +169,16 @@
     ServerLoad load;
     const ServerId server("p1");
     const TimePoint start{seconds(10)};
-    load.onSent(server, start);
+    load.onSent(server, {start});
     load.onRefused(server, start, start);
     const Duration first = load.backoffUntil(server) - start;
-    load.onSent(server, start);
+    load.onSent(server, {start});
     load.onRefused(server, start, start);
     const Duration second = load.backoffUntil(server) - start;
     CHECK(second > first);
-    load.onSent(server, start);
+    load.onSent(server, {start});
     load.onAnswered(server, start, start);
-    load.onSent(server, start);
+    load.onSent(server, {start});
     load.onRefused(server, start, start);
     CHECK(load.backoffUntil(server) - start == first);
 }
