--- a/packages/router/include/burdock/router/router.h
+++ b/packages/router/include/burdock/router/router.h
@@ -7,6 +7,7 @@
 #include <burdock/router/dialect.h>
 #include <burdock/router/httpbackends.h>
 #include <burdock/router/httppeers.h>
+#include <burdock/router/rateservice.h>
 #include <burdock/router/relayedstore.h>
 #include <burdock/router/routermetrics.h>
 #include <burdock/router/routersettings.h>
@@ -106,6 +107,7 @@
     ServerLoad load_;
     ServerLimits limits_;
     ServerNotices notices_;
+    EmptiedDataCentres emptied_;
     ConnectionShares connectionShares_;
     ServerChoice choice_;
     RepeatBudget budget_;
@@ -116,6 +118,7 @@
     HttpBackends backends_;
     HttpPeers peerRequests_;
     PeerChoice peerChoice_;
+    RateService rates_;
     RoutingContext context_;
     RelayChoice relays_;
     RelayedStore store_;
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -4,6 +4,7 @@
 #include <burdock/router/crashreportcodec.h>
 #include <burdock/router/instancecodec.h>
 #include <burdock/router/passonheaders.h>
+#include <burdock/router/refusalmetrics.h>
 #include <burdock/router/relaycodec.h>
 #include <burdock/routing/dataage.h>
 #include <burdock/wire/factories.h>
@@ -170,7 +171,10 @@
 private:
     static std::string_view nameOf(std::string_view decision)
     {
-        return decision == "limit" ? "request.limited" : decision == "crash" ? "request.crashed" : "request.repeated";
+        return decision == "limit" ? "request.limited"
+            : decision == "place"  ? "request.unplaced"
+            : decision == "crash"  ? "request.crashed"
+                                   : "request.repeated";
     }
 
     DecisionLog &log_;
@@ -196,7 +200,7 @@
     , instances_(seed)
     , limits_(settings.id, [this](const LimitReport &report) { logLimit(report); })
     , connectionShares_(settings.id)
-    , choice_(servers_, latencies_, load_, limits_, notices_, settings.regions, settings.region, seed)
+    , choice_(servers_, latencies_, load_, limits_, notices_, emptied_, settings.regions, settings.region, seed)
     , budget_(settings.repeats, loop.now())
     , crashes_([this](Duration clearingTime) { crashReports_.onChanged(clearingTime); })
     , reach_(
@@ -217,9 +221,11 @@
                   [this](const InstanceId &id) { return instances_.contains(id); },
                   settings.id,
                   seed)
+    , rates_(
+          loop, client, settings_, instances_, self_, [this] { return lease_.confirmedAt(); }, seed | 1, log)
     , context_{loop, backends_, servers_, choice_, load_, budget_, crashes_, reach_, counters_, *journal_, peerRequests_, peerChoice_}
     , relays_(settings.id)
-    , store_(loop, client, store, relays_, dialect.instancesPrefix(), log, firstListingDelay(settings))
+    , store_(loop, client, store, relays_, dialect.instancesPrefix(), log, firstListingDelay(settings), dialect.emptiedPrefix())
     , lease_(
           loop,
           store,
@@ -249,6 +255,7 @@
             dialect,
             servers_,
             instances_,
+            settings.emptiesDataCentres ? &emptied_ : nullptr,
             relay_,
             log,
             {[this](const std::shared_ptr<const RouteTable> &routes) { onRoutesChanged(routes); },
@@ -257,7 +264,7 @@
              [this](std::int64_t history) { onHistoryLost(history); },
              [this](const InstanceId &from, const std::vector<CrashReport> &reports) { onCrashReports(from, reports); }})
     , inquiry_(loop, client, log, {[this](const StoreEntry &config) { feed_.offerConfig(config); }, [this] { updateReadiness(); }})
-    , coordinator_(context_, seed)
+    , coordinator_(context_, rates_.limiter(), seed)
     , clientEndpoint_(loop, coordinator_, log, metrics_, dialect.headers())
     , connections_(std::make_shared<ConnectionPool>(static_cast<std::uint32_t>(settings.descriptors * PooledDescriptorFraction)))
     , clients_(makeHttpServer(loop, clientLimits({}, settings.descriptors), connections_))
@@ -273,6 +280,7 @@
     clients_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { clientEndpoint_.serve(std::move(in), out); });
     readiness_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveReadiness(in, out); });
     directory_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveDirectory(in, out); });
+    self_.followsEmptied = settings.emptiesDataCentres;
     client_.setShortageHandler([connections = connections_] { return connections->closeIdle(); });
     peers_->setFailureResponse(PassOnHeaders::failureResponse());
     peers_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { servePeers(std::move(in), out); });
@@ -481,6 +489,10 @@
         takePushedReports(incoming, *responder);
         return;
     }
+    if (incoming.path == RateService::Path) {
+        rates_.serve(incoming, *responder);
+        return;
+    }
     if (incoming.path == ConfigInquiry::Path) {
         servePeerConfig(responder);
         return;
@@ -494,6 +506,7 @@
     choice_.setConnections(routes->config().services);
     choice_.placing().setConfig(routes->config());
     trials_.setServices(routes->config().services);
+    rates_.setConfig(routes->config());
     coordinator_.setRoutes(routes);
     clients_->setLimits(clientLimits(routes->config().limits, settings_.descriptors));
     peers_->setLimits(peerLimits(routes->config().limits, settings_.descriptors));
@@ -510,6 +523,7 @@
     const Senders senders = instances_.senders(self_);
     budget_.setInstances(senders.self ? senders.count : instances_.count(self_) * OutsiderBudgetDivisor, loop_.now());
     limits_.setSenders(feed_.hasInstances() ? instances_.senderIds(self_) : std::vector<InstanceId>(), loop_.now());
+    rates_.onInstancesChanged(feed_.hasInstances());
     relays_.setInstances(instances_.recordsIn(self_.region));
     store_.setAnswerInterval(relays_.hasChildren() ? DataAge::storeAnswerInterval(relays_.depth()) : Duration::max());
     updateRole();
@@ -815,6 +829,7 @@
 
 void Router::registerMetrics()
 {
+    rates_.registerMetrics(metrics_);
     const auto counter = [this](const char *name, const char *help, const std::uint64_t *value) {
         metrics_.addValue(name, "counter", help, [value] { return static_cast<double>(*value); });
     };
@@ -822,8 +837,7 @@
     counter("burdock_hedges_total", "Requests sent to a second server because the first was late.", &counters_.hedges);
     counter("burdock_retries_total", "Requests sent to another server after a failure.", &counters_.retries);
     counter("burdock_repeats_denied_total", "Hedges and retries that the budget did not allow.", &counters_.repeatsDenied);
-    counter("burdock_refused_by_servers_total", "Requests that a server did not run.", &counters_.refusedByServers);
-    counter("burdock_refused_as_guilty_total", "Requests that are known to crash servers, refused at once.", &counters_.refusedAsGuilty);
+    addRefusalMetrics(metrics_, counters_);
     counter("burdock_failed_at_servers_total", "Requests that failed and may have run.", &counters_.failedAtServers);
     const HttpServerCounters &clients = clients_->counters();
     counter("burdock_connections_refused_total", "Clients' connections that were closed at once, since there were too many.", &clients.refusedConnections);
@@ -849,6 +863,8 @@
     metrics_.addValue("burdock_config_version", "gauge", "Version of the routes in force.", [this] { return static_cast<double>(feed_.version()); });
     metrics_.addValue(
         "burdock_servers_limited", "gauge", "Servers that name a limit in their answers.", [this] { return static_cast<double>(limits_.count()); });
+    metrics_.addValue(
+        "burdock_data_centres_emptied", "gauge", "Data centres that operators have emptied.", [this] { return static_cast<double>(emptied_.count()); });
     metrics_.addValue("burdock_servers_listed", "gauge", "Servers with an entry.", [this] { return static_cast<double>(servers_.size()); });
     metrics_.addValue("burdock_instances", "gauge", "Instances with a record.", [this] { return static_cast<double>(instances_.count(self_)); });
     metrics_.addValue(
--- a/packages/router/tests/invalidstatustest.cpp
+++ b/packages/router/tests/invalidstatustest.cpp
@@ -116,8 +116,9 @@
     ServerLoad load_;
     ServerLimits limits_{InstanceId("self"), [](const LimitReport &) {}};
     ServerNotices notices_;
+    EmptiedDataCentres emptied_;
     ServerTable table_{[this](const ServerEntry &server, bool) { choice_.onListed(server, loop_.now()); }};
-    ServerChoice choice_{table_, latencies_, load_, limits_, notices_, {{DataCentre("a"), Region("home")}}, Region("home"), 7};
+    ServerChoice choice_{table_, latencies_, load_, limits_, notices_, emptied_, {{DataCentre("a"), Region("home")}}, Region("home"), 7};
     RepeatBudget budget_{RepeatTerms{0.2, 10s, 50}, loop_.now() - 1min};
     RoutingCounters counters_;
     SilentJournal journal_;
@@ -135,7 +136,8 @@
                            InstanceId("self"),
                            7};
     RoutingContext context_{loop_, backends_, table_, choice_, load_, budget_, crashes_, reach_, counters_, journal_, peers_, peerChoice_};
-    RequestCoordinator coordinator_{context_, 7};
+    UnlimitedRates rates_;
+    RequestCoordinator coordinator_{context_, rates_, 7};
 };
 
 Route partsRoute()
--- a/packages/routing/include/burdock/routing/instancetable.h
+++ b/packages/routing/include/burdock/routing/instancetable.h
@@ -35,10 +35,17 @@
     bool cutOff = false;
     /// Whether the instance's build serves requests that others pass on.
     bool takesRequests = true;
+    /// Whether the instance's build shares rates out over all instances.
+    bool sharesRates = true;
+    /// Whether the instance's build serves requests only in the regions of their routes.
+    bool keepsRegions = true;
+    /// Whether the instance follows which data centres are emptied, so that others can learn it from there.
+    bool followsEmptied = false;
 
     auto fields() const
     {
-        return std::tie(id, address, peers, region, dataCentre, ready, cores, crowded, edition, cutOff, takesRequests);
+        return std::tie(
+            id, address, peers, region, dataCentre, ready, cores, crowded, edition, cutOff, takesRequests, sharesRates, keepsRegions, followsEmptied);
     }
 };
 
@@ -112,6 +119,10 @@
     /// Returns the chosen instances of all regions, and those that would be chosen if all were ready.
     std::vector<InstanceId> senderIds(const InstanceRecord &self) const;
 
+    /// Returns the instances among which rates are divided: the senders whose builds do so, the oldest first, which stay in this order
+    /// while others come and go.
+    Records rateSharers(const InstanceRecord &self) const;
+
     /// Whether clients would be directed to this instance if all were ready.
     bool wouldBeChosen(const InstanceRecord &self) const;
 
--- a/packages/routing/include/burdock/routing/routingcontext.h
+++ b/packages/routing/include/burdock/routing/routingcontext.h
@@ -26,17 +26,26 @@
     std::uint64_t failedAtServers = 0;
     std::uint64_t clientsGone = 0;
     std::uint64_t refusedAsGuilty = 0;
+    /// Requests to a service whose listed servers all stand where the request may not be served, or in emptied data centres.
+    std::uint64_t refusedForPlace = 0;
     /// Requests that were passed on to a peer, and those among them that the peer did not serve.
     std::uint64_t passedOn = 0;
     std::uint64_t passedOnFailed = 0;
     /// Requests that other instances passed on to this one and that were served.
     std::uint64_t servedForOthers = 0;
+    /// Requests refused since they had no key, had one that no workspace holds, or came over the rate of their workspace.
+    std::uint64_t refusedWithoutKey = 0;
+    std::uint64_t refusedUnknownKey = 0;
+    std::uint64_t refusedOverRate = 0;
+    /// Requests refused since their route and their workspace may be served in no common region.
+    std::uint64_t refusedNoRegion = 0;
 };
 
 /// One routing decision for a request, for the log.
 struct RoutingEvent
 {
-    /// The decision: `hedge` or `retry`, `limit` if no server of the service may get the request, or `crash` if a server broke off
+    /// The decision: `hedge` or `retry`, `limit` if no server of the service may get the request, `place` if none is listed where the
+    /// request may be served, or `crash` if a server broke off
     /// while the request was in progress there.
     const char *decision = "";
     const std::string &request;
--- a/packages/routing/src/costplacing.cpp
+++ b/packages/routing/src/costplacing.cpp
@@ -82,7 +82,8 @@
 
 Duration CostPlacing::overdue(const ServerEntry &server, TimePoint now) const
 {
-    return work_.overdue(server.id, load_.open(server.id), now);
+    // What was sent before the instance was found to be cut off says nothing of the server.
+    return std::min(work_.overdue(server.id, load_.open(server.id), now), load_.oldest(server.id, now));
 }
 
 void CostPlacing::onTold(const ServerEntry &server, const ToldLoad &load, TimePoint now)
--- a/packages/routing/tests/playedload.h
+++ b/packages/routing/tests/playedload.h
@@ -37,7 +37,7 @@
 {
 public:
     ChoosingInstance(std::size_t serverCount, std::uint32_t slots, bool byCost, std::size_t instances, std::uint64_t seed)
-        : choice_(table_, latencies_, load_, limits_, notices_, {{DataCentre("a"), Region("home")}}, Region("home"), seed)
+        : choice_(table_, latencies_, load_, limits_, notices_, emptied_, {{DataCentre("a"), Region("home")}}, Region("home"), seed)
     {
         for (std::size_t number = 0; number < serverCount; ++number) {
             const auto port = static_cast<std::uint16_t>(number + 1);
@@ -113,6 +113,7 @@
     ServerLoad load_;
     ServerLimits limits_{InstanceId("self"), [](const LimitReport &) {}};
     ServerNotices notices_;
+    EmptiedDataCentres emptied_;
     ServerTable table_{[](const ServerEntry &, bool) {}};
     ServerChoice choice_;
     Route route_;
