Test that the costs of two workspaces on one route are learned from answers

The tests of placing by cost handed the workspace in themselves; this one sends requests with keys through the coordinator and answers them.

--- a/packages/routing/tests/costplacingtest.cpp
+++ b/packages/routing/tests/costplacingtest.cpp
@@ -289,3 +289,41 @@
     checkNoKindLoses(played);
     CHECK(played.byCost.busiestOverMean < 1.1);
 }
+
+TEST_CASE("The costs of two workspaces on one route are learned from their answers", "[cost][workspaces]")
+{
+    RoutingFixture fixture;
+    fixture.addServer("near1", "parts");
+    RoutingConfig config;
+    config.version = 1;
+    config.routes = {RoutingFixture::route("parts")};
+    config.needsKeys = true;
+    for (const char *name : {"short", "long"}) {
+        Workspace workspace;
+        workspace.name = name;
+        workspace.keys = {std::string("key of ") + name};
+        config.workspaces.push_back(workspace);
+    }
+    fixture.choice.placing().setConfig(config);
+    fixture.coordinator.setRoutes(std::make_shared<const RouteTable>(std::make_shared<const RoutingConfig>(config)));
+    for (int round = 0; round < 50; ++round) {
+        for (const auto &[name, work] : {std::pair("short", ShortWork), std::pair("long", LongWork)}) {
+            ClientRequest request;
+            request.method = "GET";
+            request.target = "/parts/x";
+            request.headers["host"] = "shop.example";
+            request.key = std::string("key of ") + name;
+            request.arrived = fixture.runtime.now();
+            fixture.coordinator.serve(std::move(request), [](const Route *, const ClientAnswer &answer) { CHECK(answer.succeeded()); });
+            REQUIRE(fixture.backends.open.size() == 1);
+            fixture.runtime.advance(work);
+            fixture.backends.answer(success("body"));
+        }
+    }
+    const auto workOf = [&](const std::string &workspace) {
+        const CostKey key{"r-parts", ServiceName("parts"), workspace, 0, 0};
+        return fixture.choice.placing().estimates().estimate(key, Target, fixture.runtime.now()).work;
+    };
+    CHECK(isNear(workOf("short"), ShortWork, 0.25));
+    CHECK(isNear(workOf("long"), LongWork, 0.25));
+}
