--- a/packages/router/src/requestjournal.cpp
+++ b/packages/router/src/requestjournal.cpp
@@ -27,6 +27,8 @@
                 {"service", event.service},
                 {"server", event.server},
                 {"reason", event.reason},
+                {"expectedUs", event.expected.count()},
+                {"workUs", event.work.count()},
                 {"ageUs", event.age.count()}});
 }
 
--- a/packages/routing/include/burdock/routing/serverchoice.h
+++ b/packages/routing/include/burdock/routing/serverchoice.h
@@ -2,6 +2,7 @@
 
 #include <burdock/routing/coldservers.h>
 #include <burdock/routing/connectionshares.h>
+#include <burdock/routing/costplacing.h>
 #include <burdock/routing/emptieddatacentres.h>
 #include <burdock/routing/hedgethreshold.h>
 #include <burdock/routing/latencytracker.h>
@@ -30,6 +31,9 @@
 /// slots fill up, while a request there is overdue, and with its failure rate. A server of another region is chosen when all
 /// servers of this region cost more than the longer network path. When the load exceeds the capacity of all servers, requests
 /// are spread evenly and the servers refuse the excess.
+///
+/// For requests that are placed by cost, see CostPlacing, the expected end takes the place of the expected latency and of the use of
+/// the slots.
 class ServerChoice
 {
 public:
@@ -70,7 +74,8 @@
     /// Returns the best server that is not in `tried`; null if no server may get a request now. Servers outside the route's regions
     /// or in emptied data centres are left out, those at the limit that they named or while cold, and those that are leaving or want no requests for
     /// a while.
-    ChosenServer choose(const Route &route, const ServiceName &service, const std::vector<ServerId> &tried, TimePoint now);
+    /// `cost` is that of the request if it is placed by cost, else null.
+    ChosenServer choose(const Route &route, const ServiceName &service, const std::vector<ServerId> &tried, TimePoint now, const RequestCost *cost = nullptr);
 
     /// Whether servers of the route's services may be left out for a reason that is known before anything is sent: their limits, or
     /// where they stand.
@@ -104,22 +109,30 @@
 
     Distance distance(const ServerEntry &server) const;
 
+    CostPlacing &placing()
+    {
+        return placing_;
+    }
+
     /// Records that a request was sent, possibly as a retry or hedge, or answered.
-    void onSent(const Route &route, const ServerEntry &server, TimePoint now, bool repeat = false);
-    void onAnswered(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now);
+    void onSent(const Route &route, const ServerEntry &server, TimePoint now, bool repeat = false, const RequestCost *cost = nullptr);
+    void onAnswered(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now, const RequestCost *cost = nullptr);
 
     /// Records that a request was abandoned without an answer. If it was overdue, the wait counts as a failure and as a latency
     /// sample, since the server is at least that slow; otherwise it does not affect the statistics.
-    void onAbandoned(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now);
+    void onAbandoned(const Route &route, const ServerEntry &server, TimePoint sentAt, TimePoint now, const RequestCost *cost = nullptr);
 
 private:
     /// Whether the data centre stands in one of the route's regions.
     bool isServedIn(const Route &route, const DataCentre &dataCentre) const;
     /// Whether the route's requests may be sent to servers of the data centre.
     bool allows(const Route &route, const DataCentre &dataCentre) const;
-    Duration expectedOf(const Route &route, const ServerEntry &server, TimePoint now) const;
+    Duration expectedOf(const Route &route, const ServerEntry &server, TimePoint now, const RequestCost *cost = nullptr) const;
     Duration overdueAfter(const Route &route, Duration expected) const;
-    double cost(const Route &route, const ServerEntry &server, Duration expected, TimePoint now);
+    /// Returns the expected latency, raised as the server's slots fill up, in microseconds.
+    double busyLatency(const ServerEntry &server, Duration expected) const;
+    /// Returns the age of the oldest request at the server if it is overdue, else zero.
+    Duration overdueAge(const Route &route, const ServerEntry &server, Duration expected, TimePoint now, const RequestCost *cost) const;
 
     const ServerTable &table_;
     LatencyTracker &latencies_;
@@ -131,6 +144,7 @@
     const std::map<DataCentre, Region> regions_;
     const Region ownRegion_;
     HedgeThreshold hedgeThreshold_;
+    CostPlacing placing_{load_, latencies_};
     std::mt19937_64 random_;
     std::size_t instancesInRegion_ = 1;
     double connectionFraction_ = ConnectionShares::UsedFraction;
