Let the tests of rates see a loan to two holders and a token that outlives its term

The first test ended before the second loan would have been sent, the second looked only at tokens that come back late.

--- a/packages/routing/tests/rateholdertest.cpp
+++ b/packages/routing/tests/rateholdertest.cpp
@@ -189,7 +189,7 @@
     const InstanceId third("c");
     instance.rates.setInstances({Self, Other}, {third});
     std::size_t seen = instance.sent.size();
-    while (instance.runtime.now() < lentAt + milliseconds(600)) {
+    while (instance.runtime.now() < lentAt + milliseconds(950)) {
         instance.runtime.advance(milliseconds(50));
         for (; seen < instance.sent.size(); ++seen) {
             const auto &[to, ask] = instance.sent[seen];
@@ -221,6 +221,14 @@
         instance.rates.giveBack(LimitName, decisions.front());
         CHECK(instance.admitted(2) == 1);
     }
+    SECTION("given back in time, and wanted late")
+    {
+        instance.reply(RateReply{{7, 1}, 0.5, {{1, Duration{0}}}});
+        REQUIRE(decisions.size() == 1);
+        instance.rates.giveBack(LimitName, decisions.front());
+        instance.runtime.advance(RateTokenTerm);
+        CHECK(instance.admitted(1) == 0);
+    }
     SECTION("given back late")
     {
         instance.reply(RateReply{{7, 1}, 0.5, {{1, Duration{0}}}});
