Join the tests of placing with those of cold servers; wait for a log line

The played loads of placing by cost get the choice's new argument.

The check now waits for the line; what it wants is unchanged. No product fault: the line is written.

--- a/packages/routing/tests/playedload.h
+++ b/packages/routing/tests/playedload.h
@@ -37,7 +37,7 @@
 {
 public:
     ChoosingInstance(std::size_t serverCount, std::uint32_t slots, bool byCost, std::size_t instances, std::uint64_t seed)
-        : choice_(table_, latencies_, load_, limits_, notices_, emptied_, {{DataCentre("a"), Region("home")}}, Region("home"), seed)
+        : choice_(table_, latencies_, load_, limits_, cold_, notices_, emptied_, {{DataCentre("a"), Region("home")}}, Region("home"), seed)
     {
         for (std::size_t number = 0; number < serverCount; ++number) {
             const auto port = static_cast<std::uint16_t>(number + 1);
@@ -47,7 +47,7 @@
         RoutingConfig config;
         config.services = {{ServiceName("parts"), 10000}};
         config.workspaces.resize(byCost ? 2 : 0);
-        choice_.setConnections(config.services);
+        choice_.setServices(config.services);
         choice_.placing().setConfig(config);
         choice_.setInstances(instances);
         route_.name = "parts";
@@ -112,6 +112,7 @@
     LatencyTracker latencies_;
     ServerLoad load_;
     ServerLimits limits_{InstanceId("self"), [](const LimitReport &) {}};
+    ColdServers cold_{InstanceId("self"), LimitTerms::within(0.5, 5), [](const LimitReport &) {}};
     ServerNotices notices_;
     EmptiedDataCentres emptied_;
     ServerTable table_{[](const ServerEntry &, bool) {}};
--- a/tests/router/workspaceprocesstest.cpp
+++ b/tests/router/workspaceprocesstest.cpp
@@ -142,7 +142,8 @@
     }));
     CHECK(world.send("i1", "/one/x", "passed", "yard-1") == 200);
     CHECK(world.workspacesOf("passed") == std::vector<std::string>{"yard"});
-    CHECK(world.bed.log("i2").find("\"from\":\"i1\"") != std::string::npos);
+    // The log is written with a delay.
+    CHECK(world.bed.eventually([&world] { return world.bed.log("i2").find("\"from\":\"i1\"") != std::string::npos; }));
     CHECK(world.send("i1", "/one/x", "unknown", "unknown-key") == 401);
     world.checkSecrets();
 }
