--- a/packages/router/tests/invalidstatustest.cpp
+++ b/packages/router/tests/invalidstatustest.cpp
@@ -115,10 +115,11 @@
     LatencyTracker latencies_;
     ServerLoad load_;
     ServerLimits limits_{InstanceId("self"), [](const LimitReport &) {}};
+    ColdServers cold_{InstanceId("self"), LimitTerms::within(0.5, 5), [](const LimitReport &) {}};
     ServerNotices notices_;
     EmptiedDataCentres emptied_;
     ServerTable table_{[this](const ServerEntry &server, bool) { choice_.onListed(server, loop_.now()); }};
-    ServerChoice choice_{table_, latencies_, load_, limits_, notices_, emptied_, {{DataCentre("a"), Region("home")}}, Region("home"), 7};
+    ServerChoice choice_{table_, latencies_, load_, limits_, cold_, notices_, emptied_, {{DataCentre("a"), Region("home")}}, Region("home"), 7};
     RepeatBudget budget_{RepeatTerms{0.2, 10s, 50}, loop_.now() - 1min};
     RoutingCounters counters_;
     SilentJournal journal_;
