Let the soak's callers use keys, and withdraw some meanwhile

Callers saw: nothing; the soak knew no workspaces, so a fault in keys beside other faults was found by no run.

Change: three workspaces with a key that stays and one that is replaced; clients also send withdrawn and unknown keys and a forged workspace. Checked: what was refused with 401 or has a key that no configuration held runs nowhere; servers get the workspace of the key; a key that all configurations hold gets no 401; after a refusal no incarnation serves a withdrawn key; a key withdrawn 3 s ago runs nothing (in touch); at the end all instances refuse withdrawn keys. Not beside an earlier build, which may know no workspaces. Requests with keys not in force are left out of the counts of service.

Ruled out: counting refusals with 401 as failures of service, since clients ask for them here.

--- a/soak/src/main.cpp
+++ b/soak/src/main.cpp
@@ -115,7 +115,7 @@
 /// Runs one seed; returns whether all guarantees held.
 bool runSeed(std::uint64_t seed, const SoakOptions &options)
 {
-    SoakWorld world(options.instances, SoakBuilds(options.earlier, options.order, seed));
+    SoakWorld world(options.instances, SoakBuilds(options.earlier, options.order, seed), seed);
     EventLoop &loop = world.testbed().loop();
     for (const std::string &instance : world.instances()) {
         world.testbed().waitUntilReady(instance);
@@ -138,6 +138,7 @@
     runFor(RecoveryTime + ObservationTime);
     checks.checkRecovered();
     checks.checkConfigInForce();
+    checks.checkWithdrawnKeys();
     load.stop();
     loop.runUntil([&load] { return load.inFlight() == 0; }, FinalAnswersTimeout);
     checks.checkEnd();
--- a/soak/src/soakbuilds.h
+++ b/soak/src/soakbuilds.h
@@ -29,6 +29,11 @@
     {
     }
 
+    bool hasEarlier() const
+    {
+        return !earlier_.empty();
+    }
+
     /// Whether instances are replaced one by one.
     bool replacesInTurn() const
     {
--- a/soak/src/soakchecks.cpp
+++ b/soak/src/soakchecks.cpp
@@ -59,6 +59,7 @@
     : world_(world)
     , timed_(timed)
     , started_(world.testbed().loop().now())
+    , keys_(world, timed, [this](const std::string &promise, const std::string &what) { addViolation(promise, what); })
 {
 }
 
@@ -89,8 +90,9 @@
 void SoakChecks::onRequestFinished(const SoakRequest &request, const Result<HttpResponse> &answer, bool stopBeganInFlight)
 {
     const int status = answer ? answer->status : 0;
-    // Most requested versions do not exist, so these requests are no measure of service.
-    if (request.kind != SoakRequestKind::Versioned) {
+    keys_.onRequestFinished(request, status);
+    // Most requested versions do not exist, and some keys are withdrawn or unknown, so these requests are no measure of service.
+    if (request.kind != SoakRequestKind::Versioned && (!world_.hasWorkspaces() || (!request.key.workspace.empty() && !request.key.withdrawnAt))) {
         countRequest(status, world_.testbed().loop().now() - request.sentAt);
         for (const auto &[counts, served] : {std::make_pair(request.atCutOff, &atCutOff_),
                                              std::make_pair(request.atCutOff && request.atEarlierBuild, &atCutOffEarlier_),
@@ -283,6 +285,7 @@
             addViolation("requests as the page says", id + ": " + complaint.get<std::string>());
         }
     }
+    keys_.checkEnd(ran);
     checkBudget();
     checkRunning();
     checkCutOff();
--- a/soak/src/soakchecks.h
+++ b/soak/src/soakchecks.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "soakworld.h"
+#include "soakkeychecks.h"
 
 #include <map>
 #include <string>
@@ -28,6 +28,7 @@
     std::string attempt;
     std::string target;
     std::string instance;
+    SoakKey key;
     int incarnation = 0;
     std::int64_t version = 0;
     TimePoint sentAt;
@@ -81,6 +82,12 @@
     /// reported, and the repeat budget.
     void checkEnd();
 
+    /// Checks that all instances refuse the keys that have been withdrawn.
+    void checkWithdrawnKeys()
+    {
+        keys_.checkWithdrawn();
+    }
+
     /// Notes whether the request, which is about to be sent, counts for checkCutOff().
     void noteCutOff(SoakRequest &request) const;
 
@@ -120,6 +127,7 @@
     SoakWorld &world_;
     const bool timed_;
     const TimePoint started_;
+    SoakKeyChecks keys_;
     std::vector<std::string> violations_;
     std::vector<SoakSecond> seconds_;
     /// Whether each unrepeatable request was refused, by attempt.
--- a/soak/src/soakfaults.cpp
+++ b/soak/src/soakfaults.cpp
@@ -59,7 +59,8 @@
                                        {"server leaves", &SoakFaults::drainServer},
                                        {"configuration", &SoakFaults::changeConfig},
                                        {"reshard", &SoakFaults::reshard},
-                                       {"forged entry", &SoakFaults::forgeEntry}};
+                                       {"forged entry", &SoakFaults::forgeEntry},
+                                       {"key withdrawn", &SoakFaults::withdrawKey}};
     return all;
 }
 
@@ -469,6 +470,9 @@
         request.method = "GET";
         request.path = target;
         request.headers = {{"host", "shop.example"}, {"Attempt-Id", target + "-" + std::to_string(coming)}, {"Timeout-Remaining", "2000"}};
+        if (world_.hasWorkspaces()) {
+            request.headers["Key"] = world_.workspaces().drawLasting().text;
+        }
         request.timeout = std::chrono::seconds(3);
         world_.testbed().loop().schedule(randomDuration(0, 2500),
                                          [this, request] { world_.testbed().client().send(request, [](const Result<HttpResponse> &) {}); });
@@ -558,6 +562,11 @@
     world_.publishConfig(true);
 }
 
+void SoakFaults::withdrawKey()
+{
+    world_.withdrawKey();
+}
+
 void SoakFaults::forgeEntry()
 {
     const std::vector<std::string> values{
--- a/soak/src/soakfaults.h
+++ b/soak/src/soakfaults.h
@@ -108,6 +108,7 @@
     void changeConfig();
     void reshard();
     void forgeEntry();
+    void withdrawKey();
 
     SoakWorld &world_;
     SoakLoad &load_;
--- a/soak/src/soakload.cpp
+++ b/soak/src/soakload.cpp
@@ -123,6 +123,7 @@
     const std::string prefix =
         request.kind == SoakRequestKind::Versioned ? "/v" + std::to_string(request.version) + "/" : Prefixes[static_cast<std::size_t>(request.kind)];
     request.target = prefix + std::to_string(random_() % 1000);
+    request.key = world_.workspaces().draw();
     checks_.noteCutOff(request);
     send(request);
     sendTimer_ = world_.testbed().loop().schedule(sendInterval_, [this] { sendNext(); });
@@ -137,6 +138,12 @@
     httpRequest.path = request.target;
     httpRequest.headers = {
         {"host", "shop.example"}, {"Attempt-Id", request.attempt}, {"Timeout-Remaining", std::to_string(RequestTimeout / std::chrono::milliseconds(1))}};
+    if (world_.hasWorkspaces()) {
+        httpRequest.headers["Tenant"] = "forged";
+        if (!request.key.text.empty()) {
+            httpRequest.headers["Key"] = request.key.text;
+        }
+    }
     httpRequest.timeout = ClientTimeout;
     inFlight_[id] = OpenRequest{request, false};
     world_.testbed().client().send(std::move(httpRequest), [this, id](const Result<HttpResponse> &answer) {
--- a/soak/src/soakworld.cpp
+++ b/soak/src/soakworld.cpp
@@ -18,8 +18,9 @@
 
 } // namespace
 
-SoakWorld::SoakWorld(int instances, SoakBuilds builds)
+SoakWorld::SoakWorld(int instances, SoakBuilds builds, std::uint64_t seed)
     : builds_(std::move(builds))
+    , workspaces_(seed)
 {
     for (const auto *shards : {&FirstShards, &SecondShards}) {
         for (const std::string &shard : *shards) {
@@ -76,11 +77,20 @@
             route["resultLimit"] = ResultLimit;
         }
     }
+    if (hasWorkspaces()) {
+        config["tenants"] = workspaces_.entries();
+    }
     testbed_.control("POST", "/fake/config", config);
     shardSets_.emplace_back(shards.begin(), shards.end());
     recordDisturbance("config");
 }
 
+void SoakWorld::withdrawKey()
+{
+    workspaces_.replaceKey(testbed_.loop().now());
+    publishConfig(false);
+}
+
 std::string SoakWorld::regionOf(const std::string &instance) const
 {
     const auto index = static_cast<std::size_t>(std::find(instances_.begin(), instances_.end(), instance) - instances_.begin());
--- a/soak/src/soakworld.h
+++ b/soak/src/soakworld.h
@@ -3,6 +3,7 @@
 #include "loopbackproxy.h"
 #include "routertestbed.h"
 #include "soakbuilds.h"
+#include "soakworkspaces.h"
 
 #include <map>
 #include <memory>
@@ -17,7 +18,8 @@
 class SoakWorld
 {
 public:
-    SoakWorld(int instances, SoakBuilds builds);
+    /// `seed` chooses the keys of clients.
+    SoakWorld(int instances, SoakBuilds builds, std::uint64_t seed);
 
     /// The names of the instances.
     const std::vector<std::string> &instances() const
@@ -50,6 +52,19 @@
     /// Publishes the next configuration; `reshard` switches to the other set of shards.
     void publishConfig(bool reshard);
 
+    /// Whether callers need keys. Not beside an earlier build, which may know no workspaces.
+    bool hasWorkspaces() const
+    {
+        return !builds_.hasEarlier();
+    }
+    SoakWorkspaces &workspaces()
+    {
+        return workspaces_;
+    }
+
+    /// Replaces a key of a workspace and publishes this.
+    void withdrawKey();
+
     /// Starts or restarts an instance.
     void start(const std::string &instance);
 
@@ -114,6 +129,7 @@
 
     RouterTestbed testbed_;
     SoakBuilds builds_;
+    SoakWorkspaces workspaces_;
     std::vector<std::string> instances_;
     std::vector<std::string> servers_;
     std::map<std::string, std::string> services_;
