Let the soak change a workspace's rate and send many times its usual

Callers saw: nothing; no run of the soak held instances to a rate.

Change: a fourth workspace with a rate, which is raised and lowered; it sends 100 more requests a second for some seconds, to one instance or all. In any 5 s its runs stay under the users' bound, counted as sent and answered in the window; a lowered rate binds within 10 s where nothing was disturbed. Its requests are left out of the counts of service. The look at withdrawn keys at the end has one deadline for all; one for each held a broken scratch copy for minutes.

Not made: a run with a broken limiter, a run of "rate changed" by itself, a run after the one deadline.

--- a/soak/src/soakchecks.cpp
+++ b/soak/src/soakchecks.cpp
@@ -60,6 +60,7 @@
     , timed_(timed)
     , started_(world.testbed().loop().now())
     , keys_(world, timed, [this](const std::string &promise, const std::string &what) { addViolation(promise, what); })
+    , rates_(world, timed, [this](const std::string &promise, const std::string &what) { addViolation(promise, what); })
 {
 }
 
@@ -91,8 +92,10 @@
 {
     const int status = answer ? answer->status : 0;
     keys_.onRequestFinished(request, status);
-    // Most requested versions do not exist, and some keys are withdrawn or unknown, so these requests are no measure of service.
-    if (request.kind != SoakRequestKind::Versioned && (!world_.hasWorkspaces() || (!request.key.workspace.empty() && !request.key.withdrawnAt))) {
+    if (status == OkStatus) {
+        rates_.onServed(request);
+    }
+    if (isOwed(request)) {
         countRequest(status, world_.testbed().loop().now() - request.sentAt);
         for (const auto &[counts, served] : {std::make_pair(request.atCutOff, &atCutOff_),
                                              std::make_pair(request.atCutOff && request.atEarlierBuild, &atCutOffEarlier_),
@@ -119,6 +122,14 @@
     }
 }
 
+/// Most requested versions do not exist, some keys are withdrawn or unknown, and one workspace sends more than its rate.
+bool SoakChecks::isOwed(const SoakRequest &request) const
+{
+    const SoakKey &key = request.key;
+    const bool isKeyInForce = !key.workspace.empty() && !key.withdrawnAt && key.workspace != SoakWorkspaces::RatedName;
+    return request.kind != SoakRequestKind::Versioned && (!world_.hasWorkspaces() || isKeyInForce);
+}
+
 void SoakChecks::countRequest(int status, Duration took)
 {
     SoakSecond &now = currentSecond();
@@ -286,6 +297,7 @@
         }
     }
     keys_.checkEnd(ran);
+    rates_.checkEnd();
     checkBudget();
     checkRunning();
     checkCutOff();
--- a/soak/src/soakchecks.h
+++ b/soak/src/soakchecks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "soakkeychecks.h"
+#include "soakratechecks.h"
 
 #include <map>
 #include <string>
@@ -115,6 +116,8 @@
 
 private:
     void addViolation(const std::string &promise, const std::string &what);
+    /// Whether the configuration owes the request an answer by a server.
+    bool isOwed(const SoakRequest &request) const;
     void countRequest(int status, Duration took);
     void checkSingleAnswer(const SoakRequest &request, const HttpResponse &answer);
     void checkFanoutAnswer(const SoakRequest &request, const HttpResponse &answer);
@@ -128,6 +131,7 @@
     const bool timed_;
     const TimePoint started_;
     SoakKeyChecks keys_;
+    SoakRateChecks rates_;
     std::vector<std::string> violations_;
     std::vector<SoakSecond> seconds_;
     /// Whether each unrepeatable request was refused, by attempt.
--- a/soak/src/soakfaults.cpp
+++ b/soak/src/soakfaults.cpp
@@ -60,7 +60,9 @@
                                        {"configuration", &SoakFaults::changeConfig},
                                        {"reshard", &SoakFaults::reshard},
                                        {"forged entry", &SoakFaults::forgeEntry},
-                                       {"key withdrawn", &SoakFaults::withdrawKey}};
+                                       {"key withdrawn", &SoakFaults::withdrawKey},
+                                       {"rate changed", &SoakFaults::changeRate},
+                                       {"workspace hot", &SoakFaults::sendHot}};
     return all;
 }
 
@@ -567,6 +569,30 @@
     world_.withdrawKey();
 }
 
+/// Both rates are kept for longer than the time after which a lowered one binds, and its window.
+void SoakFaults::changeRate()
+{
+    if (std::exchange(rateChanges_, true)) {
+        return;
+    }
+    world_.changeRate();
+    liftAfter(randomDuration(12000, 20000), [this] { rateChanges_ = false; });
+}
+
+/// The workspace has a rate; its callers come to one instance or to all.
+void SoakFaults::sendHot()
+{
+    if (!world_.hasWorkspaces() || std::exchange(isHot_, true)) {
+        return;
+    }
+    const auto &all = world_.instances();
+    load_.startHot(random_() % 2 == 0 ? all[random_() % all.size()] : std::string());
+    liftAfter(randomDuration(4000, 9000), [this] {
+        load_.stopHot();
+        isHot_ = false;
+    });
+}
+
 void SoakFaults::forgeEntry()
 {
     const std::vector<std::string> values{
--- a/soak/src/soakfaults.h
+++ b/soak/src/soakfaults.h
@@ -109,6 +109,8 @@
     void reshard();
     void forgeEntry();
     void withdrawKey();
+    void changeRate();
+    void sendHot();
 
     SoakWorld &world_;
     SoakLoad &load_;
@@ -121,6 +123,8 @@
     std::size_t replaced_ = 0;
     TimerId replaceTimer_ = 0;
     bool stopped_ = false;
+    bool rateChanges_ = false;
+    bool isHot_ = false;
     std::vector<InjectedFault> injected_;
     std::map<std::size_t, std::function<void()>> lifts_;
     std::map<std::size_t, TimerId> liftTimers_;
--- a/soak/src/soakkeychecks.cpp
+++ b/soak/src/soakkeychecks.cpp
@@ -71,6 +71,7 @@
         return;
     }
     int number = 0;
+    const TimePoint end = world_.testbed().loop().now() + MaxFinalDelay;
     for (const SoakKey &key : world_.workspaces().withdrawn()) {
         for (const std::string &instance : world_.instances()) {
             const bool isRefused = world_.testbed().eventually(
@@ -83,7 +84,7 @@
                                               {{"host", "shop.example"}, {"Attempt-Id", attempt}, {"Timeout-Remaining", "3000"}, {"Key", key.text}});
                     return answer && answer->status == UnknownKeyStatus;
                 },
-                MaxFinalDelay);
+                std::max(Duration{0}, end - world_.testbed().loop().now()));
             if (!isRefused) {
                 report_("a withdrawn key is refused", instance + " does not refuse " + key.text + " at the end");
             }
--- a/soak/src/soakload.cpp
+++ b/soak/src/soakload.cpp
@@ -17,6 +17,8 @@
 constexpr Duration DirectoryTimeout = std::chrono::milliseconds(900);
 /// The fraction of requests sent to a random instance, as clients with an outdated directory answer would.
 constexpr double StaleFraction = 0.05;
+/// The time between two requests of a workspace that sends many times its usual.
+constexpr Duration HotInterval = std::chrono::milliseconds(10);
 /// The request mix; each request draws one of these ten entries.
 constexpr std::array<SoakRequestKind, 10> Mix{SoakRequestKind::Repeatable,
                                               SoakRequestKind::Repeatable,
@@ -58,6 +60,7 @@
 {
     world_.testbed().loop().cancel(std::exchange(sendTimer_, 0));
     world_.testbed().loop().cancel(std::exchange(refreshTimer_, 0));
+    stopHot();
 }
 
 void SoakLoad::setStopping(const std::string &instance, bool stopping)
@@ -109,6 +112,32 @@
     return from[random_() % from.size()];
 }
 
+void SoakLoad::startHot(std::string instance)
+{
+    stopHot();
+    hotInstance_ = std::move(instance);
+    sendHot();
+}
+
+void SoakLoad::stopHot()
+{
+    world_.testbed().loop().cancel(std::exchange(hotTimer_, 0));
+}
+
+void SoakLoad::sendHot()
+{
+    SoakRequest request;
+    request.attempt = "t" + std::to_string(++lastId_);
+    request.instance = hotInstance_.empty() ? chooseInstance() : hotInstance_;
+    request.incarnation = world_.incarnation(request.instance);
+    request.sentAt = world_.testbed().loop().now();
+    request.instanceStopping = stoppingInstances_.count(request.instance) > 0;
+    request.target = "/one/" + std::to_string(random_() % 1000);
+    request.key = world_.workspaces().ratedKey();
+    send(request);
+    hotTimer_ = world_.testbed().loop().schedule(HotInterval, [this] { sendHot(); });
+}
+
 void SoakLoad::sendNext()
 {
     SoakRequest request;
--- a/soak/src/soakload.h
+++ b/soak/src/soakload.h
@@ -26,6 +26,10 @@
     /// Records that SIGTERM was sent to an instance, or that it was started again.
     void setStopping(const std::string &instance, bool stopping);
 
+    /// From now on one workspace sends many times its usual, all to one instance or, with an empty name, to random ones.
+    void startHot(std::string instance);
+    void stopHot();
+
     /// The number of requests without an answer so far.
     std::size_t inFlight() const
     {
@@ -40,6 +44,7 @@
     };
 
     void sendNext();
+    void sendHot();
     void send(const SoakRequest &request);
     void refreshInstances();
     void onResolved(const std::string &body);
@@ -51,6 +56,8 @@
     const Duration sendInterval_;
     TimerId sendTimer_ = 0;
     TimerId refreshTimer_ = 0;
+    TimerId hotTimer_ = 0;
+    std::string hotInstance_;
     std::uint64_t lastId_ = 0;
     std::map<std::string, std::string> instancesByAddress_;
     std::vector<std::string> resolvedInstances_;
--- a/soak/src/soakworkspaces.cpp
+++ b/soak/src/soakworkspaces.cpp
@@ -9,13 +9,16 @@
 constexpr double LastingFraction = 0.7;
 constexpr double CurrentFraction = 0.2;
 constexpr double WithdrawnFraction = 0.08;
+constexpr double HighRate = 20;
+constexpr double LowRate = 4;
 
 } // namespace
 
-SoakWorkspaces::SoakWorkspaces(std::uint64_t seed)
+SoakWorkspaces::SoakWorkspaces(std::uint64_t seed, TimePoint now)
     : random_(seed)
+    , rates_{{now, LowRate}}
 {
-    for (const char *name : {"yard", "haul", "mill"}) {
+    for (const char *name : {"yard", "haul", "mill", RatedName}) {
         const std::string workspace = name;
         all_.push_back({workspace, {"key-stays-" + workspace, workspace, true, {}}, {"key-first-" + workspace, workspace, true, {}}, {}});
     }
@@ -26,6 +29,9 @@
     nlohmann::json entries = nlohmann::json::array();
     for (const Workspace &each : all_) {
         entries.push_back({{"name", each.name}, {"apiKeys", {each.lasting.text, each.current.text}}});
+        if (each.name == RatedName) {
+            entries.back().update({{"ratePerS", rates_.back().perSecond}, {"burst", Burst}});
+        }
     }
     return entries;
 }
@@ -38,6 +44,11 @@
     workspace.current = {"key-" + std::to_string(++keys_) + "-" + workspace.name, workspace.name, false, {}};
 }
 
+void SoakWorkspaces::changeRate(TimePoint now)
+{
+    rates_.push_back({now, rates_.back().perSecond == HighRate ? LowRate : HighRate});
+}
+
 SoakKey SoakWorkspaces::draw()
 {
     const Workspace &workspace = drawWorkspace();
--- a/soak/src/soakworkspaces.h
+++ b/soak/src/soakworkspaces.h
@@ -23,11 +23,22 @@
     std::optional<TimePoint> withdrawnAt;
 };
 
+/// A rate that a workspace may use from some time on.
+struct SoakRate
+{
+    TimePoint since;
+    double perSecond = 0;
+};
+
 /// The workspaces of a soak and their keys. Each has a key that stays and one that is replaced from time to time; clients go on with withdrawn ones.
 class SoakWorkspaces
 {
 public:
-    explicit SoakWorkspaces(std::uint64_t seed);
+    /// The workspace that has a rate.
+    static constexpr const char *RatedName = "crane";
+    static constexpr double Burst = 10;
+
+    SoakWorkspaces(std::uint64_t seed, TimePoint now);
 
     /// The part of the configuration that names the workspaces.
     nlohmann::json entries() const;
@@ -35,6 +46,21 @@
     /// Replaces the key of a random workspace that is not there to stay.
     void replaceKey(TimePoint now);
 
+    /// Raises the rate, or lowers it again if it is high.
+    void changeRate(TimePoint now);
+
+    /// The rates of the workspace that has one, in order of time.
+    const std::vector<SoakRate> &rates() const
+    {
+        return rates_;
+    }
+
+    /// The key that stays of the workspace that has a rate.
+    const SoakKey &ratedKey() const
+    {
+        return all_.back().lasting;
+    }
+
     /// Draws the key of a client: mostly one in force, sometimes a withdrawn or an unknown one.
     SoakKey draw();
 
@@ -57,6 +83,7 @@
 
     std::mt19937_64 random_;
     std::vector<Workspace> all_;
+    std::vector<SoakRate> rates_;
     int keys_ = 0;
 };
 
--- a/soak/src/soakworld.cpp
+++ b/soak/src/soakworld.cpp
@@ -20,8 +20,12 @@
 
 SoakWorld::SoakWorld(int instances, SoakBuilds builds, std::uint64_t seed)
     : builds_(std::move(builds))
-    , workspaces_(seed)
+    , workspaces_(seed, testbed_.loop().now())
 {
+    if (hasWorkspaces()) {
+        testbed_.addBounds("quotaWindowS = " + std::to_string(RateWindowSeconds) + "\nquotaOverage = " + std::to_string(RateOverage)
+                           + "\nquotaSlack = " + std::to_string(RateSlack) + "\nevacuationMs = 5000\n");
+    }
     for (const auto *shards : {&FirstShards, &SecondShards}) {
         for (const std::string &shard : *shards) {
             for (int number = 0; number < ServersPerShard; ++number) {
@@ -91,6 +95,17 @@
     publishConfig(false);
 }
 
+void SoakWorld::changeRate()
+{
+    workspaces_.changeRate(testbed_.loop().now());
+    publishConfig(false);
+}
+
+bool SoakWorld::isDisturbedBetween(TimePoint from, TimePoint until) const
+{
+    return std::any_of(disturbedAt_.begin(), disturbedAt_.end(), [from, until](TimePoint at) { return at >= from && at <= until; });
+}
+
 std::string SoakWorld::regionOf(const std::string &instance) const
 {
     const auto index = static_cast<std::size_t>(std::find(instances_.begin(), instances_.end(), instance) - instances_.begin());
@@ -109,6 +124,9 @@
 void SoakWorld::recordDisturbance(const std::string &what)
 {
     disturbances_[what] = testbed_.loop().now();
+    if (what != "config") {
+        disturbedAt_.push_back(testbed_.loop().now());
+    }
 }
 
 bool SoakWorld::isUndisturbed(const std::string &what, Duration span) const
--- a/soak/src/soakworld.h
+++ b/soak/src/soakworld.h
@@ -65,6 +65,12 @@
     /// Replaces a key of a workspace and publishes this.
     void withdrawKey();
 
+    /// Changes the rate of a workspace and publishes this.
+    void changeRate();
+
+    /// Whether a fault on any instance, link or the store began or ended between these times.
+    bool isDisturbedBetween(TimePoint from, TimePoint until) const;
+
     /// Starts or restarts an instance.
     void start(const std::string &instance);
 
@@ -120,6 +126,9 @@
         return testbed_;
     }
 
+    static constexpr int RateWindowSeconds = 5;
+    static constexpr double RateOverage = 0.1;
+    static constexpr double RateSlack = 20;
     static constexpr int RecordsPerShard = 4;
     static constexpr std::size_t ResultLimit = 4;
     static constexpr double MinShardShare = 0.6;
@@ -135,6 +144,8 @@
     std::map<std::string, std::string> services_;
     std::map<std::string, int> incarnations_;
     std::map<std::string, TimePoint> disturbances_;
+    /// When faults began or ended, other than new configurations.
+    std::vector<TimePoint> disturbedAt_;
     /// The instances that are cut off, and since when.
     std::map<std::string, TimePoint> cutOff_;
     std::map<std::string, std::unique_ptr<LoopbackProxy>> storeProxies_;
