--- a/soak/src/soakchecks.cpp
+++ b/soak/src/soakchecks.cpp
@@ -59,6 +59,8 @@
     : world_(world)
     , timed_(timed)
     , started_(world.testbed().loop().now())
+    , keys_(world, timed, [this](const std::string &promise, const std::string &what) { addViolation(promise, what); })
+    , rates_(world, timed, [this](const std::string &promise, const std::string &what) { addViolation(promise, what); })
 {
 }
 
@@ -89,8 +91,11 @@
 void SoakChecks::onRequestFinished(const SoakRequest &request, const Result<HttpResponse> &answer, bool stopBeganInFlight)
 {
     const int status = answer ? answer->status : 0;
-    // Most requested versions do not exist, so these requests are no measure of service.
-    if (request.kind != SoakRequestKind::Versioned) {
+    keys_.onRequestFinished(request, status);
+    if (status == OkStatus) {
+        rates_.onServed(request);
+    }
+    if (isOwed(request)) {
         countRequest(status, world_.testbed().loop().now() - request.sentAt);
         for (const auto &[counts, served] : {std::make_pair(request.atCutOff, &atCutOff_),
                                              std::make_pair(request.atCutOff && request.atEarlierBuild, &atCutOffEarlier_),
@@ -117,6 +122,14 @@
     }
 }
 
+/// Most requested versions do not exist, some keys are withdrawn or unknown, and one workspace sends more than its rate.
+bool SoakChecks::isOwed(const SoakRequest &request) const
+{
+    const SoakKey &key = request.key;
+    const bool isKeyInForce = !key.workspace.empty() && !key.withdrawnAt && key.workspace != SoakWorkspaces::RatedName;
+    return request.kind != SoakRequestKind::Versioned && (!world_.hasWorkspaces() || isKeyInForce);
+}
+
 void SoakChecks::countRequest(int status, Duration took)
 {
     SoakSecond &now = currentSecond();
@@ -283,6 +296,8 @@
             addViolation("requests as the page says", id + ": " + complaint.get<std::string>());
         }
     }
+    keys_.checkEnd(ran);
+    rates_.checkEnd();
     checkBudget();
     checkRunning();
     checkCutOff();
--- a/soak/src/soakchecks.h
+++ b/soak/src/soakchecks.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "soakworld.h"
+#include "soakkeychecks.h"
+#include "soakratechecks.h"
 
 #include <map>
 #include <string>
@@ -28,6 +29,7 @@
     std::string attempt;
     std::string target;
     std::string instance;
+    SoakKey key;
     int incarnation = 0;
     std::int64_t version = 0;
     TimePoint sentAt;
@@ -81,6 +83,12 @@
     /// reported, and the repeat budget.
     void checkEnd();
 
+    /// Checks that all instances refuse the keys that have been withdrawn.
+    void checkWithdrawnKeys()
+    {
+        keys_.checkWithdrawn();
+    }
+
     /// Notes whether the request, which is about to be sent, counts for checkCutOff().
     void noteCutOff(SoakRequest &request) const;
 
@@ -108,6 +116,8 @@
 
 private:
     void addViolation(const std::string &promise, const std::string &what);
+    /// Whether the configuration owes the request an answer by a server.
+    bool isOwed(const SoakRequest &request) const;
     void countRequest(int status, Duration took);
     void checkSingleAnswer(const SoakRequest &request, const HttpResponse &answer);
     void checkFanoutAnswer(const SoakRequest &request, const HttpResponse &answer);
@@ -120,6 +130,8 @@
     SoakWorld &world_;
     const bool timed_;
     const TimePoint started_;
+    SoakKeyChecks keys_;
+    SoakRateChecks rates_;
     std::vector<std::string> violations_;
     std::vector<SoakSecond> seconds_;
     /// Whether each unrepeatable request was refused, by attempt.
--- a/soak/src/soakfaults.cpp
+++ b/soak/src/soakfaults.cpp
@@ -59,7 +59,10 @@
                                        {"server leaves", &SoakFaults::drainServer},
                                        {"configuration", &SoakFaults::changeConfig},
                                        {"reshard", &SoakFaults::reshard},
-                                       {"forged entry", &SoakFaults::forgeEntry}};
+                                       {"forged entry", &SoakFaults::forgeEntry},
+                                       {"key withdrawn", &SoakFaults::withdrawKey},
+                                       {"rate changed", &SoakFaults::changeRate},
+                                       {"workspace hot", &SoakFaults::sendHot}};
     return all;
 }
 
@@ -469,6 +472,9 @@
         request.method = "GET";
         request.path = target;
         request.headers = {{"host", "shop.example"}, {"Attempt-Id", target + "-" + std::to_string(coming)}, {"Timeout-Remaining", "2000"}};
+        if (world_.hasWorkspaces()) {
+            request.headers["Key"] = world_.workspaces().drawLasting().text;
+        }
         request.timeout = std::chrono::seconds(3);
         world_.testbed().loop().schedule(randomDuration(0, 2500),
                                          [this, request] { world_.testbed().client().send(request, [](const Result<HttpResponse> &) {}); });
@@ -558,6 +564,35 @@
     world_.publishConfig(true);
 }
 
+void SoakFaults::withdrawKey()
+{
+    world_.withdrawKey();
+}
+
+/// Both rates are kept for longer than the time after which a lowered one binds, and its window.
+void SoakFaults::changeRate()
+{
+    if (std::exchange(rateChanges_, true)) {
+        return;
+    }
+    world_.changeRate();
+    liftAfter(randomDuration(12000, 20000), [this] { rateChanges_ = false; });
+}
+
+/// The workspace has a rate; its callers come to one instance or to all.
+void SoakFaults::sendHot()
+{
+    if (!world_.hasWorkspaces() || std::exchange(isHot_, true)) {
+        return;
+    }
+    const auto &all = world_.instances();
+    load_.startHot(random_() % 2 == 0 ? all[random_() % all.size()] : std::string());
+    liftAfter(randomDuration(4000, 9000), [this] {
+        load_.stopHot();
+        isHot_ = false;
+    });
+}
+
 void SoakFaults::forgeEntry()
 {
     const std::vector<std::string> values{
--- a/soak/src/soakworld.h
+++ b/soak/src/soakworld.h
@@ -3,6 +3,7 @@
 #include "loopbackproxy.h"
 #include "routertestbed.h"
 #include "soakbuilds.h"
+#include "soakworkspaces.h"
 
 #include <map>
 #include <memory>
@@ -17,7 +18,8 @@
 class SoakWorld
 {
 public:
-    SoakWorld(int instances, SoakBuilds builds);
+    /// `seed` chooses the keys of clients.
+    SoakWorld(int instances, SoakBuilds builds, std::uint64_t seed);
 
     /// The names of the instances.
     const std::vector<std::string> &instances() const
@@ -50,6 +52,25 @@
     /// Publishes the next configuration; `reshard` switches to the other set of shards.
     void publishConfig(bool reshard);
 
+    /// Whether callers need keys. Not beside an earlier build, which may know no workspaces.
+    bool hasWorkspaces() const
+    {
+        return !builds_.hasEarlier();
+    }
+    SoakWorkspaces &workspaces()
+    {
+        return workspaces_;
+    }
+
+    /// Replaces a key of a workspace and publishes this.
+    void withdrawKey();
+
+    /// Changes the rate of a workspace and publishes this.
+    void changeRate();
+
+    /// Whether a fault on any instance, link or the store began or ended between these times.
+    bool isDisturbedBetween(TimePoint from, TimePoint until) const;
+
     /// Starts or restarts an instance.
     void start(const std::string &instance);
 
@@ -105,6 +126,9 @@
         return testbed_;
     }
 
+    static constexpr int RateWindowSeconds = 5;
+    static constexpr double RateOverage = 0.1;
+    static constexpr double RateSlack = 20;
     static constexpr int RecordsPerShard = 4;
     static constexpr std::size_t ResultLimit = 4;
     static constexpr double MinShardShare = 0.6;
@@ -114,11 +138,14 @@
 
     RouterTestbed testbed_;
     SoakBuilds builds_;
+    SoakWorkspaces workspaces_;
     std::vector<std::string> instances_;
     std::vector<std::string> servers_;
     std::map<std::string, std::string> services_;
     std::map<std::string, int> incarnations_;
     std::map<std::string, TimePoint> disturbances_;
+    /// When faults began or ended, other than new configurations.
+    std::vector<TimePoint> disturbedAt_;
     /// The instances that are cut off, and since when.
     std::map<std::string, TimePoint> cutOff_;
     std::map<std::string, std::unique_ptr<LoopbackProxy>> storeProxies_;
