Append to the reports of the soak's keys, as the linter asks

Callers saw: nothing. Change: two messages are appended to instead of concatenated. Ruled out: nothing. Measured: it builds; the linter has no error for this file; no run of the soak after it.

--- a/soak/src/soakkeychecks.cpp
+++ b/soak/src/soakkeychecks.cpp
@@ -99,14 +99,18 @@
     }
     for (const auto &[attempt, why] : notToRun_) {
         if (ran.contains(attempt)) {
-            report_("keys are needed", attempt + " ran but " + why);
+            std::string what = attempt;
+            what.append(" ran but ").append(why);
+            report_("keys are needed", what);
         }
     }
     const Json told = world_.testbed().control("GET", "/fake/workspaces");
     for (const auto &[attempt, workspace] : workspaces_) {
         for (const Json &each : told.value(attempt, Json::array())) {
             if (each != workspace) {
-                report_("servers get the workspace of the key", attempt + " of '" + workspace + "' came as that of " + each.dump());
+                std::string what = attempt;
+                what.append(" of '").append(workspace).append("' came as that of ").append(each.dump());
+                report_("servers get the workspace of the key", what);
             }
         }
     }
