Keep the soak's check of cut-off instances as strict on fewer requests

Requests with keys that are not in force are no measure of service, so that the check counts about 60 % of what it counted; its absolute allowance of ten failures shrinks to six there.

--- a/soak/src/soakchecks.cpp
+++ b/soak/src/soakchecks.cpp
@@ -27,6 +27,8 @@
 constexpr double MinCutOffFraction = 2.0 / 3;
 constexpr double MaxCutOffFailures = 10;
 constexpr double MaxCutOffFailedFraction = 1.0 / 50;
+/// The part of the requests that is owed an answer where callers use keys. The absolute allowance shrinks with it.
+constexpr double OwedFraction = 0.6;
 constexpr std::size_t RecoverySeconds = 3;
 constexpr double MinRecoveredFraction = 0.9;
 constexpr std::size_t MaxViolations = 20;
@@ -319,8 +321,9 @@
 {
     const double failures = atCutOff_.requests - atCutOff_.served;
     const double all = atCutOff_.requests + besideCutOff_.requests;
+    const double allowed = MaxCutOffFailures * (world_.hasWorkspaces() ? OwedFraction : 1);
     if (atCutOff_.served * besideCutOff_.requests < MinCutOffFraction * besideCutOff_.served * atCutOff_.requests
-        && failures > MaxCutOffFailures + MaxCutOffFailedFraction * all) {
+        && failures > allowed + MaxCutOffFailedFraction * all) {
         std::ostringstream what;
         what << "served " << atCutOff_.served << " of " << atCutOff_.requests << " requests there, the others " << besideCutOff_.served << " of "
              << besideCutOff_.requests << "; of the former, the earlier build served " << atCutOffEarlier_.served << " of " << atCutOffEarlier_.requests;
