Play the crowds that nothing played, before the product is changed

What callers saw: a process that ran out of memory under clients that keep to the limits. The crowds so far pressed on one server and one listener.

--- a/tests/crowd/daemoncrowdtest.cpp
+++ b/tests/crowd/daemoncrowdtest.cpp
@@ -25,8 +25,55 @@
     return std::make_shared<const std::string>(requests);
 }
 
+/// A proper query whose body is as long as the limit allows.
+std::shared_ptr<const std::string> paddedQuery()
+{
+    const std::string query = R"({"index":"parts","query":"belt","limit":20})";
+    return std::make_shared<const std::string>(PostHead + "Content-Length: " + std::to_string(BodyBytes) + "\r\n\r\n" + query
+                                               + std::string(BodyBytes - query.size(), ' '));
+}
+
+/// A body of one letter over and over.
+std::shared_ptr<const std::string> oddBody(char letter)
+{
+    return std::make_shared<const std::string>(PostHead + "Content-Length: " + std::to_string(BodyBytes) + "\r\n\r\n" + std::string(BodyBytes, letter));
+}
+
 } // namespace
 
+TEST_CASE("burdockd stays within its memory while crowds send whole requests, connect again or take their time", "[crowd][process]")
+{
+    setenv("ASAN_OPTIONS", "abort_on_error=1:quarantine_size_mb=1", 1);
+    Testbed testbed("pereyra-hermanos", {"litoral"});
+    testbed.startInstance("litoral-a", "litoral");
+    REQUIRE(testbed.publish() == 0);
+    REQUIRE(testbed.waitUntilReady());
+    const Address address = testbed.callersAddress("litoral-a");
+    Crowd crowd;
+    const std::string kind = GENERATE("whole bodies", "bodies that connect again", "heads byte by byte", "odd bodies");
+    INFO(kind);
+    if (kind == "whole bodies") {
+        crowd.connect(address, 400, {paddedQuery()});
+    } else if (kind == "bodies that connect again") {
+        CrowdClient client{bodyThatStops(PostHead, BodyBytes, MissingBytes)};
+        client.reconnects = true;
+        crowd.connect(address, 300, client);
+    } else if (kind == "heads byte by byte") {
+        crowd.connect(address, 500, {std::make_shared<const std::string>(PostHead + "X-Long: " + std::string(16000, 'h')), 1});
+    } else {
+        crowd.connect(address, 100, {oddBody('[')});
+        crowd.connect(address, 100, {oddBody('0')});
+        crowd.connect(address, 100, {oddBody('\xff')});
+    }
+    const ProcessUsage peak = crowd.press(testbed.process("litoral-a").pid(), address);
+    checkUsage(peak, MemoryMb, Descriptors);
+    REQUIRE(testbed.process("litoral-a").isRunning());
+    CHECK(testbed.eventually([&] {
+        const auto answer = testbed.query("litoral-a", "technician-tablet", "parts");
+        return answer && answer->status == 200;
+    }));
+}
+
 TEST_CASE("burdockd stays within its memory while crowds stop in heads and bodies or do not read", "[crowd][process]")
 {
     setenv("ASAN_OPTIONS", "abort_on_error=1:quarantine_size_mb=1", 1);
--- a/tests/testbed/crowd.cpp
+++ b/tests/testbed/crowd.cpp
@@ -107,23 +107,30 @@
     }
 }
 
-void Crowd::connect(const Address &address, std::size_t count, const CrowdClient &client)
+void Crowd::open(Member &member)
 {
     sockaddr_in target{};
     target.sin_family = AF_INET;
-    target.sin_port = htons(address.port);
-    inet_pton(AF_INET, address.host.c_str(), &target.sin_addr);
+    target.sin_port = htons(member.address.port);
+    inet_pton(AF_INET, member.address.host.c_str(), &target.sin_addr);
+    member.sent = 0;
+    member.socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (member.socket < 0) {
+        throw std::runtime_error("the test has no descriptors left");
+    }
+    setsockopt(member.socket, SOL_SOCKET, SO_RCVBUF, &ClientReceiveBytes, sizeof(ClientReceiveBytes));
+    if (::connect(member.socket, reinterpret_cast<const sockaddr *>(&target), sizeof(target)) != 0) {
+        close(std::exchange(member.socket, -1));
+        throw std::runtime_error("cannot connect to " + member.address.toString());
+    }
+    fcntl(member.socket, F_SETFL, O_NONBLOCK);
+}
+
+void Crowd::connect(const Address &address, std::size_t count, const CrowdClient &client)
+{
     for (std::size_t index = 0; index < count; ++index) {
-        const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        if (socket < 0) {
-            throw std::runtime_error("the test has no descriptors left");
-        }
-        members_.push_back({socket, client, 0});
-        setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &ClientReceiveBytes, sizeof(ClientReceiveBytes));
-        if (::connect(socket, reinterpret_cast<const sockaddr *>(&target), sizeof(target)) != 0) {
-            throw std::runtime_error("cannot connect to " + address.toString());
-        }
-        fcntl(socket, F_SETFL, O_NONBLOCK);
+        members_.push_back({-1, client, 0, address});
+        open(members_.back());
     }
 }
 
@@ -164,6 +171,9 @@
     for (int round = 0; round < MaxRounds && atRest < RoundsAtRest; ++round) {
         bool moved = false;
         for (Member &member : members_) {
+            if (member.socket < 0 && member.client.reconnects) {
+                open(member);
+            }
             moved = (member.socket >= 0 && send(member)) || moved;
             moved = (member.socket >= 0 && receive(member)) || moved;
         }
--- a/tests/testbed/crowd.h
+++ b/tests/testbed/crowd.h
@@ -33,10 +33,11 @@
     std::size_t pieceBytes = 65536;
     /// How much the client reads in each round; it reads nothing if this is zero.
     std::size_t readBytes = 65536;
+    /// Whether the client connects again and starts anew when its connection is closed.
+    bool reconnects = false;
 };
 
-/// Clients that keep their connections open after they have sent their bytes, whatever the server does. A client whose connection
-/// the server has closed does not come back.
+/// Clients that keep their connections open after they have sent their bytes, whatever the server does.
 class Crowd
 {
 public:
@@ -61,8 +62,11 @@
         int socket = -1;
         CrowdClient client;
         std::size_t sent = 0;
+        Address address{};
     };
 
+    static void open(Member &member);
+
     /// Returns whether any byte moved.
     static bool send(Member &member);
     static bool receive(Member &member);
--- a/tests/testbed/testbed.cpp
+++ b/tests/testbed/testbed.cpp
@@ -116,6 +116,7 @@
     instance.callers = line.at("callers").get<std::string>();
     instance.peers = line.at("peers").get<std::string>();
     instance.callersAddress = parseAddress(line.at("callers"));
+    instance.peersAddress = parseAddress(line.at("peers"));
     instances_[id] = std::move(instance);
     if (listed) {
         listInstance(id, false);
@@ -224,6 +225,11 @@
     return instances_.at(id).callersAddress;
 }
 
+const Address &Testbed::peersAddress(const std::string &id) const
+{
+    return instances_.at(id).peersAddress;
+}
+
 json Testbed::status(const std::string &id)
 {
     const auto answer = call(callersAddress(id), "GET", "/v1/status", "");
--- a/tests/testbed/testbed.h
+++ b/tests/testbed/testbed.h
@@ -70,6 +70,8 @@
 
     ChildProcess &process(const std::string &id);
     const Address &callersAddress(const std::string &id) const;
+    /// Where the instance listens for links of other instances.
+    const Address &peersAddress(const std::string &id) const;
     nlohmann::json status(const std::string &id);
 
     const Address &store() const;
@@ -88,6 +90,7 @@
         std::string callers;
         std::string peers;
         Address callersAddress;
+        Address peersAddress;
     };
 
     EventLoop loop_;
