Share the bytes of a body between its attempts, and hold them in one account

Cause: each attempt at a server copied the body, into its request and again into libevent's buffer. The account knew the body of the connection only, so nothing was refused while the copies grew with the number of shards. A response left the account when it was complete, however long it was kept.

Change: a body is a SharedText. The server puts it into the account once, until its last owner is gone, a late attempt included; the client sends it by reference. A response stays in the account in the same way. Responses up to 64 KiB were received without room, however many there were; together they now may take an eighth more than the limit.

--- a/packages/fakes/src/fakehttpserver.cpp
+++ b/packages/fakes/src/fakehttpserver.cpp
@@ -90,8 +90,9 @@
         evhtp_kvs_for_each(request->uri->query, &collectQuery, &result.query);
     }
     evhtp_kvs_for_each(request->headers_in, &collect, &result.headers);
-    result.body.resize(evbuffer_get_length(request->buffer_in));
-    evbuffer_copyout(request->buffer_in, result.body.data(), result.body.size());
+    std::string body(evbuffer_get_length(request->buffer_in), '\0');
+    evbuffer_copyout(request->buffer_in, body.data(), body.size());
+    result.body = std::move(body);
     return result;
 }
 
--- a/packages/fakes/src/fakeroutedserver.cpp
+++ b/packages/fakes/src/fakeroutedserver.cpp
@@ -214,7 +214,7 @@
             out.body += record;
         }
     } else {
-        out.body = declaration_.service + " " + job->request.method + " " + job->request.target + " " + job->request.body;
+        out.body = declaration_.service + " " + job->request.method + " " + job->request.target + " " + job->request.body.text();
     }
     out.jsonByDefault = false;
     out = completed(std::move(out));
--- a/packages/router/src/clientendpoint.cpp
+++ b/packages/router/src/clientendpoint.cpp
@@ -98,7 +98,7 @@
     if (answer.succeeded()) {
         out.jsonByDefault = false;
         out.headers = answer.headers;
-        out.body = answer.body;
+        out.body = answer.body.text();
     } else {
         const char *verdict = answer.kind == ClientAnswer::Kind::Refused ? "notRun" : "mayHaveRun";
         out.body = writeJson(nlohmann::json{{"error", {{"message", answer.reason}, {"verdict", verdict}}}});
--- a/packages/routing/include/burdock/routing/backendrequests.h
+++ b/packages/routing/include/burdock/routing/backendrequests.h
@@ -3,6 +3,7 @@
 #include <burdock/routing/passonterms.h>
 #include <burdock/routing/servertable.h>
 #include <burdock/values/failure.h>
+#include <burdock/values/sharedtext.h>
 
 #include <cstdint>
 #include <functional>
@@ -22,7 +23,8 @@
     std::string method;
     std::string target;
     std::map<std::string, std::string> headers;
-    std::string body;
+    /// All attempts share it.
+    SharedText body;
     TimePoint arrived{};
     /// How long the client waits for the answer, in microseconds; unset if the client does not state it.
     std::optional<Duration> clientTimeout;
@@ -43,7 +45,7 @@
     /// The server's signature of this response; empty if there is none.
     std::string signature;
     std::map<std::string, std::string> headers;
-    std::string body;
+    SharedText body;
 
     bool succeeded() const
     {
--- a/packages/routing/include/burdock/routing/clientanswer.h
+++ b/packages/routing/include/burdock/routing/clientanswer.h
@@ -24,7 +24,7 @@
     int status = 0;
     /// The server's headers and body, or the merged records as the body.
     std::map<std::string, std::string> headers;
-    std::string body;
+    SharedText body;
     /// The signatures of the merged shard responses, or that of the single server.
     std::vector<std::string> signatures;
     /// The number of shards missing from a gathered answer.
--- a/packages/wire/include/burdock/wire/httpclient.h
+++ b/packages/wire/include/burdock/wire/httpclient.h
@@ -2,6 +2,7 @@
 
 #include <burdock/values/address.h>
 #include <burdock/values/runtime.h>
+#include <burdock/values/sharedtext.h>
 
 #include <cstdint>
 #include <functional>
@@ -25,7 +26,8 @@
     std::string path;
     /// A `host` header may name another host than the address.
     std::map<std::string, std::string> headers;
-    std::string body;
+    /// Sent without being copied.
+    SharedText body;
     /// After this time the call fails with DeadlineExceeded and its connection is closed.
     Duration timeout{0};
     /// If set, receives the body of a 200 response in chunks as it arrives; the body of the response is then empty.
@@ -40,7 +42,8 @@
 {
     int status = 0;
     std::map<std::string, std::string> headers;
-    std::string body;
+    /// In the client's account of memory until its last owner is gone.
+    SharedText body;
     /// The names of the headers that the response has more than once.
     std::set<std::string> repeatedHeaders{};
 };
--- a/packages/wire/include/burdock/wire/httpserver.h
+++ b/packages/wire/include/burdock/wire/httpserver.h
@@ -2,6 +2,7 @@
 
 #include <burdock/values/address.h>
 #include <burdock/values/runtime.h>
+#include <burdock/values/sharedtext.h>
 
 #include <cstdint>
 #include <functional>
@@ -20,7 +21,8 @@
     std::string path;
     std::map<std::string, std::string> query;
     std::map<std::string, std::string> headers;
-    std::string body;
+    /// In the server's account of memory until its last owner is gone.
+    SharedText body;
     /// The request target as received, consisting of path and query.
     std::string target{};
 };
--- a/packages/wire/include/burdock/wire/memorybudget.h
+++ b/packages/wire/include/burdock/wire/memorybudget.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <burdock/values/runtime.h>
+#include <burdock/values/sharedtext.h>
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <limits>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -157,6 +159,10 @@
         return held_ + bytes <= terms_.limit;
     }
 
+    /// Whether a response that has brought so many bytes may bring so many more. Long ones need room; all others may take a small part
+    /// more than the limit, beyond which only those of a few bytes may arrive.
+    bool admitsResponse(std::size_t received, std::size_t more) const;
+
     /// Whether a body may begin to arrive. `bytes` is its length, 0 if that is unknown. A single one always may.
     bool admitsBody(std::size_t bytes) const;
 
@@ -249,4 +255,7 @@
     std::size_t bytes_ = 0;
 };
 
+/// Returns the text as one that is in the account until its last owner is gone.
+SharedText heldIn(const std::shared_ptr<MemoryBudget> &budget, SharedText text);
+
 } // namespace Burdock
--- a/packages/wire/src/clientconnection.cpp
+++ b/packages/wire/src/clientconnection.cpp
@@ -26,8 +26,6 @@
 
 constexpr int OkStatus = 200;
 constexpr ev_ssize_t ResponseHeaderBytes = 65536;
-/// Responses up to this size are received also if there is no room.
-constexpr std::size_t MinFailedBytes = 65536;
 
 /// The percentage of a server's keep-alive time for which an idle connection is used. The rest covers the network latency.
 constexpr int KeepAliveUsePercent = 80;
@@ -92,6 +90,21 @@
     return text;
 }
 
+/// Adds the text without copying it; the buffer shares it until it is sent.
+void addShared(evbuffer *buffer, const SharedText &text)
+{
+    if (text.empty()) {
+        return;
+    }
+    auto owner = std::make_unique<SharedText>(text);
+    const auto release = [](const void *, std::size_t, void *context) { delete static_cast<SharedText *>(context); };
+    if (evbuffer_add_reference(buffer, text.data(), text.size(), release, owner.get()) != 0) {
+        throw std::bad_alloc();
+    }
+    // The buffer deletes it.
+    static_cast<void>(owner.release());
+}
+
 const char *describe(evhttp_request_error error)
 {
     switch (error) {
@@ -113,11 +126,11 @@
 
 } // namespace
 
-ClientConnection::ClientConnection(EventLoop &loop, const Address &address, MemoryBudget &memory, Events events)
+ClientConnection::ClientConnection(EventLoop &loop, const Address &address, std::shared_ptr<MemoryBudget> memory, Events events)
     : loop_(loop)
     , address_(address)
-    , memory_(memory)
-    , received_(memory)
+    , memory_(std::move(memory))
+    , received_(*memory_)
     , events_(std::move(events))
     , stream_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE))
     , connection_(evhttp_connection_base_bufferevent_new(loop.base(), nullptr, stream_, address.host.c_str(), address.port))
@@ -220,7 +233,7 @@
         evhttp_request_free(request);
         return nullptr;
     }
-    evbuffer_add(evhttp_request_get_output_buffer(request), wanted.body.data(), wanted.body.size());
+    addShared(evhttp_request_get_output_buffer(request), wanted.body);
     return request;
 }
 
@@ -277,13 +290,12 @@
 
 void ClientConnection::takeReceived(std::size_t bytes)
 {
-    const std::size_t received = received_.bytes() + bytes;
-    if (received > MinFailedBytes && !memory_.fits(bytes)) {
-        memory_.noteDropped();
+    if (!memory_->admitsResponse(received_.bytes(), bytes)) {
+        memory_->noteDropped();
         // libevent compares with the limit when it next reads, and fails the call.
         evhttp_connection_set_max_body_size(connection_, 0);
     }
-    received_.set(received);
+    received_.set(received_.bytes() + bytes);
 }
 
 /// libevent accepts much that is no head. It therefore gets nothing before the head is complete, and then only what it needs
@@ -399,9 +411,12 @@
     response.headers = head_.head().headers;
     response.repeatedHeaders = head_.head().repeatedHeaders;
     updateKeepAlive(response);
-    response.body = std::move(errorBody_);
+    std::string body = std::move(errorBody_);
     errorBody_.clear();
-    response.body += drain(evhttp_request_get_input_buffer(request));
+    body += drain(evhttp_request_get_input_buffer(request));
+    // What arrived is held by the response from here on.
+    received_.set(0);
+    response.body = heldIn(memory_, std::move(body));
     return response;
 }
 
--- a/packages/wire/src/evhttpclient.cpp
+++ b/packages/wire/src/evhttpclient.cpp
@@ -209,7 +209,7 @@
         ClientConnection::Events events;
         events.onDone = [this](HttpCallId id, Result<HttpResponse> result) { onDone(id, std::move(result)); };
         events.onIdleClose = [this, &peer] { scheduleReap(peer); };
-        peer.connections.push_back(std::make_unique<ClientConnection>(loop_, peer.address, *memory_, std::move(events)));
+        peer.connections.push_back(std::make_unique<ClientConnection>(loop_, peer.address, memory_, std::move(events)));
         return peer.connections.back().get();
     }
 
--- a/packages/wire/src/httprequestparser.cpp
+++ b/packages/wire/src/httprequestparser.cpp
@@ -89,6 +89,7 @@
 {
     parser_.reset();
     request_ = {};
+    body_ = {};
     status_ = Status::Incomplete;
     headerName_.clear();
     contentLengthCount_ = 0;
@@ -154,7 +155,7 @@
 {
     const std::size_t length = evbuffer_get_contiguous_space(input);
     std::string_view bytes(reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length))), length);
-    const ChunkedBodyReader::Status status = chunks_.read(bytes, request_.body);
+    const ChunkedBodyReader::Status status = chunks_.read(bytes, body_);
     evbuffer_drain(input, length - bytes.size());
     switch (status) {
     case ChunkedBodyReader::Status::Incomplete:
@@ -194,13 +195,13 @@
 
 std::size_t HttpRequestParser::heldBytes() const
 {
-    const std::size_t body = request_.body.empty() ? 0 : request_.body.capacity();
+    const std::size_t body = body_.empty() ? 0 : body_.capacity();
     return body + (parser_ ? ParserBytes : 0);
 }
 
 std::size_t HttpRequestParser::remainingBytes() const
 {
-    return expectedBytes_ - std::min(expectedBytes_, request_.body.size());
+    return expectedBytes_ - std::min(expectedBytes_, body_.size());
 }
 
 bool HttpRequestParser::takeExpectContinue()
@@ -211,6 +212,7 @@
 HttpServerRequest HttpRequestParser::takeRequest()
 {
     HttpServerRequest request = std::move(request_);
+    request.body = std::move(body_);
     keepAlive_ = htparser_should_keep_alive(parser_.get()) != 0;
     supportsChunked_ = htparser_get_minor(parser_.get()) > 0;
     reset();
@@ -295,10 +297,10 @@
 int HttpRequestParser::onBody(htparser *parser, const char *bytes, std::size_t length)
 {
     HttpRequestParser &self = fromParser(parser);
-    if (self.request_.body.size() + length > self.bodyLimit_) {
+    if (self.body_.size() + length > self.bodyLimit_) {
         return self.stop(Status::TooLarge);
     }
-    std::string &body = self.request_.body;
+    std::string &body = self.body_;
     const std::size_t needed = body.size() + length;
     if (needed > body.capacity()) {
         // Without this the last doubling could take twice the length.
--- a/packages/wire/src/internal/clientconnection.h
+++ b/packages/wire/src/internal/clientconnection.h
@@ -39,7 +39,7 @@
         std::function<void()> onIdleClose;
     };
 
-    ClientConnection(EventLoop &loop, const Address &address, MemoryBudget &memory, Events events);
+    ClientConnection(EventLoop &loop, const Address &address, std::shared_ptr<MemoryBudget> memory, Events events);
     ~ClientConnection();
     ClientConnection(const ClientConnection &) = delete;
     ClientConnection &operator=(const ClientConnection &) = delete;
@@ -111,7 +111,7 @@
 
     EventLoop &loop_;
     const Address address_;
-    MemoryBudget &memory_;
+    const std::shared_ptr<MemoryBudget> memory_;
     /// What has arrived of the response to the call in progress.
     MemoryHold received_;
     Events events_;
--- a/packages/wire/src/internal/httprequestparser.h
+++ b/packages/wire/src/internal/httprequestparser.h
@@ -97,6 +97,8 @@
     /// Contains a line buffer of 8 KiB, so it exists only while a request is being read.
     std::unique_ptr<htparser, void (*)(void *)> parser_;
     HttpServerRequest request_;
+    /// What has arrived of the body.
+    std::string body_;
     std::string headerName_;
     Status status_ = Status::Incomplete;
     std::size_t contentLengthCount_ = 0;
--- a/packages/wire/src/memorybudget.cpp
+++ b/packages/wire/src/memorybudget.cpp
@@ -17,6 +17,11 @@
 constexpr std::size_t Hundred = 100;
 /// A body of up to this share of the limit is admitted while nothing else is held.
 constexpr std::size_t AloneDivisor = 8;
+/// Responses up to this size are received also if there is no room, as long as no more than the share below of the limit is held beyond it.
+constexpr std::size_t LongResponseBytes = 65536;
+constexpr std::size_t OverdrawnDivisor = 8;
+/// Responses up to this size are received in any case.
+constexpr std::size_t ShortResponseBytes = 4096;
 /// The share of a machine's memory for what is held for others.
 constexpr std::size_t HeldDivisor = 2;
 /// The interval of the relief above the calm level.
@@ -220,6 +225,13 @@
     return true;
 }
 
+bool MemoryBudget::admitsResponse(std::size_t received, std::size_t more) const
+{
+    const std::size_t bytes = received + more;
+    const std::size_t room = bytes > LongResponseBytes ? terms_.limit : terms_.limit + terms_.limit / OverdrawnDivisor;
+    return bytes <= ShortResponseBytes || held_ + more <= room;
+}
+
 bool MemoryBudget::admitsBody(std::size_t bytes) const
 {
     const bool isAlone = held_ <= terms_.limit / AloneDivisor;
@@ -279,4 +291,37 @@
     }
 }
 
+SharedText heldIn(const std::shared_ptr<MemoryBudget> &budget, SharedText text)
+{
+    struct HeldText
+    {
+        HeldText(const std::shared_ptr<MemoryBudget> &account, SharedText shared)
+            : text(std::move(shared))
+            , bytes(text.text().capacity())
+            , budget(account)
+        {
+            account->take(bytes);
+        }
+        ~HeldText()
+        {
+            // The text may outlive the account at the end of the process.
+            if (const auto account = budget.lock()) {
+                account->giveBack(bytes);
+            }
+        }
+        HeldText(const HeldText &) = delete;
+        HeldText &operator=(const HeldText &) = delete;
+
+        const SharedText text;
+        const std::size_t bytes;
+        const std::weak_ptr<MemoryBudget> budget;
+    };
+    if (text.empty()) {
+        return text;
+    }
+    auto held = std::make_shared<const HeldText>(budget, std::move(text));
+    const std::string *const bytes = &held->text.text();
+    return SharedText(std::shared_ptr<const std::string>(std::move(held), bytes));
+}
+
 } // namespace Burdock
--- a/soak/src/soakchecks.cpp
+++ b/soak/src/soakchecks.cpp
@@ -148,7 +148,7 @@
 {
     const std::string method = request.kind == SoakRequestKind::Unrepeatable ? "POST" : "GET";
     if (answer.body != "one " + method + " " + request.target + " ") {
-        addViolation("whole answers", request.attempt + " received the body '" + answer.body + "'");
+        addViolation("whole answers", request.attempt + " received the body '" + answer.body.text() + "'");
     }
     const auto signature = split(headerOf(answer, "response-stamp"), '/');
     if (signature.size() != 4 || signature[2] != request.attempt || headerOf(answer, "attempt-id") != request.attempt) {
--- a/tests/crowd/crowdedinstance.h
+++ b/tests/crowd/crowdedinstance.h
@@ -68,7 +68,8 @@
     explicit CrowdedInstance(const CrowdedTerms &terms = {})
     {
         constexpr int LongRecords = 60000;
-        constexpr int ServerConnections = 100;
+        constexpr int UsualConnections = 40;
+        constexpr int ShardConnections = 100;
         // Freed blocks of the sanitized build are not what is measured.
         setenv("ASAN_OPTIONS", "abort_on_error=1:quarantine_size_mb=1", 1);
         config_ = RouterTestbed::config(1, terms.shards);
@@ -80,14 +81,14 @@
         }
         config_["services"].push_back({{"name", "long"}, {"healthPath", "/health"}});
         for (nlohmann::json &service : config_["services"]) {
-            service["maxConnections"] = ServerConnections;
+            service["maxConnections"] = service["name"] == "one" || service["name"] == "long" ? UsualConnections : ShardConnections;
         }
         bed_.control("POST", "/fake/config", config_);
-        addServer("s-one", "one", 0, terms.oneWorkMs);
-        addServer("s-long", "long", LongRecords, 3);
+        bed_.addServer("s-one", "one", 0, terms.oneWorkMs);
+        bed_.addServer("s-long", "long", LongRecords);
         for (const std::string &shard : terms.shards) {
             const bool isSlow = terms.lastShardWorkMs > 0 && shard == terms.shards.back();
-            addServer("s-" + shard, shard, terms.shardRecords, isSlow ? terms.lastShardWorkMs : terms.shardWorkMs);
+            addShardServer("s-" + shard, shard, terms.shardRecords, isSlow ? terms.lastShardWorkMs : terms.shardWorkMs);
         }
         bed_.setMemory(CrowdedMemoryMb);
         for (const std::string &id : terms.instances) {
@@ -143,7 +144,7 @@
 
 private:
     /// Adds a server that takes on what a crowd sends.
-    void addServer(const std::string &id, const std::string &service, int records, int workMs)
+    void addShardServer(const std::string &id, const std::string &service, int records, int workMs)
     {
         constexpr int Slots = 80;
         bed_.control(
--- a/tests/process/lostinstancetest.cpp
+++ b/tests/process/lostinstancetest.cpp
@@ -63,7 +63,7 @@
     deployment.testbed.process("norte-a").signal(SIGKILL);
     CHECK(deployment.testbed.eventually([&] {
         const auto answer = deployment.testbed.call(deployment.testbed.callersAddress("litoral-a"), "GET", "/v1/entries", "");
-        return answer && answer->body.find("norte-a") == std::string::npos;
+        return answer && answer->body.text().find("norte-a") == std::string::npos;
     }));
 }
 
--- a/tests/process/querystream.h
+++ b/tests/process/querystream.h
@@ -65,7 +65,7 @@
 private:
     void checkAnswer(const HttpResponse &answer)
     {
-        INFO("status " << answer.status << " " << answer.body.substr(0, 300));
+        INFO("status " << answer.status << " " << answer.body.text().substr(0, 300));
         REQUIRE(answer.status != 0);
         const nlohmann::json body = nlohmann::json::parse(answer.body);
         if (answer.status == 200) {
--- a/tests/process/rollingrestarttest.cpp
+++ b/tests/process/rollingrestarttest.cpp
@@ -37,7 +37,7 @@
             ++answeredCount_;
             const bool complete = answer && answer->status == 200 && json::parse(answer->body).at("coverage").at("missing").empty();
             if (!complete) {
-                const std::string what = answer ? std::to_string(answer->status) + " " + answer->body : answer.error().message;
+                const std::string what = answer ? std::to_string(answer->status) + " " + answer->body.text() : answer.error().message;
                 const auto since = [this](TimePoint at) { return std::to_string((at - started_) / std::chrono::milliseconds(1)); };
                 failures_.push_back("sent to " + target.toString() + " at " + since(sentAt) + " ms, ended at " + since(testbed_.loop().now()) + " ms: " + what);
             }
--- a/tests/router/faultsprocesstest.cpp
+++ b/tests/router/faultsprocesstest.cpp
@@ -163,8 +163,8 @@
     CHECK(deployment.bed.sendRequest("i1", "/one/after", "after").has_value());
     const auto metrics = deployment.bed.call(deployment.bed.peers("i1"), "GET", "/metrics");
     REQUIRE(metrics);
-    CHECK(metrics->body.find("\nburdock_accepts_failed_total ") != std::string::npos);
-    CHECK(metrics->body.find("\nburdock_accepts_failed_total 0\n") == std::string::npos);
+    CHECK(metrics->body.text().find("\nburdock_accepts_failed_total ") != std::string::npos);
+    CHECK(metrics->body.text().find("\nburdock_accepts_failed_total 0\n") == std::string::npos);
 }
 #endif
 
--- a/tests/router/routerprocesstest.cpp
+++ b/tests/router/routerprocesstest.cpp
@@ -472,6 +472,6 @@
     CHECK(deployment.status("/none/x", "t2") == 404);
     const auto metrics = deployment.bed.call(deployment.bed.peers("i1"), "GET", "/metrics");
     REQUIRE(metrics);
-    CHECK(metrics->body.find("burdock_request_seconds_count{route=\"r-one\",outcome=\"passed\"} 1") != std::string::npos);
-    CHECK(metrics->body.find("burdock_config_version 1") != std::string::npos);
+    CHECK(metrics->body.text().find("burdock_request_seconds_count{route=\"r-one\",outcome=\"passed\"} 1") != std::string::npos);
+    CHECK(metrics->body.text().find("burdock_config_version 1") != std::string::npos);
 }
--- a/tests/testbed/routertestbed.cpp
+++ b/tests/testbed/routertestbed.cpp
@@ -103,7 +103,7 @@
     request.timeout = DefaultTimeout;
     const auto response = wait(controlLoop_, *controlClient_, std::move(request));
     if (!response || response->status != 200) {
-        throw std::runtime_error("control call " + path + ": " + (response ? response->body : response.error().message));
+        throw std::runtime_error("control call " + path + ": " + (response ? response->body.text() : response.error().message));
     }
     return Json::parse(response->body);
 }
--- a/tests/testbed/testbed.cpp
+++ b/tests/testbed/testbed.cpp
@@ -210,7 +210,7 @@
 {
     const auto answer = call(control_, method, path, method == "GET" ? std::string() : body.dump());
     if (!answer || answer->status != 200) {
-        throw std::runtime_error("control call " + path + " failed: " + (answer ? answer->body : answer.error().message));
+        throw std::runtime_error("control call " + path + " failed: " + (answer ? answer->body.text() : answer.error().message));
     }
     return json::parse(answer->body);
 }
