Merge long parts before the last one has arrived

What callers saw: a process over its machine's memory while requests to all shards waited for one slow shard; parts of 64 kB from 11 shards, for 70 requests, took 68 MB of 48 (crowdtest, arm64).

Cause: a run kept a copy of each part until its answer, though the answer has resultLimit records of 16 bytes. Between arrival and merge no account knew of them.

Change: a run shares the parts' bytes, which stay in the account, and merges them once they exceed 64 KiB, if the result is less than half of them. Ordinary parts of some hundred bytes are still merged once, at the end.

Tests of the account itself are in memorybudgettest: shared bytes count once, responses that are not long cannot exceed the limit by more than an eighth.

--- a/packages/routing/src/gatherrun.cpp
+++ b/packages/routing/src/gatherrun.cpp
@@ -18,6 +18,9 @@
 /// reach, and a complete one is worth more than an early one.
 constexpr double MaxAgeFraction = 0.75;
 
+/// Parts are merged before the last one has arrived once they have more than this many bytes.
+constexpr std::size_t MaxPartBytes = 65536;
+
 /// One request to all shards of a route.
 ///
 /// Handles stragglers: it waits for all shards until just before the target time, then answers with the available parts if they
@@ -130,7 +133,7 @@
         const bool duplicate = valid && std::find(signatures_.begin(), signatures_.end(), outcome.reply->signature) != signatures_.end();
         if (valid && !duplicate) {
             signatures_.push_back(outcome.reply->signature);
-            bodies_.push_back(outcome.reply->body);
+            addPart(outcome.reply->body);
         } else {
             ++failed_;
             lastFailure_ = outcome.reply ? mayHaveRun(Errc::Unavailable, "a server answered with status " + std::to_string(outcome.reply->status)).value()
@@ -139,6 +142,30 @@
         answerIfDecided();
     }
 
+    /// Keeps a part until the answer. Of long ones, only the records are kept that may be in the answer.
+    void addPart(const SharedText &part)
+    {
+        parts_.push_back(part);
+        partBytes_ += part.size();
+        const std::size_t resultBytes = RecordBytes * std::size_t{terms_.route->resultLimit};
+        if (partBytes_ <= MaxPartBytes || resultBytes > partBytes_ / 2) {
+            return;
+        }
+        SharedText merged = mergedParts();
+        partBytes_ = merged.size();
+        parts_ = {std::move(merged)};
+    }
+
+    std::string mergedParts() const
+    {
+        std::vector<std::string_view> views;
+        views.reserve(parts_.size());
+        for (const SharedText &part : parts_) {
+            views.emplace_back(part.text());
+        }
+        return greatestRecords(views, terms_.route->resultLimit);
+    }
+
     bool hasEnough(std::size_t parts) const
     {
         return parts > 0 && static_cast<double>(parts) >= terms_.route->minShare * static_cast<double>(calls_.size());
@@ -165,7 +192,7 @@
         ClientAnswer answer;
         answer.kind = ClientAnswer::Kind::Gathered;
         answer.status = AnswerStatus::Ok;
-        answer.body = greatestRecords({bodies_.begin(), bodies_.end()}, terms_.route->resultLimit);
+        answer.body = mergedParts();
         answer.signatures = signatures_;
         answer.missing = static_cast<std::uint32_t>(calls_.size() - signatures_.size());
         return answer;
@@ -187,7 +214,9 @@
     TimerId answerTimer_ = 0;
     std::vector<std::unique_ptr<ServiceCall>> calls_;
     std::vector<std::string> signatures_;
-    std::vector<std::string> bodies_;
+    /// The parts that have arrived, or the greatest records of those that were merged.
+    std::vector<SharedText> parts_;
+    std::size_t partBytes_ = 0;
     std::size_t failed_ = 0;
     bool nothingRan_ = true;
     Failure lastFailure_;
--- a/packages/routing/tests/gathertest.cpp
+++ b/packages/routing/tests/gathertest.cpp
@@ -4,6 +4,8 @@
 
 #include <burdock/routing/partmerge.h>
 
+#include <algorithm>
+
 using namespace Burdock;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -114,6 +116,33 @@
     }
 }
 
+TEST_CASE("Long parts are not kept until the last one has arrived", "[gather][merge]")
+{
+    constexpr std::size_t Records = 5000;
+    RoutingFixture fixture;
+    fixture.setRoutes({fixture.shardRoute({"a", "b", "c", "d"}, 0.75)});
+    fixture.sendRequest("all");
+    REQUIRE(fixture.backends.open.size() == 4);
+    std::vector<std::weak_ptr<const std::string>> parts;
+    for (const char letter : {'c', 'd', 'a'}) {
+        std::string records;
+        for (std::size_t index = 0; index < Records; ++index) {
+            records += record('A');
+        }
+        const auto part = std::make_shared<const std::string>(records + record(letter));
+        parts.emplace_back(part);
+        ServerReply reply = success({}, std::string(1, letter));
+        reply.body = SharedText(part);
+        fixture.backends.answer(std::move(reply), std::string(1, letter) + "1");
+    }
+    CHECK(std::all_of(parts.begin(), parts.end(), [](const auto &part) { return part.expired(); }));
+    CHECK_FALSE(fixture.answer);
+    fixture.backends.answer(success(record('b')), "b1");
+    REQUIRE(fixture.answer);
+    CHECK(fixture.answer->signatures.size() == 4);
+    CHECK(fixture.answer->body == record('d') + record('c'));
+}
+
 TEST_CASE("A shard without servers is skipped without waiting", "[gather]")
 {
     RoutingFixture fixture;
--- a/packages/wire/tests/memorybudgettest.cpp
+++ b/packages/wire/tests/memorybudgettest.cpp
@@ -201,6 +201,46 @@
     CHECK_FALSE(budget.admitsBody(0));
 }
 
+TEST_CASE("a text is in the budget once, until its last owner is gone", "[memory]")
+{
+    ManualRuntime runtime;
+    const auto budget = std::make_shared<MemoryBudget>(runtime, smallTerms());
+    SharedText first = heldIn(budget, std::string(1000, 'x'));
+    const std::size_t held = budget->held();
+    CHECK(held >= 1000);
+    SharedText second = first;
+    CHECK(budget->held() == held);
+    first = {};
+    CHECK(budget->held() == held);
+    CHECK(second == std::string(1000, 'x'));
+    second = {};
+    CHECK(budget->held() == 0);
+    CHECK(heldIn(budget, {}).empty());
+}
+
+TEST_CASE("a text may outlive its budget", "[memory]")
+{
+    ManualRuntime runtime;
+    auto budget = std::make_shared<MemoryBudget>(runtime, smallTerms());
+    const SharedText text = heldIn(budget, std::string(1000, 'x'));
+    budget.reset();
+    CHECK(text.size() == 1000);
+}
+
+TEST_CASE("many responses that are not long cannot exceed the limit by more than a part of it", "[memory]")
+{
+    constexpr std::size_t Limit = 1000000;
+    ManualRuntime runtime;
+    MemoryBudget budget(runtime, MemoryTerms{Limit, 1024, 2s});
+    CHECK(budget.admitsResponse(0, 100000));
+    budget.take(Limit);
+    CHECK_FALSE(budget.admitsResponse(60000, 10000));
+    CHECK(budget.admitsResponse(0, 60000));
+    budget.take(Limit / 8);
+    CHECK_FALSE(budget.admitsResponse(0, 60000));
+    CHECK(budget.admitsResponse(0, 1000));
+}
+
 TEST_CASE("a budget above the calm level relieves itself until it is calm", "[memory]")
 {
     ManualRuntime runtime;
