burdockd: hold frames of other instances in the account, and short ones until Hello

What callers saw: 150 connections to burdockd's listener for instances, each with a frame of 4 MiB that stops 44 bytes short of its end, whole or in pieces, took 625 MB on a machine of 256 MB.

Cause: a stranger could send a frame of full length before it had said who it is, and what arrived of a frame was in no account, so that nothing was paused or closed.

Change: a link takes 4 KiB until its Hello. What arrives of a frame is taken from the process's budget; a link is a holder like a client's connection: paused, and closed if it makes no progress while memory is short. The measure of progress is shared by both (TransferProgress).

Looked for elsewhere: the queues of messages for peers have bounds of their own (PeerQueue); the listeners of burdock-router for instances are HTTP servers in the same account.

In wiretest a peer without a Hello may send no long frame, and stalled frames of five peers give way to a sixth.

--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -38,7 +38,7 @@
     , memory_(std::make_shared<MemoryBudget>(loop, MemoryTerms::ofMachine(settings_.memoryMb)))
     , client_(makeHttpClient(loop, PlatformConnectionLimits, memory_))
     , server_(makeHttpServer(loop, HttpServerLimits{}, nullptr, memory_))
-    , links_(makePeerLinks(loop, settings_.id, incarnation))
+    , links_(makePeerLinks(loop, settings_.id, incarnation, memory_))
     , store_(makeEtcdStore(loop, *client_, settings_.store, settings_.storeTimeout))
     , listSource_(makeHttpInstanceList(loop, *client_, settings_.instanceList))
     , backendLives_(loop, BackendLifeSettings{}, [this](const ServerId &server, BackendState state) { onBackendStateChanged(server, state); })
--- a/packages/wire/include/burdock/wire/factories.h
+++ b/packages/wire/include/burdock/wire/factories.h
@@ -24,8 +24,9 @@
 std::unique_ptr<HttpServer>
 makeHttpServer(EventLoop &loop, const HttpServerLimits &limits, std::shared_ptr<ConnectionPool> pool = nullptr, std::shared_ptr<MemoryBudget> memory = nullptr);
 
-/// Creates PeerLinks that use websocketpp over libevent's buffers. `self` and `incarnation` are sent in Hello.
-std::unique_ptr<PeerLinks> makePeerLinks(EventLoop &loop, const InstanceId &self, std::uint64_t incarnation);
+/// Creates PeerLinks that use websocketpp over libevent's buffers. `self` and `incarnation` are sent in Hello. Frames that arrive are taken
+/// from `memory`; without one the links have a budget of their own.
+std::unique_ptr<PeerLinks> makePeerLinks(EventLoop &loop, const InstanceId &self, std::uint64_t incarnation, std::shared_ptr<MemoryBudget> memory = nullptr);
 
 /// Creates a DatagramSocket that uses libevent.
 std::unique_ptr<DatagramSocket> makeDatagramSocket(EventLoop &loop);
--- a/packages/wire/src/eventhttpserver.cpp
+++ b/packages/wire/src/eventhttpserver.cpp
@@ -194,7 +194,7 @@
 
     bool contains(const MemoryBudget::Holder *holder) const override
     {
-        return context_.connections.count(static_cast<const ServerConnection *>(holder)) > 0;
+        return context_.connections.count(holder) > 0;
     }
 
     /// Calls the action for each connection. The action may close it.
--- a/packages/wire/src/internal/link.h
+++ b/packages/wire/src/internal/link.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "transferprogress.h"
+
 #include <burdock/values/address.h>
 #include <burdock/wire/eventloop.h>
+#include <burdock/wire/memorybudget.h>
 
 #include <functional>
 #include <memory>
@@ -47,14 +50,16 @@
 };
 
 /// A WebSocket connection that uses websocketpp's iostream transport over a libevent bufferevent.
-class Link
+///
+/// What has arrived of a frame is in the budget. A link takes only a short frame until the peer has said who it is.
+class Link final : public MemoryBudget::Holder
 {
 public:
     /// Creates a link that connects to an address.
-    Link(EventLoop &loop, WebSocketEndpoints &endpoints, LinkOwner &owner, const Address &address);
+    Link(EventLoop &loop, WebSocketEndpoints &endpoints, LinkOwner &owner, MemoryBudget &memory, const Address &address);
     /// Creates a link that takes ownership of an accepted socket.
-    Link(EventLoop &loop, WebSocketEndpoints &endpoints, LinkOwner &owner, int socket);
-    ~Link();
+    Link(EventLoop &loop, WebSocketEndpoints &endpoints, LinkOwner &owner, MemoryBudget &memory, int socket);
+    ~Link() override;
     Link(const Link &) = delete;
     Link &operator=(const Link &) = delete;
 
@@ -74,6 +79,18 @@
     /// Makes one attempt to write the queued bytes to the kernel. For a process that is about to exit.
     void tryFlush();
 
+    /// Allows frames of full length from now on.
+    void allowLongFrames();
+
+    bool holdsMemory() const
+    {
+        return arrived_.bytes() > 0;
+    }
+    MemoryUse memoryUse(TimePoint now) override;
+    void pauseReading(TimePoint now) override;
+    void resumeReading() override;
+    void closeForMemory() override;
+
     /// The last time that a byte was received or a frame was queued.
     TimePoint lastActivity() const
     {
@@ -90,11 +107,20 @@
     /// Runs the action; if it throws, the link ends.
     void guard(const std::function<void()> &action);
     void read(evbuffer *input);
+    /// Takes from the budget what arrives; returns whether the link may go on.
+    bool takeArrived(std::size_t bytes);
     void startWebSocket();
     void finish(LinkEndReason end);
 
     EventLoop &loop_;
     LinkOwner &owner_;
+    MemoryBudget &memory_;
+    /// What has arrived since the last whole frame.
+    MemoryHold arrived_;
+    TransferProgress progress_;
+    TimePoint arrivingSince_{};
+    TimePoint pausedAt_{};
+    bool paused_ = false;
     std::unique_ptr<Private> d_;
     TimePoint lastActivity_;
 };
--- a/packages/wire/src/internal/serverconnection.h
+++ b/packages/wire/src/internal/serverconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "httprequestparser.h"
+#include "transferprogress.h"
 
 #include <burdock/wire/eventloop.h>
 #include <burdock/wire/httpserver.h>
@@ -42,7 +43,7 @@
     /// Clients wait for a connection until this time, so that responses close theirs.
     TimePoint crowdedUntil{};
     std::uint32_t inFlight = 0;
-    std::unordered_map<const ServerConnection *, std::unique_ptr<ServerConnection>> connections;
+    std::unordered_map<const MemoryBudget::Holder *, std::unique_ptr<ServerConnection>> connections;
     std::unordered_map<const LingeringClose *, std::unique_ptr<LingeringClose>> lingering;
 };
 
@@ -77,7 +78,7 @@
 /// Requests are passed to the handler one at a time. The connection is still read while a request is handled, so that a
 /// disconnect is detected. The bytes of further requests stay in the input buffer, up to twice the limit of a header.
 ///
-/// What the connection holds is taken from the budget: the request that arrives, the body of the one in progress, and the response that
+/// What the connection holds is taken from the budget: the request that arrives, the head of the one in progress, and the response that
 /// the client has not read.
 class ServerConnection final : public MemoryBudget::Holder
 {
@@ -144,8 +145,6 @@
     void sendLast(int status, const std::map<std::string, std::string> &headers);
     /// Takes from the budget what the connection holds now, or gives back what it no longer holds.
     void updateHeld();
-    /// Begins a span over which progress is measured, as if there had been progress until now.
-    void restartProgress(TimePoint now);
     /// Whether a response of so many bytes has to be dropped since there is no room for it.
     bool mustDrop(std::size_t bytes) const;
     /// Drops the response and ends the connection, which promises nothing.
@@ -166,14 +165,11 @@
     TimePoint stateSince_;
     TimePoint lastWriteProgress_;
     MemoryHold held_;
-    /// The body of the request in progress: once for its handler, and once for a copy on its way to a server.
+    /// The head of the request in progress. Its body is in the budget by itself.
     std::size_t requestBytes_ = 0;
     /// Unparsed input as of the last callback.
     std::size_t inputBytes_ = 0;
-    /// The bytes sent and received since the beginning of the span.
-    std::size_t movedBytes_ = 0;
-    TimePoint spanSince_;
-    TimePoint progressAt_;
+    TransferProgress progress_;
     TimePoint pausedAt_{};
     bool paused_ = false;
     bool inHandler_ = false;
--- a/packages/wire/src/internal/websocketpeerlinks.h
+++ b/packages/wire/src/internal/websocketpeerlinks.h
@@ -21,10 +21,10 @@
 /// Each pair of instances needs one link, which the first sender dials. If both dial at the same time, there are two links.
 /// Both sides then send on the link that was dialled by the instance with the smaller name. The other link is closed by its
 /// dialler once it was idle for some time, so that no message in transit is lost.
-class WebSocketPeerLinks final : public PeerLinks, public LinkOwner
+class WebSocketPeerLinks final : public PeerLinks, public LinkOwner, private MemoryBudget::Member
 {
 public:
-    WebSocketPeerLinks(EventLoop &loop, InstanceId self, std::uint64_t incarnation);
+    WebSocketPeerLinks(EventLoop &loop, InstanceId self, std::uint64_t incarnation, std::shared_ptr<MemoryBudget> memory);
     ~WebSocketPeerLinks() override;
     WebSocketPeerLinks(const WebSocketPeerLinks &) = delete;
     WebSocketPeerLinks &operator=(const WebSocketPeerLinks &) = delete;
@@ -74,6 +74,9 @@
     void onWritable(Link &link) override;
     void onEnded(Link &link, LinkEndReason end) override;
 
+    void addHolders(std::vector<MemoryBudget::Holder *> &holders) override;
+    bool contains(const MemoryBudget::Holder *holder) const override;
+
     void accept(int socket);
     void dial(Peer &peer);
     Entry &addLink(std::unique_ptr<Link> link, Side side, const InstanceId &peer);
@@ -104,6 +107,7 @@
     EventLoop &loop_;
     const InstanceId self_;
     const std::uint64_t incarnation_;
+    const std::shared_ptr<MemoryBudget> memory_;
     WebSocketEndpoints endpoints_;
     Listener listener_;
     std::minstd_rand jitter_;
--- a/packages/wire/src/link.cpp
+++ b/packages/wire/src/link.cpp
@@ -3,9 +3,11 @@
 #include "internal/sockets.h"
 #include "internal/websocket.h"
 
+#include <algorithm>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace Burdock
@@ -16,6 +18,8 @@
 
 constexpr const char *LinkPath = "/link";
 constexpr std::size_t LowBacklogBytes = 65536;
+/// The limit on a frame of a peer that has not said who it is.
+constexpr std::size_t ShortFrameBytes = 4096;
 
 } // namespace
 
@@ -69,17 +73,23 @@
     }
 };
 
-Link::Link(EventLoop &loop, WebSocketEndpoints &endpoints, LinkOwner &owner, const Address &address)
+Link::Link(EventLoop &loop, WebSocketEndpoints &endpoints, LinkOwner &owner, MemoryBudget &memory, const Address &address)
     : loop_(loop)
     , owner_(owner)
+    , memory_(memory)
+    , arrived_(memory)
+    , progress_(loop.now())
     , d_(std::make_unique<Private>(endpoints, bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE), address))
     , lastActivity_(loop.now())
 {
 }
 
-Link::Link(EventLoop &loop, WebSocketEndpoints &endpoints, LinkOwner &owner, int socket)
+Link::Link(EventLoop &loop, WebSocketEndpoints &endpoints, LinkOwner &owner, MemoryBudget &memory, int socket)
     : loop_(loop)
     , owner_(owner)
+    , memory_(memory)
+    , arrived_(memory)
+    , progress_(loop.now())
     , d_(std::make_unique<Private>(endpoints, bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE), Address{}))
     , lastActivity_(loop.now())
 {
@@ -142,8 +152,10 @@
             finish(LinkEndReason::Malformed);
             return;
         }
+        arrived_.set(0);
         owner_.onFrame(*this, message->get_payload());
     });
+    connection.set_max_message_size(ShortFrameBytes);
     if (d_->isDialled()) {
         d_->endpoints_.client.connect(d_->connection_);
     } else {
@@ -198,6 +210,10 @@
     lastActivity_ = loop_.now();
     while (!d_->ended_ && !d_->closing_ && evbuffer_get_length(input) > 0) {
         const std::size_t length = evbuffer_get_contiguous_space(input);
+        if (!takeArrived(length)) {
+            finish(LinkEndReason::Lost);
+            return;
+        }
         const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(length)));
         const std::size_t taken = d_->connection_->read_all(bytes, length);
         evbuffer_drain(input, length);
@@ -207,6 +223,64 @@
     }
 }
 
+bool Link::takeArrived(std::size_t bytes)
+{
+    if (!memory_.admitsResponse(arrived_.bytes(), bytes)) {
+        memory_.noteDropped();
+        return false;
+    }
+    if (arrived_.bytes() == 0) {
+        arrivingSince_ = lastActivity_;
+        progress_.restart(lastActivity_);
+    }
+    progress_.onMoved(bytes);
+    arrived_.set(arrived_.bytes() + bytes);
+    return true;
+}
+
+void Link::allowLongFrames()
+{
+    d_->connection_->set_max_message_size(MaxFrameBytes);
+}
+
+MemoryUse Link::memoryUse(TimePoint now)
+{
+    MemoryUse use;
+    use.bytes = arrived_.bytes();
+    use.remaining = MaxFrameBytes - std::min(MaxFrameBytes, use.bytes);
+    use.since = arrivingSince_;
+    use.progressAt = progress_.update(memory_.terms(), now);
+    use.pausedAt = pausedAt_;
+    use.isPaused = paused_;
+    use.isReceiving = true;
+    use.awaitsClient = true;
+    int unread = 0;
+    use.hasUnread = paused_ && ioctl(bufferevent_getfd(d_->stream_), FIONREAD, &unread) == 0 && unread > 0;
+    return use;
+}
+
+void Link::pauseReading(TimePoint now)
+{
+    paused_ = true;
+    pausedAt_ = now;
+    bufferevent_disable(d_->stream_, EV_READ);
+}
+
+void Link::resumeReading()
+{
+    paused_ = false;
+    progress_.restart(loop_.now());
+    if (!d_->ended_ && !d_->closing_) {
+        bufferevent_enable(d_->stream_, EV_READ);
+    }
+}
+
+void Link::closeForMemory()
+{
+    arrived_.set(0);
+    finish(LinkEndReason::Lost);
+}
+
 void Link::onWritten(bufferevent *, void *context)
 {
     auto *self = static_cast<Link *>(context);
--- a/packages/wire/src/linklifecycle.cpp
+++ b/packages/wire/src/linklifecycle.cpp
@@ -43,12 +43,12 @@
         return;
     }
     ++acceptedLinks_;
-    addLink(std::make_unique<Link>(loop_, endpoints_, *this, socket), Side::Accepted, {}).link->start();
+    addLink(std::make_unique<Link>(loop_, endpoints_, *this, *memory_, socket), Side::Accepted, {}).link->start();
 }
 
 void WebSocketPeerLinks::dial(Peer &peer)
 {
-    Entry &entry = addLink(std::make_unique<Link>(loop_, endpoints_, *this, *peer.address), Side::Dialled, peer.id);
+    Entry &entry = addLink(std::make_unique<Link>(loop_, endpoints_, *this, *memory_, *peer.address), Side::Dialled, peer.id);
     peer.dialled = entry.link.get();
     entry.link->start();
 }
@@ -93,6 +93,7 @@
     peer.backoff = Duration{0};
     entry.peer = hello.instance;
     entry.established = true;
+    entry.link->allowLongFrames();
     loop_.cancel(std::exchange(entry.timer, 0));
     ++establishedLinks_;
     ++counters_.linksOpened;
--- a/packages/wire/src/serverconnection.cpp
+++ b/packages/wire/src/serverconnection.cpp
@@ -45,6 +45,16 @@
 constexpr const char *ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr const char *LastChunk = "0\r\n\r\n";
 
+/// The memory that the header fields of a request take.
+std::size_t headBytes(const HttpServerRequest &request)
+{
+    std::size_t bytes = request.target.size();
+    for (const auto &[name, value] : request.headers) {
+        bytes += name.size() + value.size();
+    }
+    return bytes;
+}
+
 std::string chunkHead(std::size_t length)
 {
     std::array<char, 2 * sizeof(length) + 3> text{};
@@ -76,8 +86,7 @@
     , stateSince_(context.loop.now())
     , lastWriteProgress_(stateSince_)
     , held_(*context.memory)
-    , spanSince_(stateSince_)
-    , progressAt_(stateSince_)
+    , progress_(stateSince_)
 {
     disableNagle(socket);
     bufferevent_setcb(stream_, &ServerConnection::onRead, &ServerConnection::onWritten, &ServerConnection::onEvent, this);
@@ -122,7 +131,7 @@
         discardInput();
         return;
     }
-    movedBytes_ += evbuffer_get_length(bufferevent_get_input(stream_)) - inputBytes_;
+    progress_.onMoved(evbuffer_get_length(bufferevent_get_input(stream_)) - inputBytes_);
     if (!inHandler_) {
         parse();
     }
@@ -149,7 +158,7 @@
     while (canParse()) {
         if (state_ == State::Idle) {
             setState(State::ReceivingRequest);
-            restartProgress(stateSince_);
+            progress_.restart(stateSince_);
         }
         const auto status = parser_.read(input);
         if (parser_.takeExpectContinue() && status == HttpRequestParser::Status::Incomplete) {
@@ -175,7 +184,8 @@
         refuse();
         return;
     }
-    requestBytes_ = 2 * request.body.size();
+    requestBytes_ = headBytes(request);
+    request.body = heldIn(context_.memory, std::move(request.body));
     setState(State::HandlingRequest);
     ++context_.counters->requests;
     ++context_.inFlight;
@@ -292,7 +302,7 @@
 {
     if (backlog() == 0) {
         lastWriteProgress_ = context_.loop.now();
-        restartProgress(lastWriteProgress_);
+        progress_.restart(lastWriteProgress_);
     }
     for (std::size_t at = 0; at < bytes.size(); at += PieceBytes) {
         bufferevent_write(stream_, bytes.data() + at, std::min(PieceBytes, bytes.size() - at));
@@ -316,7 +326,7 @@
     auto *self = static_cast<ServerConnection *>(context);
     if (info->n_deleted > 0) {
         self->lastWriteProgress_ = self->context_.loop.now();
-        self->movedBytes_ += info->n_deleted;
+        self->progress_.onMoved(info->n_deleted);
     }
 }
 
@@ -389,30 +399,15 @@
     held_.set(evbuffer_get_length(bufferevent_get_input(stream_)) + backlog() + parser_.heldBytes() + requestBytes_ + unread);
 }
 
-void ServerConnection::restartProgress(TimePoint now)
-{
-    spanSince_ = now;
-    progressAt_ = now;
-    movedBytes_ = 0;
-}
-
 MemoryUse ServerConnection::memoryUse(TimePoint now)
 {
-    const MemoryTerms &terms = context_.memory->terms();
     updateHeld();
-    const Duration span = now - spanSince_;
-    if (span >= terms.span) {
-        const auto least = static_cast<double>(terms.leastRate) * std::chrono::duration<double>(span).count();
-        progressAt_ = static_cast<double>(movedBytes_) >= least ? now : progressAt_;
-        spanSince_ = now;
-        movedBytes_ = 0;
-    }
     MemoryUse use;
     use.bytes = held_.bytes();
     use.isReceiving = state_ == State::ReceivingRequest;
     use.remaining = use.isReceiving ? parser_.remainingBytes() : 0;
     use.since = stateSince_;
-    use.progressAt = progressAt_;
+    use.progressAt = progress_.update(context_.memory->terms(), now);
     use.pausedAt = pausedAt_;
     use.isPaused = paused_;
     use.awaitsClient = use.isReceiving || backlog() > 0;
@@ -434,7 +429,7 @@
 {
     paused_ = false;
     setsockopt(bufferevent_getfd(stream_), SOL_SOCKET, SO_RCVBUF, &ResumedReceiveBytes, sizeof(ResumedReceiveBytes));
-    restartProgress(context_.loop.now());
+    progress_.restart(context_.loop.now());
     bufferevent_enable(stream_, EV_READ);
     updateHeld();
 }
--- a/packages/wire/src/websocketpeerlinks.cpp
+++ b/packages/wire/src/websocketpeerlinks.cpp
@@ -17,17 +17,20 @@
 
 } // namespace
 
-WebSocketPeerLinks::WebSocketPeerLinks(EventLoop &loop, InstanceId self, std::uint64_t incarnation)
+WebSocketPeerLinks::WebSocketPeerLinks(EventLoop &loop, InstanceId self, std::uint64_t incarnation, std::shared_ptr<MemoryBudget> memory)
     : loop_(loop)
     , self_(std::move(self))
     , incarnation_(incarnation)
+    , memory_(memory ? std::move(memory) : std::make_shared<MemoryBudget>(loop, MemoryTerms()))
     , listener_(loop, [this](int socket) { accept(socket); })
     , jitter_(static_cast<std::minstd_rand::result_type>(std::hash<InstanceId>()(self_) ^ incarnation))
 {
+    memory_->add(*this);
 }
 
 WebSocketPeerLinks::~WebSocketPeerLinks()
 {
+    memory_->remove(*this);
     loop_.cancel(turnTimer_);
     for (auto &[id, peer] : peers_) {
         if (preferredLink(peer) != nullptr) {
@@ -45,6 +48,20 @@
     return listener_.listen(address);
 }
 
+void WebSocketPeerLinks::addHolders(std::vector<MemoryBudget::Holder *> &holders)
+{
+    for (const auto &[link, entry] : links_) {
+        if (!entry.closing && entry.link->holdsMemory()) {
+            holders.push_back(entry.link.get());
+        }
+    }
+}
+
+bool WebSocketPeerLinks::contains(const MemoryBudget::Holder *holder) const
+{
+    return std::any_of(links_.begin(), links_.end(), [holder](const auto &link) { return link.second.link.get() == holder; });
+}
+
 void WebSocketPeerLinks::setHandlers(MessageHandler onMessage, LostHandler onLost)
 {
     onMessage_ = std::move(onMessage);
@@ -224,9 +241,9 @@
     }
 }
 
-std::unique_ptr<PeerLinks> makePeerLinks(EventLoop &loop, const InstanceId &self, std::uint64_t incarnation)
+std::unique_ptr<PeerLinks> makePeerLinks(EventLoop &loop, const InstanceId &self, std::uint64_t incarnation, std::shared_ptr<MemoryBudget> memory)
 {
-    return std::make_unique<WebSocketPeerLinks>(loop, self, incarnation);
+    return std::make_unique<WebSocketPeerLinks>(loop, self, incarnation, std::move(memory));
 }
 
 } // namespace Burdock
--- a/packages/wire/tests/linknode.h
+++ b/packages/wire/tests/linknode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdock/wire/factories.h>
+#include <burdock/wire/memorybudget.h>
 
 #include <string>
 #include <utility>
@@ -14,9 +15,9 @@
 /// The links of one instance, with the messages and lost peers that they reported.
 struct Node
 {
-    Node(EventLoop &loop, const std::string &name, std::uint64_t incarnation = 1)
+    Node(EventLoop &loop, const std::string &name, std::uint64_t incarnation = 1, std::shared_ptr<MemoryBudget> memory = nullptr)
         : id(name)
-        , links(makePeerLinks(loop, id, incarnation))
+        , links(makePeerLinks(loop, id, incarnation, std::move(memory)))
         , address(links->listen({"127.0.0.1", 0}).value())
     {
         links->setHandlers([this](const InstanceId &from, PeerMessage message) { received.emplace_back(from, std::move(message)); },
--- a/packages/wire/tests/peerlinksfaulttest.cpp
+++ b/packages/wire/tests/peerlinksfaulttest.cpp
@@ -1,6 +1,7 @@
 #include "linknode.h"
 #include "rawsocket.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -119,6 +120,37 @@
     CHECK(node.lost.empty());
 }
 
+TEST_CASE("a peer that has not said who it is may send no long frame", "[links][memory]")
+{
+    EventLoop loop;
+    Node node(loop, "node");
+    RawSocket raw(loop, node.address.port);
+    raw.send(Upgrade + webSocketFrame("x", 2, 100000));
+    CHECK(loop.runUntil([&] { return raw.closedByPeer; }, TestTimeout));
+    CHECK(node.links->counters().oversizeFrames == 1);
+}
+
+TEST_CASE("frames that stop short of their end give way to others while memory is short", "[links][memory]")
+{
+    constexpr std::size_t Limit = 1000000;
+    constexpr std::size_t Arrived = 300000;
+    EventLoop loop;
+    const auto memory = std::make_shared<MemoryBudget>(loop, MemoryTerms{Limit, 1024, 200ms});
+    Node node(loop, "node", 1, memory);
+    std::vector<std::unique_ptr<RawSocket>> sockets;
+    for (const char *name : {"first", "second", "third", "fourth", "fifth"}) {
+        sockets.push_back(std::make_unique<RawSocket>(loop, node.address.port));
+        sockets.back()->send(Upgrade + hello(name) + webSocketFrame(std::string(Arrived, 'x'), 2, 2 * Arrived));
+    }
+    const auto closed = [&] { return std::count_if(sockets.begin(), sockets.end(), [](const auto &socket) { return socket->closedByPeer; }); };
+    CHECK(loop.runUntil([&] { return closed() > 0 && memory->level() == MemoryLevel::Calm; }, TestTimeout));
+    CHECK(memory->counters().peak <= Limit);
+    Node other(loop, "other");
+    other.links->setPeer(node.id, node.address);
+    CHECK(other.links->send(node.id, numbered(1)));
+    CHECK(loop.runUntil([&] { return node.received.size() == 1; }, TestTimeout));
+}
+
 TEST_CASE("random input neither crashes the links nor leaks a link", "[links]")
 {
     const auto seed = GENERATE(1U, 2U, 3U);
