Refuse requests for whose servers there are no connections left

What callers saw: nothing yet; 150 requests to 12 shards held 1,129 descriptors in a process that may have 1,000. On the users' machines the connects beyond that fail one by one, midway through requests that are already at servers.

Cause: connections of clients are bounded together, those to servers only by server.

Change: the client of a process has a limit on all its connections: the descriptors without those for files and those that clients hold, and 40 at least. A request that needs more connections at once than are left is refused before anything is sent, 503 with the usual time to come back; a request to one server mostly still fits. At the limit an idle connection gives way to one to another address. A counter tells of such refusals.

Ruled out: failing the single connects, which would look as if servers could not be reached; a queue, in which requests would wait for what others may not give up in time.

Without a network: a request to four shards is refused with room for three, and sent with room for four; an idle connection gives way.

--- a/packages/router/include/burdock/router/httpbackends.h
+++ b/packages/router/include/burdock/router/httpbackends.h
@@ -41,6 +41,7 @@
 
     BackendRequestId send(const ServerHandle &server, const std::shared_ptr<const ClientRequest> &request, TimePoint deadline, Callback done) override;
     void cancel(BackendRequestId id) override;
+    bool hasRoom(std::size_t requests) const override;
 
     /// Whether a response belongs to the request and has each header that decides something once. A refusal must name the
     /// request, as the sender would otherwise not be known to mean this one.
--- a/packages/router/src/httpbackends.cpp
+++ b/packages/router/src/httpbackends.cpp
@@ -131,6 +131,11 @@
     client_.cancel(id);
 }
 
+bool HttpBackends::hasRoom(std::size_t requests) const
+{
+    return client_.hasRoom(requests);
+}
+
 Result<std::optional<double>> HttpBackends::readLimit(const HeaderNames &names, const HttpResponse &response)
 {
     const std::string text = valueOf(response.headers, names.serverLimit);
--- a/packages/router/src/refusalmetrics.cpp
+++ b/packages/router/src/refusalmetrics.cpp
@@ -16,12 +16,15 @@
     std::uint64_t RoutingCounters::*count;
 };
 
-constexpr std::array<RefusalMetric, 7> RefusalMetrics{{
+constexpr std::array<RefusalMetric, 8> RefusalMetrics{{
     {"burdock_refused_by_servers_total", "Requests that a server did not run.", &RoutingCounters::refusedByServers},
     {"burdock_refused_as_guilty_total", "Requests that are known to crash servers, refused at once.", &RoutingCounters::refusedAsGuilty},
     {"burdock_refused_for_place_total", "Requests without a listed server where they may be served.", &RoutingCounters::refusedForPlace},
     {"burdock_refused_without_key_total", "Requests without a key whose route needs one.", &RoutingCounters::refusedWithoutKey},
     {"burdock_refused_unknown_key_total", "Requests whose key or workspace the configuration lacks.", &RoutingCounters::refusedUnknownKey},
+    {"burdock_refused_for_connections_total",
+     "Requests for which there were no connections left to all servers that they need at once.",
+     &RoutingCounters::refusedForConnections},
     {"burdock_refused_over_rate_total", "Requests over the rate of their workspace.", &RoutingCounters::refusedOverRate},
     {"burdock_refused_no_region_total", "Requests whose route and workspace have no region in common.", &RoutingCounters::refusedNoRegion},
 }};
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -62,6 +62,11 @@
 constexpr std::uint32_t MaxInternalConnections = 200;
 /// The fraction of the file descriptors for other instances' connections, which poll, and pass on requests.
 constexpr double PeerDescriptorFraction = 0.25;
+/// So many descriptors are left for files and listeners, but no larger part of all than one in this divisor.
+constexpr std::size_t FileDescriptors = 200;
+constexpr std::size_t FileDescriptorDivisor = 5;
+/// Connections to servers, to other instances and to the store are always allowed up to this number.
+constexpr std::size_t MinServerConnections = 40;
 /// The fraction of the file descriptors for connections from clients and other instances together.
 constexpr double PooledDescriptorFraction = 0.75;
 /// How many connections each listener but that of the clients may have whatever the others hold.
@@ -74,6 +79,13 @@
 /// An instance that used this one as a relay and has gone back to its own leaves its connections behind.
 constexpr Duration InternalIdleTime = std::chrono::seconds(10);
 
+/// The number of sockets that the process may have open.
+std::size_t socketsOf(const RouterSettings &settings)
+{
+    const auto descriptors = static_cast<std::size_t>(settings.descriptors);
+    return descriptors - std::min(descriptors / FileDescriptorDivisor, FileDescriptors);
+}
+
 HttpServerLimits clientLimits(const ClientLimits &limits, std::uint32_t descriptors)
 {
     HttpServerLimits out;
@@ -248,6 +260,10 @@
     readiness_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveReadiness(in, out); });
     directory_->setHandler([this](const HttpServerRequest &in, const std::shared_ptr<HttpResponder> &out) { serveDirectory(in, out); });
     self_.followsEmptied = settings.emptiesDataCentres;
+    client_.setTotalLimit([connections = connections_, sockets = socketsOf(settings)] {
+        const std::size_t open = connections->openConnections();
+        return std::max(sockets - std::min(sockets, open), MinServerConnections);
+    });
     client_.setShortageHandler([connections = connections_] { return connections->closeIdle(); });
     peers_->setFailureResponse(PassOnHeaders::failureResponse());
     peers_->setHandler([this](HttpServerRequest in, const std::shared_ptr<HttpResponder> &out) { servePeers(std::move(in), out); });
--- a/packages/routing/include/burdock/routing/backendrequests.h
+++ b/packages/routing/include/burdock/routing/backendrequests.h
@@ -75,6 +75,12 @@
 
     /// Cancels a request by closing its connection; its callback is not called.
     virtual void cancel(BackendRequestId id) = 0;
+
+    /// Whether there are connections for so many more requests at once.
+    virtual bool hasRoom(std::size_t /*requests*/) const
+    {
+        return true;
+    }
 };
 
 } // namespace Burdock
--- a/packages/routing/include/burdock/routing/routingcontext.h
+++ b/packages/routing/include/burdock/routing/routingcontext.h
@@ -28,6 +28,8 @@
     std::uint64_t refusedAsGuilty = 0;
     /// Requests to a service whose listed servers all stand where the request may not be served, or in emptied data centres.
     std::uint64_t refusedForPlace = 0;
+    /// Requests refused since there were no connections left for the servers that they need at once.
+    std::uint64_t refusedForConnections = 0;
     /// Requests that were passed on to a peer, and those among them that the peer did not serve.
     std::uint64_t passedOn = 0;
     std::uint64_t passedOnFailed = 0;
--- a/packages/routing/src/requestcoordinator.cpp
+++ b/packages/routing/src/requestcoordinator.cpp
@@ -217,6 +217,11 @@
         return passOn(id, {}, CutOffReason);
     }
     Entry &entry = entries_.at(id);
+    const std::size_t servers = std::max<std::size_t>(entry.terms.route->shards.size(), 1);
+    if (!context_.backends.hasRoom(servers)) {
+        ++context_.counters.refusedForConnections;
+        return answer(id, refusal(AnswerStatus::Unavailable, "no connections are left for the servers of the request", entry.terms.retryAfter));
+    }
     entry.run = makeRun(entry.terms);
     entry.run->start([this, id](ClientAnswer given) { onRunAnswered(id, std::move(given)); });
 }
--- a/packages/routing/tests/gathertest.cpp
+++ b/packages/routing/tests/gathertest.cpp
@@ -116,6 +116,25 @@
     }
 }
 
+TEST_CASE("A request is refused before anything is sent if there are no connections left for all its shards", "[gather][refusal]")
+{
+    RoutingFixture fixture;
+    fixture.setRoutes({fixture.shardRoute({"a", "b", "c", "d"}, 0.75)});
+    fixture.backends.room = 3;
+    fixture.sendRequest("all");
+    REQUIRE(fixture.answer);
+    CHECK(fixture.answer->kind == ClientAnswer::Kind::Refused);
+    CHECK(fixture.answer->status == 503);
+    CHECK(fixture.answer->retryAfter > Duration{0});
+    CHECK(fixture.backends.all == 0);
+    CHECK(fixture.counters.refusedForConnections == 1);
+    fixture.answer.reset();
+    fixture.backends.room = 4;
+    fixture.sendRequest("all");
+    CHECK_FALSE(fixture.answer);
+    CHECK(fixture.backends.open.size() == 4);
+}
+
 TEST_CASE("Long parts are not kept until the last one has arrived", "[gather][merge]")
 {
     constexpr std::size_t Records = 5000;
--- a/packages/routing/tests/routingfixture.h
+++ b/packages/routing/tests/routingfixture.h
@@ -4,6 +4,7 @@
 #include <burdock/values/manualruntime.h>
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -45,6 +46,11 @@
         }
     }
 
+    bool hasRoom(std::size_t requests) const override
+    {
+        return open.size() + requests <= room;
+    }
+
     /// Answers the oldest request in flight, or the oldest one at the given server.
     void answer(Result<ServerReply> reply, const std::string &server = {})
     {
@@ -64,6 +70,8 @@
     std::size_t all = 0;
     /// Whether sending throws.
     bool throws = false;
+    /// How many requests there may be in flight.
+    std::size_t room = std::numeric_limits<std::size_t>::max();
 
 private:
     BackendRequestId last_ = 0;
--- a/packages/wire/include/burdock/wire/connectionpool.h
+++ b/packages/wire/include/burdock/wire/connectionpool.h
@@ -31,6 +31,9 @@
     void add(Member &member);
     void remove(Member &member);
 
+    /// The number of connections that all members together have open.
+    std::uint32_t openConnections() const;
+
     /// Whether the members have as many connections as they may.
     bool isFull() const;
 
--- a/packages/wire/include/burdock/wire/httpclient.h
+++ b/packages/wire/include/burdock/wire/httpclient.h
@@ -85,6 +85,18 @@
     {
     }
 
+    /// Sets a function that returns how many connections may be open to all addresses together. At the limit an idle one is closed for
+    /// a new one. Without it there is no such limit.
+    virtual void setTotalLimit(const std::function<std::size_t()> & /*limit*/)
+    {
+    }
+
+    /// Whether so many more calls may each have a connection.
+    virtual bool hasRoom(std::size_t /*calls*/) const
+    {
+        return true;
+    }
+
     /// Closes all idle connections to all addresses.
     virtual void closeIdle() = 0;
 
--- a/packages/wire/src/connectionpool.cpp
+++ b/packages/wire/src/connectionpool.cpp
@@ -21,10 +21,15 @@
     members_.erase(std::remove(members_.begin(), members_.end(), &member), members_.end());
 }
 
-bool ConnectionPool::isFull() const
+std::uint32_t ConnectionPool::openConnections() const
 {
     const auto add = [](std::uint32_t sum, const Member *member) { return sum + member->pooledConnections(); };
-    return std::accumulate(members_.begin(), members_.end(), std::uint32_t{0}, add) >= limit_;
+    return std::accumulate(members_.begin(), members_.end(), std::uint32_t{0}, add);
+}
+
+bool ConnectionPool::isFull() const
+{
+    return openConnections() >= limit_;
 }
 
 bool ConnectionPool::closeIdle()
--- a/packages/wire/src/evhttpclient.cpp
+++ b/packages/wire/src/evhttpclient.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -94,6 +95,16 @@
         onShortage_ = onShortage;
     }
 
+    void setTotalLimit(const std::function<std::size_t()> &limit) override
+    {
+        totalLimit_ = limit;
+    }
+
+    bool hasRoom(std::size_t calls) const override
+    {
+        return calls_.size() + calls <= totalLimit_();
+    }
+
     void closeIdle() override
     {
         for (const auto &[address, peer] : peers_) {
@@ -206,6 +217,7 @@
         if (peer.connections.size() >= peer.limits.connections) {
             return nullptr;
         }
+        makeRoom();
         ClientConnection::Events events;
         events.onDone = [this](HttpCallId id, Result<HttpResponse> result) { onDone(id, std::move(result)); };
         events.onIdleClose = [this, &peer] { scheduleReap(peer); };
@@ -213,6 +225,25 @@
         return peer.connections.back().get();
     }
 
+    /// Closes an idle connection if there are as many as there may be.
+    void makeRoom()
+    {
+        std::size_t open = 0;
+        std::pair<Peer *, ClientConnection *> idle{nullptr, nullptr};
+        for (const auto &[address, peer] : peers_) {
+            open += peer->connections.size();
+            for (const auto &connection : peer->connections) {
+                if (!connection->isBusy() && !connection->isClosed()) {
+                    idle = {peer.get(), connection.get()};
+                }
+            }
+        }
+        if (idle.first != nullptr && open >= totalLimit_()) {
+            idle.second->abandon();
+            scheduleReap(*idle.first);
+        }
+    }
+
     void onDone(HttpCallId id, Result<HttpResponse> result)
     {
         Peer &peer = *calls_.at(id).peer;
@@ -330,6 +361,7 @@
     std::set<Peer *> peersToReap_;
     std::vector<HttpCallId> callsToQueueAgain_;
     std::function<bool()> onShortage_ = [] { return false; };
+    std::function<std::size_t()> totalLimit_ = [] { return std::numeric_limits<std::size_t>::max(); };
     TimerId reapTimer_ = 0;
 };
 
--- a/packages/wire/tests/httptest.cpp
+++ b/packages/wire/tests/httptest.cpp
@@ -95,6 +95,27 @@
     CHECK(answer->body.empty());
 }
 
+TEST_CASE("an idle connection gives way to one to another address at the limit on all connections", "[http]")
+{
+    Pair pair;
+    const auto respond = [](const HttpServerRequest &, const std::shared_ptr<HttpResponder> &responder) { responder->respond({}); };
+    pair.server->setHandler(respond);
+    const auto second = makeHttpServer(pair.loop, HttpServerLimits{});
+    second->setHandler(respond);
+    const Address address = second->listen({"127.0.0.1", 0}).value();
+    std::size_t limit = 1;
+    pair.client->setTotalLimit([&limit] { return limit; });
+    CHECK(pair.client->hasRoom(1));
+    CHECK_FALSE(pair.client->hasRoom(2));
+    REQUIRE(pair.call(pair.post("/", "")));
+    CHECK(pair.client->openConnections(pair.address) == 1);
+    HttpRequest request = pair.post("/", "");
+    request.address = address;
+    REQUIRE(pair.call(request));
+    CHECK(pair.client->openConnections(address) == 1);
+    CHECK(pair.loop.runUntil([&] { return pair.client->openConnections(pair.address) == 0; }, TestTimeout));
+}
+
 TEST_CASE("calls in excess of the connection limit are queued", "[http]")
 {
     Pair pair;
