--- a/packages/wire/include/burdock/wire/memorybudget.h
+++ b/packages/wire/include/burdock/wire/memorybudget.h
@@ -159,9 +159,9 @@
         return held_ + bytes <= terms_.limit;
     }
 
-    /// Whether a response that has brought so many bytes may bring so many more. Long ones need room; all others may take a small part
-    /// more than the limit, beyond which only those of a few bytes may arrive.
-    bool admitsResponse(std::size_t received, std::size_t more) const;
+    /// Whether a response or a frame that has brought so many bytes may bring so many more. Long ones need room; all others may take a
+    /// small part more than the limit, beyond which only those of a few bytes may arrive.
+    bool admitsArrival(std::size_t received, std::size_t more) const;
 
     /// Whether a body may begin to arrive. `bytes` is its length, 0 if that is unknown. A single one always may.
     bool admitsBody(std::size_t bytes) const;
--- a/packages/wire/src/clientconnection.cpp
+++ b/packages/wire/src/clientconnection.cpp
@@ -290,7 +290,7 @@
 
 void ClientConnection::takeReceived(std::size_t bytes)
 {
-    if (!memory_->admitsResponse(received_.bytes(), bytes)) {
+    if (!memory_->admitsArrival(received_.bytes(), bytes)) {
         memory_->noteDropped();
         // libevent compares with the limit when it next reads, and fails the call.
         evhttp_connection_set_max_body_size(connection_, 0);
--- a/packages/wire/src/evhttpclient.cpp
+++ b/packages/wire/src/evhttpclient.cpp
@@ -1,4 +1,5 @@
 #include "internal/clientconnection.h"
+#include "internal/httptext.h"
 #include "internal/sockets.h"
 
 #include <burdock/wire/factories.h>
@@ -41,15 +42,6 @@
     std::unique_ptr<MemoryHold> head;
 };
 
-std::size_t headBytes(const HttpRequest &request)
-{
-    std::size_t bytes = request.path.size();
-    for (const auto &[name, value] : request.headers) {
-        bytes += name.size() + value.size();
-    }
-    return bytes;
-}
-
 /// An HttpClient that uses libevent's evhttp connections.
 ///
 /// A connection that is marked closed is destroyed in the next iteration of the loop, because one of its callbacks may be
@@ -81,7 +73,7 @@
         const HttpCallId id = ++lastId_;
         Peer &peer = peerOf(request.address);
         CallEntry entry{{id, std::move(request), std::move(done), 0, loop_.boundary().work()}, &peer, nullptr, false, std::make_unique<MemoryHold>(*memory_)};
-        entry.head->set(headBytes(entry.call.request));
+        entry.head->set(headBytes(entry.call.request.path, entry.call.request.headers));
         entry.call.timer = loop_.schedule(entry.call.request.timeout, [this, id] { expire(id); });
         calls_.emplace(id, std::move(entry));
         peer.queue.push_back(id);
@@ -253,6 +245,7 @@
             }
         }
         if (idle.first != nullptr && open >= totalLimit_()) {
+            // Unlike a connection that is marked closed, its descriptor is free at once.
             idle.second->abandon();
             scheduleReap(*idle.first);
         }
--- a/packages/wire/src/httptext.cpp
+++ b/packages/wire/src/httptext.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cctype>
 #include <nlohmann/json.hpp>
+#include <numeric>
 
 namespace Burdock
 {
@@ -102,6 +103,12 @@
     return head + "\r\n";
 }
 
+std::size_t headBytes(const std::string &target, const std::map<std::string, std::string> &headers)
+{
+    return std::accumulate(
+        headers.begin(), headers.end(), target.size(), [](std::size_t sum, const auto &field) { return sum + field.first.size() + field.second.size(); });
+}
+
 std::string errorBody(int status)
 {
     const auto *found =
--- a/packages/wire/src/link.cpp
+++ b/packages/wire/src/link.cpp
@@ -225,7 +225,7 @@
 
 bool Link::takeArrived(std::size_t bytes)
 {
-    if (!memory_.admitsResponse(arrived_.bytes(), bytes)) {
+    if (!memory_.admitsArrival(arrived_.bytes(), bytes)) {
         memory_.noteDropped();
         return false;
     }
--- a/packages/wire/src/memorybudget.cpp
+++ b/packages/wire/src/memorybudget.cpp
@@ -17,11 +17,11 @@
 constexpr std::size_t Hundred = 100;
 /// A body of up to this share of the limit is admitted while nothing else is held.
 constexpr std::size_t AloneDivisor = 8;
-/// Responses up to this size are received also if there is no room, as long as no more than the share below of the limit is held beyond it.
-constexpr std::size_t LongResponseBytes = 65536;
+/// What is not longer may arrive also if there is no room, as long as no more than the part below of the limit is held beyond it.
+constexpr std::size_t LongArrivalBytes = 65536;
 constexpr std::size_t OverdrawnDivisor = 8;
-/// Responses up to this size are received in any case.
-constexpr std::size_t ShortResponseBytes = 4096;
+/// What is not longer may arrive in any case.
+constexpr std::size_t ShortArrivalBytes = 4096;
 /// The share of a machine's memory for what is held for others.
 constexpr std::size_t HeldDivisor = 2;
 /// The interval of the relief above the calm level.
@@ -225,11 +225,11 @@
     return true;
 }
 
-bool MemoryBudget::admitsResponse(std::size_t received, std::size_t more) const
+bool MemoryBudget::admitsArrival(std::size_t received, std::size_t more) const
 {
     const std::size_t bytes = received + more;
-    const std::size_t room = bytes > LongResponseBytes ? terms_.limit : terms_.limit + terms_.limit / OverdrawnDivisor;
-    return bytes <= ShortResponseBytes || held_ + more <= room;
+    const std::size_t room = bytes > LongArrivalBytes ? terms_.limit : terms_.limit + terms_.limit / OverdrawnDivisor;
+    return bytes <= ShortArrivalBytes || held_ + more <= room;
 }
 
 bool MemoryBudget::admitsBody(std::size_t bytes) const
@@ -319,9 +319,8 @@
     if (text.empty()) {
         return text;
     }
-    auto held = std::make_shared<const HeldText>(budget, std::move(text));
-    const std::string *const bytes = &held->text.text();
-    return SharedText(std::shared_ptr<const std::string>(std::move(held), bytes));
+    const auto held = std::make_shared<const HeldText>(budget, std::move(text));
+    return SharedText(std::shared_ptr<const std::string>(held, &held->text.text()));
 }
 
 } // namespace Burdock
--- a/packages/wire/src/serverconnection.cpp
+++ b/packages/wire/src/serverconnection.cpp
@@ -45,16 +45,6 @@
 constexpr const char *ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr const char *LastChunk = "0\r\n\r\n";
 
-/// The memory that the header fields of a request take.
-std::size_t headBytes(const HttpServerRequest &request)
-{
-    std::size_t bytes = request.target.size();
-    for (const auto &[name, value] : request.headers) {
-        bytes += name.size() + value.size();
-    }
-    return bytes;
-}
-
 std::string chunkHead(std::size_t length)
 {
     std::array<char, 2 * sizeof(length) + 3> text{};
@@ -184,7 +174,7 @@
         refuse();
         return;
     }
-    requestBytes_ = headBytes(request);
+    requestBytes_ = headBytes(request.target, request.headers);
     request.body = heldIn(context_.memory, std::move(request.body));
     setState(State::HandlingRequest);
     ++context_.counters->requests;
--- a/packages/wire/tests/memorybudgettest.cpp
+++ b/packages/wire/tests/memorybudgettest.cpp
@@ -232,13 +232,13 @@
     constexpr std::size_t Limit = 1000000;
     ManualRuntime runtime;
     MemoryBudget budget(runtime, MemoryTerms{Limit, 1024, 2s});
-    CHECK(budget.admitsResponse(0, 100000));
+    CHECK(budget.admitsArrival(0, 100000));
     budget.take(Limit);
-    CHECK_FALSE(budget.admitsResponse(60000, 10000));
-    CHECK(budget.admitsResponse(0, 60000));
+    CHECK_FALSE(budget.admitsArrival(60000, 10000));
+    CHECK(budget.admitsArrival(0, 60000));
     budget.take(Limit / 8);
-    CHECK_FALSE(budget.admitsResponse(0, 60000));
-    CHECK(budget.admitsResponse(0, 1000));
+    CHECK_FALSE(budget.admitsArrival(0, 60000));
+    CHECK(budget.admitsArrival(0, 1000));
 }
 
 TEST_CASE("a budget above the calm level relieves itself until it is calm", "[memory]")
--- a/tests/crowd/daemoncrowdtest.cpp
+++ b/tests/crowd/daemoncrowdtest.cpp
@@ -1,16 +1,10 @@
-#include "crowdbounds.h"
-#include "testbed.h"
-
-#include <catch2/catch.hpp>
-#include <cstdlib>
+#include "crowdeddaemon.h"
 
 using namespace Burdock;
 
 namespace
 {
 
-constexpr std::size_t MemoryMb = 256;
-constexpr std::size_t Descriptors = 1100;
 constexpr std::size_t BodyBytes = 1048576;
 constexpr std::size_t MissingBytes = 44;
 constexpr std::size_t PieceBytes = 65536;
@@ -43,13 +37,9 @@
 
 TEST_CASE("burdockd stays within its memory while crowds send whole requests, connect again or take their time", "[crowd][process]")
 {
-    setenv("ASAN_OPTIONS", "abort_on_error=1:quarantine_size_mb=1", 1);
-    Testbed testbed("pereyra-hermanos", {"litoral"});
-    testbed.startInstance("litoral-a", "litoral");
-    REQUIRE(testbed.publish() == 0);
-    REQUIRE(testbed.waitUntilReady());
-    const Address address = testbed.callersAddress("litoral-a");
-    Crowd crowd;
+    CrowdedDaemon daemon;
+    const Address address = daemon.callers();
+    Crowd &crowd = daemon.crowd();
     const std::string kind = GENERATE("whole bodies", "bodies that connect again", "heads byte by byte", "odd bodies");
     INFO(kind);
     if (kind == "whole bodies") {
@@ -65,24 +55,14 @@
         crowd.connect(address, 100, {oddBody('0')});
         crowd.connect(address, 100, {oddBody('\xff')});
     }
-    const ProcessUsage peak = crowd.press(testbed.process("litoral-a").pid(), address);
-    checkUsage(peak, MemoryMb, Descriptors);
-    REQUIRE(testbed.process("litoral-a").isRunning());
-    CHECK(testbed.eventually([&] {
-        const auto answer = testbed.query("litoral-a", "technician-tablet", "parts");
-        return answer && answer->status == 200;
-    }));
+    daemon.check(address);
 }
 
 TEST_CASE("burdockd stays within its memory while crowds stop in heads and bodies or do not read", "[crowd][process]")
 {
-    setenv("ASAN_OPTIONS", "abort_on_error=1:quarantine_size_mb=1", 1);
-    Testbed testbed("pereyra-hermanos", {"litoral"});
-    testbed.startInstance("litoral-a", "litoral");
-    REQUIRE(testbed.publish() == 0);
-    REQUIRE(testbed.waitUntilReady());
-    const Address address = testbed.callersAddress("litoral-a");
-    Crowd crowd;
+    CrowdedDaemon daemon;
+    const Address address = daemon.callers();
+    Crowd &crowd = daemon.crowd();
     const std::string kind = GENERATE("bodies", "large chunks", "small chunks", "answers", "all");
     INFO(kind);
     const bool all = kind == "all";
@@ -102,11 +82,5 @@
     if (all) {
         crowd.connect(address, 100, {std::make_shared<const std::string>(PostHead + "X-Long: " + std::string(16000, 'h'))});
     }
-    const ProcessUsage peak = crowd.press(testbed.process("litoral-a").pid(), address);
-    checkUsage(peak, MemoryMb, Descriptors);
-    REQUIRE(testbed.process("litoral-a").isRunning());
-    CHECK(testbed.eventually([&] {
-        const auto answer = testbed.query("litoral-a", "technician-tablet", "parts");
-        return answer && answer->status == 200;
-    }));
+    daemon.check(address);
 }
--- a/tests/crowd/peerlinkcrowdtest.cpp
+++ b/tests/crowd/peerlinkcrowdtest.cpp
@@ -1,16 +1,10 @@
-#include "crowdbounds.h"
-#include "testbed.h"
-
-#include <catch2/catch.hpp>
-#include <cstdlib>
+#include "crowdeddaemon.h"
 
 using namespace Burdock;
 
 namespace
 {
 
-constexpr std::size_t MemoryMb = 256;
-constexpr std::size_t Descriptors = 1100;
 /// The largest frame that instances send each other.
 constexpr std::size_t FrameBytes = 4194304;
 constexpr std::size_t MissingBytes = 44;
@@ -58,13 +52,9 @@
 TEST_CASE("burdockd stays within its memory while crowds press on the listener for other instances", "[crowd][process]")
 {
     constexpr std::size_t Count = 150;
-    setenv("ASAN_OPTIONS", "abort_on_error=1:quarantine_size_mb=1", 1);
-    Testbed testbed("pereyra-hermanos", {"litoral"});
-    testbed.startInstance("litoral-a", "litoral");
-    REQUIRE(testbed.publish() == 0);
-    REQUIRE(testbed.waitUntilReady());
-    const Address address = testbed.peersAddress("litoral-a");
-    Crowd crowd;
+    CrowdedDaemon daemon;
+    const Address address = daemon.peers();
+    Crowd &crowd = daemon.crowd();
     const std::string kind = GENERATE("frames", "pieces", "heads", "bodies");
     INFO(kind);
     if (kind == "frames") {
@@ -76,11 +66,5 @@
     } else {
         crowd.connect(address, Count, {bodyThatStops(OpenHead, FrameBytes, MissingBytes)});
     }
-    const ProcessUsage peak = crowd.press(testbed.process("litoral-a").pid(), address);
-    checkUsage(peak, MemoryMb, Descriptors);
-    REQUIRE(testbed.process("litoral-a").isRunning());
-    CHECK(testbed.eventually([&] {
-        const auto answer = testbed.query("litoral-a", "technician-tablet", "parts");
-        return answer && answer->status == 200;
-    }));
+    daemon.check(address);
 }
