--- a/tests/crowd/crowdedinstance.h
+++ b/tests/crowd/crowdedinstance.h
@@ -71,8 +71,7 @@
         : memoryMb_(static_cast<std::size_t>(terms.memoryMb))
     {
         constexpr int LongRecords = 60000;
-        constexpr int UsualConnections = 40;
-        constexpr int ShardConnections = 100;
+        constexpr int ServerConnections = 100;
         // Freed blocks of the sanitized build are not what is measured.
         setenv("ASAN_OPTIONS", "abort_on_error=1:quarantine_size_mb=1", 1);
         config_ = RouterTestbed::config(1, terms.shards);
@@ -84,14 +83,14 @@
         }
         config_["services"].push_back({{"name", "long"}, {"healthPath", "/health"}});
         for (nlohmann::json &service : config_["services"]) {
-            service["maxConnections"] = service["name"] == "one" || service["name"] == "long" ? UsualConnections : ShardConnections;
+            service["maxConnections"] = ServerConnections;
         }
         bed_.control("POST", "/fake/config", config_);
-        bed_.addServer("s-one", "one", 0, terms.oneWorkMs);
-        bed_.addServer("s-long", "long", LongRecords);
+        addServer("s-one", "one", 0, terms.oneWorkMs);
+        addServer("s-long", "long", LongRecords, 3);
         for (const std::string &shard : terms.shards) {
             const bool isSlow = terms.lastShardWorkMs > 0 && shard == terms.shards.back();
-            addShardServer("s-" + shard, shard, terms.shardRecords, isSlow ? terms.lastShardWorkMs : terms.shardWorkMs);
+            addServer("s-" + shard, shard, terms.shardRecords, isSlow ? terms.lastShardWorkMs : terms.shardWorkMs);
         }
         bed_.setMemory(terms.memoryMb);
         for (const std::string &id : terms.instances) {
@@ -147,7 +146,7 @@
 
 private:
     /// Adds a server that takes on what a crowd sends.
-    void addShardServer(const std::string &id, const std::string &service, int records, int workMs)
+    void addServer(const std::string &id, const std::string &service, int records, int workMs)
     {
         constexpr int Slots = 80;
         bed_.control(
